--- /dev/null
+++ b/cmd/crocusway/main.go
@@ -0,0 +1,4 @@
+// Command crocusway serves large models whose replicas span several hosts.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/api/backend.go
@@ -0,0 +1,126 @@
+package api
+
+// AnnouncementVersion is the version of the announcement and order contract.
+const AnnouncementVersion = 1
+
+// BackendKind tells engines from plain services.
+type BackendKind string
+
+// Kinds of backend servers.
+const (
+	BackendEngine  BackendKind = "engine"
+	BackendService BackendKind = "service"
+)
+
+// LoadState is the progress of a backend server's model load.
+type LoadState string
+
+// States of a model load.
+const (
+	LoadIdle    LoadState = "idle"
+	LoadLoading LoadState = "loading"
+	LoadReady   LoadState = "ready"
+)
+
+// Capabilities lists the optional parts of the engine contract.
+type Capabilities struct {
+	Resume   bool `json:"resume,omitempty"`
+	Cancel   bool `json:"cancel,omitempty"`
+	Priority bool `json:"priority,omitempty"`
+}
+
+// Announcement is what a backend server says of itself, to any entry, by
+// POST /v1/backends/announce. It is repeated as a heartbeat.
+type Announcement struct {
+	Version     int           `json:"version" validate:"eq=1"`
+	Host        HostID        `json:"host" validate:"required,max=64"`
+	Incarnation Incarnation   `json:"incarnation" validate:"min=1"`
+	Sequence    uint64        `json:"sequence" validate:"min=1"`
+	Address     string        `json:"address" validate:"required,hostname_port"`
+	Kind        BackendKind   `json:"kind" validate:"oneof=engine service"`
+	Service     string        `json:"service,omitempty" validate:"required_if=Kind service,max=64"`
+	Fabric      FabricDomain  `json:"fabric,omitempty" validate:"required_if=Kind engine,max=64"`
+	Domain      FailureDomain `json:"domain" validate:"required,max=64"`
+	// Accelerators is the number of accelerators of the host.
+	Accelerators int `json:"accelerators,omitempty" validate:"min=0,max=64"`
+	// Group, Fencing and Rank are the membership that the server holds.
+	Group   GroupID   `json:"group,omitempty" validate:"max=128"`
+	Fencing Fencing   `json:"fencing,omitempty"`
+	Rank    int       `json:"rank,omitempty" validate:"min=0,max=15"`
+	Model   string    `json:"model,omitempty" validate:"max=128"`
+	Load    LoadState `json:"load,omitempty" validate:"omitempty,oneof=idle loading ready"`
+	// Warm is false during a cold start.
+	Warm bool `json:"warm,omitempty"`
+	// BearableLoad is the number of concurrent requests borne now, 0 unknown.
+	BearableLoad int `json:"bearable_load,omitempty" validate:"min=0,max=100000"`
+	// WarmLoad is the number of concurrent requests borne when warm, 0 unknown.
+	WarmLoad      int          `json:"warm_load,omitempty" validate:"min=0,max=100000"`
+	ChecksFencing bool         `json:"checks_fencing,omitempty"`
+	Leaving       bool         `json:"leaving,omitempty"`
+	Capabilities  Capabilities `json:"capabilities,omitzero"`
+	// Running and Queued are a lagging load report, in requests.
+	Running int `json:"running,omitempty" validate:"min=0"`
+	Queued  int `json:"queued,omitempty" validate:"min=0"`
+}
+
+// AnnounceResponse answers an announcement.
+type AnnounceResponse struct {
+	// NextMillis is the wanted time until the next announcement.
+	NextMillis int64 `json:"next_millis"`
+	// Entries are caller addresses to announce to when this one fails.
+	Entries []string `json:"entries"`
+}
+
+// OrderKind tells what an order wants of a backend server.
+type OrderKind string
+
+// Kinds of orders.
+const (
+	OrderAssign  OrderKind = "assign"
+	OrderRelease OrderKind = "release"
+)
+
+// Order is sent by the control leader to an engine, by POST /v1/orders.
+// Orders are idempotent: the same fencing number repeats the first outcome.
+type Order struct {
+	Version int       `json:"version"`
+	Kind    OrderKind `json:"kind"`
+	Host    HostID    `json:"host"`
+	Group   GroupID   `json:"group"`
+	Fencing Fencing   `json:"fencing"`
+	Rank    int       `json:"rank,omitempty"`
+	Members []HostID  `json:"members,omitempty"`
+	Model   string    `json:"model,omitempty"`
+}
+
+// OrderResult answers an order.
+type OrderResult struct {
+	Accepted    bool        `json:"accepted"`
+	Host        HostID      `json:"host"`
+	Incarnation Incarnation `json:"incarnation"`
+	// Fencing is the highest number the server has accepted.
+	Fencing Fencing `json:"fencing"`
+	Reason  string  `json:"reason,omitempty"`
+}
+
+// Header names of the caller and engine protocols.
+const (
+	HeaderRequest        = "Crocusway-Request"
+	HeaderOutcome        = "Crocusway-Outcome"
+	HeaderPriority       = "Crocusway-Priority"
+	HeaderDeadlineMillis = "Crocusway-Deadline-Millis"
+	HeaderFencing        = "Crocusway-Fencing"
+	HeaderOffset         = "Crocusway-Offset"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// Outcome is the claim that an answer makes about the run of its request.
+type Outcome string
+
+// Outcomes of a request. OutcomeNotRun is claimed only when no byte of the
+// request can have reached a backend server.
+const (
+	OutcomeComplete Outcome = "complete"
+	OutcomeNotRun   Outcome = "not-run"
+	OutcomeUnknown  Outcome = "unknown"
+)
--- /dev/null
+++ b/internal/api/rpc.go
@@ -0,0 +1,285 @@
+package api
+
+// Method names one peer call.
+type Method string
+
+// Peer calls. Control methods are answered by the leader; another voter
+// answers with errs.NotLeader and the leader's peer address.
+const (
+	MethodConsensus  Method = "consensus.messages"
+	MethodRenew      Method = "control.renew"
+	MethodWatch      Method = "control.watch"
+	MethodAnnounce   Method = "control.announce"
+	MethodPlan       Method = "control.plan"
+	MethodDecide     Method = "control.decide"
+	MethodPlans      Method = "control.plans"
+	MethodStatus     Method = "control.status"
+	MethodHistory    Method = "control.history"
+	MethodMember     Method = "control.member"
+	MethodRecordOpen Method = "control.record.open"
+	MethodRecordEnd  Method = "control.record.end"
+	MethodRecordGet  Method = "control.record.get"
+	MethodSuspect    Method = "control.suspect"
+	MethodAcquire    Method = "shard.acquire"
+	MethodSettle     Method = "shard.settle"
+	MethodReport     Method = "shard.report"
+)
+
+// RenewRequest renews the work lease of an entry.
+type RenewRequest struct {
+	Entry   EntryInfo `json:"entry"`
+	Applied Revision  `json:"applied"`
+}
+
+// RenewResponse grants a work lease. The entry counts LeaseMillis from the
+// moment it sent the request.
+type RenewResponse struct {
+	LeaseMillis int64 `json:"lease_millis"`
+	// Revision is the newest accepted revision.
+	Revision Revision `json:"revision"`
+}
+
+// WatchRequest asks for the changes after From, waiting up to WaitMillis.
+type WatchRequest struct {
+	Entry      EntryID  `json:"entry"`
+	From       Revision `json:"from"`
+	WaitMillis int64    `json:"wait_millis"`
+}
+
+// WatchResponse carries the update, which is empty when To equals From.
+type WatchResponse struct {
+	Update ViewUpdate `json:"update"`
+}
+
+// AnnounceBatch carries announcements that an entry collected.
+type AnnounceBatch struct {
+	Entry         EntryID        `json:"entry"`
+	Announcements []Announcement `json:"announcements"`
+}
+
+// AnnounceBatchResponse acknowledges a batch.
+type AnnounceBatchResponse struct {
+	Accepted int `json:"accepted"`
+}
+
+// PlanRequest asks for a plan.
+type PlanRequest struct {
+	Operator string `json:"operator"`
+	Intent   Intent `json:"intent"`
+}
+
+// PlanResponse carries one plan.
+type PlanResponse struct {
+	Plan Plan `json:"plan"`
+}
+
+// DecideRequest confirms or rejects a plan. It is idempotent.
+type DecideRequest struct {
+	Operator string `json:"operator"`
+	Plan     PlanID `json:"plan"`
+	Confirm  bool   `json:"confirm"`
+	// WaitMillis bounds the wait for the change to be in force.
+	WaitMillis int64 `json:"wait_millis"`
+}
+
+// DecideResponse tells the outcome of a decision.
+type DecideResponse struct {
+	Plan Plan `json:"plan"`
+	// InForce is set once every entry that may take work has applied the plan.
+	InForce bool `json:"in_force"`
+	// HeldOut names the entries whose older work lease has not yet run out.
+	HeldOut []EntryID `json:"held_out,omitempty"`
+}
+
+// PlansResponse lists plans, newest first.
+type PlansResponse struct {
+	Plans []Plan `json:"plans"`
+}
+
+// HistoryRequest asks for the newest accepted changes.
+type HistoryRequest struct {
+	Limit int `json:"limit"`
+}
+
+// HistoryResponse lists accepted changes, newest first.
+type HistoryResponse struct {
+	Items []HistoryItem `json:"items"`
+}
+
+// VoterStatus describes one voter.
+type VoterStatus struct {
+	ID      VoterID `json:"id"`
+	Address string  `json:"address"`
+	Role    string  `json:"role"`
+	Match   uint64  `json:"match"`
+}
+
+// MeasureStatus reports the measures of the last hour.
+type MeasureStatus struct {
+	// GroupDowntime is in replica-seconds.
+	GroupDowntime float64 `json:"group_downtime_replica_seconds"`
+	// Stranded is in host-seconds.
+	Stranded float64 `json:"stranded_host_seconds"`
+}
+
+// StatusResponse is the leader's summary for operators.
+type StatusResponse struct {
+	Leader      VoterID       `json:"leader"`
+	Term        uint64        `json:"term"`
+	Voters      []VoterStatus `json:"voters"`
+	View        View          `json:"view"`
+	Hosts       []HostStatus  `json:"hosts"`
+	Assignments []Assignment  `json:"assignments"`
+	Measures    MeasureStatus `json:"measures"`
+}
+
+// HostStatus is the leader's soft knowledge of one backend server.
+type HostStatus struct {
+	Announcement Announcement `json:"announcement"`
+	// AgeMillis is the time since the last announcement.
+	AgeMillis int64 `json:"age_millis"`
+	Alive     bool  `json:"alive"`
+}
+
+// MemberRequest changes the voters, one at a time.
+type MemberRequest struct {
+	// Action is "add-learner", "promote" or "remove".
+	Action  string  `json:"action" validate:"oneof=add-learner promote remove"`
+	Voter   VoterID `json:"voter" validate:"required"`
+	Address string  `json:"address"`
+}
+
+// RecordState is the state of an idempotency record.
+type RecordState string
+
+// States of an idempotency record. A record that ends as not-run is deleted.
+const (
+	RecordRunning  RecordState = "running"
+	RecordComplete RecordState = "complete"
+	RecordUnknown  RecordState = "unknown"
+	RecordNotRun   RecordState = "not-run"
+)
+
+// Record remembers one non-idempotent request by account and key.
+type Record struct {
+	Account     AccountID   `json:"account"`
+	Key         string      `json:"key"`
+	BodyHash    string      `json:"body_hash"`
+	Request     RequestID   `json:"request"`
+	Entry       EntryID     `json:"entry"`
+	Incarnation Incarnation `json:"incarnation"`
+	State       RecordState `json:"state"`
+	Status      int         `json:"status,omitempty"`
+	ContentType string      `json:"content_type,omitempty"`
+	Body        []byte      `json:"body,omitempty"`
+	// ExpiresUnixMillis is when the record may be forgotten.
+	ExpiresUnixMillis int64 `json:"expires_unix_millis"`
+}
+
+// RecordOpenRequest creates a record before dispatch.
+type RecordOpenRequest struct {
+	Record Record `json:"record"`
+}
+
+// RecordOpenResponse tells whether this call created the record. Only the
+// call that created it may dispatch.
+type RecordOpenResponse struct {
+	Created bool   `json:"created"`
+	Record  Record `json:"record"`
+}
+
+// RecordEndRequest stores the end of a record. Request must match the record.
+type RecordEndRequest struct {
+	Record Record `json:"record"`
+}
+
+// RecordGetRequest reads a record, waiting up to WaitMillis for its end.
+type RecordGetRequest struct {
+	Account    AccountID `json:"account"`
+	Key        string    `json:"key"`
+	WaitMillis int64     `json:"wait_millis"`
+}
+
+// RecordGetResponse carries the record, if it exists.
+type RecordGetResponse struct {
+	Found  bool   `json:"found"`
+	Record Record `json:"record"`
+}
+
+// SuspectRequest reports a request that ran on a replica when it died.
+type SuspectRequest struct {
+	Fingerprint string    `json:"fingerprint"`
+	Request     RequestID `json:"request"`
+	Group       GroupID   `json:"group"`
+	Fencing     Fencing   `json:"fencing"`
+	// Alone is set when no other request ran on the replica.
+	Alone bool `json:"alone"`
+}
+
+// SuspectResponse returns the state of the fingerprint.
+type SuspectResponse struct {
+	Quarantine Quarantine `json:"quarantine"`
+}
+
+// AcquireRequest asks a shard owner for a grant and waits in its queue.
+type AcquireRequest struct {
+	Shard       ShardID     `json:"shard"`
+	Epoch       Revision    `json:"epoch"`
+	Entry       EntryID     `json:"entry"`
+	Incarnation Incarnation `json:"incarnation"`
+	Request     RequestID   `json:"request"`
+	Account     AccountID   `json:"account"`
+	// PrefixHashes are hashes of the leading prompt blocks, longest last.
+	PrefixHashes []uint64 `json:"prefix_hashes,omitempty"`
+	// WaitMillis bounds the wait in the queue.
+	WaitMillis int64 `json:"wait_millis"`
+	// Exclude lists replicas already tried for this request.
+	Exclude []GroupID `json:"exclude,omitempty"`
+	// Alone asks for a replica that runs nothing else.
+	Alone bool `json:"alone,omitempty"`
+}
+
+// Grant allows one request on one replica until it expires.
+type Grant struct {
+	ID      string    `json:"id"`
+	Shard   ShardID   `json:"shard"`
+	Epoch   Revision  `json:"epoch"`
+	Request RequestID `json:"request"`
+	Account AccountID `json:"account"`
+	Group   GroupID   `json:"group"`
+	Fencing Fencing   `json:"fencing"`
+	Address string    `json:"address"`
+	// ExpiresMillis is the lifetime counted from when the request was sent.
+	ExpiresMillis int64 `json:"expires_millis"`
+	Priority      int   `json:"priority"`
+}
+
+// AcquireResponse carries a grant.
+type AcquireResponse struct {
+	Grant Grant `json:"grant"`
+}
+
+// SettleRequest gives a grant back.
+type SettleRequest struct {
+	Grant   Grant   `json:"grant"`
+	Entry   EntryID `json:"entry"`
+	Outcome Outcome `json:"outcome"`
+	// Failed is set when the replica broke the connection or answered 5xx.
+	Failed bool `json:"failed,omitempty"`
+	// FirstTokenMicros is 0 when no token arrived.
+	FirstTokenMicros int64 `json:"first_token_micros,omitempty"`
+	// CachedTokens is the prefix hit that the engine reported, in tokens.
+	CachedTokens int `json:"cached_tokens,omitempty"`
+}
+
+// ReportRequest tells a new shard owner every grant that an entry still holds.
+type ReportRequest struct {
+	Shard       ShardID     `json:"shard"`
+	Epoch       Revision    `json:"epoch"`
+	Entry       EntryID     `json:"entry"`
+	Incarnation Incarnation `json:"incarnation"`
+	Grants      []Grant     `json:"grants"`
+}
+
+// Empty is the result of calls that return nothing.
+type Empty struct{}
--- /dev/null
+++ b/internal/api/view.go
@@ -0,0 +1,122 @@
+package api
+
+// GroupPhase is the progress of one replica.
+type GroupPhase string
+
+// Phases of a group. Only a ready group serves.
+const (
+	GroupLoading   GroupPhase = "loading"
+	GroupReady     GroupPhase = "ready"
+	GroupBroken    GroupPhase = "broken"
+	GroupReleasing GroupPhase = "releasing"
+)
+
+// Group is one replica: hosts of one fabric domain that serve as a unit at one
+// generation, which Fencing identifies.
+type Group struct {
+	ID           GroupID          `json:"id"`
+	ServingGroup ServingGroupName `json:"serving_group"`
+	Model        string           `json:"model"`
+	Fabric       FabricDomain     `json:"fabric"`
+	Domain       FailureDomain    `json:"domain"`
+	// Members are the hosts by rank; rank 0 takes the requests.
+	Members []HostID   `json:"members"`
+	Fencing Fencing    `json:"fencing"`
+	Phase   GroupPhase `json:"phase"`
+	// Address is "ip:port" of rank 0, known from its announcement.
+	Address string `json:"address"`
+	// Warm is false while rank 0 reports a cold start.
+	Warm bool `json:"warm"`
+	// BearableLoad is the number of concurrent requests that rank 0 says it
+	// bears in its present state; 0 when it said nothing.
+	BearableLoad int `json:"bearable_load"`
+	// WarmLoad is the number of concurrent requests borne when warm; 0 unknown.
+	WarmLoad int `json:"warm_load"`
+	// Leaving is set when a member announced that it leaves.
+	Leaving      bool         `json:"leaving,omitempty"`
+	Capabilities Capabilities `json:"capabilities"`
+}
+
+// Assignment binds a host to a group. A host without one is free.
+type Assignment struct {
+	Host    HostID  `json:"host"`
+	Group   GroupID `json:"group"`
+	Fencing Fencing `json:"fencing"`
+	// Releasing is set while the end of the membership is not yet proven.
+	Releasing bool `json:"releasing,omitempty"`
+}
+
+// EntryInfo describes one entry daemon.
+type EntryInfo struct {
+	ID          EntryID       `json:"id"`
+	Incarnation Incarnation   `json:"incarnation"`
+	Domain      FailureDomain `json:"domain"`
+	// CallerAddress and PeerAddress are "ip:port".
+	CallerAddress string `json:"caller_address"`
+	PeerAddress   string `json:"peer_address"`
+	// Live is false once the work lease has run out.
+	Live bool `json:"live"`
+	// Leaving is set during a graceful shutdown: no new work, no shards.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// ShardLease names the entry that owns a shard. Epoch only grows.
+type ShardLease struct {
+	Shard ShardID  `json:"shard"`
+	Owner EntryID  `json:"owner"`
+	Epoch Revision `json:"epoch"`
+}
+
+// ServiceServer is one live backend server of a plain service.
+type ServiceServer struct {
+	Host    HostID        `json:"host"`
+	Service string        `json:"service"`
+	Domain  FailureDomain `json:"domain"`
+	Address string        `json:"address"`
+	Leaving bool          `json:"leaving,omitempty"`
+}
+
+// Quarantine refuses requests with a fingerprint until a moment in time.
+type Quarantine struct {
+	Fingerprint string `json:"fingerprint"`
+	Deaths      int    `json:"deaths"`
+	// UntilUnixMillis is 0 for a suspect that is not yet quarantined.
+	UntilUnixMillis int64 `json:"until_unix_millis,omitempty"`
+}
+
+// View is the replicated state that an entry applies.
+type View struct {
+	Revision      Revision        `json:"revision"`
+	ServingGroups []ServingGroup  `json:"serving_groups,omitempty"`
+	Accounts      []Account       `json:"accounts,omitempty"`
+	Domains       []Domain        `json:"domains,omitempty"`
+	Services      []Service       `json:"services,omitempty"`
+	Groups        []Group         `json:"groups,omitempty"`
+	Entries       []EntryInfo     `json:"entries,omitempty"`
+	Shards        []ShardLease    `json:"shards,omitempty"`
+	Servers       []ServiceServer `json:"servers,omitempty"`
+	Quarantines   []Quarantine    `json:"quarantines,omitempty"`
+}
+
+// ViewUpdate brings a view from revision From to To. With Full set it replaces
+// the view; otherwise the listed items are upserted and Removed is deleted.
+type ViewUpdate struct {
+	From    Revision    `json:"from"`
+	To      Revision    `json:"to"`
+	Full    bool        `json:"full,omitempty"`
+	Upsert  View        `json:"upsert"`
+	Removed ViewRemoval `json:"removed,omitzero"`
+}
+
+// ViewRemoval lists the keys that an update deletes.
+type ViewRemoval struct {
+	ServingGroups []ServingGroupName `json:"serving_groups,omitempty"`
+	Accounts      []AccountID        `json:"accounts,omitempty"`
+	Domains       []FailureDomain    `json:"domains,omitempty"`
+	Services      []string           `json:"services,omitempty"`
+	Groups        []GroupID          `json:"groups,omitempty"`
+	Entries       []EntryID          `json:"entries,omitempty"`
+	Shards        []ShardID          `json:"shards,omitempty"`
+	Servers       []HostID           `json:"servers,omitempty"`
+	Quarantines   []string           `json:"quarantines,omitempty"`
+}
--- /dev/null
+++ b/internal/backend/types.go
@@ -0,0 +1,77 @@
+// Package backend holds the clients of what stands behind crocusway: model
+// engines, plain services and the orders that engines accept.
+package backend
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// ErrNotSent marks errors after which no byte of the request can have reached
+// the backend server. Test with errors.Is.
+var ErrNotSent = errors.New("request not sent")
+
+// Request is one call to an engine or a plain service.
+type Request struct {
+	ID      api.RequestID
+	Address string
+	Method  string
+	// Path holds the path and the query.
+	Path        string
+	ContentType string
+	Body        []byte
+	// Fencing is the generation of the group that the grant names; 0 for a
+	// service.
+	Fencing  api.Fencing
+	Priority int
+	// Deadline is when the answer is of no more use.
+	Deadline time.Time
+	// Offset is the number of tokens already delivered, for a resumed stream.
+	Offset int
+}
+
+// Response is an answer. Exactly one of Body and Stream is used.
+type Response struct {
+	Status      int
+	ContentType string
+	Body        []byte
+	Stream      Stream
+}
+
+// Event is one server-sent event of a token stream.
+type Event struct {
+	// Offset is the number of tokens delivered including this event.
+	Offset int
+	Data   []byte
+	// Done is set on the terminator.
+	Done bool
+}
+
+// Stream yields the events of one answer.
+type Stream interface {
+	// Next returns the next event. It returns io.EOF after the terminator and
+	// io.ErrUnexpectedEOF when the stream ended without one.
+	Next() (Event, error)
+	// Close ends the stream and closes its connection unless the terminator
+	// was read.
+	Close() error
+}
+
+// Client calls engines and services. It is safe for concurrent use.
+type Client interface {
+	// Do sends the request on a connection that serves nothing else until the
+	// answer is read. An answer whose echoed request id differs is an error.
+	Do(ctx context.Context, r Request) (*Response, error)
+	// Cancel asks an engine to stop a request.
+	Cancel(ctx context.Context, address string, id api.RequestID) error
+}
+
+// OrderSender sends orders to engines.
+type OrderSender interface {
+	// Send delivers one order. An error leaves the outcome unknown.
+	Send(ctx context.Context, address string, o api.Order) (api.OrderResult, error)
+}
--- /dev/null
+++ b/internal/deps/deps.go
@@ -0,0 +1,31 @@
+// Package deps keeps declared modules in go.mod until their first use.
+package deps
+
+import (
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/anishathalye/porcupine"
+	_ "github.com/cenkalti/backoff/v5"
+	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/fasthttp/router"
+	_ "github.com/fxamacker/cbor/v2"
+	_ "github.com/go-playground/validator/v10"
+	_ "github.com/google/btree"
+	_ "github.com/oklog/ulid/v2"
+	_ "github.com/olekukonko/tablewriter"
+	_ "github.com/panjf2000/gnet/v2"
+	_ "github.com/peterbourgon/ff/v3/ffcli"
+	_ "github.com/sebdah/goldie/v2"
+	_ "github.com/sourcegraph/jsonrpc2"
+	_ "github.com/stretchr/testify/require"
+	_ "github.com/valyala/fasthttp"
+	_ "github.com/valyala/fasthttp/fasthttputil"
+	_ "go.opentelemetry.io/otel/attribute"
+	_ "go.opentelemetry.io/otel/exporters/prometheus"
+	_ "go.opentelemetry.io/otel/metric"
+	_ "go.opentelemetry.io/otel/sdk/metric"
+	_ "go.uber.org/goleak"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/sys/unix"
+	_ "golang.org/x/time/rate"
+	_ "pgregory.net/rapid"
+)
--- /dev/null
+++ b/internal/entry/state.go
@@ -0,0 +1,183 @@
+// Package entry is the soft state of an entry daemon: the view it applies, its
+// work lease and its link to the control role.
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/clock"
+)
+
+// ControlCaller calls the control leader, wherever it is.
+type ControlCaller interface {
+	Call(ctx context.Context, method api.Method, params, result any) error
+}
+
+// Snapshot is an immutable view with the indexes that the request path reads.
+type Snapshot struct {
+	api.View
+	groups         map[api.GroupID]*api.Group
+	servingGroups  map[api.ServingGroupName]*api.ServingGroup
+	byModel        map[string][]*api.ServingGroup
+	byShard        map[api.ShardID][]*api.Group
+	shards         map[api.ShardID]*api.ShardLease
+	accountsByHash map[string]*api.Account
+	accounts       map[api.AccountID]*api.Account
+	entries        map[api.EntryID]*api.EntryInfo
+	services       map[string]*api.Service
+	drained        map[api.FailureDomain]bool
+	quarantines    map[string]api.Quarantine
+}
+
+// NewSnapshot indexes a view, which the caller must not change afterwards.
+func NewSnapshot(v api.View) *Snapshot {
+	s := &Snapshot{
+		View:           v,
+		groups:         make(map[api.GroupID]*api.Group, len(v.Groups)),
+		servingGroups:  make(map[api.ServingGroupName]*api.ServingGroup, len(v.ServingGroups)),
+		byModel:        make(map[string][]*api.ServingGroup, len(v.ServingGroups)),
+		byShard:        make(map[api.ShardID][]*api.Group, len(v.Shards)),
+		shards:         make(map[api.ShardID]*api.ShardLease, len(v.Shards)),
+		accountsByHash: make(map[string]*api.Account, len(v.Accounts)),
+		accounts:       make(map[api.AccountID]*api.Account, len(v.Accounts)),
+		entries:        make(map[api.EntryID]*api.EntryInfo, len(v.Entries)),
+		services:       make(map[string]*api.Service, len(v.Services)),
+		drained:        make(map[api.FailureDomain]bool, len(v.Domains)),
+		quarantines:    make(map[string]api.Quarantine, len(v.Quarantines)),
+	}
+	s.indexGroups()
+	s.indexRest()
+	return s
+}
+
+func (s *Snapshot) indexGroups() {
+	for i := range s.ServingGroups {
+		sg := &s.ServingGroups[i]
+		s.servingGroups[sg.Name] = sg
+		s.byModel[sg.Model] = append(s.byModel[sg.Model], sg)
+	}
+	for i := range s.Groups {
+		g := &s.Groups[i]
+		s.groups[g.ID] = g
+		id := api.ShardID{ServingGroup: g.ServingGroup, Domain: g.Domain}
+		s.byShard[id] = append(s.byShard[id], g)
+	}
+	for i := range s.Shards {
+		lease := &s.Shards[i]
+		s.shards[lease.Shard] = lease
+	}
+}
+
+func (s *Snapshot) indexRest() {
+	for i := range s.Accounts {
+		a := &s.Accounts[i]
+		s.accounts[a.ID] = a
+		for _, hash := range a.KeyHashes {
+			s.accountsByHash[hash] = a
+		}
+	}
+	for i := range s.Entries {
+		e := &s.Entries[i]
+		s.entries[e.ID] = e
+	}
+	for i := range s.Services {
+		svc := &s.Services[i]
+		s.services[svc.Name] = svc
+	}
+	for _, d := range s.Domains {
+		s.drained[d.Name] = d.State == api.DomainDrained
+	}
+	for _, q := range s.Quarantines {
+		s.quarantines[q.Fingerprint] = q
+	}
+}
+
+// Group returns a group, or nil.
+func (s *Snapshot) Group(id api.GroupID) *api.Group { return s.groups[id] }
+
+// ServingGroup returns a serving group, or nil.
+func (s *Snapshot) ServingGroup(name api.ServingGroupName) *api.ServingGroup {
+	return s.servingGroups[name]
+}
+
+// Model returns the serving groups that serve a model.
+func (s *Snapshot) Model(model string) []*api.ServingGroup { return s.byModel[model] }
+
+// ShardGroups returns the replicas of a shard, in any phase.
+func (s *Snapshot) ShardGroups(id api.ShardID) []*api.Group { return s.byShard[id] }
+
+// Shard returns the lease of a shard, or nil.
+func (s *Snapshot) Shard(id api.ShardID) *api.ShardLease { return s.shards[id] }
+
+// AccountByHash returns the account with a key hash, or nil.
+func (s *Snapshot) AccountByHash(hash string) *api.Account { return s.accountsByHash[hash] }
+
+// Account returns an account, or nil.
+func (s *Snapshot) Account(id api.AccountID) *api.Account { return s.accounts[id] }
+
+// Entry returns an entry daemon, or nil.
+func (s *Snapshot) Entry(id api.EntryID) *api.EntryInfo { return s.entries[id] }
+
+// Service returns a plain service, or nil.
+func (s *Snapshot) Service(name string) *api.Service { return s.services[name] }
+
+// Drained reports whether operators took the domain out.
+func (s *Snapshot) Drained(d api.FailureDomain) bool { return s.drained[d] }
+
+// Quarantine returns the state of a request fingerprint.
+func (s *Snapshot) Quarantine(fingerprint string) (api.Quarantine, bool) {
+	q, ok := s.quarantines[fingerprint]
+	return q, ok
+}
+
+// State is the current snapshot and work lease of an entry. It is safe for
+// concurrent use; readers take no lock.
+type State struct {
+	Info     api.EntryInfo
+	clock    clock.Clock
+	snapshot atomic.Pointer[Snapshot]
+	lease    atomic.Pointer[time.Time]
+	leaving  atomic.Bool
+}
+
+// NewState returns a state without a view and without a lease.
+func NewState(info api.EntryInfo, c clock.Clock) *State {
+	s := &State{Info: info, clock: c}
+	s.snapshot.Store(NewSnapshot(api.View{}))
+	return s
+}
+
+// Snapshot returns the newest applied snapshot.
+func (s *State) Snapshot() *Snapshot { return s.snapshot.Load() }
+
+// Apply replaces the snapshot. A view with a lower revision is ignored.
+func (s *State) Apply(v api.View) bool {
+	for {
+		old := s.snapshot.Load()
+		if v.Revision < old.Revision {
+			return false
+		}
+		if s.snapshot.CompareAndSwap(old, NewSnapshot(v)) {
+			return true
+		}
+	}
+}
+
+// SetLease extends the work lease to a moment on the monotonic clock.
+func (s *State) SetLease(until time.Time) { s.lease.Store(&until) }
+
+// MayWork reports whether the work lease is valid now. Check it again right
+// before a request is written to a backend server.
+func (s *State) MayWork() bool {
+	until := s.lease.Load()
+	return until != nil && s.clock.Now().Before(*until) && !s.leaving.Load()
+}
+
+// Leaving reports whether a graceful shutdown has begun.
+func (s *State) Leaving() bool { return s.leaving.Load() }
+
+// SetLeaving begins a graceful shutdown: no new work is taken.
+func (s *State) SetLeaving() { s.leaving.Store(true) }
--- /dev/null
+++ b/internal/errs/errs.go
@@ -0,0 +1,77 @@
+// Package errs defines the typed errors of crocusway. An error carries the
+// step and the peer at which it arose, and a code that survives a peer call.
+package errs
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Code classifies an error for programs.
+type Code string
+
+// Codes of errors.
+const (
+	Internal    Code = "internal"
+	Invalid     Code = "invalid"
+	NotFound    Code = "not_found"
+	Conflict    Code = "conflict"
+	NotLeader   Code = "not_leader"
+	Unavailable Code = "unavailable"
+	Timeout     Code = "timeout"
+	Full        Code = "full"
+	Denied      Code = "denied"
+	Stale       Code = "stale"
+)
+
+// Error is an error with its code, step and peer.
+type Error struct {
+	Code Code
+	// Step names the operation that failed, for example "append entries".
+	Step string
+	// Peer is the address or name of the other side; empty when local.
+	Peer string
+	// Detail is a hint for programs, such as the leader's address.
+	Detail string
+	// RetryAfterMillis is a hint for callers, 0 when there is none.
+	RetryAfterMillis int64
+	Err              error
+}
+
+// Error formats the step, the peer and the cause.
+func (e *Error) Error() string {
+	if e.Peer == "" {
+		return fmt.Sprintf("%s: %v", e.Step, e.Err)
+	}
+	return fmt.Sprintf("%s (peer %s): %v", e.Step, e.Peer, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// New returns an error with a formatted cause.
+func New(code Code, step, peer, format string, args ...any) *Error {
+	return &Error{Code: code, Step: step, Peer: peer, Err: errors.Newf(format, args...)}
+}
+
+// Wrap adds a step and a peer to err and keeps its code. It returns nil for a
+// nil err.
+func Wrap(err error, step, peer string) error {
+	if err == nil {
+		return nil
+	}
+	return &Error{Code: CodeOf(err), Step: step, Peer: peer, Err: err}
+}
+
+// CodeOf returns the code of the outermost typed error, or Internal.
+func CodeOf(err error) Code {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return Internal
+}
+
+// Is reports whether err carries the code.
+func Is(err error, code Code) bool { return err != nil && CodeOf(err) == code }
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,26 @@
+// Package logging builds the loggers of crocusway. Every part logs under a
+// fixed prefix, in short sentences.
+package logging
+
+import (
+	"io"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// New returns a logger that writes logfmt lines to w, at or above min, one of
+// "debug", "info", "warn" and "error"; another value stands for "info".
+func New(w io.Writer, min string) log.Logger {
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(w))
+	logger = log.With(logger, "ts", log.DefaultTimestampUTC)
+	return level.NewFilter(logger, level.Allow(level.ParseDefault(min, level.InfoValue())))
+}
+
+// For returns a logger for one part of the daemon.
+func For(logger log.Logger, prefix string) log.Logger {
+	return log.WithPrefix(logger, "part", prefix)
+}
+
+// Discard returns a logger that drops everything.
+func Discard() log.Logger { return log.NewNopLogger() }
