Shared messages of the fleet

Cause: planner and control need one agreed set of changes. Change: FleetView and GroupChange. Ruled out: letting the planner write replicated state itself, which would hide the fencing check.

--- /dev/null
+++ b/internal/api/fleet.go
@@ -0,0 +1,51 @@
+package api
+
+// FleetView is the immutable snapshot that the group planner evaluates.
+type FleetView struct {
+	Revision      Revision       `json:"revision"`
+	ServingGroups []ServingGroup `json:"serving_groups"`
+	Domains       []Domain       `json:"domains"`
+	Weights       Weights        `json:"weights"`
+	Groups        []Group        `json:"groups"`
+	Assignments   []Assignment   `json:"assignments"`
+	Hosts         []HostStatus   `json:"hosts"`
+}
+
+// GroupChangeKind tells what a GroupChange does.
+type GroupChangeKind string
+
+// Kinds of group changes.
+const (
+	// GroupForm creates Group from free hosts and assigns a new fencing number.
+	GroupForm GroupChangeKind = "form"
+	// GroupReform gives Group.ID new members and a new, higher fencing number.
+	// Hosts that drop out become releasing, new ones must be free.
+	GroupReform GroupChangeKind = "reform"
+	// GroupSetPhase sets Group.Phase.
+	GroupSetPhase GroupChangeKind = "phase"
+	// GroupUpdate sets Address, Warm, BearableLoad, WarmLoad, Leaving and
+	// Capabilities.
+	GroupUpdate GroupChangeKind = "update"
+	// GroupRelease marks every member as releasing and the group with it. The
+	// group disappears with its last releasing member.
+	GroupRelease GroupChangeKind = "release"
+	// GroupFree ends the assignment of Host, whose release is proven.
+	GroupFree GroupChangeKind = "free"
+)
+
+// GroupChange is one replicated change of groups and assignments. It is
+// refused with errs.Stale when Fencing is not the current number of the group
+// (for GroupFree: of the assignment), and with errs.Conflict when a host is not
+// free.
+type GroupChange struct {
+	Kind    GroupChangeKind `json:"kind"`
+	Fencing Fencing         `json:"fencing"`
+	Group   Group           `json:"group"`
+	Host    HostID          `json:"host,omitempty"`
+}
+
+// GroupChangeResult carries the group after the change.
+type GroupChangeResult struct {
+	Revision Revision `json:"revision"`
+	Group    Group    `json:"group"`
+}
