--- /dev/null
+++ b/internal/entry/agent.go
@@ -0,0 +1,164 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/clock"
+)
+
+// AgentConfig sets up an Agent.
+type AgentConfig struct {
+	State   *State
+	Control ControlCaller
+	Clock   clock.Clock
+	Logger  log.Logger
+	// RenewInterval is the time between two lease renewals.
+	RenewInterval time.Duration
+	// WatchWait is how long the leader may hold back an answer to a watch.
+	WatchWait time.Duration
+	// OnSnapshot is called after each applied snapshot, in order.
+	OnSnapshot func(*Snapshot)
+	// ApplyUpdate brings a view up to date; it fails on a gap.
+	ApplyUpdate func(api.View, api.ViewUpdate) (api.View, error)
+}
+
+// Agent keeps the state of an entry in step with the control role: it renews
+// the work lease, watches the view and forwards announcements.
+type Agent struct {
+	cfg   AgentConfig
+	batch *announceBatch
+	// required is the revision that must be applied before the next renewal
+	// extends the lease. It is touched by the renewal loop only.
+	required api.Revision
+	joined   bool
+}
+
+// NewAgent returns an agent that does nothing until Run.
+func NewAgent(cfg AgentConfig) *Agent {
+	return &Agent{cfg: cfg, batch: newAnnounceBatch()}
+}
+
+// Run works until ctx ends.
+func (a *Agent) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return a.renewLoop(ctx) })
+	g.Go(func() error { return a.watchLoop(ctx) })
+	g.Go(func() error { return a.announceLoop(ctx) })
+	return g.Wait()
+}
+
+// Announce queues an announcement for the control leader. It never blocks and
+// keeps only the newest announcement of a host.
+func (a *Agent) Announce(ann api.Announcement) { a.batch.put(ann) }
+
+// Renew asks for one extension of the work lease. The lease is counted from
+// before the request was sent, so that the entry never believes longer in it
+// than the leader does.
+func (a *Agent) Renew(ctx context.Context) error {
+	info := a.cfg.State.Info
+	info.Live = true
+	info.Leaving = a.cfg.State.Leaving()
+	sent := a.cfg.Clock.Now()
+	request := api.RenewRequest{Entry: info, Applied: a.cfg.State.Snapshot().Revision}
+	var response api.RenewResponse
+	if err := a.cfg.Control.Call(ctx, api.MethodRenew, request, &response); err != nil {
+		return err
+	}
+	a.extend(sent, request.Applied, response)
+	return nil
+}
+
+// extend sets the lease unless the entry lags behind a revision that an
+// earlier renewal named. The first renewal only learns that revision: a
+// restarted entry takes no work on an old view.
+func (a *Agent) extend(sent time.Time, applied api.Revision, r api.RenewResponse) {
+	required := a.required
+	a.required = r.Revision
+	if !a.joined {
+		a.joined = true
+		return
+	}
+	if applied < required || r.LeaseMillis <= 0 {
+		return
+	}
+	a.cfg.State.SetLease(sent.Add(time.Duration(r.LeaseMillis) * time.Millisecond))
+}
+
+func (a *Agent) renewLoop(ctx context.Context) error {
+	failing := false
+	for ctx.Err() == nil {
+		renewCtx, cancel := context.WithTimeout(ctx, a.cfg.RenewInterval*2)
+		err := a.Renew(renewCtx)
+		cancel()
+		failing = a.logChange("lease renewal", failing, err)
+		wait(ctx, a.pause(err))
+	}
+	return nil
+}
+
+// pause returns the time until the next renewal: short until the entry holds a
+// lease, so that a start or a new leader costs little time.
+func (a *Agent) pause(err error) time.Duration {
+	if err != nil || !a.cfg.State.MayWork() {
+		return a.cfg.RenewInterval / 10
+	}
+	return a.cfg.RenewInterval
+}
+
+func (a *Agent) watchLoop(ctx context.Context) error {
+	failing := false
+	for ctx.Err() == nil {
+		err := a.Watch(ctx)
+		failing = a.logChange("watch", failing, err)
+		if err != nil {
+			wait(ctx, leaderRetryDelay)
+		}
+	}
+	return nil
+}
+
+// Watch asks once for changes after the applied revision and applies them.
+func (a *Agent) Watch(ctx context.Context) error {
+	current := a.cfg.State.Snapshot().View
+	request := api.WatchRequest{
+		Entry:      a.cfg.State.Info.ID,
+		From:       current.Revision,
+		WaitMillis: a.cfg.WatchWait.Milliseconds(),
+	}
+	var response api.WatchResponse
+	if err := a.cfg.Control.Call(ctx, api.MethodWatch, request, &response); err != nil {
+		return err
+	}
+	return a.apply(current, response.Update)
+}
+
+func (a *Agent) apply(current api.View, update api.ViewUpdate) error {
+	if update.To <= current.Revision {
+		return nil
+	}
+	view, err := a.cfg.ApplyUpdate(current, update)
+	if err != nil {
+		return err
+	}
+	if a.cfg.State.Apply(view) && a.cfg.OnSnapshot != nil {
+		a.cfg.OnSnapshot(a.cfg.State.Snapshot())
+	}
+	return nil
+}
+
+// logChange logs the first failure of a row and the recovery from it.
+func (a *Agent) logChange(what string, failing bool, err error) bool {
+	switch {
+	case err != nil && !failing:
+		level.Warn(a.cfg.Logger).Log("msg", what+" fails", "err", err)
+	case err == nil && failing:
+		level.Info(a.cfg.Logger).Log("msg", what+" works again")
+	}
+	return err != nil
+}
--- /dev/null
+++ b/internal/entry/leader.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/peer"
+)
+
+const (
+	// leaderRetryDelay is the pause between two rounds over all voters.
+	leaderRetryDelay = 50 * time.Millisecond
+	// leaderAttemptTimeout bounds one attempt at one voter, apart from the
+	// wait that a long poll asks for.
+	leaderAttemptTimeout = 2 * time.Second
+)
+
+// LeaderClient calls the control leader and follows it to another voter. It
+// implements ControlCaller and is safe for concurrent use.
+type LeaderClient struct {
+	caller peer.Caller
+	voters []string
+
+	mu      sync.Mutex
+	current string
+	next    int
+}
+
+// NewLeaderClient returns a client that looks for the leader among the peer
+// addresses of the voters, of which there must be at least one.
+func NewLeaderClient(caller peer.Caller, voters []string) *LeaderClient {
+	return &LeaderClient{caller: caller, voters: voters, current: voters[0], next: 1}
+}
+
+// Call sends the call to the leader until ctx ends. A call whose outcome is
+// unknown is repeated only if its method is idempotent.
+func (c *LeaderClient) Call(ctx context.Context, method api.Method, params, result any) error {
+	for attempt := 0; ; attempt++ {
+		address := c.target()
+		err := c.attempt(ctx, address, method, params, result)
+		if err == nil || !c.redirect(address, err, method) {
+			return err
+		}
+		if ctx.Err() != nil {
+			return errs.Wrap(err, "find control leader", address)
+		}
+		if attempt%len(c.voters) == len(c.voters)-1 {
+			wait(ctx, leaderRetryDelay)
+		}
+	}
+}
+
+func (c *LeaderClient) attempt(ctx context.Context, address string, method api.Method, params, result any) error {
+	limit := leaderAttemptTimeout + longPollWait(params)
+	attemptCtx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return c.caller.Call(attemptCtx, address, method, params, result)
+}
+
+// longPollWait returns the time that the leader may hold the call back.
+func longPollWait(params any) time.Duration {
+	switch p := params.(type) {
+	case api.WatchRequest:
+		return time.Duration(p.WaitMillis) * time.Millisecond
+	case api.DecideRequest:
+		return time.Duration(p.WaitMillis) * time.Millisecond
+	case api.RecordGetRequest:
+		return time.Duration(p.WaitMillis) * time.Millisecond
+	default:
+		return 0
+	}
+}
+
+// Leader returns the address that the next call goes to.
+func (c *LeaderClient) Leader() string { return c.target() }
+
+func (c *LeaderClient) target() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current
+}
+
+// redirect chooses the next target after err and reports whether to repeat.
+func (c *LeaderClient) redirect(failed string, err error, method api.Method) bool {
+	switch errs.CodeOf(err) {
+	case errs.NotLeader:
+		c.moveOn(failed, errs.DetailOf(err))
+		return true
+	case errs.Unavailable:
+		c.moveOn(failed, "")
+		return true
+	case errs.Timeout:
+		c.moveOn(failed, "")
+		return method != api.MethodRecordOpen
+	default:
+		return false
+	}
+}
+
+// moveOn leaves the failed target for the hinted one or the next in turn. It
+// does nothing if another call has already moved on.
+func (c *LeaderClient) moveOn(failed, hint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current != failed {
+		return
+	}
+	if hint != "" && hint != failed {
+		c.current = hint
+		return
+	}
+	c.current = c.voters[c.next%len(c.voters)]
+	c.next++
+}
+
+// wait pauses for d or until ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -75,3 +75,34 @@
 
 // Is reports whether err carries the code.
 func Is(err error, code Code) bool { return err != nil && CodeOf(err) == code }
+
+// DetailOf returns the innermost non-empty detail of err.
+func DetailOf(err error) string {
+	detail := ""
+	for err != nil {
+		var e *Error
+		if !errors.As(err, &e) {
+			break
+		}
+		if e.Detail != "" {
+			detail = e.Detail
+		}
+		err = e.Err
+	}
+	return detail
+}
+
+// RetryAfterOf returns the first positive retry hint of err, in milliseconds.
+func RetryAfterOf(err error) int64 {
+	for err != nil {
+		var e *Error
+		if !errors.As(err, &e) {
+			return 0
+		}
+		if e.RetryAfterMillis > 0 {
+			return e.RetryAfterMillis
+		}
+		err = e.Err
+	}
+	return 0
+}
