Operators' interface and client

Cause: operators need to state intents and decide on plans from any daemon. Change: HTTP routes that pass calls to the control leader, and the ctl client with tables and JSON. Ruled out: operators speaking the peer protocol, which would hand them the daemons' secret.

--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,159 @@
+// Package ctl is the operator's client: it states intents, decides on plans and
+// shows the state of the system.
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/config"
+	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/operator"
+)
+
+const (
+	// connectTimeout bounds one connection attempt to a daemon.
+	connectTimeout = 2 * time.Second
+	// answerTimeout bounds one answer, apart from the wait that is asked for.
+	answerTimeout = 15 * time.Second
+)
+
+// Client calls the operators' interface of any of several daemons.
+type Client struct {
+	addresses []string
+	token     config.Secret
+	operator  string
+	http      *fasthttp.Client
+}
+
+// NewClient returns a client for the caller addresses "ip:port".
+func NewClient(addresses []string, token config.Secret, operatorName string) *Client {
+	return &Client{
+		addresses: addresses,
+		token:     token,
+		operator:  operatorName,
+		http: &fasthttp.Client{
+			Dial:                      func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, connectTimeout) },
+			NoDefaultUserAgentHeader:  true,
+			MaxIdemponentCallAttempts: 1,
+		},
+	}
+}
+
+// Plan records a plan for the intent.
+func (c *Client) Plan(intent api.Intent) (api.Plan, error) {
+	var response api.PlanResponse
+	err := c.post("/v1/operator/plans", intent, 0, &response)
+	return response.Plan, err
+}
+
+// Decide confirms or rejects a plan and waits for it to be in force.
+func (c *Client) Decide(id api.PlanID, confirm bool, wait time.Duration) (api.DecideResponse, error) {
+	decision := "reject"
+	if confirm {
+		decision = "confirm"
+	}
+	path := fmt.Sprintf("/v1/operator/plans/%d/%s?wait_millis=%d", id, decision, wait.Milliseconds())
+	var response api.DecideResponse
+	err := c.post(path, nil, wait, &response)
+	return response, err
+}
+
+// Plans lists the plans, newest first.
+func (c *Client) Plans() ([]api.Plan, error) {
+	var response api.PlansResponse
+	err := c.get("/v1/operator/plans", &response)
+	return response.Plans, err
+}
+
+// Status returns the leader's summary.
+func (c *Client) Status() (api.StatusResponse, error) {
+	var response api.StatusResponse
+	err := c.get("/v1/operator/status", &response)
+	return response, err
+}
+
+// History lists the accepted changes, newest first.
+func (c *Client) History(limit int) ([]api.HistoryItem, error) {
+	var response api.HistoryResponse
+	err := c.get(fmt.Sprintf("/v1/operator/history?limit=%d", limit), &response)
+	return response.Items, err
+}
+
+// Member changes the voters.
+func (c *Client) Member(request api.MemberRequest) error {
+	return c.post("/v1/operator/members", request, 0, &api.Empty{})
+}
+
+// Dump returns the state of the daemon at one address as JSON.
+func (c *Client) Dump(address string) (json.RawMessage, error) {
+	var raw json.RawMessage
+	err := c.call(address, fasthttp.MethodGet, "/debug/state", nil, 0, &raw)
+	return raw, err
+}
+
+func (c *Client) get(path string, result any) error {
+	return c.anywhere(fasthttp.MethodGet, path, nil, 0, result)
+}
+
+func (c *Client) post(path string, body any, hold time.Duration, result any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	return c.anywhere(fasthttp.MethodPost, path, raw, hold, result)
+}
+
+// anywhere tries the daemons in turn until one answers. Every operator call is
+// idempotent, so that a lost answer may be asked for again elsewhere; only a
+// plan may then be recorded twice, of which one is never confirmed.
+func (c *Client) anywhere(method, path string, body []byte, hold time.Duration, result any) error {
+	var last error
+	for _, address := range c.addresses {
+		err := c.call(address, method, path, body, hold, result)
+		if err == nil || !retryElsewhere(err) {
+			return err
+		}
+		last = err
+	}
+	return last
+}
+
+func retryElsewhere(err error) bool {
+	code := errs.CodeOf(err)
+	return code == errs.Unavailable || code == errs.Timeout || code == errs.NotLeader
+}
+
+func (c *Client) call(address, method, path string, body []byte, hold time.Duration, result any) error {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + address + path)
+	request.Header.Set("Authorization", "Bearer "+c.token.Reveal())
+	request.Header.Set("Crocusway-Operator", c.operator)
+	request.SetBody(body)
+	if err := c.http.DoTimeout(request, response, answerTimeout+hold); err != nil {
+		return &errs.Error{Code: errs.Unavailable, Step: method + " " + path, Peer: address, Err: err}
+	}
+	return decodeAnswer(response, method+" "+path, address, result)
+}
+
+func decodeAnswer(response *fasthttp.Response, step, address string, result any) error {
+	if response.StatusCode() == fasthttp.StatusOK {
+		err := json.Unmarshal(response.Body(), result)
+		return errs.Wrap(err, "decode answer to "+step, address)
+	}
+	var failure operator.ErrorBody
+	if err := json.Unmarshal(response.Body(), &failure); err != nil || failure.Error.Message == "" {
+		return errs.New(errs.Internal, step, address, "status %d", response.StatusCode())
+	}
+	return errs.New(failure.Error.Code, step, address, "%s", failure.Error.Message)
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,207 @@
+// Package operator serves the HTTP interface of operators and of backend
+// servers on an entry or control daemon. Operators' calls are passed on to the
+// control leader.
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/go-kit/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/config"
+	"github.com/crocusway/crocusway/internal/entry"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+const (
+	// callTimeout bounds an operator's call apart from the wait it asks for.
+	callTimeout = 10 * time.Second
+	// maxDecideWait bounds the wait for a change to be in force.
+	maxDecideWait = 60 * time.Second
+	// maxHistory bounds one answer of the history.
+	maxHistory = 1000
+	// headerOperator names the operator in the history.
+	headerOperator = "Crocusway-Operator"
+)
+
+// Config sets up a Server.
+type Config struct {
+	Control       entry.ControlCaller
+	OperatorToken config.Secret
+	BackendToken  config.Secret
+	Logger        log.Logger
+	// Announce takes a validated announcement; nil refuses announcements.
+	Announce func(api.Announcement) api.AnnounceResponse
+	// DecodeAnnouncement reads and validates the body of an announcement.
+	DecodeAnnouncement func([]byte) (api.Announcement, error)
+	// Dump returns the state of this process for /debug/state.
+	Dump func() any
+	// Ready reports whether the daemon does its work, with the reason if not.
+	Ready func() error
+	// Metrics serves /metrics.
+	Metrics fasthttp.RequestHandler
+}
+
+// Server holds the handlers.
+type Server struct {
+	cfg Config
+}
+
+// New returns a server.
+func New(cfg Config) *Server { return &Server{cfg: cfg} }
+
+// Mount adds the routes to r.
+func (s *Server) Mount(r *router.Router) {
+	r.GET("/healthz", s.healthz)
+	r.GET("/readyz", s.readyz)
+	r.GET("/metrics", s.cfg.Metrics)
+	r.POST("/v1/backends/announce", s.requireToken(s.cfg.BackendToken, s.announce))
+	operator := func(h fasthttp.RequestHandler) fasthttp.RequestHandler {
+		return s.requireToken(s.cfg.OperatorToken, h)
+	}
+	r.GET("/debug/state", operator(s.dump))
+	r.POST("/v1/operator/plans", operator(s.plan))
+	r.GET("/v1/operator/plans", operator(s.plans))
+	r.POST("/v1/operator/plans/{id}/{decision}", operator(s.decide))
+	r.GET("/v1/operator/status", operator(s.status))
+	r.GET("/v1/operator/history", operator(s.history))
+	r.POST("/v1/operator/members", operator(s.member))
+}
+
+// requireToken admits requests with the bearer token. The comparison takes the
+// same time for every wrong token.
+func (s *Server) requireToken(token config.Secret, next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	want := sha256.Sum256([]byte(token.Reveal()))
+	return func(ctx *fasthttp.RequestCtx) {
+		given := strings.TrimPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+		got := sha256.Sum256([]byte(given))
+		if subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+			writeError(ctx, errs.New(errs.Denied, "authenticate", "", "token refused"))
+			return
+		}
+		next(ctx)
+	}
+}
+
+func (s *Server) healthz(ctx *fasthttp.RequestCtx) {
+	ctx.SetBodyString("ok\n")
+}
+
+func (s *Server) readyz(ctx *fasthttp.RequestCtx) {
+	if err := s.cfg.Ready(); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString(err.Error() + "\n")
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+func (s *Server) dump(ctx *fasthttp.RequestCtx) { writeJSON(ctx, s.cfg.Dump()) }
+
+func (s *Server) announce(ctx *fasthttp.RequestCtx) {
+	if s.cfg.Announce == nil {
+		writeError(ctx, errs.New(errs.Unavailable, "announce", "", "this daemon is no entry"))
+		return
+	}
+	ann, err := s.cfg.DecodeAnnouncement(ctx.PostBody())
+	if err != nil {
+		writeError(ctx, err)
+		return
+	}
+	writeJSON(ctx, s.cfg.Announce(ann))
+}
+
+func (s *Server) plan(ctx *fasthttp.RequestCtx) {
+	var intent api.Intent
+	if err := decodeStrict(ctx.PostBody(), &intent); err != nil {
+		writeError(ctx, err)
+		return
+	}
+	request := api.PlanRequest{Operator: operatorName(ctx), Intent: intent}
+	forward[api.PlanResponse](s, ctx, api.MethodPlan, request, 0)
+}
+
+func (s *Server) plans(ctx *fasthttp.RequestCtx) {
+	forward[api.PlansResponse](s, ctx, api.MethodPlans, api.Empty{}, 0)
+}
+
+func (s *Server) decide(ctx *fasthttp.RequestCtx) {
+	request, err := parseDecision(ctx)
+	if err != nil {
+		writeError(ctx, err)
+		return
+	}
+	hold := time.Duration(request.WaitMillis) * time.Millisecond
+	forward[api.DecideResponse](s, ctx, api.MethodDecide, request, hold)
+}
+
+func (s *Server) status(ctx *fasthttp.RequestCtx) {
+	forward[api.StatusResponse](s, ctx, api.MethodStatus, api.Empty{}, 0)
+}
+
+func (s *Server) history(ctx *fasthttp.RequestCtx) {
+	limit, err := intArg(ctx, "limit", 50, 1, maxHistory)
+	if err != nil {
+		writeError(ctx, err)
+		return
+	}
+	forward[api.HistoryResponse](s, ctx, api.MethodHistory, api.HistoryRequest{Limit: limit}, 0)
+}
+
+func (s *Server) member(ctx *fasthttp.RequestCtx) {
+	var request api.MemberRequest
+	if err := decodeStrict(ctx.PostBody(), &request); err != nil {
+		writeError(ctx, err)
+		return
+	}
+	forward[api.Empty](s, ctx, api.MethodMember, request, 0)
+}
+
+// forward passes a call on to the control leader and writes its answer.
+func forward[R any](s *Server, ctx *fasthttp.RequestCtx, method api.Method, params any, hold time.Duration) {
+	callCtx, cancel := context.WithTimeout(context.Background(), callTimeout+hold)
+	defer cancel()
+	var result R
+	if err := s.cfg.Control.Call(callCtx, method, params, &result); err != nil {
+		writeError(ctx, err)
+		return
+	}
+	writeJSON(ctx, result)
+}
+
+func operatorName(ctx *fasthttp.RequestCtx) string {
+	name := string(ctx.Request.Header.Peek(headerOperator))
+	if name == "" {
+		return "unnamed"
+	}
+	return name
+}
+
+func parseDecision(ctx *fasthttp.RequestCtx) (api.DecideRequest, error) {
+	var request api.DecideRequest
+	id, err := strconv.ParseUint(ctx.UserValue("id").(string), 10, 64)
+	if err != nil {
+		return request, errs.New(errs.Invalid, "parse plan number", "", "id: value %q, must be a whole number", ctx.UserValue("id"))
+	}
+	decision := ctx.UserValue("decision").(string)
+	if decision != "confirm" && decision != "reject" {
+		return request, errs.New(errs.Invalid, "parse decision", "", "decision: value %q, must be confirm or reject", decision)
+	}
+	waitMillis, err := intArg(ctx, "wait_millis", 10000, 0, int(maxDecideWait.Milliseconds()))
+	if err != nil {
+		return request, err
+	}
+	request.Operator = operatorName(ctx)
+	request.Plan = api.PlanID(id)
+	request.Confirm = decision == "confirm"
+	request.WaitMillis = int64(waitMillis)
+	return request, nil
+}
