--- a/internal/config/usage.go
+++ b/internal/config/usage.go
@@ -29,7 +29,7 @@
 	b.WriteString("\nCommands\n")
 	w := tabwriter.NewWriter(b, 0, 2, 2, ' ', 0)
 	for _, sub := range c.Subcommands {
-		fmt.Fprintf(w, "  %s\t%s\n", sub.Name, sub.ShortHelp)
+		_, _ = fmt.Fprintf(w, "  %s\t%s\n", sub.Name, sub.ShortHelp)
 	}
 	_ = w.Flush()
 }
@@ -41,7 +41,7 @@
 	b.WriteString("\nFlags\n")
 	w := tabwriter.NewWriter(b, 0, 2, 2, ' ', 0)
 	fs.VisitAll(func(f *flag.Flag) {
-		fmt.Fprintf(w, "  --%s\t%s\t%s (default %s)\n", f.Name, EnvName(f.Name), f.Usage, defaultOf(f))
+		_, _ = fmt.Fprintf(w, "  --%s\t%s\t%s (default %s)\n", f.Name, EnvName(f.Name), f.Usage, defaultOf(f))
 	})
 	_ = w.Flush()
 }
--- a/internal/ctl/print.go
+++ b/internal/ctl/print.go
@@ -55,7 +55,10 @@
 }
 
 func printPlan(w io.Writer, p api.Plan) error {
-	fmt.Fprintf(w, "Plan %d (%s), on configuration %d, by %s\n", p.ID, p.State, p.Base, p.Operator)
+	_, err := fmt.Fprintf(w, "Plan %d (%s), on configuration %d, by %s\n", p.ID, p.State, p.Base, p.Operator)
+	if err != nil {
+		return err
+	}
 	rows := make([][]string, 0, len(p.Consequences))
 	for _, c := range p.Consequences {
 		rows = append(rows, []string{string(c.Kind), c.Subject, c.Detail})
@@ -66,7 +69,7 @@
 	if p.State != api.PlanPending {
 		return nil
 	}
-	_, err := fmt.Fprintf(w, "Answer with: crocusway ctl confirm %d, or: crocusway ctl reject %d\n", p.ID, p.ID)
+	_, err = fmt.Fprintf(w, "Answer with: crocusway ctl confirm %d, or: crocusway ctl reject %d\n", p.ID, p.ID)
 	return err
 }
 
@@ -85,7 +88,10 @@
 }
 
 func printDecision(w io.Writer, d api.DecideResponse) error {
-	fmt.Fprintf(w, "Plan %d is %s at revision %d.\n", d.Plan.ID, d.Plan.State, d.Plan.Decided)
+	_, err := fmt.Fprintf(w, "Plan %d is %s at revision %d.\n", d.Plan.ID, d.Plan.State, d.Plan.Decided)
+	if err != nil {
+		return err
+	}
 	if d.Plan.State != api.PlanConfirmed {
 		return nil
 	}
@@ -97,7 +103,7 @@
 	for _, id := range d.HeldOut {
 		names = append(names, string(id))
 	}
-	_, err := fmt.Fprintf(w, "It is accepted; still held out by their work lease: %s.\n", strings.Join(names, ", "))
+	_, err = fmt.Fprintf(w, "It is accepted; still held out by their work lease: %s.\n", strings.Join(names, ", "))
 	return err
 }
 
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -10,10 +10,7 @@
 )
 
 func printStatus(w io.Writer, s api.StatusResponse) error {
-	fmt.Fprintf(w, "Leader %s, term %d, revision %d\n", s.Leader, s.Term, s.View.Revision)
-	fmt.Fprintf(w, "Last hour: group downtime %.0f replica-seconds, stranded %.0f host-seconds\n",
-		s.Measures.GroupDowntime, s.Measures.Stranded)
-	steps := []func(io.Writer, api.StatusResponse) error{printVoters, printEntries, printDomains, printGroups}
+	steps := []func(io.Writer, api.StatusResponse) error{printSummary, printVoters, printEntries, printDomains, printGroups}
 	for _, step := range steps {
 		if err := step(w, s); err != nil {
 			return err
@@ -22,6 +19,13 @@
 	return nil
 }
 
+func printSummary(w io.Writer, s api.StatusResponse) error {
+	_, err := fmt.Fprintf(w, "Leader %s, term %d, revision %d\n"+
+		"Last hour: group downtime %.0f replica-seconds, stranded %.0f host-seconds\n",
+		s.Leader, s.Term, s.View.Revision, s.Measures.GroupDowntime, s.Measures.Stranded)
+	return err
+}
+
 func printVoters(w io.Writer, s api.StatusResponse) error {
 	rows := make([][]string, 0, len(s.Voters))
 	for _, v := range s.Voters {
