--- /dev/null
+++ b/cmd/crocusway/bench.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/crocusway/crocusway/internal/bench"
+	"github.com/crocusway/crocusway/internal/config"
+	"github.com/crocusway/crocusway/internal/ctl"
+)
+
+// benchFlags are the settings of one call of the experiment tool.
+type benchFlags struct {
+	experiment string
+	preset     string
+	policy     string
+	seed       int64
+	seeds      int
+	duration   time.Duration
+	json       bool
+}
+
+func benchCommand() *ffcli.Command {
+	var f benchFlags
+	fs := flag.NewFlagSet("bench", flag.ContinueOnError)
+	fs.StringVar(&f.experiment, "experiment", "", "one of "+strings.Join(experimentNames(), ", "))
+	fs.StringVar(&f.preset, "preset", string(bench.PresetNilecraft), "deployment: nilecraft, tabrak")
+	fs.StringVar(&f.policy, "policy", string(bench.PolicyBoth), "ours, baseline or both")
+	fs.Int64Var(&f.seed, "seed", 1, "first seed")
+	fs.IntVar(&f.seeds, "seeds", 3, "number of seeds, 1 to 100")
+	fs.DurationVar(&f.duration, "duration", 10*time.Second, "length of a run in real time, 1s to 10m")
+	fs.BoolVar(&f.json, "json", false, "print one JSON object")
+	return &ffcli.Command{
+		Name:       "bench",
+		ShortUsage: "crocusway bench --experiment NAME [flags]",
+		ShortHelp:  "measure the system against its targets and a baseline",
+		LongHelp:   experimentHelp(),
+		FlagSet:    fs,
+		UsageFunc:  config.Usage,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(config.EnvPrefix)},
+		Exec:       func(ctx context.Context, _ []string) error { return runBench(ctx, f, os.Stdout) },
+	}
+}
+
+func experimentNames() []string {
+	var names []string
+	for _, e := range bench.Experiments() {
+		names = append(names, e.Name)
+	}
+	return names
+}
+
+func experimentHelp() string {
+	var b strings.Builder
+	b.WriteString("Experiments\n")
+	for _, e := range bench.Experiments() {
+		_, _ = fmt.Fprintf(&b, "  %s: %s\n", e.Name, e.Summary)
+	}
+	return strings.TrimSuffix(b.String(), "\n")
+}
+
+func runBench(ctx context.Context, f benchFlags, out io.Writer) error {
+	experiment, found := bench.Find(f.experiment)
+	if !found {
+		return errors.Mark(errors.Newf("experiment: value %q, must be one of %s", f.experiment, strings.Join(experimentNames(), ", ")), ctl.ErrUsage)
+	}
+	options, err := f.options()
+	if err != nil {
+		return err
+	}
+	report, err := bench.Run(ctx, experiment, options, os.Stderr)
+	if err != nil {
+		return err
+	}
+	if err := printReport(out, report, f.json); err != nil {
+		return err
+	}
+	if report.Missed() {
+		return bench.ErrTargetMissed
+	}
+	return nil
+}
+
+func (f benchFlags) options() (bench.Options, error) {
+	if f.seeds < 1 || f.seeds > 100 {
+		return bench.Options{}, errors.Mark(errors.Newf("seeds: value %d, must be 1 to 100", f.seeds), ctl.ErrUsage)
+	}
+	o := bench.Options{
+		Preset:   bench.Preset(f.preset),
+		Policy:   bench.Policy(f.policy),
+		Duration: f.duration,
+	}
+	for i := range f.seeds {
+		o.Seeds = append(o.Seeds, f.seed+int64(i))
+	}
+	if err := config.Validate(o); err != nil {
+		return bench.Options{}, err
+	}
+	return o, nil
+}
+
+func printReport(out io.Writer, report bench.Report, asJSON bool) error {
+	if asJSON {
+		return ctl.PrintJSON(out, report)
+	}
+	return bench.Print(out, report)
+}
--- /dev/null
+++ b/internal/bench/experiments.go
@@ -0,0 +1,16 @@
+package bench
+
+// Experiments returns every experiment in the order of the help text.
+func Experiments() []Experiment {
+	return []Experiment{}
+}
+
+// Find returns the experiment with a name.
+func Find(name string) (Experiment, bool) {
+	for _, e := range Experiments() {
+		if e.Name == name {
+			return e, true
+		}
+	}
+	return Experiment{}, false
+}
--- /dev/null
+++ b/internal/entry/agent_test.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/clock"
+	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/logging"
+)
+
+// fakeControl answers renewals with a fixed lease after a delay on the clock.
+type fakeControl struct {
+	clock    *clock.Manual
+	delay    time.Duration
+	revision api.Revision
+	lease    time.Duration
+	update   api.ViewUpdate
+}
+
+func (f *fakeControl) Call(_ context.Context, _ api.Method, _, result any) error {
+	f.clock.Advance(f.delay)
+	switch r := result.(type) {
+	case *api.RenewResponse:
+		*r = api.RenewResponse{LeaseMillis: f.lease.Milliseconds(), Revision: f.revision}
+	case *api.WatchResponse:
+		r.Update = f.update
+	}
+	return nil
+}
+
+func newTestAgent(f *fakeControl) (*Agent, *State) {
+	state := NewState(api.EntryInfo{ID: "e1"}, f.clock)
+	agent := NewAgent(AgentConfig{
+		State:   state,
+		Control: f,
+		Clock:   f.clock,
+		Logger:  logging.Discard(),
+		ApplyUpdate: func(_ api.View, u api.ViewUpdate) (api.View, error) {
+			return u.Upsert, nil
+		},
+	})
+	return agent, state
+}
+
+func TestLeaseIsCountedFromSend(t *testing.T) {
+	f := &fakeControl{clock: clock.NewManual(time.Unix(100, 0)), delay: 2 * time.Second, lease: 3 * time.Second}
+	agent, state := newTestAgent(f)
+	require.NoError(t, agent.Renew(context.Background()))
+	require.False(t, state.MayWork(), "the first renewal only learns the revision")
+	require.NoError(t, agent.Renew(context.Background()))
+	require.True(t, state.MayWork())
+	f.clock.Advance(time.Second)
+	require.False(t, state.MayWork(), "3 s after the send the lease is over, 1 s after the answer or not")
+}
+
+func TestLaggingEntryGetsNoLease(t *testing.T) {
+	f := &fakeControl{clock: clock.NewManual(time.Unix(100, 0)), lease: 3 * time.Second, revision: 7}
+	agent, state := newTestAgent(f)
+	for range 3 {
+		require.NoError(t, agent.Renew(context.Background()))
+		require.False(t, state.MayWork(), "revision 7 is not applied")
+	}
+	f.update = api.ViewUpdate{To: 7, Upsert: api.View{Revision: 7}}
+	require.NoError(t, agent.Watch(context.Background()))
+	require.NoError(t, agent.Renew(context.Background()))
+	require.True(t, state.MayWork())
+}
+
+func TestStateNeverAppliesLowerRevision(t *testing.T) {
+	state := NewState(api.EntryInfo{ID: "e1"}, clock.System{})
+	require.True(t, state.Apply(api.View{Revision: 9}))
+	require.False(t, state.Apply(api.View{Revision: 8}))
+	require.Equal(t, api.Revision(9), state.Snapshot().Revision)
+}
+
+func TestLeavingEntryTakesNoWork(t *testing.T) {
+	c := clock.NewManual(time.Unix(100, 0))
+	state := NewState(api.EntryInfo{ID: "e1"}, c)
+	state.SetLease(c.Now().Add(time.Hour))
+	require.True(t, state.MayWork())
+	state.SetLeaving()
+	require.False(t, state.MayWork())
+}
+
+func TestAnnounceBatchKeepsNewest(t *testing.T) {
+	cases := []struct {
+		name     string
+		sent     []api.Announcement
+		sequence uint64
+		started  api.Incarnation
+	}{
+		{"in order", []api.Announcement{{Host: "h", Incarnation: 1, Sequence: 1}, {Host: "h", Incarnation: 1, Sequence: 2}}, 2, 1},
+		{"out of order", []api.Announcement{{Host: "h", Incarnation: 1, Sequence: 2}, {Host: "h", Incarnation: 1, Sequence: 1}}, 2, 1},
+		{"older incarnation", []api.Announcement{{Host: "h", Incarnation: 2, Sequence: 1}, {Host: "h", Incarnation: 1, Sequence: 9}}, 1, 2},
+		{"restart", []api.Announcement{{Host: "h", Incarnation: 1, Sequence: 9}, {Host: "h", Incarnation: 2, Sequence: 1}}, 1, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newAnnounceBatch()
+			for _, ann := range c.sent {
+				b.put(ann)
+			}
+			list := b.take()
+			require.Len(t, list, 1)
+			require.Equal(t, c.sequence, list[0].Sequence)
+			require.Equal(t, c.started, list[0].Incarnation)
+			require.Empty(t, b.take())
+		})
+	}
+}
+
+// fakePeers answers like a set of voters, by address.
+type fakePeers struct {
+	errors map[string]error
+	calls  []string
+}
+
+func (f *fakePeers) Call(_ context.Context, address string, _ api.Method, _, _ any) error {
+	f.calls = append(f.calls, address)
+	return f.errors[address]
+}
+
+func (f *fakePeers) Notify(string, api.Method, any) error { return nil }
+
+func notLeader(hint string) error {
+	return &errs.Error{Code: errs.NotLeader, Step: "renew", Detail: hint, Err: errs.New(errs.NotLeader, "renew", "", "follower")}
+}
+
+func TestLeaderClientFollows(t *testing.T) {
+	cases := []struct {
+		name   string
+		method api.Method
+		errors map[string]error
+		calls  []string
+		code   errs.Code
+	}{
+		{"leader first", api.MethodRenew, nil, []string{"a"}, ""},
+		{"hint", api.MethodRenew, map[string]error{"a": notLeader("c")}, []string{"a", "c"}, ""},
+		{"no hint", api.MethodRenew, map[string]error{"a": notLeader("")}, []string{"a", "b"}, ""},
+		{"voter down", api.MethodRenew, map[string]error{"a": errs.New(errs.Unavailable, "dial", "a", "refused")}, []string{"a", "b"}, ""},
+		{"unknown outcome is repeated", api.MethodRenew, map[string]error{"a": errs.New(errs.Timeout, "call", "a", "late")}, []string{"a", "b"}, ""},
+		{"unknown outcome of a record", api.MethodRecordOpen, map[string]error{"a": errs.New(errs.Timeout, "call", "a", "late")}, []string{"a"}, errs.Timeout},
+		{"refusal", api.MethodPlan, map[string]error{"a": errs.New(errs.Invalid, "plan", "a", "bad")}, []string{"a"}, errs.Invalid},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			peers := &fakePeers{errors: c.errors}
+			client := NewLeaderClient(peers, []string{"a", "b", "c"})
+			err := client.Call(context.Background(), c.method, api.Empty{}, &api.Empty{})
+			require.Equal(t, c.calls, peers.calls)
+			if c.code == "" {
+				require.NoError(t, err)
+				return
+			}
+			require.Equal(t, c.code, errs.CodeOf(err))
+		})
+	}
+}
