Peer links over gnet

Ruled out: jsonrpc2.Conn over a stream adapter, since it blocks one goroutine a connection and bounds neither calls nor queue.

--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,260 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+	"github.com/panjf2000/gnet/v2"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+var (
+	errLinkClosed = errors.New("link closed")
+	errQueueFull  = errors.New("send queue full")
+	errInFlight   = errors.New("too many calls in flight")
+)
+
+// link is one connection. The dialer sends calls, the acceptor answers them.
+type link struct {
+	node    *Node
+	dialer  bool
+	opened  time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
+	up      chan struct{}
+	down    chan struct{}
+	ready   atomic.Bool
+	readAt  atomic.Int64
+	wroteAt atomic.Int64
+
+	// queued counts bytes handed to the event loop, buffered those that the
+	// event loop could not yet hand to the kernel when last observed.
+	queued     atomic.Int64
+	buffered   atomic.Int64
+	refreshing atomic.Bool
+
+	// shake belongs to the event loop.
+	shake *handshake
+
+	mu      sync.Mutex
+	conn    gnet.Conn
+	remote  string
+	closed  bool
+	lastID  uint64
+	pending map[uint64]*call
+	serving map[jsonrpc2.ID]struct{}
+}
+
+func newLink(n *Node, dialer bool, remote string) *link {
+	l := &link{
+		node:    n,
+		dialer:  dialer,
+		remote:  remote,
+		opened:  n.cfg.Clock.Now(),
+		up:      make(chan struct{}),
+		down:    make(chan struct{}),
+		shake:   newHandshake(n.cfg.Secret),
+		lastID:  proveID,
+		pending: make(map[uint64]*call),
+		serving: make(map[jsonrpc2.ID]struct{}),
+	}
+	l.ctx, l.cancel = context.WithCancel(n.ctx)
+	l.readAt.Store(l.opened.UnixNano())
+	l.wroteAt.Store(l.opened.UnixNano())
+	return l
+}
+
+// attach binds the link to its connection. It runs on the event loop.
+func (l *link) attach(c gnet.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn = c
+}
+
+// send queues a frame. written is called on the event loop once the frame was
+// accepted for sending, or with an error if it will not be sent.
+func (l *link) send(frame []byte, written func(error)) error {
+	if int(l.queued.Load()+l.buffered.Load())+len(frame) > l.node.cfg.QueueBytes {
+		l.node.counters.queueFull.Add(1)
+		l.refresh()
+		return errQueueFull
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || l.conn == nil {
+		return errLinkClosed
+	}
+	l.queued.Add(int64(len(frame)))
+	err := l.conn.AsyncWrite(frame, func(c gnet.Conn, err error) error {
+		l.wrote(c, len(frame), err)
+		if written != nil {
+			written(err)
+		}
+		return nil
+	})
+	if err != nil {
+		l.queued.Add(-int64(len(frame)))
+	}
+	return err
+}
+
+// wrote accounts for one written frame. It runs on the event loop.
+func (l *link) wrote(c gnet.Conn, size int, err error) {
+	l.queued.Add(-int64(size))
+	if err != nil {
+		return
+	}
+	l.buffered.Store(int64(c.OutboundBuffered()))
+	l.wroteAt.Store(l.node.cfg.Clock.Now().UnixNano())
+	l.node.counters.sentBytes.Add(int64(size))
+	l.node.counters.sentMessages.Add(1)
+}
+
+// refresh asks the event loop how much is still buffered, since a full queue
+// would otherwise never learn that it has drained.
+func (l *link) refresh() {
+	if !l.refreshing.CompareAndSwap(false, true) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || l.conn == nil {
+		return
+	}
+	err := l.conn.Wake(func(c gnet.Conn, err error) error {
+		if err == nil {
+			l.buffered.Store(int64(c.OutboundBuffered()))
+		}
+		l.refreshing.Store(false)
+		return nil
+	})
+	if err != nil {
+		l.refreshing.Store(false)
+	}
+}
+
+// close asks the event loop to close the connection.
+func (l *link) close(cause error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || l.conn == nil {
+		return
+	}
+	_ = level.Warn(l.node.logger).Log("msg", "closing link", "peer", l.remote, "err", cause)
+	_ = l.conn.Close()
+}
+
+// isClosed reports whether the connection is gone.
+func (l *link) isClosed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
+}
+
+// onClose ends every pending call. It runs on the event loop, so a call whose
+// frame was not written by now never will be.
+func (l *link) onClose() {
+	l.mu.Lock()
+	l.closed = true
+	pending := l.pending
+	l.pending = nil
+	l.mu.Unlock()
+	for _, c := range pending {
+		c.finish(outcome{err: c.lostError()})
+	}
+	l.cancel()
+	close(l.down)
+}
+
+// onTraffic reads every whole frame. It runs on the event loop.
+func (l *link) onTraffic(c gnet.Conn) error {
+	l.readAt.Store(l.node.cfg.Clock.Now().UnixNano())
+	for {
+		payload, err := nextFrame(c, l.frameLimit())
+		if err != nil || payload == nil {
+			return err
+		}
+		l.node.counters.receivedBytes.Add(int64(len(payload) + frameHeader))
+		l.node.counters.receivedMessages.Add(1)
+		if err = l.onPayload(c, payload); err != nil {
+			return err
+		}
+	}
+}
+
+func (l *link) frameLimit() int {
+	if l.ready.Load() {
+		return l.node.cfg.MaxFrame
+	}
+	return handshakeFrame
+}
+
+func (l *link) onPayload(c gnet.Conn, payload []byte) error {
+	if !l.ready.Load() {
+		return l.onHandshake(c, payload)
+	}
+	if l.dialer {
+		return l.onAnswer(payload)
+	}
+	l.onCall(payload)
+	return nil
+}
+
+// onHandshake advances the handshake and writes the next frame directly, since
+// it runs on the event loop.
+func (l *link) onHandshake(c gnet.Conn, payload []byte) error {
+	step := l.shake.acceptorStep
+	if l.dialer {
+		step = l.shake.dialerStep
+	}
+	frame, err := step(payload)
+	if err != nil {
+		l.node.counters.handshakeFailures.Add(1)
+		return err
+	}
+	if frame != nil {
+		if err = l.writeNow(c, frame); err != nil {
+			return err
+		}
+	}
+	if l.shake.done {
+		l.ready.Store(true)
+		close(l.up)
+	}
+	return nil
+}
+
+// writeNow writes a frame of the handshake on the event loop.
+func (l *link) writeNow(c gnet.Conn, frame []byte) error {
+	l.node.counters.sentBytes.Add(int64(len(frame)))
+	l.node.counters.sentMessages.Add(1)
+	_, err := c.Write(frame)
+	return errors.Wrap(err, "write handshake")
+}
+
+// check closes the link when a deadline has passed and sends keep-alive calls.
+func (l *link) check(now time.Time) {
+	cfg := l.node.cfg
+	if !l.ready.Load() {
+		if now.Sub(l.opened) > cfg.HandshakeTimeout {
+			l.node.counters.handshakeFailures.Add(1)
+			l.close(errors.Wrap(errHandshake, "timeout"))
+		}
+		return
+	}
+	if now.UnixNano()-l.readAt.Load() > int64(cfg.IdleTimeout) {
+		l.close(errors.New("idle timeout"))
+		return
+	}
+	if l.dialer && now.UnixNano()-l.wroteAt.Load() > int64(cfg.IdleTimeout/keepAliveFraction) {
+		l.wroteAt.Store(now.UnixNano())
+		l.ping()
+	}
+}
+
+// keepAliveFraction divides the idle timeout into keep-alive intervals.
+const keepAliveFraction = 3
--- /dev/null
+++ b/internal/peer/main_test.go
@@ -0,0 +1,14 @@
+package peer
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	// gnet keeps one process-wide worker pool, which it purges in background.
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreTopFunction("github.com/panjf2000/ants/v2.(*poolCommon).purgeStaleWorkers"),
+		goleak.IgnoreTopFunction("github.com/panjf2000/ants/v2.(*poolCommon).ticktock"))
+}
--- /dev/null
+++ b/internal/peer/message.go
@@ -0,0 +1,132 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// protocolName is the value of the "jsonrpc" member.
+const protocolName = "2.0"
+
+var errMessage = errors.New("malformed message")
+
+// meta is the "meta" member of a request.
+type meta struct {
+	// TimeoutMillis is the time that the caller still waits, 0 for a default.
+	TimeoutMillis int64 `json:"timeout_millis,omitempty"`
+}
+
+// envelope is any JSON-RPC 2.0 message, before its kind is known.
+type envelope struct {
+	JSONRPC string          `json:"jsonrpc"`
+	ID      *jsonrpc2.ID    `json:"id"`
+	Method  *string         `json:"method"`
+	Params  json.RawMessage `json:"params"`
+	Meta    *meta           `json:"meta"`
+	Result  json.RawMessage `json:"result"`
+	Error   *jsonrpc2.Error `json:"error"`
+}
+
+// message is a decoded message: exactly one of its fields is set.
+type message struct {
+	request  *jsonrpc2.Request
+	response *jsonrpc2.Response
+	// timeout is the time that the caller of the request waits, 0 if unstated.
+	timeout time.Duration
+}
+
+// decodeMessage decodes one payload. Unknown members, trailing bytes and
+// members of the other kind are refused.
+func decodeMessage(payload []byte) (message, error) {
+	var env envelope
+	dec := json.NewDecoder(bytes.NewReader(payload))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&env); err != nil {
+		return message{}, errors.CombineErrors(errMessage, err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return message{}, errors.Wrap(errMessage, "trailing bytes")
+	}
+	if env.JSONRPC != protocolName {
+		return message{}, errors.Wrapf(errMessage, "jsonrpc is %q", env.JSONRPC)
+	}
+	if env.Method != nil {
+		return env.toRequest()
+	}
+	return env.toResponse()
+}
+
+func (e *envelope) toRequest() (message, error) {
+	if *e.Method == "" || e.Result != nil || e.Error != nil {
+		return message{}, errors.Wrap(errMessage, "not a request")
+	}
+	req := &jsonrpc2.Request{Method: *e.Method, Params: optional(e.Params), Notif: e.ID == nil}
+	if e.ID != nil {
+		req.ID = *e.ID
+	}
+	m := message{request: req}
+	if e.Meta != nil && e.Meta.TimeoutMillis > 0 {
+		m.timeout = time.Duration(min(e.Meta.TimeoutMillis, maxTimeoutMillis)) * time.Millisecond
+	}
+	return m, nil
+}
+
+// maxTimeoutMillis bounds the timeout that a caller may state.
+const maxTimeoutMillis = int64(time.Hour / time.Millisecond)
+
+func (e *envelope) toResponse() (message, error) {
+	if e.ID == nil || e.Params != nil || e.Meta != nil {
+		return message{}, errors.Wrap(errMessage, "not a response")
+	}
+	if (e.Result == nil) == (e.Error == nil) {
+		return message{}, errors.Wrap(errMessage, "want either a result or an error")
+	}
+	return message{response: &jsonrpc2.Response{ID: *e.ID, Result: optional(e.Result), Error: e.Error}}, nil
+}
+
+// optional returns nil for an absent member.
+func optional(raw json.RawMessage) *json.RawMessage {
+	if raw == nil {
+		return nil
+	}
+	return &raw
+}
+
+// encodeRequest returns the frame of a request; notif leaves out its id.
+func encodeRequest(id uint64, notif bool, method api.Method, params []byte, timeout time.Duration) ([]byte, error) {
+	req := jsonrpc2.Request{Method: string(method), ID: jsonrpc2.ID{Num: id}, Notif: notif}
+	if len(params) > 0 {
+		req.Params = (*json.RawMessage)(&params)
+	}
+	if timeout > 0 {
+		millis := max(int64(timeout/time.Millisecond), 1)
+		if err := req.SetMeta(meta{TimeoutMillis: millis}); err != nil {
+			return nil, errors.Wrap(err, "encode meta")
+		}
+	}
+	return encodeFrame(req)
+}
+
+// encodeResult returns the frame of a successful answer.
+func encodeResult(id jsonrpc2.ID, result any) ([]byte, error) {
+	resp := jsonrpc2.Response{ID: id}
+	if err := resp.SetResult(result); err != nil {
+		return nil, errors.Wrap(err, "encode result")
+	}
+	return encodeFrame(resp)
+}
+
+func encodeFrame(m any) ([]byte, error) {
+	payload, err := json.Marshal(m)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode message")
+	}
+	return appendFrame(make([]byte, 0, frameHeader+len(payload)), payload), nil
+}
--- /dev/null
+++ b/internal/peer/node.go
@@ -0,0 +1,299 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/panjf2000/gnet/v2"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/logging"
+)
+
+var errNodeClosed = errors.New("node closed")
+
+// Node is one process's end of all its links. It listens for calls, sends
+// calls, and is safe for concurrent use.
+type Node struct {
+	cfg      Config
+	logger   log.Logger
+	address  string
+	ctx      context.Context
+	cancel   context.CancelFunc
+	client   *gnet.Client
+	engine   gnet.Engine
+	stopped  chan struct{}
+	counters counters
+	workers  chan struct{}
+
+	handlersMu sync.RWMutex
+	handlers   map[api.Method]Handler
+
+	// taskMu orders the start of tasks against Close.
+	taskMu sync.Mutex
+	closed bool
+	tasks  sync.WaitGroup
+
+	mu      sync.Mutex
+	targets map[string]*target
+	links   map[*link]struct{}
+}
+
+var (
+	_ Caller    = (*Node)(nil)
+	_ Registrar = (*Node)(nil)
+)
+
+// Start listens on cfg.Address. The caller must Close the node.
+func Start(cfg Config) (*Node, error) {
+	cfg = cfg.withDefaults()
+	if err := cfg.validate(); err != nil {
+		return nil, err
+	}
+	n := &Node{
+		cfg:      cfg,
+		logger:   logging.For(cfg.Logger, "peer"),
+		stopped:  make(chan struct{}),
+		workers:  make(chan struct{}, cfg.Workers),
+		handlers: make(map[api.Method]Handler),
+		targets:  make(map[string]*target),
+		links:    make(map[*link]struct{}),
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	if err := n.counters.register(cfg.Meter); err != nil {
+		n.cancel()
+		return nil, errs.Wrap(err, "start peer node", cfg.Address)
+	}
+	if err := n.listen(); err != nil {
+		n.cancel()
+		return nil, &errs.Error{Code: errs.Unavailable, Step: "listen for peers", Peer: cfg.Address, Err: err}
+	}
+	if err := n.startClient(); err != nil {
+		n.stopEngine()
+		n.cancel()
+		return nil, errs.Wrap(err, "start peer client", cfg.Address)
+	}
+	return n, nil
+}
+
+// listen starts the accepting event loop and learns the bound address.
+func (n *Node) listen() error {
+	booted := make(chan struct{})
+	failed := make(chan error, 1)
+	h := &events{node: n, booted: booted}
+	go func() {
+		defer close(n.stopped)
+		failed <- gnet.Run(h, "tcp://"+n.cfg.Address, n.options(gnet.WithReuseAddr(true))...)
+	}()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "run event loop")
+	case <-booted:
+	}
+	n.engine = h.engine
+	address, err := boundAddress(h.engine)
+	if err != nil {
+		n.stopEngine()
+		return err
+	}
+	n.address = address
+	return nil
+}
+
+// boundAddress returns the listener's "ip:port".
+func boundAddress(engine gnet.Engine) (string, error) {
+	fd, err := engine.Dup()
+	if err != nil {
+		return "", errors.Wrap(err, "read listener")
+	}
+	file := os.NewFile(uintptr(fd), "listener")
+	defer func() { _ = file.Close() }()
+	ln, err := net.FileListener(file)
+	if err != nil {
+		return "", errors.Wrap(err, "read listener address")
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String(), nil
+}
+
+func (n *Node) startClient() error {
+	client, err := gnet.NewClient(&events{node: n, dialer: true}, n.options(gnet.WithTicker(true))...)
+	if err != nil {
+		return errors.Wrap(err, "create event loop")
+	}
+	if err = client.Start(); err != nil {
+		return errors.Wrap(err, "start event loop")
+	}
+	n.client = client
+	return nil
+}
+
+func (n *Node) options(extra ...gnet.Option) []gnet.Option {
+	return append(extra,
+		gnet.WithNumEventLoop(1),
+		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithLogger(engineLogger{n.logger}),
+	)
+}
+
+// Addr returns the "ip:port" that the node listens on.
+func (n *Node) Addr() string { return n.address }
+
+// Stats returns the counters.
+func (n *Node) Stats() Stats { return n.counters.read() }
+
+// Handle sets the handler of a method. Handlers run on their own goroutines.
+func (n *Node) Handle(method api.Method, h Handler) {
+	n.handlersMu.Lock()
+	defer n.handlersMu.Unlock()
+	n.handlers[method] = h
+}
+
+func (n *Node) handler(method api.Method) Handler {
+	n.handlersMu.RLock()
+	defer n.handlersMu.RUnlock()
+	return n.handlers[method]
+}
+
+// Call implements Caller.
+func (n *Node) Call(ctx context.Context, address string, method api.Method, params, result any) error {
+	raw, err := n.encodeParams(address, params)
+	if err != nil {
+		return err
+	}
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, n.cfg.CallTimeout)
+		defer cancel()
+	}
+	l, err := n.target(address).link(ctx)
+	if err != nil {
+		return notSent(address, err)
+	}
+	resp, err := l.call(ctx, method, raw)
+	if err != nil {
+		return err
+	}
+	return decodeResult(resp, address, result)
+}
+
+// Notify implements Caller. Without an open link it starts one and fails with
+// errs.Unavailable.
+func (n *Node) Notify(address string, method api.Method, params any) error {
+	raw, err := n.encodeParams(address, params)
+	if err != nil {
+		return err
+	}
+	t := n.target(address)
+	l := t.open()
+	if l == nil {
+		if _, _, err = t.begin(); err == nil {
+			err = errors.New("link not open yet")
+		}
+		return notSent(address, err)
+	}
+	frame, err := encodeRequest(0, true, method, raw, 0)
+	if err != nil {
+		return errs.Wrap(err, "notify", address)
+	}
+	if err = l.send(frame, nil); err != nil {
+		return sendError(address, err)
+	}
+	return nil
+}
+
+// envelopeBytes bounds what an encoded request adds to its parameters.
+const envelopeBytes = 256
+
+func (n *Node) encodeParams(address string, params any) ([]byte, error) {
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return nil, &errs.Error{Code: errs.Invalid, Step: "encode params", Peer: address, Err: err}
+	}
+	if len(raw)+envelopeBytes > n.cfg.MaxFrame {
+		return nil, errs.New(errs.Invalid, "encode params", address, "%d bytes, frame limit %d", len(raw), n.cfg.MaxFrame)
+	}
+	return raw, nil
+}
+
+func (n *Node) target(address string) *target {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	t, ok := n.targets[address]
+	if !ok {
+		t = newTarget(n, address)
+		n.targets[address] = t
+	}
+	return t
+}
+
+// startTask runs f on a goroutine that Close waits for.
+func (n *Node) startTask(f func()) bool {
+	n.taskMu.Lock()
+	defer n.taskMu.Unlock()
+	if n.closed {
+		return false
+	}
+	n.tasks.Add(1)
+	go func() {
+		defer n.tasks.Done()
+		f()
+	}()
+	return true
+}
+
+// Close closes every link, cancels the running handlers and waits for them.
+func (n *Node) Close() error {
+	n.taskMu.Lock()
+	if n.closed {
+		n.taskMu.Unlock()
+		return nil
+	}
+	n.closed = true
+	n.taskMu.Unlock()
+	n.cancel()
+	// Connection attempts must end before the client's event loop does: gnet
+	// waits without bound for a stopped loop to take a connection.
+	n.stopEngine()
+	n.tasks.Wait()
+	return errors.Wrap(n.client.Stop(), "stop peer client")
+}
+
+// stopEngine stops the accepting event loop and waits for it.
+func (n *Node) stopEngine() {
+	// The context ends gnet's own wait, which polls; stopped tells exactly.
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = n.engine.Stop(ctx)
+	<-n.stopped
+}
+
+// tick checks the deadlines of every link and forgets unused targets.
+func (n *Node) tick(now time.Time) {
+	n.mu.Lock()
+	links := make([]*link, 0, len(n.links))
+	for l := range n.links {
+		links = append(links, l)
+	}
+	for address, t := range n.targets {
+		if t.unused(now) {
+			delete(n.targets, address)
+		}
+	}
+	n.mu.Unlock()
+	for _, l := range links {
+		l.check(now)
+	}
+}
+
+// tickInterval is how often deadlines are checked.
+func (n *Node) tickInterval() time.Duration {
+	return max(min(n.cfg.HandshakeTimeout, n.cfg.IdleTimeout)/8, time.Millisecond)
+}
--- /dev/null
+++ b/internal/peer/node_test.go
@@ -0,0 +1,206 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+func TestCallReturnsResult(t *testing.T) {
+	a, b := startNode(t, nil), startNode(t, nil)
+	var got echo
+	require.NoError(t, a.Call(t.Context(), b.Addr(), methodEcho, echo{Text: "hello"}, &got))
+	require.Equal(t, "hello", got.Text)
+	stats := a.Stats()
+	require.Positive(t, stats.SentBytes)
+	require.Positive(t, stats.ReceivedBytes)
+	require.Equal(t, int64(1), stats.Dials)
+}
+
+func TestConcurrentCallsKeepTheirAnswers(t *testing.T) {
+	a, b := startNode(t, nil), startNode(t, nil)
+	var wg sync.WaitGroup
+	for i := range 200 {
+		wg.Go(func() {
+			text := strings.Repeat(fmt.Sprint(i), 100)
+			var got echo
+			if err := a.Call(t.Context(), b.Addr(), methodEcho, echo{Text: text}, &got); err != nil {
+				t.Error(err)
+			}
+			if got.Text != text {
+				t.Errorf("call %d got another answer", i)
+			}
+		})
+	}
+	wg.Wait()
+	require.Equal(t, int64(1), a.Stats().Dials)
+}
+
+func TestLargeMessages(t *testing.T) {
+	a, b := startNode(t, nil), startNode(t, nil)
+	text := strings.Repeat("x", DefaultMaxFrame-1024)
+	var got echo
+	require.NoError(t, a.Call(t.Context(), b.Addr(), methodEcho, echo{Text: text}, &got))
+	require.Len(t, got.Text, len(text))
+
+	err := a.Call(t.Context(), b.Addr(), methodEcho, echo{Text: strings.Repeat("x", DefaultMaxFrame)}, &got)
+	require.Equal(t, errs.Invalid, errs.CodeOf(err))
+}
+
+func TestNotifyReachesHandler(t *testing.T) {
+	a, b := startNode(t, nil), startNode(t, nil)
+	got := make(chan string, 1)
+	b.Handle("test.note", Typed(func(_ context.Context, p echo) (api.Empty, error) {
+		got <- p.Text
+		return api.Empty{}, nil
+	}))
+	require.True(t, errs.Is(a.Notify(b.Addr(), "test.note", echo{Text: "early"}), errs.Unavailable))
+	require.NoError(t, a.Call(t.Context(), b.Addr(), methodEcho, echo{}, nil))
+	require.NoError(t, a.Notify(b.Addr(), "test.note", echo{Text: "note"}))
+	require.Equal(t, "note", <-got)
+}
+
+func TestErrorsKeepCodeStepAndDetail(t *testing.T) {
+	a, b := startNode(t, nil), startNode(t, nil)
+	b.Handle("test.fail", func(context.Context, json.RawMessage) (any, error) {
+		return nil, &errs.Error{
+			Code: errs.NotLeader, Step: "propose", Detail: "127.0.0.1:7",
+			RetryAfterMillis: 30, Err: errors.New("not the leader"),
+		}
+	})
+	err := a.Call(t.Context(), b.Addr(), "test.fail", nil, nil)
+	var typed *errs.Error
+	require.ErrorAs(t, err, &typed)
+	require.Equal(t, errs.NotLeader, typed.Code)
+	require.Equal(t, "propose", typed.Step)
+	require.Equal(t, b.Addr(), typed.Peer)
+	require.Equal(t, "127.0.0.1:7", typed.Detail)
+	require.Equal(t, int64(30), typed.RetryAfterMillis)
+	require.Equal(t, "propose (peer "+b.Addr()+"): not the leader", err.Error())
+}
+
+func TestUnavailableWhenNobodyListens(t *testing.T) {
+	a := startNode(t, nil)
+	b := startNode(t, nil)
+	address := b.Addr()
+	require.NoError(t, b.Close())
+	for range 3 {
+		err := a.Call(t.Context(), address, methodEcho, echo{}, nil)
+		require.Equal(t, errs.Unavailable, errs.CodeOf(err), "%v", err)
+	}
+}
+
+func TestServerRestart(t *testing.T) {
+	a := startNode(t, nil)
+	b := startNode(t, nil)
+	address := b.Addr()
+	require.NoError(t, a.Call(t.Context(), address, methodEcho, echo{}, nil))
+	require.NoError(t, b.Close())
+	require.Eventually(t, func() bool { return a.Stats().Links == 0 }, waitFor, pollAt)
+	require.True(t, errs.Is(a.Call(t.Context(), address, methodEcho, echo{}, nil), errs.Unavailable))
+
+	startNode(t, func(c *Config) { c.Address = address })
+	require.Eventually(t, func() bool {
+		return a.Call(t.Context(), address, methodEcho, echo{}, nil) == nil
+	}, waitFor, pollAt)
+}
+
+func TestCallLostWithItsLinkIsATimeout(t *testing.T) {
+	a, b := startNode(t, nil), startNode(t, nil)
+	entered := make(chan struct{})
+	b.Handle("test.hang", func(ctx context.Context, _ json.RawMessage) (any, error) {
+		close(entered)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	done := make(chan error, 1)
+	go func() { done <- a.Call(context.Background(), b.Addr(), "test.hang", nil, nil) }()
+	<-entered
+	require.NoError(t, b.Close())
+	require.Equal(t, errs.Timeout, errs.CodeOf(<-done))
+}
+
+func TestHandlerSeesCallersDeadline(t *testing.T) {
+	a, b := startNode(t, nil), startNode(t, nil)
+	seen := make(chan time.Duration, 1)
+	b.Handle("test.deadline", func(ctx context.Context, _ json.RawMessage) (any, error) {
+		deadline, _ := ctx.Deadline()
+		seen <- time.Until(deadline)
+		return api.Empty{}, nil
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Hour/2)
+	defer cancel()
+	require.NoError(t, a.Call(ctx, b.Addr(), "test.deadline", nil, nil))
+	require.Greater(t, <-seen, DefaultCallTimeout)
+}
+
+func TestWorkersAreBounded(t *testing.T) {
+	a := startNode(t, nil)
+	b := startNode(t, func(c *Config) { c.Workers = 1 })
+	entered, leave := make(chan struct{}), make(chan struct{})
+	b.Handle("test.hold", func(context.Context, json.RawMessage) (any, error) {
+		close(entered)
+		<-leave
+		return api.Empty{}, nil
+	})
+	done := make(chan error, 1)
+	go func() { done <- a.Call(context.Background(), b.Addr(), "test.hold", nil, nil) }()
+	<-entered
+	require.Equal(t, errs.Full, errs.CodeOf(a.Call(t.Context(), b.Addr(), methodEcho, echo{}, nil)))
+	close(leave)
+	require.NoError(t, <-done)
+	require.Equal(t, int64(1), b.Stats().WorkersFull)
+}
+
+func TestCallsInFlightAreBounded(t *testing.T) {
+	a := startNode(t, func(c *Config) { c.InFlight = 1 })
+	b := startNode(t, nil)
+	entered, leave := make(chan struct{}), make(chan struct{})
+	b.Handle("test.hold", func(context.Context, json.RawMessage) (any, error) {
+		close(entered)
+		<-leave
+		return api.Empty{}, nil
+	})
+	done := make(chan error, 1)
+	go func() { done <- a.Call(context.Background(), b.Addr(), "test.hold", nil, nil) }()
+	<-entered
+	require.Equal(t, errs.Full, errs.CodeOf(a.Call(t.Context(), b.Addr(), methodEcho, echo{}, nil)))
+	close(leave)
+	require.NoError(t, <-done)
+}
+
+func TestIdleLinksAreKeptAlive(t *testing.T) {
+	idle := func(c *Config) { c.IdleTimeout = 60 * time.Millisecond }
+	a, b := startNode(t, idle), startNode(t, idle)
+	require.NoError(t, a.Call(t.Context(), b.Addr(), methodEcho, echo{}, nil))
+	before := b.Stats().ReceivedMessages
+	require.Eventually(t, func() bool { return b.Stats().ReceivedMessages >= before+3 }, waitFor, pollAt)
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	for name, change := range map[string]func(*Config){
+		"short secret": func(c *Config) { c.Secret = []byte("short") },
+		"small frame":  func(c *Config) { c.MaxFrame = 8 },
+		"small queue":  func(c *Config) { c.QueueBytes = 8 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := Config{Address: "127.0.0.1:0", Secret: testSecret}
+			change(&cfg)
+			_, err := Start(cfg)
+			require.Equal(t, errs.Invalid, errs.CodeOf(err))
+		})
+	}
+	b := startNode(t, nil)
+	_, err := Start(Config{Address: b.Addr(), Secret: testSecret})
+	require.Error(t, err)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,5 +1,21 @@
 // Package peer carries JSON-RPC 2.0 calls between the processes of crocusway
 // over gnet, behind a handshake with a shared secret.
+//
+// A Node listens for links and dials one link to each peer that it calls.
+// Calls go from the dialer to the acceptor; answers come back in any order. A
+// message is a frame: a length prefix of 4 bytes, big-endian, and a JSON-RPC
+// payload. Before the handshake is complete an acceptor reads only small
+// frames and answers no call.
+//
+// The handshake proves to both sides that the other knows the secret, by
+// HMAC-SHA256 over a role label, the protocol version and a nonce of each
+// side. It does not encrypt the link.
+//
+// The message types are those of sourcegraph/jsonrpc2, but not its Conn: that
+// reads a blocking stream from one goroutine per connection and bounds neither
+// the calls in flight nor the bytes that wait to be sent. Its Request decoder
+// builds a generic tree of the parameters, so requests are decoded into an
+// envelope that keeps them raw. Links keep their own table of call ids.
 package peer
 
 import (
