--- /dev/null
+++ b/internal/bench/fleet_host.go
@@ -0,0 +1,121 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// FleetHost is a stand-in of one backend server as the group planner meets it:
+// it takes orders, loads and announces itself. It holds one membership at a time.
+type FleetHost struct {
+	ID     api.HostID
+	Fabric api.FabricDomain
+	Domain api.FailureDomain
+	// ChecksFencing makes the host refuse orders with a lower number than the
+	// highest it accepted. It remembers that number across restarts.
+	ChecksFencing bool
+	Up            bool
+	Paused        bool
+	Leaving       bool
+
+	Incarnation api.Incarnation
+	Group       api.GroupID
+	Fencing     api.Fencing
+	Rank        int
+	Members     []api.HostID
+	highest     api.Fencing
+	readyAt     time.Time
+	warmAt      time.Time
+	sequence    uint64
+	// waiting are orders that arrived during a pause.
+	waiting []api.Order
+
+	announced   api.Announcement
+	announcedAt time.Time
+}
+
+// FleetTimes are the durations of a stand-in host.
+type FleetTimes struct {
+	// Load is the time from an assign order until the weights are loaded.
+	Load time.Duration
+	// Cold is the time after a load during which the host is not warm.
+	Cold time.Duration
+	// Announce is the time between two announcements.
+	Announce time.Duration
+}
+
+// handle executes one order, and reports whether it began a load.
+func (h *FleetHost) handle(o api.Order, t FleetTimes, now time.Time) (api.OrderResult, bool) {
+	res := api.OrderResult{Host: h.ID, Incarnation: h.Incarnation, Fencing: h.highest}
+	if h.ChecksFencing && o.Fencing < h.highest {
+		res.Reason = "old fencing number"
+		return res, false
+	}
+	h.highest = max(h.highest, o.Fencing)
+	res.Accepted, res.Fencing = true, h.highest
+	if o.Kind == api.OrderRelease {
+		if h.ChecksFencing || h.Group == o.Group {
+			h.drop()
+		}
+		return res, false
+	}
+	if h.Group == o.Group && h.Fencing == o.Fencing {
+		return res, false
+	}
+	h.Group, h.Fencing, h.Rank, h.Members = o.Group, o.Fencing, o.Rank, o.Members
+	h.readyAt = now.Add(t.Load)
+	h.warmAt = h.readyAt.Add(t.Cold)
+	return res, true
+}
+
+func (h *FleetHost) drop() {
+	h.Group, h.Fencing, h.Rank, h.Members = "", 0, 0, nil
+}
+
+// restart ends the membership and begins a new incarnation.
+func (h *FleetHost) restart() {
+	h.drop()
+	h.Incarnation++
+	h.sequence = 0
+	h.Paused = false
+	h.waiting = nil
+}
+
+// Serves reports whether the host itself believes that it may serve.
+func (h *FleetHost) Serves(now time.Time) bool {
+	return h.Up && !h.Paused && h.Group != "" && !now.Before(h.readyAt)
+}
+
+// announce records what the host says of itself.
+func (h *FleetHost) announce(now time.Time) {
+	h.sequence++
+	load := api.LoadIdle
+	if h.Group != "" {
+		load = api.LoadLoading
+		if !now.Before(h.readyAt) {
+			load = api.LoadReady
+		}
+	}
+	h.announced = api.Announcement{
+		Version:       api.AnnouncementVersion,
+		Host:          h.ID,
+		Incarnation:   h.Incarnation,
+		Sequence:      h.sequence,
+		Address:       string(h.ID),
+		Kind:          api.BackendEngine,
+		Fabric:        h.Fabric,
+		Domain:        h.Domain,
+		Accelerators:  1,
+		Group:         h.Group,
+		Fencing:       h.Fencing,
+		Rank:          h.Rank,
+		Load:          load,
+		Warm:          load == api.LoadReady && !now.Before(h.warmAt),
+		BearableLoad:  1,
+		WarmLoad:      1,
+		ChecksFencing: h.ChecksFencing,
+		Leaving:       h.Leaving,
+	}
+	h.announcedAt = now
+}
--- /dev/null
+++ b/internal/group/dispatch.go
@@ -0,0 +1,122 @@
+package group
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// dispatcher sends orders off the reconcile loop and collects their answers. It
+// is safe for concurrent use.
+type dispatcher struct {
+	cfg    *Config
+	logger log.Logger
+
+	mu       sync.Mutex
+	inFlight int
+	answers  []answer
+}
+
+// answer is the outcome of one order.
+type answer struct {
+	order  api.Order
+	sent   time.Time
+	result api.OrderResult
+	err    error
+}
+
+// dispatch starts orders up to the limit in flight and remembers them; the rest
+// is due again at the next evaluation.
+func (r *Reconciler) dispatch(ctx context.Context, orders []Directive, now time.Time) {
+	for _, d := range orders {
+		if !r.orders.acquire() {
+			return
+		}
+		o := &r.mem.host(d.Order.Host).order
+		if o.fencing != d.Order.Fencing || o.kind != d.Order.Kind {
+			o.refused = 0
+		}
+		o.kind, o.fencing, o.sent = d.Order.Kind, d.Order.Fencing, now
+		if d.Order.Kind == api.OrderAssign {
+			o.lastAssign = now
+		}
+		base := context.WithoutCancel(ctx)
+		r.cfg.Go(func() { r.orders.send(base, d, now) })
+	}
+}
+
+func (d *dispatcher) acquire() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if limit := d.cfg.Policy.OrderConcurrency; limit > 0 && d.inFlight >= limit {
+		return false
+	}
+	d.inFlight++
+	return true
+}
+
+// send delivers one order, unless the process was held up until its time or
+// its leader lease ran out.
+func (d *dispatcher) send(ctx context.Context, dir Directive, decided time.Time) {
+	left := d.cfg.Policy.OrderTimeout - d.cfg.Clock.Now().Sub(decided)
+	if left <= 0 || !d.cfg.Leading() {
+		d.finish(nil)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	a := &answer{order: dir.Order, sent: decided}
+	a.result, a.err = d.cfg.Sender.Send(ctx, dir.Address, dir.Order)
+	d.finish(a)
+}
+
+func (d *dispatcher) finish(a *answer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.inFlight--
+	if a != nil {
+		d.answers = append(d.answers, *a)
+	}
+}
+
+func (d *dispatcher) drain() []answer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	answers := d.answers
+	d.answers = nil
+	return answers
+}
+
+// learn takes the answers of orders into the memory.
+func (r *Reconciler) learn() {
+	for _, a := range r.orders.drain() {
+		if a.err != nil {
+			level.Debug(r.logger).Log("msg", "Order failed.", "host", a.order.Host, "group", a.order.Group, "err", a.err)
+			continue
+		}
+		r.mem.learn(&a)
+	}
+}
+
+func (m *Memory) learn(a *answer) {
+	h, ok := m.hosts[a.order.Host]
+	if !ok || a.result.Host != a.order.Host {
+		return
+	}
+	if !a.result.Accepted {
+		if h.order.fencing == a.order.Fencing {
+			h.order.refused++
+		}
+		return
+	}
+	rel := &h.release
+	if a.order.Kind != api.OrderRelease || rel.fencing != a.order.Fencing || a.sent.Before(rel.ackSent) {
+		return
+	}
+	rel.acked, rel.ackSent, rel.ackIncarnation = true, a.sent, a.result.Incarnation
+}
--- /dev/null
+++ b/internal/group/forecast.go
@@ -0,0 +1,311 @@
+package group
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// maxForecastRounds bounds the evaluations of one forecast.
+const maxForecastRounds = 64
+
+// Forecast lists the consequences that an intent has for the groups of a fleet:
+// hosts moved, groups that stop, capacity left, what cannot be met and why, and
+// how hosts of each serving group are reassigned.
+func (r *Reconciler) Forecast(fleet api.FleetView, intent api.Intent) []api.Consequence {
+	return Forecast(fleet, intent, r.cfg.Policy)
+}
+
+// Forecast plays the planner forward on a copy of the fleet with the intent
+// applied, as if orders and loads took no time and nothing failed.
+func Forecast(fleet api.FleetView, intent api.Intent, p Policy) []api.Consequence {
+	f := newForecast(fleet, intent, p)
+	f.run()
+	var out []api.Consequence
+	out = append(out, f.stops()...)
+	out = append(out, f.moves()...)
+	out = append(out, f.capacity()...)
+	out = append(out, f.unmet()...)
+	return append(out, f.fencing(intent)...)
+}
+
+type forecast struct {
+	policy Policy
+	before api.FleetView
+	after  api.FleetView
+	now    time.Time
+	// settled is set when the last evaluation changed nothing.
+	settled bool
+}
+
+func newForecast(fleet api.FleetView, intent api.Intent, p Policy) *forecast {
+	p.LoadRate, p.MaxLoads, p.MaxDomainLoads = 0, 0, 0
+	p.DrainHold, p.Hold, p.Grace, p.LeaveDrain, p.BackoffBase, p.BackoffMax = 0, 0, 0, 0, 0, 0
+	f := &forecast{policy: p, before: fleet, after: fleet, now: time.Unix(0, 0)}
+	f.after.Groups = slices.Clone(fleet.Groups)
+	f.after.Assignments = slices.Clone(fleet.Assignments)
+	f.after.Hosts = slices.Clone(fleet.Hosts)
+	f.applyIntent(intent)
+	return f
+}
+
+func (f *forecast) applyIntent(in api.Intent) {
+	sgName := func(s api.ServingGroup) api.ServingGroupName { return s.Name }
+	f.after.ServingGroups = upsert(f.before.ServingGroups, in.ServingGroups, sgName)
+	f.after.ServingGroups = slices.DeleteFunc(f.after.ServingGroups, func(s api.ServingGroup) bool {
+		return slices.Contains(in.Remove.ServingGroups, s.Name)
+	})
+	f.after.Domains = upsert(f.before.Domains, in.Domains, func(d api.Domain) api.FailureDomain { return d.Name })
+	if in.Weights != nil {
+		f.after.Weights = *in.Weights
+	}
+}
+
+func upsert[T any, K comparable](list, changes []T, key func(T) K) []T {
+	out := slices.Clone(list)
+	for _, c := range changes {
+		i := slices.IndexFunc(out, func(t T) bool { return key(t) == key(c) })
+		if i < 0 {
+			out = append(out, c)
+			continue
+		}
+		out[i] = c
+	}
+	return out
+}
+
+// run evaluates until nothing changes any more.
+func (f *forecast) run() {
+	mem := NewMemory()
+	for range maxForecastRounds {
+		mem.Observe(&f.after, &f.policy, f.now)
+		plan := Decide(f.after, mem, f.policy, f.now)
+		f.settled = len(plan.Changes) == 0
+		if f.settled {
+			return
+		}
+		f.after.Revision++
+		f.apply(plan.Changes)
+		f.now = f.now.Add(f.policy.DetectionBound)
+	}
+}
+
+// apply carries out changes at once, including what hosts would announce.
+func (f *forecast) apply(changes []Change) {
+	hosts := make(map[api.HostID]*api.HostStatus, len(f.after.Hosts))
+	for i := range f.after.Hosts {
+		hosts[f.after.Hosts[i].Announcement.Host] = &f.after.Hosts[i]
+	}
+	for i := range changes {
+		g := changes[i].Group
+		switch changes[i].Kind {
+		case api.GroupForm, api.GroupReform:
+			f.drop(g.ID, hosts)
+			f.add(g, hosts)
+		case api.GroupRelease:
+			f.drop(g.ID, hosts)
+		case api.GroupFree:
+			f.unassign(changes[i].Host)
+		case api.GroupSetPhase:
+			f.setPhase(g)
+		case api.GroupUpdate:
+		}
+	}
+}
+
+func (f *forecast) setPhase(g api.Group) {
+	for i := range f.after.Groups {
+		if f.after.Groups[i].ID == g.ID {
+			f.after.Groups[i].Phase = g.Phase
+		}
+	}
+}
+
+func (f *forecast) unassign(id api.HostID) {
+	f.after.Assignments = slices.DeleteFunc(f.after.Assignments, func(a api.Assignment) bool { return a.Host == id })
+}
+
+func (f *forecast) drop(id api.GroupID, hosts map[api.HostID]*api.HostStatus) {
+	f.after.Groups = slices.DeleteFunc(f.after.Groups, func(g api.Group) bool { return g.ID == id })
+	f.after.Assignments = slices.DeleteFunc(f.after.Assignments, func(a api.Assignment) bool { return a.Group == id })
+	for _, h := range hosts {
+		if h.Announcement.Group == id {
+			h.Announcement.Group, h.Announcement.Fencing = "", 0
+		}
+	}
+}
+
+func (f *forecast) add(g api.Group, hosts map[api.HostID]*api.HostStatus) {
+	g.Fencing, g.Phase = api.Fencing(f.after.Revision), api.GroupReady
+	f.after.Groups = append(f.after.Groups, g)
+	for rank, id := range g.Members {
+		f.after.Assignments = append(f.after.Assignments, api.Assignment{Host: id, Group: g.ID, Fencing: g.Fencing})
+		h := hosts[id]
+		if h == nil {
+			continue
+		}
+		a := &h.Announcement
+		a.Group, a.Fencing, a.Rank, a.Load = g.ID, g.Fencing, rank, api.LoadReady
+	}
+}
+
+func (f *forecast) stops() []api.Consequence {
+	kept := make(map[api.GroupID]bool, len(f.after.Groups))
+	for i := range f.after.Groups {
+		kept[f.after.Groups[i].ID] = true
+	}
+	var out []api.Consequence
+	for i := range f.before.Groups {
+		g := &f.before.Groups[i]
+		if kept[g.ID] || g.Phase == api.GroupReleasing {
+			continue
+		}
+		out = append(out, api.Consequence{
+			Kind:    api.ConsequenceStop,
+			Subject: string(g.ID),
+			Detail:  fmt.Sprintf("%s group of %s in %s stops and frees %d hosts", g.Phase, g.ServingGroup, g.Domain, len(g.Members)),
+		})
+	}
+	sortConsequences(out)
+	return out
+}
+
+func (f *forecast) moves() []api.Consequence {
+	before := make(map[api.HostID]api.GroupID, len(f.before.Assignments))
+	for _, a := range f.before.Assignments {
+		before[a.Host] = a.Group
+	}
+	var out []api.Consequence
+	for i := range f.after.Groups {
+		g := &f.after.Groups[i]
+		var moved, joined int
+		for _, id := range g.Members {
+			switch old, ok := before[id]; {
+			case !ok:
+				joined++
+			case old != g.ID:
+				moved++
+			}
+		}
+		if moved+joined == 0 {
+			continue
+		}
+		out = append(out, api.Consequence{
+			Kind:    api.ConsequenceMove,
+			Subject: string(g.ServingGroup),
+			Detail:  fmt.Sprintf("a replica in %s takes %d free hosts and %d hosts of other groups", g.Fabric, joined, moved),
+		})
+	}
+	sortConsequences(out)
+	return out
+}
+
+// capacity gives the replicas of each serving group by failure domain.
+func (f *forecast) capacity() []api.Consequence {
+	x := f.index()
+	domains := f.domains()
+	var out []api.Consequence
+	for _, sg := range x.sgs {
+		for _, d := range domains {
+			if !sg.allows(d) {
+				continue
+			}
+			detail := fmt.Sprintf("%d replicas", sg.byDomain[d])
+			if x.drained[d] {
+				detail = "0 replicas, the domain is drained"
+			}
+			out = append(out, api.Consequence{
+				Kind:    api.ConsequenceCapacity,
+				Subject: string(sg.Name) + "/" + string(d),
+				Detail:  detail,
+			})
+		}
+	}
+	return out
+}
+
+func (f *forecast) index() *index {
+	mem := NewMemory()
+	mem.Observe(&f.after, &f.policy, f.now)
+	return newIndex(&f.after, mem, &f.policy, f.now)
+}
+
+func (f *forecast) domains() []api.FailureDomain {
+	var out []api.FailureDomain
+	for i := range f.after.Hosts {
+		a := &f.after.Hosts[i].Announcement
+		if a.Kind == api.BackendEngine {
+			out = append(out, a.Domain)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+func (f *forecast) unmet() []api.Consequence {
+	x := f.index()
+	var out []api.Consequence
+	for _, sg := range x.sgs {
+		placed := 0
+		for _, n := range sg.byDomain {
+			placed += n
+		}
+		if missing := sg.Replicas - placed; missing > 0 {
+			out = append(out, api.Consequence{
+				Kind:    api.ConsequenceUnmet,
+				Subject: string(sg.Name),
+				Detail:  fmt.Sprintf("%d of %d replicas cannot be placed: %s", missing, sg.Replicas, f.why(x, sg)),
+			})
+		}
+	}
+	return out
+}
+
+func (f *forecast) why(x *index, sg *servingGroup) string {
+	if !f.settled {
+		return "they follow one by one as others stop"
+	}
+	free, best, drained := 0, 0, 0
+	for _, fab := range x.fabrics {
+		switch {
+		case x.drained[fab.domain]:
+			drained++
+		case sg.allows(fab.domain):
+			free += len(fab.free)
+			best = max(best, len(fab.free))
+		}
+	}
+	parts := []string{fmt.Sprintf("%d hosts are free, at most %d in one fabric domain, and a replica takes %d",
+		free, best, sg.HostsPerReplica)}
+	if sg.Spares > 0 {
+		parts = append(parts, fmt.Sprintf("%d spares are kept in each fabric domain", sg.Spares))
+	}
+	if drained > 0 {
+		parts = append(parts, fmt.Sprintf("%d fabric domains are drained", drained))
+	}
+	return strings.Join(parts, "; ")
+}
+
+// fencing states how hosts of each named serving group are reassigned.
+func (f *forecast) fencing(in api.Intent) []api.Consequence {
+	out := make([]api.Consequence, 0, len(in.ServingGroups))
+	for i := range in.ServingGroups {
+		sg := &in.ServingGroups[i]
+		detail := "hosts are reassigned once they acknowledge their release"
+		if !sg.ChecksFencing {
+			detail = fmt.Sprintf("hosts do not check fencing numbers: they are reassigned at the earliest %s after their release", f.policy.OrderHorizon)
+		}
+		out = append(out, api.Consequence{Kind: api.ConsequenceFencing, Subject: string(sg.Name), Detail: detail})
+	}
+	return out
+}
+
+func sortConsequences(list []api.Consequence) {
+	slices.SortStableFunc(list, func(a, b api.Consequence) int {
+		return cmp.Or(strings.Compare(a.Subject, b.Subject), strings.Compare(a.Detail, b.Detail))
+	})
+}
--- /dev/null
+++ b/internal/group/form.go
@@ -0,0 +1,183 @@
+package group
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// planForms claims free hosts for missing replicas. Repairs have claimed theirs
+// before, and the stated spares stay free.
+func (pl *planner) planForms() {
+	order := slices.Clone(pl.sgs)
+	slices.SortStableFunc(order, func(a, b *servingGroup) int {
+		return cmp.Or(
+			cmp.Compare(b.importance(), a.importance()),
+			cmp.Compare(b.HostsPerReplica, a.HostsPerReplica),
+		)
+	})
+	for _, sg := range order {
+		pl.formMissing(sg)
+	}
+}
+
+func (pl *planner) formMissing(sg *servingGroup) {
+	missing := sg.Replicas - pl.standing(sg)
+	moved := pl.displaced(sg)
+	for n := missing; n > 0; n-- {
+		weight := pl.weights.Downtime
+		if n <= moved {
+			weight = pl.weights.DomainChange
+		}
+		if !pl.form(sg, pl.score(sg, weight)) {
+			return
+		}
+	}
+}
+
+// standing is the number of replicas that need no replacement.
+func (pl *planner) standing(sg *servingGroup) int {
+	n := pl.counted[sg]
+	for _, r := range sg.replicas {
+		if r.retired {
+			continue
+		}
+		switch r.Phase {
+		case api.GroupLoading:
+			n++
+		case api.GroupReady:
+			if r.leaving == 0 {
+				n++
+			}
+		case api.GroupBroken:
+			if pl.touched[r.ID] && r.count[memberDead]+r.count[memberBehind] == 0 {
+				n++
+			} else if r.count[memberUnknown] > 0 {
+				n++
+			}
+		case api.GroupReleasing:
+		}
+	}
+	return n
+}
+
+// displaced is the number of whole replicas in domains that operators took out.
+func (pl *planner) displaced(sg *servingGroup) int {
+	n := 0
+	for _, r := range sg.replicas {
+		if r.retired && r.Phase == api.GroupReady {
+			n++
+		}
+	}
+	return n
+}
+
+// form claims the hosts of one new replica.
+func (pl *planner) form(sg *servingGroup, score float64) bool {
+	f := pl.place(sg)
+	if f == nil {
+		return false
+	}
+	if sg.byFabric[f.name] == 0 {
+		f.reserve += sg.Spares
+	}
+	members := f.take(sg.HostsPerReplica)
+	sg.byDomain[f.domain]++
+	sg.byFabric[f.name]++
+	g := api.Group{
+		ID:           pl.newID(sg),
+		ServingGroup: sg.Name,
+		Model:        sg.Model,
+		Fabric:       f.name,
+		Domain:       f.domain,
+		Members:      members,
+		Phase:        api.GroupLoading,
+	}
+	pl.jobs = append(pl.jobs, job{
+		score:  score,
+		domain: f.domain,
+		change: Change{
+			GroupChange: api.GroupChange{Kind: api.GroupForm, Group: g},
+			Reason:      ReasonForm,
+			Bytes:       sg.loadBytes(),
+		},
+	})
+	return true
+}
+
+// newID names a group after the revision that the plan is based on, so that no
+// name is used twice.
+func (pl *planner) newID(sg *servingGroup) api.GroupID {
+	pl.formed++
+	return api.GroupID(fmt.Sprintf("%s-%d-%d", sg.Name, pl.view.Revision, pl.formed))
+}
+
+// place picks the fabric domain of a new replica: in the failure domain with
+// the fewest replicas of the serving group, the one with most hosts to spare.
+func (pl *planner) place(sg *servingGroup) *fabric {
+	var best *fabric
+	for _, f := range pl.fabrics {
+		if pl.drained[f.domain] || !sg.allows(f.domain) || pl.surplus(f, sg) < sg.HostsPerReplica {
+			continue
+		}
+		if best == nil || pl.better(sg, f, best) {
+			best = f
+		}
+	}
+	return best
+}
+
+func (pl *planner) better(sg *servingGroup, f, best *fabric) bool {
+	return cmp.Or(
+		cmp.Compare(sg.byDomain[f.domain], sg.byDomain[best.domain]),
+		cmp.Compare(pl.surplus(best, sg), pl.surplus(f, sg)),
+	) < 0
+}
+
+// surplus is the number of free hosts beyond the spares.
+func (pl *planner) surplus(f *fabric, sg *servingGroup) int {
+	reserve := f.reserve
+	if sg.byFabric[f.name] == 0 {
+		reserve += sg.Spares
+	}
+	return len(f.free) - reserve
+}
+
+// startLoads admits jobs within the budget of the weight store, the most
+// downtime ended per byte first. A load that must wait holds back those behind
+// it, so that small loads cannot starve it.
+func (pl *planner) startLoads() {
+	slices.SortStableFunc(pl.jobs, func(a, b job) int { return cmp.Compare(b.score, a.score) })
+	tokens := pl.mem.budget.tokens
+	loads, byDomain := pl.loading()
+	for _, j := range pl.jobs {
+		if pl.policy.MaxLoads > 0 && loads >= pl.policy.MaxLoads {
+			return
+		}
+		if pl.policy.MaxDomainLoads > 0 && byDomain[j.domain] >= pl.policy.MaxDomainLoads {
+			continue
+		}
+		if !affordable(tokens, pl.policy, j.change.Bytes) {
+			return
+		}
+		tokens -= float64(j.change.Bytes)
+		loads++
+		byDomain[j.domain]++
+		pl.plan.Changes = append(pl.plan.Changes, j.change)
+	}
+}
+
+// loading counts the loads in progress.
+func (pl *planner) loading() (int, map[api.FailureDomain]int) {
+	n := 0
+	byDomain := make(map[api.FailureDomain]int)
+	for _, r := range pl.replicas {
+		if r.Phase == api.GroupLoading || r.count[memberLoading] > 0 {
+			n++
+			byDomain[r.Domain]++
+		}
+	}
+	return n, byDomain
+}
--- /dev/null
+++ b/internal/group/index.go
@@ -0,0 +1,286 @@
+package group
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// host is one host of the view, joined with its assignment and memory.
+type host struct {
+	status *api.HostStatus
+	assign *api.Assignment
+	mem    *hostMemory
+}
+
+// fabric collects the free hosts of one fabric domain.
+type fabric struct {
+	name   api.FabricDomain
+	domain api.FailureDomain
+	// free are usable hosts without an assignment, sorted by name.
+	free []api.HostID
+	// pending is the number of usable hosts whose release is not yet proven.
+	pending int
+	// reserve is the number of free hosts to keep as spares.
+	reserve int
+}
+
+// memberState tells how a member stands towards its group's generation.
+type memberState uint8
+
+const (
+	// memberUnknown has not announced itself to this leader yet.
+	memberUnknown memberState = iota
+	memberReady
+	memberLoading
+	// memberBehind is alive and holds no or another membership.
+	memberBehind
+	memberDead
+)
+
+// replica is one group of the view with the state of its members.
+type replica struct {
+	*api.Group
+	sg     *servingGroup
+	mem    *groupMemory
+	states []memberState
+	count  [memberDead + 1]int
+	// leaving is the number of members that announced that they leave.
+	leaving int
+	// retired is set when the configuration no longer wants the group: a
+	// drained or excluded domain, another model or size.
+	retired bool
+}
+
+// servingGroup is one serving group with its replicas.
+type servingGroup struct {
+	*api.ServingGroup
+	replicas []*replica
+	byDomain map[api.FailureDomain]int
+	// byFabric counts the replicas in each fabric domain.
+	byFabric map[api.FabricDomain]int
+	// releasing is the number of groups whose release is under way.
+	releasing int
+}
+
+// loadBytes is the size of one whole replica's weights, in bytes.
+func (s *servingGroup) loadBytes() int64 { return s.LoadBytes * int64(s.HostsPerReplica) }
+
+// importance is the weight of one replica, at least 1.
+func (s *servingGroup) importance() float64 { return float64(max(s.Importance, 1)) }
+
+// allows reports whether the serving group may be placed in a domain.
+func (s *servingGroup) allows(d api.FailureDomain) bool {
+	return len(s.Domains) == 0 || slices.Contains(s.Domains, d)
+}
+
+// index joins the parts of a view for one evaluation.
+type index struct {
+	view    *api.FleetView
+	mem     *Memory
+	policy  *Policy
+	weights api.Weights
+	now     time.Time
+
+	hosts    map[api.HostID]*host
+	replicas []*replica
+	byID     map[api.GroupID]*replica
+	sgs      []*servingGroup
+	sgByName map[api.ServingGroupName]*servingGroup
+	fabrics  []*fabric
+	byFabric map[api.FabricDomain]*fabric
+	drained  map[api.FailureDomain]bool
+}
+
+func newIndex(v *api.FleetView, m *Memory, p *Policy, now time.Time) *index {
+	x := &index{view: v, mem: m, policy: p, weights: p.weights(v), now: now}
+	x.indexDomains()
+	x.indexHosts()
+	x.indexServingGroups()
+	x.indexReplicas()
+	x.indexFabrics()
+	return x
+}
+
+func (x *index) indexDomains() {
+	x.drained = make(map[api.FailureDomain]bool, len(x.view.Domains))
+	for _, d := range x.view.Domains {
+		x.drained[d.Name] = d.State == api.DomainDrained
+	}
+}
+
+func (x *index) indexHosts() {
+	x.hosts = make(map[api.HostID]*host, len(x.view.Hosts))
+	all := make([]host, len(x.view.Hosts), len(x.view.Hosts)+len(x.view.Assignments))
+	for i := range x.view.Hosts {
+		s := &x.view.Hosts[i]
+		all[i] = host{status: s, mem: x.memory(s.Announcement.Host)}
+		x.hosts[s.Announcement.Host] = &all[i]
+	}
+	for i := range x.view.Assignments {
+		a := &x.view.Assignments[i]
+		h, ok := x.hosts[a.Host]
+		if !ok {
+			all = append(all, host{mem: x.memory(a.Host)})
+			h = &all[len(all)-1]
+			x.hosts[a.Host] = h
+		}
+		h.assign = a
+	}
+}
+
+func (x *index) memory(id api.HostID) *hostMemory {
+	if h, ok := x.mem.hosts[id]; ok {
+		return h
+	}
+	return &hostMemory{}
+}
+
+func (x *index) indexServingGroups() {
+	x.sgByName = make(map[api.ServingGroupName]*servingGroup, len(x.view.ServingGroups))
+	for i := range x.view.ServingGroups {
+		sg := &servingGroup{ServingGroup: &x.view.ServingGroups[i]}
+		sg.byDomain = make(map[api.FailureDomain]int)
+		sg.byFabric = make(map[api.FabricDomain]int)
+		x.sgs = append(x.sgs, sg)
+		x.sgByName[sg.Name] = sg
+	}
+	slices.SortFunc(x.sgs, func(a, b *servingGroup) int {
+		return strings.Compare(string(a.Name), string(b.Name))
+	})
+}
+
+func (x *index) indexReplicas() {
+	x.byID = make(map[api.GroupID]*replica, len(x.view.Groups))
+	x.replicas = make([]*replica, 0, len(x.view.Groups))
+	for i := range x.view.Groups {
+		r := x.newReplica(&x.view.Groups[i])
+		x.replicas = append(x.replicas, r)
+		x.byID[r.ID] = r
+	}
+	slices.SortFunc(x.replicas, func(a, b *replica) int {
+		return strings.Compare(string(a.ID), string(b.ID))
+	})
+	for _, r := range x.replicas {
+		if r.sg == nil {
+			continue
+		}
+		if r.Phase == api.GroupReleasing {
+			r.sg.releasing++
+			continue
+		}
+		r.sg.replicas = append(r.sg.replicas, r)
+		r.sg.byFabric[r.Fabric]++
+		if !r.retired {
+			r.sg.byDomain[r.Domain]++
+		}
+	}
+}
+
+func (x *index) newReplica(g *api.Group) *replica {
+	r := &replica{Group: g, sg: x.sgByName[g.ServingGroup], mem: x.mem.groups[g.ID]}
+	r.states = make([]memberState, len(g.Members))
+	for rank, id := range g.Members {
+		state := x.memberState(g, id)
+		r.states[rank] = state
+		r.count[state]++
+		h := x.hosts[id]
+		if h != nil && h.status != nil && h.status.Announcement.Leaving {
+			r.leaving++
+		}
+	}
+	r.retired = r.sg == nil || x.drained[g.Domain] || !r.sg.allows(g.Domain) ||
+		r.sg.Model != g.Model || r.sg.HostsPerReplica != len(g.Members)
+	return r
+}
+
+func (x *index) memberState(g *api.Group, id api.HostID) memberState {
+	h := x.hosts[id]
+	if h == nil || h.status == nil {
+		if x.now.Sub(x.mem.started) <= 2*x.policy.DetectionBound {
+			return memberUnknown
+		}
+		return memberDead
+	}
+	if h.mem.stale {
+		return memberUnknown
+	}
+	if !isAlive(h.status, x.policy) {
+		return memberDead
+	}
+	a := &h.status.Announcement
+	if a.Group != g.ID || a.Fencing != g.Fencing {
+		return memberBehind
+	}
+	if a.Load == api.LoadReady {
+		return memberReady
+	}
+	return memberLoading
+}
+
+func (x *index) indexFabrics() {
+	x.byFabric = make(map[api.FabricDomain]*fabric)
+	for i := range x.view.Hosts {
+		s := &x.view.Hosts[i]
+		a := &s.Announcement
+		if a.Kind != api.BackendEngine {
+			continue
+		}
+		f := x.fabric(a.Fabric, a.Domain)
+		h := x.hosts[a.Host]
+		switch {
+		case !x.usable(h):
+		case h.assign == nil:
+			f.free = append(f.free, a.Host)
+		case h.assign.Releasing:
+			f.pending++
+		}
+	}
+	slices.SortFunc(x.fabrics, func(a, b *fabric) int {
+		return strings.Compare(string(a.name), string(b.name))
+	})
+	for _, f := range x.fabrics {
+		slices.Sort(f.free)
+	}
+	x.setReserves()
+}
+
+func (x *index) fabric(name api.FabricDomain, d api.FailureDomain) *fabric {
+	f, ok := x.byFabric[name]
+	if !ok {
+		f = &fabric{name: name, domain: d}
+		x.byFabric[name] = f
+		x.fabrics = append(x.fabrics, f)
+	}
+	return f
+}
+
+// setReserves adds up, for each fabric domain, the spares of the serving groups
+// that hold a replica there.
+func (x *index) setReserves() {
+	for _, sg := range x.sgs {
+		for name := range sg.byFabric {
+			if f, ok := x.byFabric[name]; ok {
+				f.reserve += sg.Spares
+			}
+		}
+	}
+}
+
+// usable reports whether a host could join a group now if it were free. A host
+// that does not check fencing must also announce that it holds no membership.
+func (x *index) usable(h *host) bool {
+	if h.status == nil || h.mem.stale || !isAlive(h.status, x.policy) {
+		return false
+	}
+	a := &h.status.Announcement
+	if a.Kind != api.BackendEngine || a.Leaving || x.drained[a.Domain] {
+		return false
+	}
+	if h.assign == nil && a.Group != "" && !a.ChecksFencing {
+		return false
+	}
+	return !x.now.Before(h.mem.backoffUntil(x.policy))
+}
--- /dev/null
+++ b/internal/group/loss_test.go
@@ -0,0 +1,139 @@
+package group_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+func TestFormsWholeGroupThroughColdStart(t *testing.T) {
+	r := newRig(t, testPolicy(), scribe(1, 4))
+	r.add("f1", "d1", 4, true)
+	r.step(5 * time.Second)
+	require.Equal(t, api.GroupLoading, r.only().Phase)
+	r.step(8 * time.Second)
+	g := r.only()
+	require.Equal(t, api.GroupReady, g.Phase)
+	require.Equal(t, "f1-00", g.Address)
+	require.False(t, g.Warm)
+	r.step(6 * time.Second)
+	require.True(t, r.only().Warm)
+}
+
+func TestLossOfMember(t *testing.T) {
+	const settle = 60 * time.Second
+	for name, tc := range map[string]struct {
+		hosts, spares int
+		fault         func(r *rig)
+		// loads counts the loads after the fault.
+		loads int
+		ready int
+		lost  bool
+	}{
+		"pause within the grace is waited out": {
+			hosts: 5,
+			fault: func(r *rig) {
+				r.model.Pause(r.host("f1-01"))
+				r.step(8 * time.Second)
+				require.Equal(t, api.GroupBroken, r.only().Phase)
+				r.model.Resume(r.host("f1-01"))
+			},
+			loads: 0, ready: 1,
+		},
+		"restart within the grace loses the membership": {
+			hosts: 4,
+			fault: func(r *rig) { r.model.Start(r.host("f1-01")) },
+			loads: 4, ready: 1,
+		},
+		"a spare replaces a dead member": {
+			hosts: 5,
+			fault: func(r *rig) { r.model.Kill(r.host("f1-01")) },
+			loads: 4, ready: 1, lost: true,
+		},
+		"without a spare the group waits for the host": {
+			hosts: 4,
+			fault: func(r *rig) {
+				r.model.Kill(r.host("f1-01"))
+				r.step(20 * time.Second)
+				require.Equal(t, 0, r.ready())
+				r.model.Start(r.host("f1-01"))
+			},
+			loads: 4, ready: 1,
+		},
+		"a second loss right after the repair": {
+			hosts: 6,
+			fault: func(r *rig) {
+				r.model.Kill(r.host("f1-01"))
+				r.step(30 * time.Second)
+				require.Equal(t, 1, r.ready())
+				r.model.Kill(r.host("f1-02"))
+			},
+			loads: 8, ready: 1, lost: true,
+		},
+		"a member lost during the load": {
+			hosts: 5,
+			fault: func(r *rig) {
+				r.model.Start(r.host("f1-01"))
+				r.step(5 * time.Second)
+				require.Equal(t, api.GroupLoading, r.only().Phase)
+				r.model.Kill(r.host("f1-02"))
+			},
+			ready: 1, loads: 8, lost: true,
+		},
+		"a leaving member is replaced": {
+			hosts: 5,
+			fault: func(r *rig) {
+				r.host("f1-00").Leaving = true
+				r.step(2 * time.Second)
+				require.True(t, r.only().Leaving)
+			},
+			ready: 1, loads: 4, lost: true,
+		},
+		"warm turning cold is no reload": {
+			hosts: 4,
+			fault: func(r *rig) {
+				r.model.Chill(r.host("f1-00"), 5*time.Second)
+				r.step(2 * time.Second)
+				require.False(t, r.only().Warm)
+				require.Equal(t, api.GroupReady, r.only().Phase)
+			},
+			ready: 1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, testPolicy(), scribe(1, 4))
+			r.add("f1", "d1", tc.hosts, true)
+			r.step(30 * time.Second)
+			require.Equal(t, 1, r.ready())
+			before := r.model.Loads
+			tc.fault(r)
+			r.step(settle)
+			require.Equal(t, tc.ready, r.ready())
+			require.Equal(t, tc.loads, r.model.Loads-before)
+			if tc.lost {
+				require.Equal(t, 4, len(r.only().Members))
+			}
+		})
+	}
+}
+
+func TestSurvivorsOfTwoBrokenGroupsMerge(t *testing.T) {
+	for name, checks := range map[string]bool{"checking": true, "not checking": false} {
+		t.Run(name, func(t *testing.T) {
+			sg := scribe(2, 4)
+			sg.ChecksFencing = checks
+			r := newRig(t, testPolicy(), sg)
+			r.add("f1", "d1", 8, checks)
+			r.step(30 * time.Second)
+			require.Equal(t, 2, r.ready())
+			for _, g := range r.store.Groups() {
+				r.model.Kill(r.model.Host(g.Members[1]))
+			}
+			r.step(60 * time.Second)
+			require.Equal(t, 1, r.ready())
+		})
+	}
+}
--- /dev/null
+++ b/internal/group/memory.go
@@ -0,0 +1,251 @@
+package group
+
+import (
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// Memory is what the planner remembers between views. The zero value is the
+// memory of a new leader; every decision stays safe with it. It is not safe for
+// concurrent use.
+type Memory struct {
+	started  time.Time
+	hosts    map[api.HostID]*hostMemory
+	groups   map[api.GroupID]*groupMemory
+	drained  map[api.FailureDomain]time.Time
+	loadTime map[api.ServingGroupName]time.Duration
+	budget   budget
+}
+
+type hostMemory struct {
+	incarnation api.Incarnation
+	sequence    uint64
+	// stale is set while the view shows an older announcement than before.
+	stale     bool
+	alive     bool
+	deadSince time.Time
+	// aliveSince is when the host was first heard or heard again.
+	aliveSince   time.Time
+	leavingSince time.Time
+	failures     int
+	lastFailure  time.Time
+	// group and fencing are the membership that the host announced last.
+	group   api.GroupID
+	fencing api.Fencing
+	order   orderMemory
+	release releaseMemory
+}
+
+// orderMemory tracks the newest order sent to a host.
+type orderMemory struct {
+	kind    api.OrderKind
+	fencing api.Fencing
+	sent    time.Time
+	// lastAssign is when an assign order last left.
+	lastAssign time.Time
+	// refused counts the refusals of the newest order.
+	refused int
+}
+
+// releaseMemory tracks the proof that a membership is over.
+type releaseMemory struct {
+	fencing api.Fencing
+	// seen is when this leader first saw the membership releasing.
+	seen time.Time
+	// ackSent is when the acknowledged release order was sent.
+	ackSent        time.Time
+	acked          bool
+	ackIncarnation api.Incarnation
+}
+
+type groupMemory struct {
+	fencing     api.Fencing
+	phase       api.GroupPhase
+	phaseSince  time.Time
+	loadSince   time.Time
+	incarnation []api.Incarnation
+}
+
+// NewMemory returns an empty memory.
+func NewMemory() *Memory { return &Memory{} }
+
+// Observe records what a view shows at a moment of the monotonic clock. Call it
+// before Decide with the same view.
+func (m *Memory) Observe(v *api.FleetView, p *Policy, now time.Time) {
+	m.init(v, now)
+	for i := range v.Hosts {
+		m.observeHost(&v.Hosts[i], p, now)
+	}
+	m.observeReleases(v, now)
+	m.observeGroups(v, now)
+	m.observeDomains(v, now)
+	m.budget.refill(p, now)
+}
+
+func (m *Memory) init(v *api.FleetView, now time.Time) {
+	if m.hosts != nil {
+		return
+	}
+	m.started = now
+	m.hosts = make(map[api.HostID]*hostMemory, len(v.Hosts))
+	m.groups = make(map[api.GroupID]*groupMemory, len(v.Groups))
+	m.drained = make(map[api.FailureDomain]time.Time)
+	m.loadTime = make(map[api.ServingGroupName]time.Duration)
+	m.budget.start(v, now)
+}
+
+func (m *Memory) host(id api.HostID) *hostMemory {
+	h, ok := m.hosts[id]
+	if !ok {
+		h = &hostMemory{}
+		m.hosts[id] = h
+	}
+	return h
+}
+
+func (m *Memory) observeHost(s *api.HostStatus, p *Policy, now time.Time) {
+	a := &s.Announcement
+	h := m.host(a.Host)
+	h.stale = a.Incarnation < h.incarnation ||
+		(a.Incarnation == h.incarnation && a.Sequence < h.sequence)
+	if h.stale {
+		return
+	}
+	restarted := h.incarnation != 0 && a.Incarnation > h.incarnation
+	h.incarnation, h.sequence = a.Incarnation, a.Sequence
+	h.group, h.fencing = a.Group, a.Fencing
+	h.observeLife(isAlive(s, p), restarted, p, now)
+	switch {
+	case !a.Leaving:
+		h.leavingSince = time.Time{}
+	case h.leavingSince.IsZero():
+		h.leavingSince = now
+	}
+}
+
+// observeLife counts a failure when a live host falls silent or restarts. The
+// back-off of a host that was silent counts from its return.
+func (h *hostMemory) observeLife(alive, restarted bool, p *Policy, now time.Time) {
+	switch {
+	case h.alive && (restarted || !alive):
+		h.fail(p, now)
+	case restarted:
+		h.lastFailure = now
+	}
+	if !alive && (h.alive || h.deadSince.IsZero()) {
+		h.deadSince = now
+	}
+	if alive {
+		h.deadSince = time.Time{}
+	}
+	if alive && (!h.alive || restarted) {
+		h.aliveSince = now
+	}
+	h.alive = alive
+}
+
+func (h *hostMemory) fail(p *Policy, now time.Time) {
+	if now.Sub(h.lastFailure) > p.FailureMemory {
+		h.failures = 0
+	}
+	h.failures++
+	h.lastFailure = now
+}
+
+// backoffUntil is when the host may be used again.
+func (h *hostMemory) backoffUntil(p *Policy) time.Time {
+	if h.failures == 0 {
+		return time.Time{}
+	}
+	backoff := p.BackoffBase
+	for i := 1; i < h.failures && backoff < p.BackoffMax; i++ {
+		backoff *= 2
+	}
+	return h.lastFailure.Add(min(backoff, p.BackoffMax))
+}
+
+func (m *Memory) observeReleases(v *api.FleetView, now time.Time) {
+	for i := range v.Assignments {
+		a := &v.Assignments[i]
+		if !a.Releasing {
+			continue
+		}
+		r := &m.host(a.Host).release
+		if r.fencing != a.Fencing {
+			*r = releaseMemory{fencing: a.Fencing, seen: now}
+		}
+	}
+}
+
+func (m *Memory) observeGroups(v *api.FleetView, now time.Time) {
+	for i := range v.Groups {
+		g := &v.Groups[i]
+		gm, ok := m.groups[g.ID]
+		if !ok || gm.fencing != g.Fencing {
+			gm = &groupMemory{fencing: g.Fencing, phase: g.Phase, phaseSince: now, loadSince: now}
+			gm.incarnation = make([]api.Incarnation, len(g.Members))
+			m.groups[g.ID] = gm
+		}
+		if gm.phase != g.Phase {
+			m.learnLoadTime(g, gm, now)
+			gm.phase, gm.phaseSince = g.Phase, now
+		}
+		m.observeMembers(g, gm)
+	}
+	if len(m.groups) > len(v.Groups) {
+		m.forgetGroups(v)
+	}
+}
+
+// observeMembers remembers under which incarnation each member held the
+// group's generation.
+func (m *Memory) observeMembers(g *api.Group, gm *groupMemory) {
+	for rank, id := range g.Members {
+		h, ok := m.hosts[id]
+		if ok && h.group == g.ID && h.fencing == g.Fencing {
+			gm.incarnation[rank] = h.incarnation
+		}
+	}
+}
+
+// learnLoadTime keeps a moving average of the time that a load takes.
+func (m *Memory) learnLoadTime(g *api.Group, gm *groupMemory, now time.Time) {
+	if gm.phase != api.GroupLoading || g.Phase != api.GroupReady {
+		return
+	}
+	took := now.Sub(gm.loadSince)
+	if old := m.loadTime[g.ServingGroup]; old > 0 {
+		took = (3*old + took) / 4
+	}
+	m.loadTime[g.ServingGroup] = took
+}
+
+func (m *Memory) forgetGroups(v *api.FleetView) {
+	live := make(map[api.GroupID]bool, len(v.Groups))
+	for i := range v.Groups {
+		live[v.Groups[i].ID] = true
+	}
+	for id := range m.groups {
+		if !live[id] {
+			delete(m.groups, id)
+		}
+	}
+}
+
+func (m *Memory) observeDomains(v *api.FleetView, now time.Time) {
+	for _, d := range v.Domains {
+		if d.State != api.DomainDrained {
+			delete(m.drained, d.Name)
+			continue
+		}
+		if _, ok := m.drained[d.Name]; !ok {
+			m.drained[d.Name] = now
+		}
+	}
+}
+
+func isAlive(s *api.HostStatus, p *Policy) bool {
+	age := time.Duration(s.AgeMillis) * time.Millisecond
+	return s.Alive && (p.DetectionBound <= 0 || age <= p.DetectionBound)
+}
--- /dev/null
+++ b/internal/group/orders.go
@@ -0,0 +1,122 @@
+package group
+
+import (
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// planOrders lists the orders that the view calls for: assign orders to members
+// that do not hold their group's generation, release orders to hosts whose
+// release is not proven. They follow from the view alone, so that a new leader
+// takes them up.
+func (pl *planner) planOrders() {
+	for _, r := range pl.replicas {
+		if r.Phase != api.GroupLoading || pl.touched[r.ID] {
+			continue
+		}
+		for rank, state := range r.states {
+			if state == memberBehind {
+				pl.orderAssign(r, rank)
+			}
+		}
+	}
+	for i := range pl.view.Assignments {
+		a := &pl.view.Assignments[i]
+		if a.Releasing && !pl.released(a) {
+			pl.orderRelease(a)
+		}
+	}
+}
+
+func (pl *planner) orderAssign(r *replica, rank int) {
+	h := pl.hosts[r.Members[rank]]
+	if h.assign == nil || h.assign.Releasing || h.assign.Group != r.ID {
+		return
+	}
+	if !pl.orderDue(h, api.OrderAssign, r.Fencing) {
+		return
+	}
+	pl.order(h, api.Order{
+		Kind:    api.OrderAssign,
+		Group:   r.ID,
+		Fencing: r.Fencing,
+		Rank:    rank,
+		Members: r.Members,
+		Model:   r.Model,
+	})
+}
+
+func (pl *planner) orderRelease(a *api.Assignment) {
+	h := pl.hosts[a.Host]
+	if h.status == nil || h.mem.stale || !isAlive(h.status, pl.policy) {
+		return
+	}
+	early := h.mem.release.acked && !pl.checks(h) && pl.now.Before(pl.horizon(h))
+	if early || !pl.orderDue(h, api.OrderRelease, a.Fencing) {
+		return
+	}
+	pl.order(h, api.Order{Kind: api.OrderRelease, Group: a.Group, Fencing: a.Fencing})
+}
+
+func (pl *planner) order(h *host, o api.Order) {
+	o.Version = api.AnnouncementVersion
+	o.Host = h.status.Announcement.Host
+	pl.plan.Orders = append(pl.plan.Orders, Directive{Address: h.status.Announcement.Address, Order: o})
+}
+
+// orderDue reports whether an order was not sent yet or is to be repeated.
+func (pl *planner) orderDue(h *host, kind api.OrderKind, f api.Fencing) bool {
+	o := &h.mem.order
+	if o.kind != kind || o.fencing != f {
+		return true
+	}
+	return pl.now.Sub(o.sent) >= pl.policy.OrderRetry
+}
+
+// released reports whether the end of a membership is proven.
+//
+// A host that checks fencing numbers proves it by acknowledging the release, or
+// by announcing a number at least as high: it refuses every older order from
+// then on. For a host that does not, an order of an older leader could still
+// arrive and bring the membership back; its acknowledgement counts only when
+// the release was sent after the order horizon, by the incarnation that
+// announces itself now.
+func (pl *planner) released(a *api.Assignment) bool {
+	h := pl.hosts[a.Host]
+	if h.status == nil || h.mem.stale {
+		return false
+	}
+	r := &h.mem.release
+	if pl.checks(h) {
+		s := &h.status.Announcement
+		announced := s.Fencing >= a.Fencing && s.Group != a.Group
+		return announced || r.acked && r.fencing == a.Fencing
+	}
+	return r.acked && r.fencing == a.Fencing &&
+		!r.ackSent.Before(pl.horizon(h)) &&
+		r.ackIncarnation == h.mem.incarnation
+}
+
+// checks reports whether a releasing host refuses old fencing numbers. Both the
+// operator and the host itself must say so.
+func (pl *planner) checks(h *host) bool {
+	if h.assign == nil || !h.status.Announcement.ChecksFencing {
+		return false
+	}
+	r := pl.byID[h.assign.Group]
+	return r != nil && r.sg != nil && r.sg.ChecksFencing
+}
+
+// horizon is when no order with an older number than the release can arrive
+// any more. Orders of this leader count like those of an older one, and a host
+// that was silent may have found one waiting when it came back.
+func (pl *planner) horizon(h *host) time.Time {
+	from := h.mem.release.seen
+	for _, t := range []time.Time{h.mem.order.lastAssign, h.mem.aliveSince} {
+		if t.After(from) {
+			from = t
+		}
+	}
+	return from.Add(pl.policy.OrderHorizon)
+}
--- /dev/null
+++ b/internal/group/policy.go
@@ -0,0 +1,122 @@
+package group
+
+import (
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// Policy holds the settings of the planner and of the executor.
+type Policy struct {
+	// Weights apply when the view carries none.
+	Weights api.Weights
+	// DetectionBound is the age of the last announcement above which a host
+	// counts as dead.
+	DetectionBound time.Duration
+	// Grace is how long a broken group waits for a silent member that may only
+	// be paused, before its membership is given up.
+	Grace time.Duration
+	// Hold is how long the survivors of a group that cannot be repaired stay
+	// together after Grace. It is scaled by Weights.Downtime over
+	// Weights.Stranded.
+	Hold time.Duration
+	// DrainHold is how long whole groups of a drained domain are kept loaded.
+	// It is scaled by Weights.DomainChange over Weights.Stranded.
+	DrainHold time.Duration
+	// LeaveDrain is the time that a leaving member gets to finish its work.
+	LeaveDrain time.Duration
+	// BackoffBase is the time after a failure during which a host is not
+	// used; each further failure doubles it up to BackoffMax.
+	BackoffBase time.Duration
+	BackoffMax  time.Duration
+	// FailureMemory is the quiet time after which failures are forgotten.
+	FailureMemory time.Duration
+	// OrderTimeout bounds one order, from the decision to the answer.
+	OrderTimeout time.Duration
+	// OrderRetry is the time between two sends of one order.
+	OrderRetry time.Duration
+	// OrderConcurrency bounds the orders in flight.
+	OrderConcurrency int
+	// OrderHorizon is the time after which no order of an older leader can
+	// arrive: OrderTimeout plus the leader lease plus a margin.
+	OrderHorizon time.Duration
+	// LoadRate is the budget of the weight store, in bytes per second; 0 is
+	// unlimited.
+	LoadRate int64
+	// LoadBurst is the number of bytes that may be started at once.
+	LoadBurst int64
+	// MaxLoads is the number of groups that load at once; 0 is unlimited.
+	MaxLoads int
+	// MaxDomainLoads is the number of groups that load at once in one failure
+	// domain, so that a restored domain returns in steps; 0 is unlimited.
+	MaxDomainLoads int
+	// LoadTimeout is how long a member may load before it counts as lost.
+	LoadTimeout time.Duration
+	// StragglerFactor times the usual load time of a serving group is how long
+	// a member may load; 0 leaves only LoadTimeout.
+	StragglerFactor float64
+}
+
+// DefaultPolicy returns settings for a deployment whose three weights are equal.
+func DefaultPolicy() Policy {
+	return Policy{
+		Weights:          api.Weights{Downtime: 1, Stranded: 1, DomainChange: 1},
+		DetectionBound:   3 * time.Second,
+		Grace:            8 * time.Second,
+		Hold:             30 * time.Second,
+		DrainHold:        60 * time.Second,
+		LeaveDrain:       10 * time.Second,
+		BackoffBase:      2 * time.Second,
+		BackoffMax:       5 * time.Minute,
+		FailureMemory:    30 * time.Minute,
+		OrderTimeout:     2 * time.Second,
+		OrderRetry:       time.Second,
+		OrderConcurrency: 64,
+		OrderHorizon:     8 * time.Second,
+		LoadRate:         64 << 30,
+		LoadBurst:        512 << 30,
+		MaxLoads:         64,
+		MaxDomainLoads:   24,
+		LoadTimeout:      20 * time.Minute,
+		StragglerFactor:  4,
+	}
+}
+
+// PresetNilecraft weighs group downtime above the other measures.
+func PresetNilecraft() Policy {
+	p := DefaultPolicy()
+	p.Weights = api.Weights{Downtime: 3, Stranded: 1, DomainChange: 1}
+	return p
+}
+
+// PresetTabrak weighs service during failure domain changes above the others.
+func PresetTabrak() Policy {
+	p := DefaultPolicy()
+	p.Weights = api.Weights{Downtime: 1, Stranded: 1, DomainChange: 3}
+	return p
+}
+
+// Bounds of the factor by which weights scale a hold time.
+const (
+	minHoldFactor = 0.25
+	maxHoldFactor = 4.0
+)
+
+func (p *Policy) weights(v *api.FleetView) api.Weights {
+	if v.Weights != (api.Weights{}) {
+		return v.Weights
+	}
+	if p.Weights != (api.Weights{}) {
+		return p.Weights
+	}
+	return api.Weights{Downtime: 1, Stranded: 1, DomainChange: 1}
+}
+
+func scaleHold(d time.Duration, gain, cost float64) time.Duration {
+	factor := maxHoldFactor
+	if cost > 0 {
+		factor = gain / cost
+	}
+	factor = min(max(factor, minHoldFactor), maxHoldFactor)
+	return time.Duration(float64(d) * factor)
+}
--- /dev/null
+++ b/internal/group/repair.go
@@ -0,0 +1,285 @@
+package group
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// repair is one broken group, or one ready group with a leaving member, whose
+// lost members are to be replaced.
+type repair struct {
+	*replica
+	// replace are the ranks that need another host.
+	replace []int
+	// soon is the number of those ranks whose host returns after its back-off.
+	soon  int
+	score float64
+	// satisfied is set when hosts are at hand or on their way.
+	satisfied bool
+	donor     bool
+}
+
+// job is one load that hosts allow and that waits for the budget.
+type job struct {
+	score  float64
+	change Change
+	domain api.FailureDomain
+}
+
+// planRepairs claims free hosts for broken groups by urgency, then lets groups
+// that lack hosts give theirs to more urgent ones of the same fabric domain.
+func (pl *planner) planRepairs() {
+	for _, r := range pl.replicas {
+		pl.considerRepair(r)
+	}
+	slices.SortStableFunc(pl.repairs, compareRepairs)
+	for _, rep := range pl.repairs {
+		pl.claimFree(rep)
+	}
+	for _, rep := range pl.repairs {
+		pl.claimPending(rep)
+	}
+	for _, rep := range pl.repairs {
+		pl.claimDonors(rep)
+	}
+	for _, rep := range pl.repairs {
+		pl.giveUp(rep)
+	}
+}
+
+// compareRepairs puts the most downtime ended per byte first, then the groups
+// closest to being whole.
+func compareRepairs(a, b *repair) int {
+	return cmp.Or(
+		cmp.Compare(b.score, a.score),
+		cmp.Compare(len(a.replace), len(b.replace)),
+		byName(a.replica, b.replica),
+	)
+}
+
+func (pl *planner) considerRepair(r *replica) {
+	if r.sg == nil || r.retired || pl.touched[r.ID] || r.mem == nil {
+		return
+	}
+	if r.Phase == api.GroupReady {
+		pl.considerLeaving(r)
+		return
+	}
+	if r.Phase != api.GroupBroken || r.count[memberUnknown] > 0 {
+		return
+	}
+	rep := &repair{replica: r, score: pl.score(r.sg, pl.weights.Downtime)}
+	waiting := 0
+	for rank := range r.Members {
+		switch pl.memberNeed(r, rank) {
+		case needWait:
+			waiting++
+			rep.replace = append(rep.replace, rank)
+		case needBackoff:
+			rep.soon++
+			rep.replace = append(rep.replace, rank)
+		case needReplacement:
+			rep.replace = append(rep.replace, rank)
+		case needNothing, needOrder:
+		}
+	}
+	if r.count[memberReady] == len(r.Members) {
+		return
+	}
+	if waiting > 0 && pl.keepWaiting(rep, waiting) {
+		pl.counted[r.sg]++
+		return
+	}
+	pl.repairs = append(pl.repairs, rep)
+}
+
+// keepWaiting reports whether a group waits out the grace of silent members. A
+// reload is certain once another member is lost for good; then only a lack of
+// free hosts is a reason to wait.
+func (pl *planner) keepWaiting(rep *repair, waiting int) bool {
+	certain := rep.count[memberBehind] > 0 || len(rep.replace) > waiting
+	f := pl.byFabric[rep.Fabric]
+	return !certain || f == nil || len(f.free) < len(rep.replace)
+}
+
+// need tells what a member's rank needs for the group to be whole again.
+type need uint8
+
+const (
+	needNothing need = iota
+	// needOrder is met by an order of a new generation to the same host.
+	needOrder
+	// needWait may be met by a silent member within its grace.
+	needWait
+	// needBackoff is met by the same host after its back-off.
+	needBackoff
+	needReplacement
+)
+
+func (pl *planner) memberNeed(r *replica, rank int) need {
+	h := pl.hosts[r.Members[rank]]
+	if h == nil || h.status == nil {
+		return needReplacement
+	}
+	if h.status.Announcement.Leaving {
+		return needReplacement
+	}
+	switch r.states[rank] {
+	case memberDead:
+		if pl.now.Sub(pl.lostSince(r, h)) < pl.policy.Grace {
+			return needWait
+		}
+		return needReplacement
+	case memberLoading:
+		if pl.overdue(r) {
+			return needReplacement
+		}
+	case memberBehind:
+		return pl.behindNeed(h)
+	case memberReady, memberUnknown:
+	}
+	return needNothing
+}
+
+func (pl *planner) behindNeed(h *host) need {
+	switch {
+	case pl.usable(h):
+		return needOrder
+	case pl.now.Before(h.mem.backoffUntil(pl.policy)):
+		return needBackoff
+	default:
+		return needReplacement
+	}
+}
+
+// considerLeaving plans the replacement of members that leave, once they had
+// time to finish their work.
+func (pl *planner) considerLeaving(r *replica) {
+	if r.leaving == 0 {
+		return
+	}
+	rep := &repair{replica: r, score: pl.score(r.sg, pl.weights.Downtime)}
+	for rank, id := range r.Members {
+		h := pl.hosts[id]
+		if h == nil || h.mem.leavingSince.IsZero() {
+			continue
+		}
+		if pl.now.Sub(h.mem.leavingSince) < pl.policy.LeaveDrain {
+			pl.counted[r.sg]++
+			return
+		}
+		rep.replace = append(rep.replace, rank)
+	}
+	pl.repairs = append(pl.repairs, rep)
+}
+
+// lostSince is when a silent member was last known to be alive.
+func (pl *planner) lostSince(r *replica, h *host) time.Time {
+	if h.mem.deadSince.IsZero() {
+		return r.mem.phaseSince
+	}
+	return h.mem.deadSince
+}
+
+// score is the downtime that a load ends per byte, weighted.
+func (pl *planner) score(sg *servingGroup, weight float64) float64 {
+	return sg.importance() * weight / float64(max(sg.loadBytes(), 1))
+}
+
+func (pl *planner) claimFree(rep *repair) {
+	f := pl.byFabric[rep.Fabric]
+	if f == nil || len(f.free) < len(rep.replace) {
+		return
+	}
+	members := slices.Clone(rep.Members)
+	for i, id := range f.take(len(rep.replace)) {
+		members[rep.replace[i]] = id
+	}
+	pl.satisfy(rep)
+	g := *rep.Group
+	g.Members, g.Phase = members, api.GroupLoading
+	pl.jobs = append(pl.jobs, job{
+		score:  rep.score,
+		domain: rep.Domain,
+		change: Change{
+			GroupChange: api.GroupChange{Kind: api.GroupReform, Fencing: rep.Fencing, Group: g},
+			Reason:      ReasonRepair,
+			Bytes:       rep.sg.loadBytes(),
+		},
+	})
+}
+
+func (pl *planner) satisfy(rep *repair) {
+	rep.satisfied = true
+	pl.counted[rep.sg]++
+}
+
+// claimPending lets a group wait for hosts whose release is under way.
+func (pl *planner) claimPending(rep *repair) {
+	f := pl.byFabric[rep.Fabric]
+	if rep.satisfied || rep.donor || f == nil {
+		return
+	}
+	missing := len(rep.replace) - rep.soon
+	if len(f.free)+f.pending < missing {
+		return
+	}
+	fromFree := min(missing, len(f.free))
+	f.take(fromFree)
+	f.pending -= missing - fromFree
+	pl.satisfy(rep)
+}
+
+// claimDonors releases less urgent broken groups of the same fabric domain when
+// their survivors make this one whole.
+func (pl *planner) claimDonors(rep *repair) {
+	f := pl.byFabric[rep.Fabric]
+	if rep.satisfied || rep.donor || f == nil || rep.Phase != api.GroupBroken {
+		return
+	}
+	missing := len(rep.replace) - rep.soon - len(f.free) - f.pending
+	donors, gained := pl.findDonors(rep, missing)
+	if gained < missing {
+		return
+	}
+	for _, d := range donors {
+		d.donor = true
+		pl.release(d.replica, ReasonMerge)
+	}
+	f.pending += gained
+	pl.claimPending(rep)
+}
+
+// findDonors picks the least urgent broken groups until they bring enough hosts.
+func (pl *planner) findDonors(rep *repair, missing int) ([]*repair, int) {
+	var donors []*repair
+	gained := 0
+	for i := len(pl.repairs) - 1; i >= 0 && gained < missing; i-- {
+		d := pl.repairs[i]
+		if d == rep {
+			break
+		}
+		if d.Fabric != rep.Fabric || d.satisfied || d.donor || d.Phase != api.GroupBroken {
+			continue
+		}
+		if n := pl.survivors(d.replica); n > 0 {
+			donors = append(donors, d)
+			gained += n
+		}
+	}
+	return donors, gained
+}
+
+// giveUp releases a group that cannot be repaired once its hold is over.
+func (pl *planner) giveUp(rep *repair) {
+	if rep.satisfied || rep.donor || rep.Phase != api.GroupBroken {
+		return
+	}
+	hold := scaleHold(pl.policy.Hold, pl.weights.Downtime, pl.weights.Stranded)
+	if pl.now.Sub(rep.mem.phaseSince) >= pl.policy.Grace+hold {
+		pl.release(rep.replica, ReasonHopeless)
+	}
+}
