Daemon: the roles of one process put together

Cause: each part exists alone; a process needs them wired, with a shutdown that cuts nothing. Ruled out: one listener for each interface, since callers, backend servers and operators are told apart by their tokens.

--- a/internal/config/serve.go
+++ b/internal/config/serve.go
@@ -73,7 +73,7 @@
 		RenewInterval:   time.Second,
 		DetectionBound:  2 * time.Second,
 		OrderHorizon:    10 * time.Second,
-		PauseGrace:      3 * time.Second,
+		PauseGrace:      8 * time.Second,
 		LoadRate:        8 << 30,
 		ConcurrentLoads: 16,
 		MaxBody:         4 << 20,
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,211 @@
+package daemon
+
+import (
+	"context"
+	"hash/fnv"
+	"sync/atomic"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/clock"
+	"github.com/crocusway/crocusway/internal/config"
+	"github.com/crocusway/crocusway/internal/consensus"
+	"github.com/crocusway/crocusway/internal/control"
+	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/group"
+	"github.com/crocusway/crocusway/internal/logging"
+	"github.com/crocusway/crocusway/internal/peer"
+	"github.com/crocusway/crocusway/internal/storage"
+)
+
+// controlRole is a voter: its log on disk, the replicated state and the duties
+// of the leader.
+type controlRole struct {
+	store   *storage.Store
+	log     *consensus.Server
+	state   *control.State
+	service *control.Service
+}
+
+func newControlRole(d *Daemon) (*controlRole, error) {
+	store, err := storage.Open(d.cfg.DataDir, storage.Options{
+		Voter:     api.VoterID(d.cfg.Name),
+		Bootstrap: d.cfg.Bootstrap,
+	})
+	if err != nil {
+		return nil, err
+	}
+	role, err := buildControl(d, store)
+	if err != nil {
+		_ = store.Close()
+		return nil, err
+	}
+	return role, nil
+}
+
+func buildControl(d *Daemon, store *storage.Store) (*controlRole, error) {
+	r := &controlRole{store: store, state: control.NewState()}
+	identity := store.Identity()
+	log, err := consensus.NewServer(consensus.ServerConfig{
+		ID:           identity.Voter,
+		Incarnation:  identity.Incarnation,
+		Address:      d.cfg.PeerAddress,
+		Bootstrap:    bootstrapMembership(&d.cfg),
+		Store:        store,
+		Transport:    &transport{from: identity.Voter, node: d.node, logger: logging.For(d.base, "consensus")},
+		StateMachine: r.state,
+		Clock:        clock.System{},
+		Logger:       d.base,
+		Seed:         seedOf(d.cfg.Name),
+	})
+	if err != nil {
+		return nil, err
+	}
+	r.log = log
+	reconciler := newReconciler(d, log)
+	r.service = control.New(control.Config{
+		Log:            log,
+		State:          r.state,
+		Clock:          clock.System{},
+		Logger:         d.base,
+		Meter:          d.telemetry.Meter(),
+		Forecaster:     reconciler.executor,
+		Reconciler:     reconciler,
+		LeaseDuration:  d.cfg.WorkLease,
+		DetectionBound: d.cfg.DetectionBound,
+		Limits:         d.limits(),
+	})
+	r.service.Register(d.node)
+	d.node.Handle(api.MethodConsensus, peer.Typed(r.receive))
+	return r, nil
+}
+
+// bootstrapMembership is the membership of a first start; it is empty unless
+// the operator asked for one.
+func bootstrapMembership(cfg *config.Serve) consensus.Membership {
+	var m consensus.Membership
+	if !cfg.Bootstrap {
+		return m
+	}
+	for _, v := range cfg.Voters {
+		m.Members = append(m.Members, consensus.Member{
+			ID:          v.ID,
+			Address:     v.Address,
+			Incarnation: consensus.BootstrapIncarnation,
+		})
+	}
+	return m
+}
+
+// seedOf gives each daemon its own election timeouts.
+func seedOf(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// receive takes messages of another voter.
+func (r *controlRole) receive(_ context.Context, batch consensus.MessageBatch) (api.Empty, error) {
+	messages, err := consensus.DecodeMessages(batch.Payload)
+	if err != nil {
+		return api.Empty{}, err
+	}
+	r.log.Receive(messages)
+	return api.Empty{}, nil
+}
+
+func (r *controlRole) start(ctx context.Context, g *errgroup.Group) {
+	r.log.Start()
+	g.Go(func() error { return r.service.Run(ctx) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.log.Done():
+			return errs.Wrap(r.log.Err(), "run replicated log", "")
+		}
+	})
+}
+
+func (r *controlRole) close() {
+	r.log.Stop()
+	_ = r.store.Close()
+}
+
+// transport sends messages of the replicated log over the peer links.
+type transport struct {
+	from    api.VoterID
+	node    *peer.Node
+	logger  log.Logger
+	dropped atomic.Uint64
+}
+
+// Send implements consensus.Transport. Lost messages are repeated by the log.
+func (t *transport) Send(to consensus.Member, messages []consensus.Message) {
+	payload, err := consensus.EncodeMessages(messages)
+	if err != nil {
+		level.Error(t.logger).Log("msg", "messages not encoded", "to", to.ID, "err", err)
+		return
+	}
+	batch := consensus.MessageBatch{From: t.from, Payload: payload}
+	if err := t.node.Notify(to.Address, api.MethodConsensus, batch); err != nil {
+		t.dropped.Add(1)
+	}
+}
+
+// reconciler adapts the executor of groups to the control service.
+type reconciler struct {
+	executor *group.Reconciler
+	logger   log.Logger
+}
+
+func newReconciler(d *Daemon, log *consensus.Server) *reconciler {
+	logger := logging.For(d.base, "group")
+	return &reconciler{
+		logger: logger,
+		executor: group.New(group.Config{
+			Policy:  d.policy(),
+			Sender:  d.backends,
+			Clock:   clock.System{},
+			Logger:  d.base,
+			Leading: func() bool { return log.Status().Leading },
+		}),
+	}
+}
+
+// Reconcile implements control.Reconciler.
+func (r *reconciler) Reconcile(ctx context.Context, fleet api.FleetView, store control.GroupStore) {
+	if err := r.executor.Reconcile(ctx, fleet, store); err != nil && ctx.Err() == nil {
+		level.Debug(r.logger).Log("msg", "change was not applied", "err", err)
+	}
+}
+
+// presetTabrak names the settings of the second deployment.
+const presetTabrak = "tabrak"
+
+// policy returns the planner's settings.
+func (d *Daemon) policy() group.Policy {
+	p := group.PresetNilecraft()
+	if d.cfg.Preset == presetTabrak {
+		p = group.PresetTabrak()
+	}
+	p.DetectionBound = d.cfg.DetectionBound
+	p.OrderHorizon = d.cfg.OrderHorizon
+	p.Grace = d.cfg.PauseGrace
+	p.LoadRate = d.cfg.LoadRate
+	p.MaxLoads = d.cfg.ConcurrentLoads
+	return p
+}
+
+// limits returns the bounds of what control stores.
+func (d *Daemon) limits() control.Limits {
+	return control.Limits{
+		Records: control.RecordLimits{
+			MaxRecords:      d.cfg.MaxRecords,
+			RetentionMillis: d.cfg.RecordRetention.Milliseconds(),
+		},
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,181 @@
+// Package daemon puts the roles of one crocusway process together: links, HTTP
+// interface, control, entry, metrics and graceful shutdown.
+package daemon
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/crocusway/crocusway/internal/backend"
+	"github.com/crocusway/crocusway/internal/config"
+	"github.com/crocusway/crocusway/internal/entry"
+	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/logging"
+	"github.com/crocusway/crocusway/internal/peer"
+	"github.com/crocusway/crocusway/internal/telemetry"
+)
+
+// Daemon is one process of crocusway. Listen binds its addresses, Run does its
+// work until the context ends.
+type Daemon struct {
+	cfg       config.Serve
+	base      log.Logger
+	logger    log.Logger
+	telemetry *telemetry.Provider
+	node      *peer.Node
+	backends  *backend.HTTPClient
+	listener  net.Listener
+	started   time.Time
+
+	leader  *entry.LeaderClient
+	control *controlRole
+	entry   *entryRole
+	http    *fasthttp.Server
+}
+
+// Listen binds the addresses of a daemon. Ports given as 0 are chosen by the
+// kernel; CallerAddress and PeerAddress tell them. The voters of cfg may be
+// completed by SetVoters before Run.
+func Listen(cfg config.Serve, logger log.Logger) (*Daemon, error) {
+	d := &Daemon{cfg: cfg, base: logger, logger: logging.For(logger, "daemon"), started: time.Now()}
+	provider, err := telemetry.New()
+	if err != nil {
+		return nil, err
+	}
+	d.telemetry = provider
+	d.backends = backend.NewClient(backend.Config{Token: cfg.BackendToken.Reveal()})
+	d.node, err = peer.Start(peer.Config{
+		Address: cfg.PeerListen,
+		Secret:  []byte(cfg.PeerSecret.Reveal()),
+		Logger:  logger,
+		Meter:   provider.Meter(),
+	})
+	if err != nil {
+		return nil, errs.Wrap(err, "start peer links", cfg.PeerListen)
+	}
+	d.listener, err = net.Listen("tcp", cfg.CallerListen)
+	if err != nil {
+		_ = d.node.Close()
+		return nil, errs.Wrap(err, "listen for callers", cfg.CallerListen)
+	}
+	d.fillAddresses()
+	return d, nil
+}
+
+// fillAddresses tells other processes the ports that the kernel chose.
+func (d *Daemon) fillAddresses() {
+	if d.cfg.PeerAddress == "" || d.cfg.PeerAddress == d.cfg.PeerListen {
+		d.cfg.PeerAddress = d.node.Addr()
+	}
+	if d.cfg.CallerAddress == "" || d.cfg.CallerAddress == d.cfg.CallerListen {
+		d.cfg.CallerAddress = d.listener.Addr().String()
+	}
+}
+
+// PeerAddress returns the "ip:port" of the links between daemons.
+func (d *Daemon) PeerAddress() string { return d.cfg.PeerAddress }
+
+// CallerAddress returns the "ip:port" for callers, backend servers and
+// operators.
+func (d *Daemon) CallerAddress() string { return d.cfg.CallerAddress }
+
+// Name returns the name of the daemon.
+func (d *Daemon) Name() string { return d.cfg.Name }
+
+// SetVoters replaces the voters. Call it before Run.
+func (d *Daemon) SetVoters(voters []config.Voter) { d.cfg.Voters = voters }
+
+// Run works until ctx ends, then shuts down: requests in progress are finished
+// within the shutdown timeout. It returns the error that ended it early.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer d.close()
+	d.leader = entry.NewLeaderClient(d.node, d.cfg.VoterAddresses())
+	if err := d.assemble(); err != nil {
+		return err
+	}
+	// The roles outlive ctx, so that a graceful shutdown can still reach them.
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, work := errgroup.WithContext(work)
+	d.start(work, g)
+	level.Info(d.logger).Log("msg", "started", "name", d.cfg.Name, "caller_address", d.cfg.CallerAddress, "peer_address", d.cfg.PeerAddress)
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			d.shutDown()
+		case <-work.Done():
+		}
+		stop()
+		return nil
+	})
+	err := g.Wait()
+	level.Info(d.logger).Log("msg", "stopped", "name", d.cfg.Name)
+	return err
+}
+
+// assemble builds the roles and the HTTP routes.
+func (d *Daemon) assemble() error {
+	if d.cfg.Has(config.RoleControl) {
+		control, err := newControlRole(d)
+		if err != nil {
+			return err
+		}
+		d.control = control
+	}
+	routes := router.New()
+	d.http = d.newHTTPServer()
+	if d.cfg.Has(config.RoleEntry) {
+		d.entry = newEntryRole(d)
+		routes = d.entry.pipeline.Router()
+		d.http = d.entry.pipeline.HTTP()
+	}
+	d.mountOperator(routes)
+	d.http.Handler = routes.Handler
+	return nil
+}
+
+// start runs every part in its own goroutine of the group.
+func (d *Daemon) start(ctx context.Context, g *errgroup.Group) {
+	if d.control != nil {
+		d.control.start(ctx, g)
+	}
+	if d.entry != nil {
+		d.entry.start(ctx, g)
+	}
+	g.Go(func() error {
+		return errs.Wrap(d.http.Serve(d.listener), "serve HTTP", d.cfg.CallerListen)
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		return d.http.Shutdown()
+	})
+}
+
+// shutDown leaves the directory, finishes requests and hands shards over.
+func (d *Daemon) shutDown() {
+	level.Info(d.logger).Log("msg", "shutting down", "limit", d.cfg.ShutdownTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.ShutdownTimeout)
+	defer cancel()
+	if d.entry != nil {
+		d.entry.leave(ctx)
+	}
+}
+
+func (d *Daemon) close() {
+	if d.control != nil {
+		d.control.close()
+	}
+	if err := d.node.Close(); err != nil {
+		level.Warn(d.logger).Log("msg", "links did not close", "err", err)
+	}
+	_ = d.listener.Close()
+	d.backends.Close()
+	_ = d.telemetry.Close(context.Background())
+}
--- /dev/null
+++ b/internal/daemon/dump.go
@@ -0,0 +1,71 @@
+package daemon
+
+import (
+	"runtime"
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/config"
+	"github.com/crocusway/crocusway/internal/consensus"
+	"github.com/crocusway/crocusway/internal/peer"
+	"github.com/crocusway/crocusway/internal/shard"
+)
+
+// Dump is the state of one process at one moment. It holds no secret.
+type Dump struct {
+	Name       string         `json:"name"`
+	Roles      []config.Role  `json:"roles"`
+	Settings   config.Serve   `json:"settings"`
+	Uptime     string         `json:"uptime"`
+	Goroutines int            `json:"goroutines"`
+	HeapBytes  uint64         `json:"heap_bytes"`
+	Leader     string         `json:"leader"`
+	Links      peer.Stats     `json:"links"`
+	Control    *ControlDump   `json:"control,omitempty"`
+	Entry      *EntryDump     `json:"entry,omitempty"`
+}
+
+// ControlDump is the state of a voter.
+type ControlDump struct {
+	Log consensus.Status `json:"log"`
+}
+
+// EntryDump is the state of an entry.
+type EntryDump struct {
+	MayWork bool         `json:"may_work"`
+	Leaving bool         `json:"leaving"`
+	View    api.View     `json:"view"`
+	Shards  []shard.Dump `json:"shards"`
+}
+
+// Dump returns the state of the process.
+func (d *Daemon) Dump() Dump {
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	dump := Dump{
+		Name:       d.cfg.Name,
+		Roles:      d.cfg.Roles,
+		Settings:   d.cfg,
+		Uptime:     time.Since(d.started).Round(time.Second).String(),
+		Goroutines: runtime.NumGoroutine(),
+		HeapBytes:  mem.HeapAlloc,
+		Leader:     d.leader.Leader(),
+		Links:      d.node.Stats(),
+	}
+	if d.control != nil {
+		dump.Control = &ControlDump{Log: d.control.log.Status()}
+	}
+	if d.entry != nil {
+		dump.Entry = d.entry.dump()
+	}
+	return dump
+}
+
+func (r *entryRole) dump() *EntryDump {
+	return &EntryDump{
+		MayWork: r.state.MayWork(),
+		Leaving: r.state.Leaving(),
+		View:    r.state.Snapshot().View,
+		Shards:  r.shards.Dump(),
+	}
+}
--- /dev/null
+++ b/internal/daemon/entry.go
@@ -0,0 +1,129 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/clock"
+	"github.com/crocusway/crocusway/internal/control"
+	"github.com/crocusway/crocusway/internal/entry"
+	"github.com/crocusway/crocusway/internal/logging"
+	"github.com/crocusway/crocusway/internal/pipeline"
+	"github.com/crocusway/crocusway/internal/shard"
+)
+
+const (
+	// watchWait is how long the leader may hold back an answer to a watch.
+	watchWait = time.Second
+	// heartbeatsPerBound is the number of announcements that a backend server
+	// sends within the detection bound.
+	heartbeatsPerBound = 4
+)
+
+// entryRole takes callers' requests and owns shards.
+type entryRole struct {
+	state            *entry.State
+	agent            *entry.Agent
+	shards           *shard.Manager
+	grants           *shard.Client
+	pipeline         *pipeline.Server
+	announceInterval time.Duration
+}
+
+func newEntryRole(d *Daemon) *entryRole {
+	info := api.EntryInfo{
+		ID:            api.EntryID(d.cfg.Name),
+		Incarnation:   api.Incarnation(d.started.UnixNano()),
+		Domain:        d.cfg.Domain,
+		CallerAddress: d.cfg.CallerAddress,
+		PeerAddress:   d.cfg.PeerAddress,
+	}
+	r := &entryRole{
+		state:            entry.NewState(info, clock.System{}),
+		announceInterval: d.cfg.DetectionBound / heartbeatsPerBound,
+	}
+	r.buildShards(d, info)
+	r.pipeline = pipeline.New(pipeline.Config{
+		Self:     info,
+		State:    r.state,
+		Control:  d.leader,
+		Grants:   r.grants,
+		Backends: d.backends,
+		Clock:    clock.System{},
+		Logger:   d.base,
+		Settings: pipelineSettings(d),
+	})
+	r.agent = entry.NewAgent(entry.AgentConfig{
+		State:         r.state,
+		Control:       d.leader,
+		Clock:         clock.System{},
+		Logger:        logging.For(d.base, "entry"),
+		RenewInterval: d.cfg.RenewInterval,
+		WatchWait:     watchWait,
+		OnSnapshot:    r.shards.Update,
+		ApplyUpdate:   control.ApplyUpdate,
+	})
+	return r
+}
+
+func (r *entryRole) buildShards(d *Daemon, info api.EntryInfo) {
+	settings := shard.DefaultSettings()
+	settings.QueueLimit = d.cfg.QueueLimit
+	settings.WorkLease = d.cfg.WorkLease
+	r.shards = shard.NewManager(shard.ManagerConfig{
+		Self:     info,
+		View:     r.state,
+		Clock:    clock.System{},
+		Logger:   d.base,
+		Settings: settings,
+	})
+	r.shards.Register(d.node)
+	r.grants = shard.NewClient(shard.ClientConfig{
+		Self:     info,
+		View:     r.state,
+		Local:    r.shards,
+		Peers:    d.node,
+		Clock:    clock.System{},
+		Logger:   d.base,
+		Settings: settings,
+	})
+}
+
+func pipelineSettings(d *Daemon) pipeline.Settings {
+	s := pipeline.DefaultSettings()
+	s.MaxHeaderBytes = d.cfg.MaxHeader
+	s.MaxBodyBytes = d.cfg.MaxBody
+	s.MaxConns = d.cfg.MaxConnections
+	s.RequestTimeout = d.cfg.RequestTimeout
+	s.RecordRetention = d.cfg.RecordRetention
+	return s
+}
+
+func (r *entryRole) start(ctx context.Context, g *errgroup.Group) {
+	g.Go(func() error { return r.agent.Run(ctx) })
+	g.Go(func() error { return r.shards.Run(ctx) })
+	g.Go(func() error { return r.grants.Run(ctx) })
+}
+
+// leave takes the entry out of the directory, waits until the calls that it
+// took have ended, and tells control that it works no more.
+func (r *entryRole) leave(ctx context.Context) {
+	r.state.SetLeaving()
+	if err := r.agent.Renew(ctx); err != nil {
+		level.Warn(r.agent.Logger()).Log("msg", "control does not know of the shutdown", "err", err)
+	}
+	finished := make(chan struct{})
+	go func() {
+		r.pipeline.Wait()
+		close(finished)
+	}()
+	select {
+	case <-finished:
+	case <-ctx.Done():
+		level.Warn(r.agent.Logger()).Log("msg", "calls are still in progress at the end of the shutdown")
+	}
+}
--- /dev/null
+++ b/internal/daemon/http.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/backend"
+	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/logging"
+	"github.com/crocusway/crocusway/internal/operator"
+)
+
+const (
+	// headerTimeout bounds the arrival of a request.
+	headerTimeout = 30 * time.Second
+	// idleTimeout closes a caller's connection that carries no request.
+	idleTimeout = 2 * time.Minute
+	// writeBuffer is the size of a connection's write buffer, in bytes.
+	writeBuffer = 4096
+)
+
+// newHTTPServer returns the server of a daemon without the entry role, for
+// operators only.
+func (d *Daemon) newHTTPServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		Name:                  "crocusway",
+		Concurrency:           d.cfg.MaxConnections,
+		ReadBufferSize:        d.cfg.MaxHeader,
+		WriteBufferSize:       writeBuffer,
+		MaxRequestBodySize:    d.cfg.MaxBody,
+		ReadTimeout:           headerTimeout,
+		IdleTimeout:           idleTimeout,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		CloseOnShutdown:       true,
+	}
+}
+
+func (d *Daemon) mountOperator(routes *router.Router) {
+	cfg := operator.Config{
+		Control:            d.leader,
+		OperatorToken:      d.cfg.OperatorToken,
+		BackendToken:       d.cfg.BackendToken,
+		Logger:             logging.For(d.base, "operator"),
+		DecodeAnnouncement: backend.DecodeAnnouncement,
+		Dump:               func() any { return d.Dump() },
+		Ready:              d.ready,
+		Metrics:            d.telemetry.Handler(),
+	}
+	if d.entry != nil {
+		cfg.Announce = d.entry.announce
+	}
+	operator.New(cfg).Mount(routes)
+}
+
+// ready reports why the daemon does not do its work.
+func (d *Daemon) ready() error {
+	if d.entry != nil && !d.entry.state.MayWork() {
+		return errs.New(errs.Unavailable, "check readiness", "", "no work lease")
+	}
+	if d.control != nil && d.control.log.Status().Leader == "" {
+		return errs.New(errs.Unavailable, "check readiness", "", "no control leader")
+	}
+	return nil
+}
+
+// announce takes an announcement and tells the entries that take the next.
+func (r *entryRole) announce(ann api.Announcement) api.AnnounceResponse {
+	r.agent.Announce(ann)
+	response := api.AnnounceResponse{NextMillis: r.announceInterval.Milliseconds()}
+	for _, e := range r.state.Snapshot().Entries {
+		if e.Live && !e.Leaving {
+			response.Entries = append(response.Entries, e.CallerAddress)
+		}
+	}
+	return response
+}
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -162,3 +162,6 @@
 	}
 	return err != nil
 }
+
+// Logger returns the logger of the entry.
+func (a *Agent) Logger() log.Logger { return a.cfg.Logger }
