--- /dev/null
+++ b/internal/consensus/election.go
@@ -0,0 +1,131 @@
+package consensus
+
+import (
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// resetElectionTimer draws a new election timeout.
+func (c *Core) resetElectionTimer() {
+	c.deadline = c.now + c.randomTimeout(c.cfg.ElectionMin, c.cfg.ElectionMax)
+}
+
+func (c *Core) randomTimeout(low, high time.Duration) time.Duration {
+	return low + time.Duration(c.rand.Int64N(int64(high-low)+1))
+}
+
+// leaderHeard reports whether this member still keeps its promise to a leader
+// and grants no vote.
+func (c *Core) leaderHeard() bool {
+	return c.role == leader || c.now-c.heard < c.cfg.ElectionMin
+}
+
+// campaign starts a pre-vote round, which changes no term.
+func (c *Core) campaign() {
+	c.resetElectionTimer()
+	if !c.membership().votes(c.cfg.ID, c.cfg.Incarnation) {
+		return
+	}
+	c.role = preCandidate
+	c.leader = ""
+	// A failed pre-vote is retried sooner than a failed election.
+	c.deadline = c.now + c.randomTimeout(c.cfg.ElectionMin/2, c.cfg.ElectionMin)
+	c.requestVotes(MsgPreVote, c.term+1)
+}
+
+// elect starts an election in a new term.
+func (c *Core) elect() {
+	c.role = candidate
+	c.term++
+	c.vote = c.cfg.ID
+	c.resetElectionTimer()
+	c.requestVotes(MsgVote, c.term)
+}
+
+func (c *Core) requestVotes(kind MessageKind, term uint64) {
+	c.votes = map[api.VoterID]bool{c.cfg.ID: true}
+	for _, m := range c.membership().Members {
+		if m.Learner || m.ID == c.cfg.ID {
+			continue
+		}
+		// A vote request promises our own vote, which has to be synced first.
+		c.respond(Message{Kind: kind, To: m.ID, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm()})
+	}
+	c.countVotes()
+}
+
+func (c *Core) handlePreVote(m Message) {
+	grant := m.Term > c.term && !c.leaderHeard() && c.log.upToDate(m.Index, m.LogTerm)
+	if grant {
+		c.respond(Message{Kind: MsgPreVoteResponse, To: m.From, Term: m.Term})
+		return
+	}
+	c.respond(Message{Kind: MsgPreVoteResponse, To: m.From, Reject: true})
+}
+
+func (c *Core) handleVote(m Message) {
+	free := c.vote == m.From || (c.vote == "" && c.leader == "")
+	if !free || c.leaderHeard() || !c.log.upToDate(m.Index, m.LogTerm) {
+		c.respond(Message{Kind: MsgVoteResponse, To: m.From, Reject: true})
+		return
+	}
+	c.vote = m.From
+	c.resetElectionTimer()
+	c.respond(Message{Kind: MsgVoteResponse, To: m.From})
+}
+
+func (c *Core) handleVoteResponse(m Message) {
+	preVote := c.role == preCandidate && m.Kind == MsgPreVoteResponse && m.Term == c.term+1
+	vote := c.role == candidate && m.Kind == MsgVoteResponse
+	if m.Reject || (!preVote && !vote) {
+		return
+	}
+	if !c.membership().votes(m.From, m.Inc) {
+		return
+	}
+	c.votes[m.From] = true
+	c.countVotes()
+}
+
+func (c *Core) countVotes() {
+	granted := 0
+	for _, m := range c.membership().Members {
+		if !m.Learner && c.votes[m.ID] {
+			granted++
+		}
+	}
+	if granted < c.membership().quorum() {
+		return
+	}
+	if c.role == preCandidate {
+		c.elect()
+		return
+	}
+	c.becomeLeader()
+}
+
+func (c *Core) becomeLeader() {
+	c.role = leader
+	c.leader = c.cfg.ID
+	c.votes = nil
+	c.lease = leaseState{start: c.now}
+	c.rejoin = map[api.VoterID]Member{}
+	c.peers = map[api.VoterID]*progress{}
+	c.syncPeers()
+	c.termStart = c.appendOwn(EntryNoop, nil)
+	c.lease.roundDue = true
+	c.deadline = c.now + c.cfg.Heartbeat
+}
+
+func (c *Core) tickLeader() {
+	if c.now-c.lease.start > c.cfg.ElectionMax {
+		c.becomeFollower(c.term, "")
+		return
+	}
+	if c.now >= c.deadline {
+		c.lease.roundDue = true
+		c.deadline = c.now + c.cfg.Heartbeat
+	}
+	c.tickMembership()
+}
--- /dev/null
+++ b/internal/consensus/lease.go
@@ -0,0 +1,156 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+)
+
+// leaseState is the leader's view of its heartbeat rounds.
+type leaseState struct {
+	// start is when the newest round that a quorum answered was sent.
+	start time.Duration
+	// answered is the newest round that a quorum answered, 0 before the first.
+	answered uint64
+	round    uint64
+	// roundDue asks for a new round with the next Ready.
+	roundDue bool
+	sent     []sentRound
+	reads    []pendingRead
+}
+
+type sentRound struct {
+	round uint64
+	at    time.Duration
+}
+
+// pendingRead waits until a quorum has answered its round.
+type pendingRead struct {
+	id    uint64
+	index uint64
+	round uint64
+}
+
+// leaseDuration is shorter than the time for which followers keep their
+// promise, by the drift of both clocks.
+func (c *Core) leaseDuration() time.Duration {
+	return c.cfg.ElectionMin * (100 - MaxClockDriftPercent) / (100 + MaxClockDriftPercent)
+}
+
+// LeaseEnd returns when the leader lease ends; ok is false without one. A
+// lease counts only once an entry of this term has been committed.
+func (c *Core) LeaseEnd() (end time.Duration, ok bool) {
+	if c.role != leader || c.lease.answered == 0 || c.log.committed < c.termStart {
+		return 0, false
+	}
+	return c.lease.start + c.leaseDuration(), true
+}
+
+// HasLease reports whether this member is the only leader at now.
+func (c *Core) HasLease(now time.Duration) bool {
+	end, ok := c.LeaseEnd()
+	return ok && now < end
+}
+
+// sendRound sends a numbered heartbeat to every member.
+func (c *Core) sendRound() {
+	c.lease.roundDue = false
+	c.lease.round++
+	c.lease.sent = append(c.lease.sent, sentRound{c.lease.round, c.now})
+	for _, m := range c.membership().Members {
+		if m.ID == c.cfg.ID {
+			continue
+		}
+		commit := min(c.peers[m.ID].match, c.log.committed)
+		term, _ := c.log.term(commit)
+		c.send(Message{Kind: MsgHeartbeat, To: m.ID, Round: c.lease.round, Commit: commit, LogTerm: term})
+	}
+	c.countRound()
+}
+
+func (c *Core) handleHeartbeat(m Message) {
+	c.follow(m)
+	// The term is compared because the leader may know an acknowledgement of an
+	// earlier incarnation of this member.
+	if m.Commit > c.log.committed && c.log.matches(m.Commit, m.LogTerm) {
+		c.log.commitTo(m.Commit)
+	}
+	c.respond(Message{Kind: MsgHeartbeatResponse, To: m.From, Round: m.Round})
+}
+
+// countRound finds the newest round answered by a quorum.
+func (c *Core) countRound() {
+	rounds := make([]uint64, 0, len(c.peers)+1)
+	for _, m := range c.membership().Members {
+		switch {
+		case m.Learner:
+		case m.ID == c.cfg.ID:
+			rounds = append(rounds, c.lease.round)
+		default:
+			rounds = append(rounds, c.peers[m.ID].round)
+		}
+	}
+	c.confirmRound(quorumValue(rounds))
+}
+
+func (c *Core) confirmRound(round uint64) {
+	if round <= c.lease.answered {
+		return
+	}
+	c.lease.answered = round
+	kept := c.lease.sent[:0]
+	for _, s := range c.lease.sent {
+		if s.round == round {
+			c.lease.start = c.leaseFrom(s.at, c.now)
+		}
+		if s.round > round {
+			kept = append(kept, s)
+		}
+	}
+	c.lease.sent = kept
+	c.releaseReads()
+}
+
+// quorumValue returns the largest value that a majority reaches.
+func quorumValue(values []uint64) uint64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+// ReadIndex registers a read. Its ReadState comes with a later Ready: at once
+// under the lease, else after a quorum has answered a round sent after the
+// call. ok is false on another member or before the first commit of the term.
+func (c *Core) ReadIndex(now time.Duration, id uint64) bool {
+	c.setNow(now)
+	if c.role != leader || c.log.committed < c.termStart {
+		return false
+	}
+	if c.HasLease(c.now) {
+		c.reads = append(c.reads, ReadState{ID: id, Index: c.log.committed})
+		return true
+	}
+	c.lease.roundDue = true
+	c.lease.reads = append(c.lease.reads, pendingRead{id, c.log.committed, c.lease.round + 1})
+	return true
+}
+
+func (c *Core) releaseReads() {
+	kept := c.lease.reads[:0]
+	for _, r := range c.lease.reads {
+		if r.round <= c.lease.answered {
+			c.reads = append(c.reads, ReadState{ID: r.id, Index: r.index})
+			continue
+		}
+		kept = append(kept, r)
+	}
+	c.lease.reads = kept
+}
+
+func (c *Core) failReads() {
+	for _, r := range c.lease.reads {
+		c.reads = append(c.reads, ReadState{ID: r.id, Failed: true})
+	}
+	c.lease.reads = nil
+}
--- /dev/null
+++ b/internal/consensus/membership.go
@@ -0,0 +1,288 @@
+package consensus
+
+import (
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// BootstrapIncarnation is the incarnation of the members of a first start.
+const BootstrapIncarnation api.Incarnation = 1
+
+// promoteLag is the largest number of entries that a learner may lack when it
+// is promoted.
+const promoteLag = 64
+
+// configAt is the membership in force from one index on.
+type configAt struct {
+	index      uint64
+	membership Membership
+}
+
+// ChangeKind tells what a Change does.
+type ChangeKind string
+
+// Kinds of membership changes.
+const (
+	// ChangeAddLearner adds a member that does not vote.
+	ChangeAddLearner ChangeKind = "add-learner"
+	// ChangePromote turns a learner that has caught up into a voter.
+	ChangePromote ChangeKind = "promote"
+	// ChangeRemove removes a member.
+	ChangeRemove ChangeKind = "remove"
+	// changeRejoin replaces a member by a learner of a new incarnation.
+	changeRejoin ChangeKind = "rejoin"
+)
+
+// Change is one membership change of one member. Promote and remove read only
+// Member.ID.
+type Change struct {
+	Kind   ChangeKind
+	Member Member
+}
+
+func (m Membership) find(id api.VoterID) (Member, bool) {
+	for _, member := range m.Members {
+		if member.ID == id {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
+
+// votes reports whether the incarnation of a member is a voter.
+func (m Membership) votes(id api.VoterID, incarnation api.Incarnation) bool {
+	member, ok := m.find(id)
+	return ok && !member.Learner && member.Incarnation == incarnation
+}
+
+func (m Membership) quorum() int {
+	voters := 0
+	for _, member := range m.Members {
+		if !member.Learner {
+			voters++
+		}
+	}
+	return voters/2 + 1
+}
+
+// with returns a copy in which member replaces the one of the same ID.
+func (m Membership) with(member Member) Membership {
+	out := m.without(member.ID)
+	out.Members = append(out.Members, member)
+	slices.SortFunc(out.Members, func(a, b Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func (m Membership) without(id api.VoterID) Membership {
+	out := Membership{Members: make([]Member, 0, len(m.Members)+1)}
+	for _, member := range m.Members {
+		if member.ID != id {
+			out.Members = append(out.Members, member)
+		}
+	}
+	return out
+}
+
+// membership returns the newest membership in the log, committed or not.
+func (c *Core) membership() Membership { return c.configs[len(c.configs)-1].membership }
+
+// Membership returns the newest membership in the log.
+func (c *Core) Membership() Membership { return c.membership() }
+
+func (c *Core) loadConfigs(s State) {
+	c.configs = []configAt{{s.Snapshot.Index, s.Snapshot.Membership}}
+	c.recordConfigs(s.Entries)
+}
+
+func (c *Core) recordConfigs(entries []Entry) {
+	for _, e := range entries {
+		if e.Kind != EntryConfig {
+			continue
+		}
+		m, err := decodeMembership(e.Data)
+		if err != nil {
+			panic("consensus: malformed membership entry: " + err.Error())
+		}
+		c.configs = append(c.configs, configAt{e.Index, m})
+	}
+}
+
+// truncateConfigs forgets the memberships from index on.
+func (c *Core) truncateConfigs(index uint64) {
+	n := len(c.configs)
+	for n > 1 && c.configs[n-1].index >= index {
+		n--
+	}
+	c.configs = c.configs[:n]
+}
+
+// configAtIndex returns the membership in force at a log index.
+func (c *Core) configAtIndex(index uint64) Membership {
+	n := len(c.configs) - 1
+	for n > 0 && c.configs[n].index > index {
+		n--
+	}
+	return c.configs[n].membership
+}
+
+// compactConfigs forgets the memberships before the one in force at index.
+func (c *Core) compactConfigs(index uint64) {
+	n := 0
+	for n+1 < len(c.configs) && c.configs[n+1].index <= index {
+		n++
+	}
+	c.configs = slices.Clone(c.configs[n:])
+}
+
+// ProposeMembership appends a membership change. One change at a time is
+// allowed, and none before an entry of the leader's term has been committed:
+// the majorities of neighbouring memberships then always overlap.
+func (c *Core) ProposeMembership(change Change) (index, term uint64, err error) {
+	const step = "propose membership"
+	if c.role != leader {
+		return 0, 0, errs.New(errs.NotLeader, step, "", "not the leader")
+	}
+	if c.log.committed < c.termStart || c.configs[len(c.configs)-1].index > c.log.committed {
+		return 0, 0, errs.New(errs.Unavailable, step, "", "an earlier change is not yet committed")
+	}
+	next, err := c.changed(change)
+	if err != nil {
+		return 0, 0, err
+	}
+	data, err := cbor.Marshal(next)
+	if err != nil {
+		return 0, 0, errs.Wrap(err, step, "")
+	}
+	index = c.appendOwn(EntryConfig, data)
+	c.configs = append(c.configs, configAt{index, next})
+	c.syncPeers()
+	return index, c.term, nil
+}
+
+// changed returns the membership after a change.
+func (c *Core) changed(change Change) (Membership, error) {
+	const step = "change membership"
+	now := c.membership()
+	old, known := now.find(change.Member.ID)
+	if !known && change.Kind != ChangeAddLearner {
+		return Membership{}, errs.New(errs.NotFound, step, string(change.Member.ID), "no such member")
+	}
+	switch change.Kind {
+	case ChangeAddLearner:
+		if known {
+			return Membership{}, errs.New(errs.Conflict, step, string(old.ID), "already a member")
+		}
+		change.Member.Learner = true
+		return now.with(change.Member), nil
+	case ChangePromote:
+		if !old.Learner {
+			return Membership{}, errs.New(errs.Conflict, step, string(old.ID), "already a voter")
+		}
+		if !c.caughtUp(old) {
+			return Membership{}, errs.New(errs.Unavailable, step, string(old.ID), "the learner has not caught up")
+		}
+		old.Learner, old.Rejoining = false, false
+		return now.with(old), nil
+	case ChangeRemove:
+		next := now.without(old.ID)
+		if next.voters() == 0 {
+			return Membership{}, errs.New(errs.Conflict, step, string(old.ID), "the last voter")
+		}
+		return next, nil
+	case changeRejoin:
+		rejoined := change.Member
+		rejoined.Rejoining = old.Rejoining || !old.Learner
+		rejoined.Learner = true
+		return now.with(rejoined), nil
+	}
+	return Membership{}, errs.New(errs.Invalid, step, "", "unknown change %q", change.Kind)
+}
+
+func (m Membership) voters() int {
+	n := 0
+	for _, member := range m.Members {
+		if !member.Learner {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Core) caughtUp(m Member) bool {
+	p := c.peers[m.ID]
+	return p != nil && m.Incarnation != 0 && p.state == replicate && p.match+promoteLag >= c.log.last() &&
+		p.match >= c.log.offset
+}
+
+// syncPeers aligns the progress records with the membership. A member of a new
+// incarnation starts anew: acknowledgements of the lost data folder are void.
+func (c *Core) syncPeers() {
+	for _, m := range c.membership().Members {
+		if m.ID == c.cfg.ID {
+			continue
+		}
+		p := c.peers[m.ID]
+		if p == nil || p.incarnation != m.Incarnation {
+			c.peers[m.ID] = &progress{incarnation: m.Incarnation, next: c.log.last() + 1}
+		}
+	}
+	for id := range c.peers {
+		if _, ok := c.membership().find(id); !ok {
+			delete(c.peers, id)
+		}
+	}
+}
+
+// noteIncarnation remembers that a member has come back with an empty data
+// folder. Incarnations only grow, so an older one is a delayed message.
+func (c *Core) noteIncarnation(member Member, m Message) {
+	if m.Inc <= member.Incarnation {
+		return
+	}
+	next := Member{ID: member.ID, Address: member.Address, Incarnation: m.Inc}
+	if m.Address != "" {
+		next.Address = m.Address
+	}
+	c.rejoin[member.ID] = next
+}
+
+// tickMembership proposes the changes that need no operator.
+func (c *Core) tickMembership() {
+	for _, m := range c.membership().Members {
+		if next, ok := c.rejoin[m.ID]; ok {
+			delete(c.rejoin, m.ID)
+			if next.Incarnation > m.Incarnation {
+				c.tryChange(Change{Kind: changeRejoin, Member: next})
+				return
+			}
+		}
+		if m.Rejoining && c.caughtUp(m) {
+			c.tryChange(Change{Kind: ChangePromote, Member: m})
+			return
+		}
+	}
+}
+
+// tryChange proposes a change; a refused one is tried again by a later tick.
+func (c *Core) tryChange(change Change) {
+	_, _, _ = c.ProposeMembership(change)
+}
+
+// leaveIfRemoved steps down once the removal of this leader is committed.
+func (c *Core) leaveIfRemoved() {
+	if c.configs[len(c.configs)-1].index > c.log.committed {
+		return
+	}
+	if !c.membership().votes(c.cfg.ID, c.cfg.Incarnation) {
+		c.becomeFollower(c.term, "")
+	}
+}
--- /dev/null
+++ b/internal/consensus/replication.go
@@ -0,0 +1,245 @@
+package consensus
+
+import (
+	"fmt"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+type progressState uint8
+
+const (
+	// probe sends one append at a time until the logs are known to match.
+	probe progressState = iota
+	// replicate sends appends without waiting, up to the flow limit.
+	replicate
+	// installing sends snapshot chunks one at a time.
+	installing
+)
+
+// progress is the leader's knowledge of one member's log.
+type progress struct {
+	incarnation api.Incarnation
+	state       progressState
+	match       uint64
+	next        uint64
+	// paused is set while a probe is unanswered.
+	paused   bool
+	inflight []uint64
+	// round is the newest heartbeat round that the member answered.
+	round  uint64
+	offset uint64
+	sentAt uint64
+}
+
+func (p *progress) probeFrom(next uint64) {
+	p.state = probe
+	p.next = max(next, p.match+1)
+	p.paused = false
+	p.inflight = nil
+}
+
+// acknowledge removes the answered messages from the flow limit.
+func (p *progress) acknowledge(index uint64) {
+	n := 0
+	for n < len(p.inflight) && p.inflight[n] <= index {
+		n++
+	}
+	p.inflight = p.inflight[n:]
+}
+
+// flush turns what the leader has to send into messages.
+func (c *Core) flush() {
+	if c.role != leader {
+		return
+	}
+	if c.lease.roundDue {
+		c.sendRound()
+	}
+	for _, m := range c.membership().Members {
+		if m.ID == c.cfg.ID {
+			continue
+		}
+		for c.sendAppend(m.ID, false) {
+		}
+	}
+}
+
+// sendAppend sends the next entries to a member and reports whether it may
+// have more to send. An empty message is sent only when forced.
+func (c *Core) sendAppend(id api.VoterID, force bool) bool {
+	p := c.peers[id]
+	if p.state == installing || p.paused || len(p.inflight) >= c.cfg.MaxInflight {
+		return false
+	}
+	if p.next > c.log.last() && !force {
+		return false
+	}
+	prevTerm, ok := c.log.term(p.next - 1)
+	if !ok {
+		c.startSnapshot(id)
+		return false
+	}
+	entries := c.log.slice(p.next, c.log.last(), c.cfg.MaxAppendBytes)
+	c.send(Message{
+		Kind: MsgAppend, To: id, Index: p.next - 1, LogTerm: prevTerm,
+		Commit: c.log.committed, Entries: entries,
+	})
+	if p.state == probe {
+		p.paused = true
+		return false
+	}
+	if len(entries) == 0 {
+		return false
+	}
+	p.next += uint64(len(entries))
+	p.inflight = append(p.inflight, p.next-1)
+	return p.next <= c.log.last()
+}
+
+// follow records contact with the leader of this term.
+func (c *Core) follow(m Message) {
+	if c.role != follower {
+		c.becomeFollower(m.Term, m.From)
+	}
+	c.leader = m.From
+	c.heard = c.now
+	c.resetElectionTimer()
+}
+
+func (c *Core) handleAppend(m Message) {
+	c.follow(m)
+	if m.Index < c.log.committed {
+		c.respond(Message{Kind: MsgAppendResponse, To: m.From, Index: c.log.committed})
+		return
+	}
+	if !c.log.matches(m.Index, m.LogTerm) {
+		hint := c.log.conflictHint(m.Index, m.LogTerm)
+		c.respond(Message{Kind: MsgAppendResponse, To: m.From, Reject: true, Index: m.Index, Hint: hint})
+		return
+	}
+	c.appendReceived(m.Entries)
+	last := m.Index + uint64(len(m.Entries))
+	c.log.commitTo(min(m.Commit, last))
+	c.respond(Message{Kind: MsgAppendResponse, To: m.From, Index: last})
+}
+
+// appendReceived appends entries, replacing a suffix that conflicts.
+func (c *Core) appendReceived(entries []Entry) {
+	for i, e := range entries {
+		if c.log.matches(e.Index, e.Term) {
+			continue
+		}
+		if e.Index <= c.log.committed {
+			panic(fmt.Sprintf("consensus: entry %d conflicts with a committed entry", e.Index))
+		}
+		if e.Index <= c.log.last() {
+			c.log.truncate(e.Index)
+			c.truncateConfigs(e.Index)
+		}
+		c.log.append(entries[i:]...)
+		c.recordConfigs(entries[i:])
+		return
+	}
+}
+
+// handleResponse processes the answers of members to the leader.
+func (c *Core) handleResponse(m Message) {
+	if c.role != leader {
+		return
+	}
+	member, known := c.membership().find(m.From)
+	if !known {
+		return
+	}
+	if member.Incarnation != m.Inc {
+		c.noteIncarnation(member, m)
+		return
+	}
+	p := c.peers[m.From]
+	switch m.Kind {
+	case MsgAppendResponse:
+		c.handleAppendResponse(p, m)
+	case MsgHeartbeatResponse:
+		c.handleHeartbeatResponse(p, m)
+	case MsgSnapshotResponse:
+		c.handleSnapshotResponse(p, m)
+	}
+}
+
+func (c *Core) handleAppendResponse(p *progress, m Message) {
+	if m.Reject {
+		c.handleReject(p, m)
+		return
+	}
+	if m.Index > c.log.last() {
+		return
+	}
+	p.acknowledge(m.Index)
+	p.paused = false
+	if m.Index <= p.match && p.state != probe {
+		return
+	}
+	p.match = max(p.match, m.Index)
+	p.next = max(p.next, p.match+1)
+	if p.state == probe {
+		p.state = replicate
+	}
+	if p.state == installing && p.match >= c.log.offset {
+		p.probeFrom(p.match + 1)
+	}
+	c.maybeCommit()
+}
+
+func (c *Core) handleReject(p *progress, m Message) {
+	stale := m.Index <= p.match || (p.state == probe && m.Index != p.next-1)
+	if stale || p.state == installing {
+		return
+	}
+	p.probeFrom(min(m.Index, m.Hint+1))
+}
+
+func (c *Core) handleHeartbeatResponse(p *progress, m Message) {
+	if m.Reject {
+		return
+	}
+	p.round = max(p.round, m.Round)
+	c.countRound()
+	p.paused = false
+	if p.state == installing {
+		c.resendChunk(m.From, p)
+		return
+	}
+	if len(p.inflight) >= c.cfg.MaxInflight {
+		p.inflight = p.inflight[1:]
+	}
+	// An append after the last one that was sent finds a lost message.
+	if p.match < c.log.last() {
+		c.sendAppend(m.From, true)
+	}
+}
+
+// maybeCommit commits what a quorum has synced. Only an entry of the current
+// term commits by counting replicas; it commits the older ones with it.
+func (c *Core) maybeCommit() {
+	matches := make([]uint64, 0, len(c.peers)+1)
+	for _, m := range c.membership().Members {
+		switch {
+		case m.Learner:
+		case m.ID == c.cfg.ID:
+			matches = append(matches, c.log.stable)
+		default:
+			matches = append(matches, c.peers[m.ID].match)
+		}
+	}
+	index := quorumValue(matches)
+	if index <= c.log.committed {
+		return
+	}
+	term, _ := c.log.term(index)
+	if !c.mayCommit(term) {
+		return
+	}
+	c.log.commitTo(index)
+	c.leaveIfRemoved()
+}
--- /dev/null
+++ b/internal/consensus/snapshot.go
@@ -0,0 +1,118 @@
+package consensus
+
+import "github.com/crocusway/crocusway/internal/api"
+
+// incomingSnapshot collects the chunks of one snapshot.
+type incomingSnapshot struct {
+	from  api.VoterID
+	term  uint64
+	meta  Snapshot
+	total uint64
+	data  []byte
+}
+
+// NewSnapshot returns a snapshot of the applied state.
+func (c *Core) NewSnapshot(data []byte) Snapshot {
+	index := c.log.applied
+	term, _ := c.log.term(index)
+	return Snapshot{Index: index, Term: term, Membership: c.configAtIndex(index), Data: data}
+}
+
+// Compact drops the log that a durable snapshot replaces, except for the
+// trailing entries.
+func (c *Core) Compact(s Snapshot) {
+	c.snapshot = s
+	if s.Index > c.cfg.TrailingEntries {
+		c.log.compact(s.Index - c.cfg.TrailingEntries)
+		c.compactConfigs(s.Index - c.cfg.TrailingEntries)
+	}
+}
+
+// startSnapshot begins to send the newest snapshot to a member whose next
+// entry is compacted.
+func (c *Core) startSnapshot(id api.VoterID) {
+	p := c.peers[id]
+	p.state = installing
+	p.offset = 0
+	p.inflight = nil
+	c.sendChunk(id, p)
+}
+
+// sendChunk sends the chunk at the acknowledged offset.
+func (c *Core) sendChunk(id api.VoterID, p *progress) {
+	if p.sentAt != c.snapshot.Index {
+		p.sentAt = c.snapshot.Index
+		p.offset = 0
+	}
+	total := uint64(len(c.snapshot.Data))
+	end := min(p.offset+uint64(c.cfg.ChunkBytes), total)
+	part := c.snapshot
+	part.Data = c.snapshot.Data[p.offset:end]
+	chunk := &SnapshotChunk{Snapshot: part, Offset: p.offset, Total: total}
+	c.send(Message{Kind: MsgSnapshot, To: id, Chunk: chunk})
+}
+
+// resendChunk repeats a chunk that was lost.
+func (c *Core) resendChunk(id api.VoterID, p *progress) { c.sendChunk(id, p) }
+
+// handleSnapshot adds a chunk and installs the snapshot once it is whole.
+func (c *Core) handleSnapshot(m Message) {
+	c.follow(m)
+	if m.Chunk == nil {
+		return
+	}
+	if m.Chunk.Snapshot.Index <= c.log.committed {
+		c.incoming = nil
+		c.respond(Message{Kind: MsgAppendResponse, To: m.From, Index: c.log.committed})
+		return
+	}
+	if c.log.matches(m.Chunk.Snapshot.Index, m.Chunk.Snapshot.Term) {
+		// The log may hold acknowledged entries beyond the snapshot.
+		c.log.commitTo(m.Chunk.Snapshot.Index)
+		c.respond(Message{Kind: MsgAppendResponse, To: m.From, Index: c.log.committed})
+		return
+	}
+	in := c.collect(m)
+	if uint64(len(in.data)) < in.total {
+		c.respond(Message{Kind: MsgSnapshotResponse, To: m.From, Index: in.meta.Index, Hint: uint64(len(in.data))})
+		return
+	}
+	c.restore(in)
+	c.respond(Message{Kind: MsgAppendResponse, To: m.From, Index: c.log.committed})
+}
+
+// collect appends a chunk that continues what has arrived.
+func (c *Core) collect(m Message) *incomingSnapshot {
+	in := c.incoming
+	meta := m.Chunk.Snapshot
+	if in == nil || in.from != m.From || in.term != m.Term || in.meta.Index != meta.Index {
+		in = &incomingSnapshot{from: m.From, term: m.Term, meta: meta, total: m.Chunk.Total}
+		c.incoming = in
+	}
+	if m.Chunk.Offset == uint64(len(in.data)) {
+		in.data = append(in.data, meta.Data...)
+	}
+	return in
+}
+
+// restore replaces the log by a received snapshot.
+func (c *Core) restore(in *incomingSnapshot) {
+	s := in.meta
+	s.Data = in.data
+	c.incoming = nil
+	c.snapshot = s
+	c.install = &s
+	c.log.reset(s)
+	c.configs = []configAt{{s.Index, s.Membership}}
+}
+
+func (c *Core) handleSnapshotResponse(p *progress, m Message) {
+	if p.state != installing || m.Index != p.sentAt {
+		return
+	}
+	if m.Hint > uint64(len(c.snapshot.Data)) || m.Hint <= p.offset {
+		return
+	}
+	p.offset = m.Hint
+	c.sendChunk(m.From, p)
+}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -1,6 +1,10 @@
 package consensus
 
-import "github.com/crocusway/crocusway/internal/api"
+import (
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
 
 // EntryKind tells what a log entry carries.
 type EntryKind uint8
@@ -32,12 +36,15 @@
 
 // Member is one node of the replicated log. A learner receives entries but
 // does not vote. Incarnation changes when a node comes back with an empty data
-// folder.
+// folder; 0 stands for a learner that has not yet been heard from.
 type Member struct {
 	ID          api.VoterID     `json:"id" cbor:"1,keyasint"`
 	Address     string          `json:"address" cbor:"2,keyasint"`
 	Incarnation api.Incarnation `json:"incarnation" cbor:"3,keyasint"`
 	Learner     bool            `json:"learner,omitempty" cbor:"4,keyasint,omitempty"`
+	// Rejoining marks a voter that lost its data folder. The leader promotes it
+	// without an operator once it has caught up.
+	Rejoining bool `json:"rejoining,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // Membership is the set of members in force from one log index on.
@@ -52,3 +59,155 @@
 	Membership Membership `json:"membership" cbor:"3,keyasint"`
 	Data       []byte     `json:"data" cbor:"4,keyasint"`
 }
+
+// MessageKind tells what a Message asks or answers.
+type MessageKind uint8
+
+// Kinds of messages.
+const (
+	// MsgPreVote asks whether a vote for Term would be granted.
+	MsgPreVote MessageKind = iota + 1
+	// MsgPreVoteResponse answers MsgPreVote.
+	MsgPreVoteResponse
+	// MsgVote asks for a vote in Term.
+	MsgVote
+	// MsgVoteResponse answers MsgVote.
+	MsgVoteResponse
+	// MsgAppend carries entries that follow (Index, LogTerm).
+	MsgAppend
+	// MsgAppendResponse acknowledges synced entries up to Index.
+	MsgAppendResponse
+	// MsgHeartbeat asserts leadership in one numbered round.
+	MsgHeartbeat
+	// MsgHeartbeatResponse answers the round.
+	MsgHeartbeatResponse
+	// MsgSnapshot carries one chunk of a snapshot.
+	MsgSnapshot
+	// MsgSnapshotResponse tells how many bytes of the snapshot have arrived.
+	MsgSnapshotResponse
+
+	lastMessageKind = MsgSnapshotResponse
+)
+
+// Message is one message between two members.
+type Message struct {
+	Kind MessageKind     `cbor:"1,keyasint"`
+	From api.VoterID     `cbor:"2,keyasint"`
+	To   api.VoterID     `cbor:"3,keyasint"`
+	Inc  api.Incarnation `cbor:"4,keyasint"`
+	Term uint64          `cbor:"5,keyasint"`
+	// Index and LogTerm name a log position: the last entry of a candidate, the
+	// entry before Entries, or the acknowledged entry.
+	Index   uint64 `cbor:"6,keyasint,omitempty"`
+	LogTerm uint64 `cbor:"7,keyasint,omitempty"`
+	Commit  uint64 `cbor:"8,keyasint,omitempty"`
+	// Round numbers the heartbeat rounds of one leader.
+	Round   uint64         `cbor:"9,keyasint,omitempty"`
+	Reject  bool           `cbor:"10,keyasint,omitempty"`
+	Hint    uint64         `cbor:"11,keyasint,omitempty"`
+	Entries []Entry        `cbor:"12,keyasint,omitempty"`
+	Chunk   *SnapshotChunk `cbor:"13,keyasint,omitempty"`
+	// Address is the peer address of the sender.
+	Address string `cbor:"14,keyasint,omitempty"`
+}
+
+// SnapshotChunk is a part of an encoded snapshot. Snapshot.Data holds the bytes
+// from Offset on.
+type SnapshotChunk struct {
+	Snapshot Snapshot `cbor:"1,keyasint"`
+	Offset   uint64   `cbor:"2,keyasint"`
+	// Total is the length of the whole Data in bytes.
+	Total uint64 `cbor:"3,keyasint"`
+}
+
+// ReadState tells that a read registered under ID may be served once Index has
+// been applied.
+type ReadState struct {
+	ID    uint64
+	Index uint64
+	// Failed is set when leadership was lost before the read was confirmed.
+	Failed bool
+}
+
+// Ready is the output of a Core. The caller sends Messages, persists Snapshot,
+// then HardState and Entries in one sync, calls Advance, sends Responses and
+// applies Committed.
+type Ready struct {
+	// Messages may be sent before anything is persisted.
+	Messages []Message
+	// Snapshot was received from the leader and replaces the state.
+	Snapshot  *Snapshot
+	HardState HardState
+	Entries   []Entry
+	// MustSync is set when HardState or Entries have to be persisted.
+	MustSync bool
+	// Responses may be sent only after the sync.
+	Responses []Message
+	Committed []Entry
+	Reads     []ReadState
+}
+
+// State is what a Store recovers.
+type State struct {
+	HardState HardState
+	Snapshot  Snapshot
+	// Entries are contiguous and start at Snapshot.Index+1.
+	Entries []Entry
+}
+
+// Store persists the state of one member. After an error of any method it
+// never succeeds again.
+type Store interface {
+	// Load returns the recovered state.
+	Load() (State, error)
+	// Save appends entries and the hard state with one sync. Entries at or below
+	// the last index replace the suffix from their index on.
+	Save(hs HardState, entries []Entry) error
+	// SaveSnapshot makes a snapshot durable and drops the log up to its index;
+	// it drops the whole log when that does not contain the snapshot's entry.
+	SaveSnapshot(s Snapshot) error
+}
+
+// Transport sends messages to other members. Send never blocks; messages may
+// be lost.
+type Transport interface {
+	Send(to Member, msgs []Message)
+}
+
+// StateMachine is what the replicated log drives. Apply must be deterministic.
+type StateMachine interface {
+	// Apply executes the command at a log index and returns its result.
+	Apply(index uint64, command []byte) any
+	// Snapshot returns the whole state, encoded.
+	Snapshot() ([]byte, error)
+	// Restore replaces the whole state.
+	Restore(data []byte) error
+}
+
+// Status is the state of one voter's log.
+type Status struct {
+	ID     api.VoterID
+	Leader api.VoterID
+	Term   uint64
+	// Leading is set while this voter holds a valid leader lease.
+	Leading bool
+	// Applied is the index of the last applied entry.
+	Applied uint64
+	Voters  []api.VoterStatus
+}
+
+// Default timing.
+const (
+	// DefaultTick is the interval between two calls of Core.Tick.
+	DefaultTick = 50 * time.Millisecond
+	// DefaultHeartbeat is the interval between two heartbeat rounds.
+	DefaultHeartbeat = 2 * DefaultTick
+	// DefaultElectionMin is the time during which a member that heard from a
+	// leader votes for no other.
+	DefaultElectionMin = 12 * DefaultTick
+	// DefaultElectionMax bounds the randomised election timeout.
+	DefaultElectionMax = 24 * DefaultTick
+	// MaxClockDriftPercent is the largest deviation of a member's clock rate
+	// that leader leases tolerate.
+	MaxClockDriftPercent = 5
+)
--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/consensus"
 )
 
 // Log is what the control role needs of the replicated log. It is implemented
@@ -22,23 +22,7 @@
 }
 
 // LogStatus is the state of one voter's log.
-type LogStatus struct {
-	ID     api.VoterID
-	Leader api.VoterID
-	Term   uint64
-	// Leading is set while this voter holds a valid leader lease.
-	Leading bool
-	// Applied is the index of the last applied entry.
-	Applied uint64
-	Voters  []api.VoterStatus
-}
+type LogStatus = consensus.Status
 
 // StateMachine is what the replicated log drives. Apply must be deterministic.
-type StateMachine interface {
-	// Apply executes the command at a log index and returns its result.
-	Apply(index uint64, command []byte) any
-	// Snapshot returns the whole state, encoded.
-	Snapshot() ([]byte, error)
-	// Restore replaces the whole state.
-	Restore(data []byte) error
-}
+type StateMachine = consensus.StateMachine
--- /dev/null
+++ b/internal/storage/snapshot.go
@@ -0,0 +1,111 @@
+package storage
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocusway/crocusway/internal/consensus"
+)
+
+// SaveSnapshot implements consensus.Store.
+func (s *Store) SaveSnapshot(snap consensus.Snapshot) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed != nil {
+		return s.failed
+	}
+	name := snapshotName(snap.Index)
+	if err := s.replaceFile(name, record{Snapshot: &snap}); err != nil {
+		return err
+	}
+	old := s.snapshotFile
+	s.snapshotFile = name
+	s.snapshot = snap.Index
+	if old != "" && old != name {
+		if err := s.fs.Remove(s.path(old)); err != nil {
+			return s.fail("remove snapshot", s.path(old), err)
+		}
+	}
+	return s.restartLog(snap)
+}
+
+// restartLog starts a new segment after a snapshot. A log that does not contain
+// the snapshot's entry is void.
+func (s *Store) restartLog(snap consensus.Snapshot) error {
+	keep := s.last > snap.Index && s.terms.at(snap.Index) == snap.Term
+	if !keep {
+		s.last = snap.Index
+		s.terms = nil
+	}
+	if err := s.rotate(!keep); err != nil {
+		return err
+	}
+	if !keep {
+		for i := range s.segments {
+			s.segments[i].maxIndex = 0
+		}
+	}
+	return s.dropSegments()
+}
+
+// replaceFile makes a file durable under its name in one step: it is written
+// to a temporary file, synced and renamed, and the folder is synced.
+func (s *Store) replaceFile(name string, r record) error {
+	path := s.path(name)
+	tmp := path + tmpSuffix
+	buf, err := encodeRecord(nil, r)
+	if err != nil {
+		return s.fail("encode file", path, err)
+	}
+	f, err := s.fs.Create(tmp)
+	if err != nil {
+		return s.fail("create file", tmp, err)
+	}
+	if err := writeAll(f, buf); err != nil {
+		_ = f.Close()
+		return s.fail("write file", tmp, err)
+	}
+	if err := f.Sync(); err != nil {
+		_ = f.Close()
+		return s.fail("sync file", tmp, err)
+	}
+	if err := f.Close(); err != nil {
+		return s.fail("close file", tmp, err)
+	}
+	if err := s.fs.Rename(tmp, path); err != nil {
+		return s.fail("rename file", tmp, err)
+	}
+	if err := s.fs.SyncDir(s.dir); err != nil {
+		return s.fail("sync data folder", s.dir, err)
+	}
+	return nil
+}
+
+// readSnapshot reads the newest snapshot and removes older ones.
+func (s *Store) readSnapshot(names []string) error {
+	for _, name := range names {
+		index, ok := parseName(name, snapshotPrefix, snapshotSuffix)
+		if !ok {
+			continue
+		}
+		if s.snapshotFile != "" {
+			// Names sort by index, so the one before is older.
+			if err := s.fs.Remove(s.path(s.snapshotFile)); err != nil {
+				return fault("remove snapshot", s.path(s.snapshotFile), err)
+			}
+		}
+		s.snapshotFile, s.snapshot = name, index
+	}
+	if s.snapshotFile == "" {
+		return nil
+	}
+	path := s.path(s.snapshotFile)
+	r, err := s.readOne(path)
+	if err != nil {
+		return err
+	}
+	if r.Snapshot == nil || r.Snapshot.Index != s.snapshot {
+		return fault("read snapshot", path, errors.New("not the snapshot of this index"))
+	}
+	s.state.Snapshot = *r.Snapshot
+	return nil
+}
