Oracle of the group planner and broken variants that it catches

Cause: each guarantee needs a check that is shown failing. Ruled out: assertions inside the planner; the oracle compares the log with what hosts believe.

--- a/internal/api/fleet.go
+++ b/internal/api/fleet.go
@@ -19,15 +19,17 @@
 	// GroupForm creates Group from free hosts and assigns a new fencing number.
 	GroupForm GroupChangeKind = "form"
 	// GroupReform gives Group.ID new members and a new, higher fencing number.
-	// Hosts that drop out become releasing, new ones must be free.
+	// Hosts that drop out become releasing, new ones must be free. The assignments
+	// of members and of hosts that drop out all carry the new number.
 	GroupReform GroupChangeKind = "reform"
 	// GroupSetPhase sets Group.Phase.
 	GroupSetPhase GroupChangeKind = "phase"
 	// GroupUpdate sets Address, Warm, BearableLoad, WarmLoad, Leaving and
 	// Capabilities.
 	GroupUpdate GroupChangeKind = "update"
-	// GroupRelease marks every member as releasing and the group with it. The
-	// group disappears with its last releasing member.
+	// GroupRelease marks every member as releasing and the group with it, at a
+	// new, higher fencing number that the group and the assignments carry: the
+	// release order bears it. The group disappears with its last releasing member.
 	GroupRelease GroupChangeKind = "release"
 	// GroupFree ends the assignment of Host, whose release is proven.
 	GroupFree GroupChangeKind = "free"
--- a/internal/group/dispatch.go
+++ b/internal/group/dispatch.go
@@ -37,11 +37,13 @@
 		if !r.orders.acquire() {
 			return
 		}
-		o := &r.mem.host(d.Order.Host).order
+		h := r.mem.host(d.Order.Host)
+		o := &h.order
 		if o.fencing != d.Order.Fencing || o.kind != d.Order.Kind {
 			o.refused = 0
 		}
 		o.kind, o.fencing, o.sent = d.Order.Kind, d.Order.Fencing, now
+		o.incarnation = h.incarnation
 		if d.Order.Kind == api.OrderAssign {
 			o.lastAssign = now
 		}
--- a/internal/group/memory.go
+++ b/internal/group/memory.go
@@ -42,6 +42,8 @@
 	kind    api.OrderKind
 	fencing api.Fencing
 	sent    time.Time
+	// incarnation is what the host announced when the order was sent.
+	incarnation api.Incarnation
 	// lastAssign is when an assign order last left.
 	lastAssign time.Time
 	// refused counts the refusals of the newest order.
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -210,8 +210,8 @@
 	return limit > 0 && pl.now.Sub(r.mem.loadSince) > limit
 }
 
-// restarted reports whether a member held this generation under an earlier
-// incarnation and no longer does.
+// restarted reports whether a member that held this generation, or may have
+// accepted it, started anew since then.
 func (pl *planner) restarted(r *replica) bool {
 	for rank, state := range r.states {
 		if state == memberBehind && pl.lostMembership(r, rank) {
@@ -227,6 +227,9 @@
 		return false
 	}
 	held := r.mem.incarnation[rank]
+	if o := &h.mem.order; o.kind == api.OrderAssign && o.fencing == r.Fencing {
+		held = max(held, o.incarnation)
+	}
 	return held != 0 && h.mem.incarnation > held
 }
 
--- a/internal/group/reconcile.go
+++ b/internal/group/reconcile.go
@@ -100,9 +100,13 @@
 	return r.apply(ctx, plan.Changes, store)
 }
 
+// maxMemoryGap is the time between two evaluations above which the memory of
+// the first is of no use.
+const maxMemoryGap = 15 * time.Second
+
 // resetAfterGap forgets a memory that is too old to rely on.
 func (r *Reconciler) resetAfterGap(now time.Time) {
-	if !r.last.IsZero() && now.Sub(r.last) > 2*r.cfg.Policy.OrderHorizon {
+	if !r.last.IsZero() && now.Sub(r.last) > maxMemoryGap {
 		r.mem = NewMemory()
 	}
 	r.last = now
--- a/internal/group/rig_test.go
+++ b/internal/group/rig_test.go
@@ -24,6 +24,7 @@
 	model *bench.FleetModel
 	store *bench.FleetStore
 	rec   *group.Reconciler
+	check *checker
 }
 
 func testPolicy() group.Policy {
@@ -37,6 +38,7 @@
 	times := bench.FleetTimes{Load: 10 * time.Second, Cold: 5 * time.Second, Announce: time.Second}
 	r := &rig{t: t, store: store, model: bench.NewFleetModel(store, times, p.DetectionBound)}
 	r.rec = r.leader(p, nil)
+	r.check = newChecker(r.model, store, p)
 	return r
 }
 
@@ -56,11 +58,19 @@
 	}
 }
 
+// step runs the fleet for a while and requires that the oracle holds.
 func (r *rig) step(d time.Duration) {
+	r.run(d)
+	require.NoError(r.t, r.check.err)
+}
+
+// run is step without the requirement.
+func (r *rig) run(d time.Duration) {
 	for end := r.model.Clock.Now().Add(d); r.model.Clock.Now().Before(end); {
 		r.model.Advance(tick)
 		require.NoError(r.t, r.rec.Reconcile(context.Background(), r.model.View(), r.store))
 		r.model.RunQueue()
+		r.check.observe()
 	}
 }
 
