--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -252,6 +252,8 @@
 	// ExpiresMillis is the lifetime counted from when the request was sent.
 	ExpiresMillis int64 `json:"expires_millis"`
 	Priority      int   `json:"priority"`
+	// Alone is set when nothing else runs on the replica.
+	Alone bool `json:"alone,omitempty"`
 }
 
 // AcquireResponse carries a grant.
@@ -281,5 +283,15 @@
 	Grants      []Grant     `json:"grants"`
 }
 
+// ReportResponse renews the reported grants.
+type ReportResponse struct {
+	// RenewMillis is the new lifetime of every reported grant that is not
+	// listed in Refused, counted from when the report was sent.
+	RenewMillis int64 `json:"renew_millis"`
+	// Refused lists ids of grants that the owner does not count. Their work
+	// must stop.
+	Refused []string `json:"refused,omitempty"`
+}
+
 // Empty is the result of calls that return nothing.
 type Empty struct{}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -169,11 +169,16 @@
 // SetLease extends the work lease to a moment on the monotonic clock.
 func (s *State) SetLease(until time.Time) { s.lease.Store(&until) }
 
-// MayWork reports whether the work lease is valid now. Check it again right
-// before a request is written to a backend server.
-func (s *State) MayWork() bool {
+// MayWork reports whether new work may be taken: the work lease is valid now
+// and no shutdown has begun.
+func (s *State) MayWork() bool { return s.HasLease() && !s.leaving.Load() }
+
+// HasLease reports whether the work lease is valid now, also during a graceful
+// shutdown. Check it again right before a request is written to a backend
+// server.
+func (s *State) HasLease() bool {
 	until := s.lease.Load()
-	return until != nil && s.clock.Now().Before(*until) && !s.leaving.Load()
+	return until != nil && s.clock.Now().Before(*until)
 }
 
 // Leaving reports whether a graceful shutdown has begun.
--- /dev/null
+++ b/internal/pipeline/attempt.go
@@ -0,0 +1,124 @@
+package pipeline
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/shard"
+)
+
+// cancelTimeout bounds one cancel call to an engine.
+const cancelTimeout = 500 * time.Millisecond
+
+// attempt passes the call through the attempt filters until one attempt
+// succeeds or no further one is allowed.
+func (s *Server) attempt(c *call) error {
+	for {
+		err := run(c, s.order.attempt)
+		if err == nil {
+			return nil
+		}
+		var failed *attemptError
+		if !errors.As(err, &failed) {
+			return err
+		}
+		if err := s.afterFailure(c, failed); err != nil {
+			return s.lastAnswer(c, failed, err)
+		}
+	}
+}
+
+// lastAnswer passes on the engine's own failure when there is one, because a
+// whole answer says more than a refusal.
+func (s *Server) lastAnswer(c *call, failed *attemptError, err error) error {
+	if failed.response == nil || c.delivered > 0 {
+		return err
+	}
+	c.response = failed.response
+	return nil
+}
+
+// afterFailure gives the failed attempt's grant back and decides whether
+// another attempt may follow.
+func (s *Server) afterFailure(c *call, failed *attemptError) error {
+	t := c.target
+	c.target = target{}
+	c.sent = c.sent || failed.sent
+	if c.endAttempt != nil {
+		c.endAttempt()
+	}
+	err := s.releaseFailed(c, t, failed)
+	if err != nil {
+		return err
+	}
+	return s.mayRetry(c, failed)
+}
+
+// releaseFailed stops the work of a failed attempt and settles its grant.
+func (s *Server) releaseFailed(c *call, t target, failed *attemptError) error {
+	if !t.granted {
+		c.service.exclude(t.host)
+		return nil
+	}
+	if !failed.sent {
+		s.cfg.Grants.Settle(t.grant, shard.Result{Outcome: api.OutcomeNotRun, Failed: !errors.Is(failed, errGrantEnded)})
+		c.exclude(t.grant.Group)
+		return nil
+	}
+	stopped := s.stop(c, t)
+	s.cfg.Grants.Settle(t.grant, c.result(api.OutcomeUnknown, true))
+	if failed.response != nil {
+		c.exclude(t.grant.Group)
+		return nil
+	}
+	if !stopped.dead {
+		return nil
+	}
+	c.exclude(t.grant.Group)
+	return s.reportSuspect(c, t)
+}
+
+// mayRetry returns why no further attempt may follow, or nil.
+func (s *Server) mayRetry(c *call, failed *attemptError) error {
+	refuse := &refusal{
+		status:  fasthttp.StatusBadGateway,
+		code:    "backend_failed",
+		message: "the backend server did not answer",
+		cause:   failed,
+	}
+	if c.ctx.Err() != nil {
+		refuse.status = fasthttp.StatusGatewayTimeout
+		refuse.code = "timeout"
+		refuse.message = "the answer did not come in time"
+		return refuse
+	}
+	if c.sent && !c.repeatable {
+		return refuse
+	}
+	if !c.sent {
+		refuse.status = fasthttp.StatusServiceUnavailable
+		refuse.retryAfter = time.Second
+	}
+	if c.attempts >= s.cfg.Settings.MaxAttempts || !s.budget.take() {
+		return refuse
+	}
+	return nil
+}
+
+// exclude keeps a replica out of further attempts.
+func (c *call) exclude(id api.GroupID) {
+	if !slices.Contains(c.excluded, id) {
+		c.excluded = append(c.excluded, id)
+	}
+}
+
+// exclude keeps a server out of further attempts.
+func (sc *serviceCall) exclude(host api.HostID) {
+	if host != "" {
+		sc.excluded = append(sc.excluded, host)
+	}
+}
--- /dev/null
+++ b/internal/pipeline/config.go
@@ -0,0 +1,136 @@
+package pipeline
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/backend"
+	"github.com/crocusway/crocusway/internal/clock"
+	"github.com/crocusway/crocusway/internal/entry"
+	"github.com/crocusway/crocusway/internal/shard"
+)
+
+// State is the soft state of the entry. It is implemented by entry.State.
+type State interface {
+	Snapshot() *entry.Snapshot
+	// MayWork reports whether new work may be taken.
+	MayWork() bool
+	// HasLease reports whether the work lease is valid, also while leaving.
+	HasLease() bool
+	Leaving() bool
+}
+
+// Granter admits requests to replicas. It is implemented by shard.Client.
+type Granter interface {
+	Acquire(ctx context.Context, r shard.Request) (api.Grant, error)
+	// Valid reports whether the grant may be used now.
+	Valid(g api.Grant) bool
+	// Ended is closed when the grant may no longer be used.
+	Ended(g api.Grant) <-chan struct{}
+	Settle(g api.Grant, r shard.Result)
+}
+
+// Config is what the request path needs.
+type Config struct {
+	// Self is the entry that this process runs.
+	Self     api.EntryInfo
+	State    State
+	Control  entry.ControlCaller
+	Grants   Granter
+	Backends backend.Client
+	Clock    clock.Clock
+	Logger   log.Logger
+	Settings Settings
+}
+
+// Settings bound what callers may use. Zero fields take the value of
+// DefaultSettings.
+type Settings struct {
+	// MaxHeaderBytes bounds the request line and the header.
+	MaxHeaderBytes int
+	// MaxBodyBytes bounds a request body.
+	MaxBodyBytes int
+	// MaxConns bounds the connections of all callers.
+	MaxConns int
+	// ReadTimeout bounds the receipt of one request.
+	ReadTimeout time.Duration
+	// WriteTimeout bounds the sending of one answer.
+	WriteTimeout time.Duration
+	// IdleTimeout bounds the wait for the next request on a connection.
+	IdleTimeout time.Duration
+	// RequestTimeout bounds a request from receipt to its last byte.
+	RequestTimeout time.Duration
+	// QueueWait bounds the wait for a grant.
+	QueueWait time.Duration
+	// ControlTimeout bounds one call to control.
+	ControlTimeout time.Duration
+	// EntriesTTL is how long callers may keep the list of entries.
+	EntriesTTL time.Duration
+	// RecordRetention is how long an idempotency record is kept.
+	RecordRetention time.Duration
+	// MaxStoredAnswer bounds the answer kept with a record, in bytes. The
+	// resend of a call with a larger answer gets the outcome unknown.
+	MaxStoredAnswer int
+	// MaxAttempts bounds the dispatches of one request.
+	MaxAttempts int
+	// RetryRatio is the number of retries that each request adds to the
+	// retry budget.
+	RetryRatio float64
+	// RetryBurst is the largest retry budget.
+	RetryBurst float64
+	// ServiceLimit bounds the calls in progress to one plain service.
+	ServiceLimit int
+}
+
+// DefaultSettings returns the settings used where none are given.
+func DefaultSettings() Settings {
+	return Settings{
+		MaxHeaderBytes:  16 << 10,
+		MaxBodyBytes:    4 << 20,
+		MaxConns:        4096,
+		ReadTimeout:     10 * time.Second,
+		WriteTimeout:    130 * time.Second,
+		IdleTimeout:     30 * time.Second,
+		RequestTimeout:  2 * time.Minute,
+		QueueWait:       10 * time.Second,
+		ControlTimeout:  2 * time.Second,
+		EntriesTTL:      5 * time.Second,
+		RecordRetention: 24 * time.Hour,
+		MaxStoredAnswer: 64 << 10,
+		MaxAttempts:     3,
+		RetryRatio:      0.1,
+		RetryBurst:      10,
+		ServiceLimit:    256,
+	}
+}
+
+// withDefaults fills zero fields.
+func (s Settings) withDefaults() Settings {
+	d := DefaultSettings()
+	fill(&s.MaxHeaderBytes, d.MaxHeaderBytes)
+	fill(&s.MaxBodyBytes, d.MaxBodyBytes)
+	fill(&s.MaxConns, d.MaxConns)
+	fill(&s.ReadTimeout, d.ReadTimeout)
+	fill(&s.WriteTimeout, d.WriteTimeout)
+	fill(&s.IdleTimeout, d.IdleTimeout)
+	fill(&s.RequestTimeout, d.RequestTimeout)
+	fill(&s.QueueWait, d.QueueWait)
+	fill(&s.ControlTimeout, d.ControlTimeout)
+	fill(&s.EntriesTTL, d.EntriesTTL)
+	fill(&s.RecordRetention, d.RecordRetention)
+	fill(&s.MaxStoredAnswer, d.MaxStoredAnswer)
+	fill(&s.MaxAttempts, d.MaxAttempts)
+	fill(&s.RetryRatio, d.RetryRatio)
+	fill(&s.RetryBurst, d.RetryBurst)
+	fill(&s.ServiceLimit, d.ServiceLimit)
+	return s
+}
+
+func fill[T int | float64 | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/pipeline/deduplicate.go
@@ -0,0 +1,232 @@
+package pipeline
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// maxKeyBytes bounds an idempotency key.
+const maxKeyBytes = 255
+
+// deduplicate opens the record of a non-idempotent request. Only the call that
+// created the record goes on; a resend gets the end of the first one.
+type deduplicate struct{ *Server }
+
+func (f deduplicate) apply(c *call) error {
+	if c.repeatable {
+		return nil
+	}
+	record, bad := f.newRecord(c)
+	if bad != nil {
+		return bad
+	}
+	res, err := f.open(c, record)
+	if err != nil {
+		return f.openFailure(c, record, err)
+	}
+	if res.Created {
+		c.record = &record
+		return nil
+	}
+	return f.resend(c, record, res.Record)
+}
+
+// newRecord returns the record that the call wants to create.
+func (f deduplicate) newRecord(c *call) (api.Record, *refusal) {
+	key := c.http.Request.Header.Peek(api.HeaderIdempotencyKey)
+	if len(key) == 0 {
+		return api.Record{}, badField(api.HeaderIdempotencyKey, "missing", "set on a call that may not be repeated")
+	}
+	if len(key) > maxKeyBytes {
+		return api.Record{}, badField(api.HeaderIdempotencyKey, strconv.Itoa(len(key))+" bytes long", "at most "+strconv.Itoa(maxKeyBytes))
+	}
+	return api.Record{
+		Account:           c.account.ID,
+		Key:               string(key),
+		BodyHash:          contentHash(c),
+		Request:           c.id,
+		Entry:             f.cfg.Self.ID,
+		Incarnation:       f.cfg.Self.Incarnation,
+		State:             api.RecordRunning,
+		ExpiresUnixMillis: c.received.Add(f.cfg.Settings.RecordRetention).UnixMilli(),
+	}, nil
+}
+
+// contentHash covers all that makes two calls the same.
+func contentHash(c *call) string {
+	h := sha256.New()
+	for _, part := range []string{c.service.name, c.service.method, c.service.path, string(c.http.Request.Header.ContentType())} {
+		h.Write([]byte(part))
+		h.Write([]byte{0})
+	}
+	h.Write(c.body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func (f deduplicate) open(c *call, record api.Record) (api.RecordOpenResponse, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, f.cfg.Settings.ControlTimeout)
+	defer cancel()
+	var res api.RecordOpenResponse
+	err := f.cfg.Control.Call(ctx, api.MethodRecordOpen, api.RecordOpenRequest{Record: record}, &res)
+	return res, err
+}
+
+// openFailure refuses a call whose record was not seen to be created. Nothing
+// was dispatched, so the record, if there is one, ends as not-run.
+func (f deduplicate) openFailure(c *call, record api.Record, err error) error {
+	if errs.Is(err, errs.Full) {
+		return unavailable("record_store_full", "the store of idempotency records is full", err)
+	}
+	record.State = api.RecordNotRun
+	f.endRecord(c, record)
+	return unavailable("control_unavailable", "the idempotency record could not be created", err)
+}
+
+// resend answers a call whose record existed before.
+func (f deduplicate) resend(c *call, own, found api.Record) error {
+	if found.BodyHash != own.BodyHash {
+		return &refusal{
+			status:  fasthttp.StatusUnprocessableEntity,
+			code:    "key_reused",
+			field:   api.HeaderIdempotencyKey,
+			message: "the key was used for a call with other content",
+		}
+	}
+	if found.State == api.RecordRunning {
+		ended, err := f.await(c, own)
+		if err != nil {
+			return err
+		}
+		found = ended
+	}
+	if found.State == api.RecordComplete {
+		f.replay(c, found)
+		return nil
+	}
+	return unknownEnd("the outcome of the first call is not known", nil)
+}
+
+// unknownEnd refuses a resend of a call that may have run.
+func unknownEnd(message string, cause error) *refusal {
+	return &refusal{
+		status:  fasthttp.StatusConflict,
+		code:    "outcome_unknown",
+		message: message,
+		unknown: true,
+		cause:   cause,
+	}
+}
+
+// await waits for the end of a running record.
+func (f deduplicate) await(c *call, own api.Record) (api.Record, error) {
+	params := api.RecordGetRequest{Account: own.Account, Key: own.Key}
+	for {
+		left := c.deadline.Sub(f.cfg.Clock.Now())
+		params.WaitMillis = min(left, f.cfg.Settings.ControlTimeout/2).Milliseconds()
+		if params.WaitMillis <= 0 || c.ctx.Err() != nil {
+			return api.Record{}, unknownEnd("the first call still runs", c.ctx.Err())
+		}
+		res, err := f.get(c, params)
+		if err != nil {
+			return api.Record{}, unknownEnd("the record could not be read", err)
+		}
+		if !res.Found {
+			r := unavailable("first_call_not_run", "the first call ended without a run", nil)
+			return api.Record{}, r
+		}
+		if res.Record.State != api.RecordRunning {
+			return res.Record, nil
+		}
+	}
+}
+
+func (f deduplicate) get(c *call, params api.RecordGetRequest) (api.RecordGetResponse, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, f.cfg.Settings.ControlTimeout)
+	defer cancel()
+	var res api.RecordGetResponse
+	err := f.cfg.Control.Call(ctx, api.MethodRecordGet, params, &res)
+	return res, err
+}
+
+// replay writes the stored answer of the first call.
+func (f deduplicate) replay(c *call, r api.Record) {
+	c.replayed = true
+	c.outcome = api.OutcomeComplete
+	c.http.SetStatusCode(r.Status)
+	c.http.SetContentType(r.ContentType)
+	c.http.SetBody(r.Body)
+	writeOutcome(c.http, r.Request, api.OutcomeComplete)
+	f.end(c)
+}
+
+// recordAttempts bounds the tries to store the end of a record.
+const recordAttempts = 3
+
+// endRecord stores the end of a record. If control can't be reached the record
+// stays open, and a resend is told that the outcome is unknown.
+func (s *Server) endRecord(c *call, record api.Record) {
+	var err error
+	for range recordAttempts {
+		err = s.tryEndRecord(record)
+		if err == nil || !isTransient(err) {
+			break
+		}
+	}
+	if err != nil {
+		level.Warn(s.logger).Log("msg", "record not ended", "request", c.id, "err", err)
+	}
+}
+
+func (s *Server) tryEndRecord(record api.Record) error {
+	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.Settings.ControlTimeout)
+	defer cancel()
+	return s.cfg.Control.Call(ctx, api.MethodRecordEnd, api.RecordEndRequest{Record: record}, &api.Empty{})
+}
+
+func isTransient(err error) bool {
+	return errs.Is(err, errs.Timeout) || errs.Is(err, errs.Unavailable) || errs.Is(err, errs.NotLeader) ||
+		errors.Is(err, context.DeadlineExceeded)
+}
+
+// closeRecord ends the record of a call by its outcome.
+func (s *Server) closeRecord(c *call) {
+	if c.record == nil {
+		return
+	}
+	record := *c.record
+	c.record = nil
+	switch c.outcome {
+	case api.OutcomeNotRun:
+		record.State = api.RecordNotRun
+	case api.OutcomeComplete:
+		s.storeAnswer(c, &record)
+	default:
+		record.State = api.RecordUnknown
+	}
+	s.endRecord(c, record)
+}
+
+// storeAnswer puts the answer into the record, unless it is too large to keep.
+func (s *Server) storeAnswer(c *call, record *api.Record) {
+	record.State = api.RecordComplete
+	record.Status = c.response.Status
+	record.ContentType = c.response.ContentType
+	record.Body = c.response.Body
+	if len(record.Body) > s.cfg.Settings.MaxStoredAnswer {
+		record.State = api.RecordUnknown
+		record.Body = nil
+	}
+}
+
+// unixMillis returns the wall clock of a moment in milliseconds.
+func unixMillis(t time.Time) int64 { return t.UnixMilli() }
--- /dev/null
+++ b/internal/pipeline/server.go
@@ -0,0 +1,126 @@
+package pipeline
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/fasthttp/router"
+	"github.com/go-kit/log"
+	"github.com/oklog/ulid/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/logging"
+)
+
+// Server is the callers' side of an entry. It is safe for concurrent use.
+type Server struct {
+	cfg    Config
+	logger log.Logger
+	router *router.Router
+	order  order
+	budget *retryBudget
+	limits serviceLimits
+	// next rotates between the servers of plain services.
+	next atomic.Uint64
+	// active counts the calls that have not ended.
+	active sync.WaitGroup
+}
+
+// New returns a server for cfg. To wire it: mount further routes on Router
+// before the first request, and pass HTTP to a listener.
+//
+//	srv := pipeline.New(pipeline.Config{
+//		Self:     info,           // this entry
+//		State:    state,          // *entry.State
+//		Control:  control,        // entry.ControlCaller
+//		Grants:   grants,         // *shard.Client, its Run loop started
+//		Backends: backends,       // backend.Client
+//		Clock:    clock.System{},
+//		Logger:   logger,
+//	})
+//	srv.Router().POST("/v1/backends/announce", announce)
+//	go srv.HTTP().Serve(listener)
+func New(cfg Config) *Server {
+	cfg.Settings = cfg.Settings.withDefaults()
+	s := &Server{
+		cfg:    cfg,
+		logger: logging.For(cfg.Logger, "pipeline"),
+		budget: newRetryBudget(cfg.Settings.RetryRatio, cfg.Settings.RetryBurst),
+		limits: newServiceLimits(cfg.Settings.ServiceLimit),
+	}
+	s.order = newOrder(s)
+	s.router = s.routes()
+	return s
+}
+
+// routes returns the router of the callers' interface.
+func (s *Server) routes() *router.Router {
+	r := router.New()
+	r.RedirectTrailingSlash = false
+	r.RedirectFixedPath = false
+	r.POST("/v1/chat/completions", s.handle(callChat))
+	r.POST("/v1/completions", s.handle(callCompletion))
+	r.GET("/v1/models", s.serveModels)
+	r.GET("/v1/entries", s.serveEntries)
+	r.ANY("/services/{name}/{path:*}", s.handle(callService))
+	r.NotFound = s.refuseRoute(fasthttp.StatusNotFound, "no such path")
+	r.MethodNotAllowed = s.refuseRoute(fasthttp.StatusMethodNotAllowed, "method not allowed on this path")
+	return r
+}
+
+// Router returns the router, so that other parts of the daemon can mount their
+// routes beside those of the callers.
+func (s *Server) Router() *router.Router { return s.router }
+
+// Handler returns the handler of every mounted route.
+func (s *Server) Handler() fasthttp.RequestHandler { return s.router.Handler }
+
+// HTTP returns a server with the limits of the settings.
+func (s *Server) HTTP() *fasthttp.Server {
+	set := s.cfg.Settings
+	return &fasthttp.Server{
+		Handler:                       s.Handler(),
+		Name:                          "crocusway",
+		Concurrency:                   set.MaxConns,
+		ReadBufferSize:                set.MaxHeaderBytes,
+		MaxRequestBodySize:            set.MaxBodyBytes,
+		ReadTimeout:                   set.ReadTimeout,
+		WriteTimeout:                  set.WriteTimeout,
+		IdleTimeout:                   set.IdleTimeout,
+		NoDefaultServerHeader:         true,
+		DisablePreParseMultipartForm:  true,
+		CloseOnShutdown:               true,
+		ErrorHandler:                  s.refuseBroken,
+		Logger:                        quietLogger{},
+		DisableHeaderNamesNormalizing: false,
+	}
+}
+
+// Wait returns once every call that was taken has ended.
+func (s *Server) Wait() { s.active.Wait() }
+
+// handle returns the handler of one kind of call.
+func (s *Server) handle(kind callKind) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		s.active.Add(1)
+		s.serve(&call{http: ctx, kind: kind, id: newRequestID()})
+	}
+}
+
+// refuseRoute returns the handler of requests that no route takes.
+func (s *Server) refuseRoute(status int, message string) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		r := &refusal{status: status, code: "no_route", message: message}
+		s.writeRefusal(ctx, r, newRequestID(), api.OutcomeNotRun)
+	}
+}
+
+// newRequestID returns an id that sorts by time.
+func newRequestID() api.RequestID { return api.RequestID(ulid.Make().String()) }
+
+// quietLogger drops the messages of the HTTP library about broken callers.
+type quietLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (quietLogger) Printf(string, ...any) {}
--- /dev/null
+++ b/internal/pipeline/server_test.go
@@ -0,0 +1,236 @@
+package pipeline
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/backend"
+)
+
+// answer is what a caller received.
+type answer struct {
+	status  int
+	header  http.Header
+	trailer http.Header
+	body    string
+	err     error
+}
+
+// outcome returns the outcome in the header, or in the trailer of a stream.
+func (a answer) outcome() api.Outcome {
+	if o := a.header.Get(api.HeaderOutcome); o != "" {
+		return api.Outcome(o)
+	}
+	return api.Outcome(a.trailer.Get(api.HeaderOutcome))
+}
+
+// listen serves the harness in memory and returns a client for it.
+func (h *harness) listen(t *testing.T) *http.Client {
+	t.Helper()
+	ln := fasthttputil.NewInmemoryListener()
+	srv := h.server.HTTP()
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(ln) }()
+	t.Cleanup(func() {
+		_ = ln.Close()
+		require.NoError(t, <-done)
+	})
+	dial := func(context.Context, string, string) (net.Conn, error) { return ln.Dial() }
+	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+}
+
+func send(t *testing.T, c *http.Client, method, path, key, body string, headers ...string) answer {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://entry"+path, strings.NewReader(body))
+	require.NoError(t, err)
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	res, err := c.Do(req)
+	require.NoError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	return answer{status: res.StatusCode, header: res.Header, trailer: res.Trailer, body: string(data), err: err}
+}
+
+const chatBody = `{"model":"scribe-1","stream":true,"messages":[{"role":"user","content":"a tin"}]}`
+
+func streamOf(s backend.Stream) *backend.Response {
+	return &backend.Response{Status: 200, ContentType: sseContentType, Stream: s}
+}
+
+func TestStreamedChat(t *testing.T) {
+	h := newHarness(Settings{})
+	h.backends.do = func(context.Context, backend.Request) (*backend.Response, error) {
+		return streamOf(&fakeStream{events: tokens(0, 3)}), nil
+	}
+	a := send(t, h.listen(t), "POST", "/v1/chat/completions", testKey, chatBody)
+	require.Equal(t, 200, a.status)
+	require.Equal(t, "data: {\"token\":1}\n\ndata: {\"token\":2}\n\ndata: {\"token\":3}\n\n: Crocusway-Outcome complete\n\ndata: [DONE]\n\n", a.body)
+	require.Equal(t, api.OutcomeComplete, a.outcome())
+	require.NotEmpty(t, a.header.Get(api.HeaderRequest))
+	h.server.Wait()
+	require.Zero(t, h.grants.outstanding())
+}
+
+func TestBrokenStreamResumesAtTheOffset(t *testing.T) {
+	h := newHarness(Settings{})
+	h.backends.do = func(_ context.Context, r backend.Request) (*backend.Response, error) {
+		if r.Offset == 0 {
+			return streamOf(&fakeStream{events: tokens(0, 2), err: io.ErrUnexpectedEOF}), nil
+		}
+		return streamOf(&fakeStream{events: tokens(r.Offset, 4)}), nil
+	}
+	a := send(t, h.listen(t), "POST", "/v1/chat/completions", testKey, chatBody)
+	require.Equal(t, "data: {\"token\":1}\n\ndata: {\"token\":2}\n\ndata: {\"token\":3}\n\ndata: {\"token\":4}\n\n: Crocusway-Outcome complete\n\ndata: [DONE]\n\n", a.body)
+	h.server.Wait()
+	require.Len(t, h.backends.cancelled, 1)
+	require.Zero(t, h.grants.outstanding())
+}
+
+func TestCutStreamEndsWithAnErrorEvent(t *testing.T) {
+	h := newHarness(Settings{MaxAttempts: 1})
+	h.backends.do = func(context.Context, backend.Request) (*backend.Response, error) {
+		return streamOf(&fakeStream{events: tokens(0, 2), err: io.ErrUnexpectedEOF}), nil
+	}
+	a := send(t, h.listen(t), "POST", "/v1/chat/completions", testKey, chatBody)
+	require.NoError(t, checkCut(a.body))
+	require.Equal(t, api.OutcomeUnknown, a.outcome())
+}
+
+func TestServiceCallRunsOnceAndItsResendGetsTheAnswer(t *testing.T) {
+	h := newHarness(Settings{})
+	h.backends.do = func(context.Context, backend.Request) (*backend.Response, error) {
+		return &backend.Response{Status: 201, ContentType: "application/json", Body: []byte(`{"deposit":1}`)}, nil
+	}
+	c := h.listen(t)
+	first := send(t, c, "POST", "/services/ledger/deposits?x=1", testKey, `{"amount":5}`, api.HeaderIdempotencyKey, "k1")
+	again := send(t, c, "POST", "/services/ledger/deposits?x=1", testKey, `{"amount":5}`, api.HeaderIdempotencyKey, "k1")
+	require.Equal(t, 201, first.status)
+	require.Equal(t, `{"deposit":1}`, first.body)
+	require.Equal(t, first.status, again.status)
+	require.Equal(t, first.body, again.body)
+	require.Equal(t, api.OutcomeComplete, again.outcome())
+	require.Equal(t, first.header.Get(api.HeaderRequest), again.header.Get(api.HeaderRequest))
+	require.Equal(t, 1, h.backends.runCount())
+	require.Equal(t, "/deposits?x=1", h.backends.runs[0].Path)
+	other := send(t, c, "POST", "/services/ledger/deposits?x=1", testKey, `{"amount":6}`, api.HeaderIdempotencyKey, "k1")
+	require.Equal(t, 422, other.status)
+	require.Equal(t, api.OutcomeNotRun, other.outcome())
+}
+
+func TestLostAnswerOfANonIdempotentCallIsUnknown(t *testing.T) {
+	h := newHarness(Settings{})
+	h.backends.do = func(context.Context, backend.Request) (*backend.Response, error) { return nil, errBroken }
+	c := h.listen(t)
+	first := send(t, c, "POST", "/services/ledger/deposits", testKey, `{}`, api.HeaderIdempotencyKey, "k1")
+	again := send(t, c, "POST", "/services/ledger/deposits", testKey, `{}`, api.HeaderIdempotencyKey, "k1")
+	require.Equal(t, 502, first.status)
+	require.Equal(t, api.OutcomeUnknown, first.outcome())
+	require.Equal(t, 409, again.status)
+	require.Equal(t, api.OutcomeUnknown, again.outcome())
+	require.Equal(t, 1, h.backends.runCount())
+}
+
+func TestUnsentCallIsNotRunAndItsKeyIsFree(t *testing.T) {
+	h := newHarness(Settings{})
+	h.backends.do = func(context.Context, backend.Request) (*backend.Response, error) { return nil, backend.ErrNotSent }
+	a := send(t, h.listen(t), "POST", "/services/ledger/deposits", testKey, `{}`, api.HeaderIdempotencyKey, "k1")
+	require.Equal(t, 503, a.status)
+	require.Equal(t, api.OutcomeNotRun, a.outcome())
+	_, found := h.control.record("k1")
+	require.False(t, found)
+	require.Equal(t, 2, h.backends.runCount(), "each server is tried once")
+}
+
+func TestCallerThatGoesAwayCancelsOnTheEngine(t *testing.T) {
+	h := newHarness(Settings{})
+	release := make(chan struct{})
+	h.backends.do = func(context.Context, backend.Request) (*backend.Response, error) {
+		return streamOf(&slowStream{release: release}), nil
+	}
+	c := h.listen(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://entry/v1/chat/completions", strings.NewReader(chatBody))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	res, err := c.Do(req)
+	require.NoError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	cancel()
+	close(release)
+	h.server.Wait()
+	require.Len(t, h.backends.cancelled, 1)
+	require.Zero(t, h.grants.outstanding())
+}
+
+// slowStream yields one token, and tokens without end once released.
+type slowStream struct {
+	release chan struct{}
+	n       int
+}
+
+func (s *slowStream) Next() (backend.Event, error) {
+	if s.n > 0 {
+		<-s.release
+	}
+	s.n++
+	return backend.Event{Offset: s.n, Data: []byte(strings.Repeat("x", 4096))}, nil
+}
+
+func (s *slowStream) Close() error { return nil }
+
+func TestDrainedDomainHandsCallersOver(t *testing.T) {
+	h := newHarness(Settings{})
+	v := testView()
+	v.Revision = 3
+	v.Domains[0].State = api.DomainDrained
+	h.state.Apply(v)
+	c := h.listen(t)
+	a := send(t, c, "POST", "/v1/chat/completions", testKey, chatBody)
+	require.Equal(t, 503, a.status)
+	require.Equal(t, api.OutcomeNotRun, a.outcome())
+	require.Contains(t, a.body, "10.0.0.2:80")
+	require.NotContains(t, a.body, "10.0.0.1:80")
+	list := send(t, c, "GET", "/v1/entries", "", "")
+	require.Equal(t, `{"entries":[{"address":"10.0.0.2:80","domain":"west"}],"ttl_seconds":5}`, list.body)
+}
+
+func TestCrashingRequestRunsAloneAndIsThenQuarantined(t *testing.T) {
+	h := newHarness(Settings{})
+	h.backends.cancelErr = backend.ErrNotSent
+	h.backends.do = func(context.Context, backend.Request) (*backend.Response, error) { return nil, errBroken }
+	a := send(t, h.listen(t), "POST", "/v1/chat/completions", testKey, chatBody)
+	require.Equal(t, 422, a.status)
+	require.Equal(t, api.OutcomeUnknown, a.outcome())
+	require.Equal(t, []bool{false, true}, h.grants.alone)
+	require.Equal(t, 2, h.control.suspects)
+	require.Zero(t, h.grants.outstanding())
+}
+
+func TestNoLeaseRightBeforeTheWrite(t *testing.T) {
+	h := newHarness(Settings{})
+	h.grants.invalid = true
+	a := send(t, h.listen(t), "POST", "/v1/chat/completions", testKey, chatBody)
+	require.Equal(t, 503, a.status)
+	require.Equal(t, api.OutcomeNotRun, a.outcome())
+	require.Zero(t, h.backends.runCount())
+	h.grants.invalid = false
+	h.state.SetLease(time.Now().Add(-time.Second))
+	a = send(t, h.listen(t), "POST", "/v1/chat/completions", testKey, chatBody)
+	require.Equal(t, 503, a.status)
+	require.Zero(t, h.backends.runCount())
+}
--- /dev/null
+++ b/internal/pipeline/tokens.go
@@ -0,0 +1,176 @@
+package pipeline
+
+import (
+	"encoding/json"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/backend"
+)
+
+// errDisorder is a stream whose offsets go backwards.
+var errDisorder = errors.New("stream out of order")
+
+// tokenReader is the body of a streamed answer. The HTTP server reads it while
+// it writes to the caller, and closes it when the caller is gone.
+type tokenReader struct {
+	*Server
+	call *call
+	// buf holds encoded events; read bytes are cut from pending.
+	buf     []byte
+	pending []byte
+	// last is the hash of the last delivered event.
+	last  uint64
+	ended bool
+}
+
+// Read implements io.Reader.
+func (t *tokenReader) Read(p []byte) (int, error) {
+	for len(t.pending) == 0 {
+		if t.ended {
+			return 0, io.EOF
+		}
+		t.buf = t.buf[:0]
+		t.next()
+		t.pending = t.buf
+	}
+	n := copy(p, t.pending)
+	t.pending = t.pending[n:]
+	return n, nil
+}
+
+// next encodes the next event, or the end of the stream.
+func (t *tokenReader) next() {
+	ev, err := t.call.response.Stream.Next()
+	if err != nil {
+		t.broken(err)
+		return
+	}
+	if ev.Done {
+		t.finish()
+		return
+	}
+	if err := t.deliver(ev); err != nil {
+		t.broken(err)
+	}
+}
+
+// deliver encodes one event. An event that was already delivered is dropped.
+func (t *tokenReader) deliver(ev backend.Event) error {
+	c := t.call
+	if ev.Offset < c.delivered {
+		return errDisorder
+	}
+	hash := xxhash.Sum64(ev.Data)
+	if ev.Offset == c.delivered && ev.Offset > 0 && hash == t.last {
+		return nil
+	}
+	if c.firstToken == 0 && ev.Offset > 0 {
+		c.firstToken = t.cfg.Clock.Now().Sub(c.started)
+	}
+	c.delivered = ev.Offset
+	t.last = hash
+	t.buf = append(t.buf, "data: "...)
+	t.buf = append(t.buf, ev.Data...)
+	t.buf = append(t.buf, "\n\n"...)
+	return nil
+}
+
+// finish ends a whole stream.
+func (t *tokenReader) finish() {
+	t.close(api.OutcomeComplete)
+	t.buf = append(t.buf, "data: [DONE]\n\n"...)
+}
+
+// broken resumes a stream that ended early, or ends it with an error event.
+func (t *tokenReader) broken(cause error) {
+	err := t.resume(cause)
+	if err == nil {
+		return
+	}
+	r := refusalOf(err)
+	t.close(api.OutcomeUnknown)
+	t.encodeError(r)
+}
+
+// resume continues the stream at the token offset on a further attempt.
+func (t *tokenReader) resume(cause error) error {
+	c := t.call
+	resumable := c.target.resume || c.delivered == 0
+	_ = c.response.Stream.Close()
+	failed := &attemptError{sent: true, cause: cause}
+	if err := t.afterFailure(c, failed); err != nil {
+		return err
+	}
+	if !resumable {
+		return failed
+	}
+	if err := t.attempt(c); err != nil {
+		return err
+	}
+	return t.checkResumed()
+}
+
+// checkResumed refuses an attempt that can't continue the stream.
+func (t *tokenReader) checkResumed() error {
+	c := t.call
+	if c.response.Stream == nil {
+		return errors.Newf("the engine answered %d to a resumed stream", c.response.Status)
+	}
+	if c.delivered > 0 && !c.target.resume {
+		_ = c.response.Stream.Close()
+		t.stop(c, c.target)
+		return errors.New("the next engine does not resume streams")
+	}
+	return nil
+}
+
+// encodeError appends the event that marks a cut stream.
+func (t *tokenReader) encodeError(r *refusal) {
+	body, err := json.Marshal(errorBody{Error: errorDetail{
+		Message: r.message,
+		Type:    errorType(r.status),
+		Code:    r.code,
+		Request: t.call.id,
+		Outcome: api.OutcomeUnknown,
+	}})
+	if err != nil {
+		body = []byte(`{"error":{"message":"the stream was cut"}}`)
+	}
+	t.buf = append(t.buf, "event: error\ndata: "...)
+	t.buf = append(t.buf, body...)
+	t.buf = append(t.buf, "\n\n"...)
+}
+
+// close ends the call and announces its outcome.
+func (t *tokenReader) close(outcome api.Outcome) {
+	c := t.call
+	t.ended = true
+	c.outcome = outcome
+	if c.response.Stream != nil {
+		_ = c.response.Stream.Close()
+	}
+	c.http.Response.Header.Set(api.HeaderOutcome, string(outcome))
+	t.buf = append(t.buf, ": "+api.HeaderOutcome+" "+string(outcome)+"\n\n"...)
+	t.end(c)
+}
+
+// Close implements io.Closer. The stream of a caller that went away is
+// cancelled on the engine, and its grant is given back.
+func (t *tokenReader) Close() error {
+	if t.ended {
+		return nil
+	}
+	t.ended = true
+	c := t.call
+	c.outcome = api.OutcomeUnknown
+	_ = c.response.Stream.Close()
+	if c.target.granted {
+		t.stop(c, c.target)
+	}
+	t.end(c)
+	return nil
+}
--- /dev/null
+++ b/internal/shard/client.go
@@ -0,0 +1,337 @@
+package shard
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/clock"
+	"github.com/crocusway/crocusway/internal/entry"
+	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/logging"
+	"github.com/crocusway/crocusway/internal/peer"
+)
+
+const (
+	// callMargin is added to the wait of an acquire call for its transport.
+	callMargin = time.Second
+	// retryPause is the time before an acquire reads the view again.
+	retryPause = 20 * time.Millisecond
+	// pressureAge is how long a full shard is not tried without waiting.
+	pressureAge = 100 * time.Millisecond
+)
+
+// ClientConfig is what the entry side needs.
+type ClientConfig struct {
+	// Self is the entry that this process runs.
+	Self api.EntryInfo
+	View Viewer
+	// Local answers for the shards that this entry owns; nil for none.
+	Local    *Manager
+	Peers    peer.Caller
+	Clock    clock.Clock
+	Logger   log.Logger
+	Settings Settings
+}
+
+// Client acquires grants for this entry, keeps them alive and gives them back.
+// It is safe for concurrent use.
+type Client struct {
+	cfg    ClientConfig
+	logger log.Logger
+	mu     sync.Mutex
+	held   map[string]*heldGrant
+	// announced is the newest epoch for which a report was begun, by shard. A
+	// grant of an older epoch that arrives later is not used.
+	announced map[api.ShardID]api.Revision
+	// acknowledged is the newest epoch whose owner accepted a report.
+	acknowledged map[api.ShardID]api.Revision
+	pressure     map[api.ShardID]pressure
+}
+
+// heldGrant is a grant in use by this entry.
+type heldGrant struct {
+	grant   api.Grant
+	expires time.Time
+	// ended is closed when the grant may no longer be used.
+	ended chan struct{}
+}
+
+// pressure remembers a refusal of a full shard.
+type pressure struct {
+	until time.Time
+	wait  int64
+}
+
+// Request is one wish for a grant.
+type Request struct {
+	ServingGroup api.ServingGroupName
+	ID           api.RequestID
+	Account      api.AccountID
+	// PrefixHashes are hashes of the leading prompt blocks, longest last.
+	PrefixHashes []uint64
+	// Wait bounds the time in queues.
+	Wait time.Duration
+	// Exclude lists replicas that were already tried.
+	Exclude []api.GroupID
+	// Alone asks for a replica that runs nothing else.
+	Alone bool
+}
+
+// Result tells how the work of a grant ended.
+type Result struct {
+	Outcome api.Outcome
+	// Failed is set when the replica broke the connection or answered 5xx.
+	Failed bool
+	// FirstToken is the time to the first token, 0 if none arrived.
+	FirstToken time.Duration
+	// CachedTokens is the prefix hit that the engine reported, in tokens.
+	CachedTokens int
+}
+
+// NewClient returns a client that holds no grant.
+func NewClient(cfg ClientConfig) *Client {
+	cfg.Settings = cfg.Settings.withDefaults()
+	return &Client{
+		cfg:          cfg,
+		logger:       logging.For(cfg.Logger, "grants"),
+		held:         map[string]*heldGrant{},
+		announced:    map[api.ShardID]api.Revision{},
+		acknowledged: map[api.ShardID]api.Revision{},
+		pressure:     map[api.ShardID]pressure{},
+	}
+}
+
+// Acquire returns a grant from the best shard of the serving group. It fails
+// with errs.Full when no slot became free within the wait, and with
+// errs.Unavailable when no replica may serve; both carry RetryAfterMillis.
+func (c *Client) Acquire(ctx context.Context, r Request) (api.Grant, error) {
+	deadline := c.cfg.Clock.Now().Add(r.Wait)
+	for {
+		g, err := c.round(ctx, r, deadline)
+		if err == nil || !retryable(err) || ctx.Err() != nil {
+			return g, err
+		}
+		if !c.cfg.Clock.Now().Add(retryPause).Before(deadline) {
+			return api.Grant{}, err
+		}
+		if err := pause(ctx, retryPause); err != nil {
+			return api.Grant{}, errs.Wrap(err, "acquire grant", "")
+		}
+	}
+}
+
+// retryable reports whether a newer view may change the answer.
+func retryable(err error) bool {
+	return errs.Is(err, errs.Stale) || errs.Is(err, errs.Unavailable) || errs.Is(err, errs.Timeout)
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// round tries every shard without waiting, and then waits in the best one.
+func (c *Client) round(ctx context.Context, r Request, deadline time.Time) (api.Grant, error) {
+	leases := c.candidates(r)
+	if len(leases) == 0 {
+		err := errs.New(errs.Unavailable, "acquire grant", "", "no replica of %s may serve", r.ServingGroup)
+		err.RetryAfterMillis = time.Second.Milliseconds()
+		return api.Grant{}, err
+	}
+	if len(leases) > 1 {
+		if g, ok := c.tryAll(ctx, r, leases); ok {
+			return g, nil
+		}
+	}
+	wait := max(0, deadline.Sub(c.cfg.Clock.Now()))
+	return c.ask(ctx, r, c.leastPressure(leases), wait)
+}
+
+func (c *Client) tryAll(ctx context.Context, r Request, leases []api.ShardLease) (api.Grant, bool) {
+	for _, lease := range leases {
+		if c.isPressed(lease.Shard) {
+			continue
+		}
+		if g, err := c.ask(ctx, r, lease, 0); err == nil {
+			return g, true
+		}
+	}
+	return api.Grant{}, false
+}
+
+// candidates lists the shards that may serve, the own failure domain first and
+// the others by growing pressure.
+func (c *Client) candidates(r Request) []api.ShardLease {
+	s := c.cfg.View.Snapshot()
+	var own, others []api.ShardLease
+	for _, lease := range s.Shards {
+		if lease.Shard.ServingGroup != r.ServingGroup || !usable(s, lease.Shard, r.Exclude) {
+			continue
+		}
+		if lease.Shard.Domain == c.cfg.Self.Domain {
+			own = append(own, lease)
+			continue
+		}
+		others = append(others, lease)
+	}
+	c.sortByPressure(others)
+	return append(own, others...)
+}
+
+// usable reports whether a shard has a replica that may serve the request.
+func usable(s *entry.Snapshot, id api.ShardID, exclude []api.GroupID) bool {
+	if s.Drained(id.Domain) {
+		return false
+	}
+	for _, g := range s.ShardGroups(id) {
+		if g.Phase == api.GroupReady && !g.Leaving && !contains(exclude, g.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+func contains(ids []api.GroupID, id api.GroupID) bool {
+	for _, other := range ids {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+// ask sends one acquire call to the owner of a shard.
+func (c *Client) ask(ctx context.Context, r Request, lease api.ShardLease, wait time.Duration) (api.Grant, error) {
+	params := api.AcquireRequest{
+		Shard:        lease.Shard,
+		Epoch:        lease.Epoch,
+		Entry:        c.cfg.Self.ID,
+		Incarnation:  c.cfg.Self.Incarnation,
+		Request:      r.ID,
+		Account:      r.Account,
+		PrefixHashes: r.PrefixHashes,
+		WaitMillis:   wait.Milliseconds(),
+		Exclude:      r.Exclude,
+		Alone:        r.Alone,
+	}
+	sent := c.cfg.Clock.Now()
+	res, err := c.callAcquire(ctx, lease, params, wait)
+	if err != nil {
+		c.notePressure(lease.Shard, err)
+		return api.Grant{}, err
+	}
+	return c.hold(res.Grant, sent)
+}
+
+func (c *Client) callAcquire(ctx context.Context, lease api.ShardLease, params api.AcquireRequest, wait time.Duration) (api.AcquireResponse, error) {
+	if c.isLocal(lease) {
+		return c.cfg.Local.Acquire(ctx, params)
+	}
+	address, err := c.ownerAddress(lease)
+	if err != nil {
+		return api.AcquireResponse{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callMargin)
+	defer cancel()
+	var res api.AcquireResponse
+	err = c.cfg.Peers.Call(ctx, address, api.MethodAcquire, params, &res)
+	return res, err
+}
+
+func (c *Client) isLocal(lease api.ShardLease) bool {
+	return c.cfg.Local != nil && lease.Owner == c.cfg.Self.ID
+}
+
+func (c *Client) ownerAddress(lease api.ShardLease) (string, error) {
+	owner := c.cfg.View.Snapshot().Entry(lease.Owner)
+	if owner == nil || !owner.Live {
+		return "", errs.New(errs.Unavailable, "find shard owner", string(lease.Owner), "the owner is not live")
+	}
+	return owner.PeerAddress, nil
+}
+
+// hold enters a received grant. A grant of an epoch that was reported as gone
+// is given back unused.
+func (c *Client) hold(g api.Grant, sent time.Time) (api.Grant, error) {
+	c.mu.Lock()
+	stale := g.Epoch < c.announced[g.Shard]
+	if !stale {
+		expires := sent.Add(time.Duration(g.ExpiresMillis) * time.Millisecond)
+		c.held[holdKey(g)] = &heldGrant{grant: g, expires: expires, ended: make(chan struct{})}
+		delete(c.pressure, g.Shard)
+	}
+	c.mu.Unlock()
+	if stale {
+		c.sendSettle(g, Result{Outcome: api.OutcomeNotRun})
+		return api.Grant{}, staleError(g.Shard)
+	}
+	return g, nil
+}
+
+// holdKey identifies a grant over all shards.
+func holdKey(g api.Grant) string { return g.Shard.String() + "#" + g.ID }
+
+// Valid reports whether the grant may be used now. Check it right before a
+// request is written to the replica.
+func (c *Client) Valid(g api.Grant) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.held[holdKey(g)]
+	return h != nil && c.cfg.Clock.Now().Before(h.expires)
+}
+
+// Ended returns a channel that is closed when the grant may no longer be used
+// because it was revoked, refused or not renewed in time. It is nil, and never
+// ready, for a grant that is not held.
+func (c *Client) Ended(g api.Grant) <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h := c.held[holdKey(g)]; h != nil {
+		return h.ended
+	}
+	return nil
+}
+
+// Settle gives a grant back. A second call changes nothing.
+func (c *Client) Settle(g api.Grant, r Result) {
+	c.mu.Lock()
+	delete(c.held, holdKey(g))
+	c.mu.Unlock()
+	c.sendSettle(g, r)
+}
+
+// sendSettle tells the present owner. A lost message is made up for by the
+// expiry of the grant, which is no longer renewed.
+func (c *Client) sendSettle(g api.Grant, r Result) {
+	lease := c.cfg.View.Snapshot().Shard(g.Shard)
+	if lease == nil {
+		return
+	}
+	params := api.SettleRequest{
+		Grant:            g,
+		Entry:            c.cfg.Self.ID,
+		Outcome:          r.Outcome,
+		Failed:           r.Failed,
+		FirstTokenMicros: r.FirstToken.Microseconds(),
+		CachedTokens:     r.CachedTokens,
+	}
+	if c.isLocal(*lease) {
+		c.logLost(c.cfg.Local.Settle(params), g)
+		return
+	}
+	address, err := c.ownerAddress(*lease)
+	if err == nil {
+		err = c.cfg.Peers.Notify(address, api.MethodSettle, params)
+	}
+	c.logLost(err, g)
+}
--- /dev/null
+++ b/internal/shard/filter_free.go
@@ -0,0 +1,12 @@
+package shard
+
+// freeFilter keeps replicas with a free slot; a request that runs alone needs
+// an idle replica.
+type freeFilter struct{}
+
+func (freeFilter) keep(c *choice, r *replica) bool {
+	if c.request.Alone {
+		return r.held == 0
+	}
+	return r.free() > 0
+}
--- /dev/null
+++ b/internal/shard/filter_straggler.go
@@ -0,0 +1,111 @@
+package shard
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// stragglerFactor is the ratio of a replica's first-token time to the
+	// median of its peers at which it is ejected.
+	stragglerFactor = 3
+	// stragglerRestore is the ratio at which a probed replica returns.
+	stragglerRestore = 2
+	// stragglerSamples is the number of first tokens before a replica counts.
+	stragglerSamples = 5
+	// stragglerEject is the time before an ejected replica is probed.
+	stragglerEject = 5 * time.Second
+	// stragglerShare is the inverse of the largest ejected part of a shard.
+	stragglerShare = 3
+	// stragglerPeriod is the time between two evaluations of a shard.
+	stragglerPeriod = time.Second
+	// latencyWeight is the weight of a new sample in the mean.
+	latencyWeight = 0.2
+)
+
+// latency follows the first-token time of one replica.
+type latency struct {
+	// mean is the moving mean of the first-token time in microseconds.
+	mean    float64
+	samples int
+	ejected bool
+	// probeAt is when an ejected replica may take one request.
+	probeAt time.Time
+}
+
+// observe adds a first-token time in microseconds.
+func (l *latency) observe(micros float64) {
+	if l.samples == 0 {
+		l.mean = micros
+	}
+	l.samples++
+	l.mean += (micros - l.mean) * latencyWeight
+}
+
+// stragglerFilter drops ejected replicas, and lets one request at a time probe
+// them after a while.
+type stragglerFilter struct{}
+
+func (stragglerFilter) keep(c *choice, r *replica) bool {
+	if !r.latency.ejected {
+		return true
+	}
+	return r.held == 0 && !c.now.Before(r.latency.probeAt)
+}
+
+// evaluateStragglers ejects and restores replicas by their first-token time
+// against the median. At most a third of the replicas are ejected.
+func evaluateStragglers(now time.Time, replicas []*replica) {
+	median, known := medianLatency(replicas)
+	if known < stragglerShare {
+		return
+	}
+	ejected := 0
+	for _, r := range replicas {
+		if r.latency.ejected && r.latency.mean <= stragglerRestore*median {
+			r.latency.ejected = false
+		}
+		if r.latency.ejected {
+			ejected++
+		}
+	}
+	for _, r := range replicas {
+		if (ejected+1)*stragglerShare > len(replicas) {
+			return
+		}
+		if r.latency.samples >= stragglerSamples && !r.latency.ejected && r.latency.mean > stragglerFactor*median {
+			r.latency.ejected = true
+			r.latency.probeAt = now.Add(stragglerEject)
+			ejected++
+		}
+	}
+}
+
+// medianLatency returns the median first-token time and the number of replicas
+// that have one.
+func medianLatency(replicas []*replica) (float64, int) {
+	means := make([]float64, 0, len(replicas))
+	for _, r := range replicas {
+		if r.latency.samples >= stragglerSamples {
+			means = append(means, r.latency.mean)
+		}
+	}
+	if len(means) == 0 {
+		return 0, 0
+	}
+	slices.Sort(means)
+	return means[len(means)/2], len(means)
+}
+
+// observeLatency feeds a settled request's first-token time. The first sample
+// of a probe replaces the mean, so that a recovered replica returns at once.
+func (r *replica) observeLatency(now time.Time, micros int64) {
+	if r.latency.ejected {
+		r.latency.samples = 0
+		r.latency.probeAt = now.Add(stragglerEject)
+		r.latency.observe(float64(micros))
+		r.latency.samples = stragglerSamples
+		return
+	}
+	r.latency.observe(float64(micros))
+}
--- /dev/null
+++ b/internal/shard/grant.go
@@ -0,0 +1,133 @@
+package shard
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+const (
+	// reservedShare is the inverse of the largest part of a shard that is kept
+	// for requests that run alone; one replica may always be kept.
+	reservedShare = 3
+	// priorityInShare is added to the engine priority of a request within the
+	// bought share of its account.
+	priorityInShare = 10
+)
+
+// grantAll grants slots until none is free or no waiting ticket fits.
+func (c *Core) grantAll(now time.Time) {
+	if c.queue.size == 0 {
+		return
+	}
+	skipped := map[api.AccountID]int{}
+	for c.anyFree() {
+		t := c.first(skipped)
+		if t == nil {
+			return
+		}
+		r := c.place(now, t)
+		if r == nil {
+			skipped[t.Request.Account]++
+			continue
+		}
+		c.drop(t)
+		c.grant(now, t, r)
+	}
+}
+
+// anyFree reports whether any replica could take a request.
+func (c *Core) anyFree() bool {
+	if c.drained {
+		return false
+	}
+	for _, r := range c.ledger.order {
+		if r.free() > 0 && !r.uncertain && r.isReady() {
+			return true
+		}
+	}
+	return false
+}
+
+// first returns the ticket that goes first, passing over the first skipped
+// tickets of each account, or nil.
+func (c *Core) first(skipped map[api.AccountID]int) *Ticket {
+	var best *Ticket
+	for _, a := range c.queue.order {
+		n := skipped[a.id]
+		if n >= len(a.tickets) {
+			continue
+		}
+		if t := a.tickets[n]; best == nil || precedes(t, best, c.ledger.accounts) {
+			best = t
+		}
+	}
+	return best
+}
+
+// place chooses a replica for a ticket, or returns nil.
+func (c *Core) place(now time.Time, t *Ticket) *replica {
+	ctx := &choice{now: now, request: &t.Request, ticket: t.ID, drained: c.drained, rand: c.rand}
+	r := c.chooser.choose(ctx, c.ledger.order)
+	if r == nil && t.Request.Alone {
+		c.reserve(ctx)
+	}
+	return r
+}
+
+// reserve keeps the least used replica for a ticket that runs alone, so that
+// it becomes idle.
+func (c *Core) reserve(ctx *choice) {
+	reserved := 0
+	var best *replica
+	for _, r := range c.ledger.order {
+		if r.reserved == ctx.ticket {
+			return
+		}
+		if r.reserved != 0 || r.alone {
+			reserved++
+			continue
+		}
+		usable := readyFilter{}.keep(ctx, r) && excludedFilter{}.keep(ctx, r) && !r.uncertain
+		if usable && (best == nil || r.held < best.held) {
+			best = r
+		}
+	}
+	if best != nil && reserved < max(1, len(c.ledger.order)/reservedShare) {
+		best.reserved = ctx.ticket
+	}
+}
+
+// grant counts a slot for a ticket and decides it.
+func (c *Core) grant(now time.Time, t *Ticket, r *replica) {
+	c.grants++
+	priority := t.Class
+	if c.ledger.accounts[t.Request.Account] < t.Share {
+		priority += priorityInShare
+	}
+	lifetime := c.settings.GrantLifetime
+	g := api.Grant{
+		ID:            strconv.FormatUint(uint64(c.epoch), 10) + "-" + strconv.FormatUint(c.grants, 10),
+		Shard:         c.id,
+		Epoch:         c.epoch,
+		Request:       t.Request.Request,
+		Account:       t.Request.Account,
+		Group:         r.group.ID,
+		Fencing:       r.group.Fencing,
+		Address:       r.group.Address,
+		ExpiresMillis: (now.Sub(t.Received) + lifetime).Milliseconds(),
+		Priority:      priority,
+		Alone:         t.Request.Alone,
+	}
+	c.ledger.add(&hold{
+		grant:   g,
+		entry:   t.Request.Entry,
+		replica: r,
+		granted: now,
+		expires: now.Add(lifetime),
+		blocks:  t.Request.PrefixHashes,
+	})
+	r.prefix.add(now, t.Request.PrefixHashes)
+	c.out = append(c.out, Decision{Ticket: t.ID, Grant: g})
+}
--- /dev/null
+++ b/internal/shard/ledger.go
@@ -0,0 +1,146 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// replica is the state of one replica at one generation.
+type replica struct {
+	group api.Group
+	limit limiter
+	// held is the number of grants outstanding.
+	held int
+	// alone is set while a grant that asked for the whole replica is held.
+	alone bool
+	// reserved is the ticket that waits for the replica to become idle, or 0.
+	reserved uint64
+	// uncertain is set while grants of an earlier owner may be unreported.
+	uncertain bool
+	// listed is set while the view contains the replica.
+	listed  bool
+	latency latency
+	prefix  prefixIndex
+	load    loadReport
+}
+
+// free returns the number of further requests that the replica bears.
+func (r *replica) free() int { return r.limit.value - r.held }
+
+// hold is one grant outstanding.
+type hold struct {
+	grant   api.Grant
+	entry   api.EntryID
+	replica *replica
+	granted time.Time
+	// expires is when the grant is counted out without a settlement.
+	expires time.Time
+	// blocks are the prefix hashes of the request.
+	blocks []uint64
+}
+
+// ledger counts the grants of one shard.
+type ledger struct {
+	settings Settings
+	replicas map[api.GroupID]*replica
+	// order lists the replicas in a fixed order, for determinism.
+	order    []*replica
+	holds    map[string]*hold
+	accounts map[api.AccountID]int
+	// settled remembers grants that were given back before they were reported
+	// to this owner, until the handover ends.
+	settled map[string]bool
+	// nextExpiry is not after the earliest expiry of a hold.
+	nextExpiry time.Time
+}
+
+func newLedger(settings Settings) *ledger {
+	return &ledger{
+		settings: settings,
+		replicas: map[api.GroupID]*replica{},
+		holds:    map[string]*hold{},
+		accounts: map[api.AccountID]int{},
+		settled:  map[string]bool{},
+	}
+}
+
+// update applies the replicas of the view. uncertain marks replicas that are
+// new to the ledger as possibly used by an earlier owner.
+func (l *ledger) update(groups []*api.Group, uncertain bool) {
+	for _, r := range l.order {
+		r.listed = false
+	}
+	for _, g := range groups {
+		l.updateGroup(g, uncertain)
+	}
+	l.order = l.order[:0]
+	for _, g := range groups {
+		l.order = append(l.order, l.replicas[g.ID])
+	}
+	for id, r := range l.replicas {
+		if !r.listed && r.held == 0 {
+			delete(l.replicas, id)
+		}
+	}
+}
+
+func (l *ledger) updateGroup(g *api.Group, uncertain bool) {
+	r := l.replicas[g.ID]
+	if r == nil || r.group.Fencing != g.Fencing {
+		r = &replica{limit: newLimiter(g, l.settings.DefaultWarmLoad), uncertain: uncertain}
+		l.replicas[g.ID] = r
+	}
+	r.limit.announce(g, l.settings.DefaultWarmLoad)
+	r.group = *g
+	r.listed = true
+}
+
+// add counts a grant.
+func (l *ledger) add(h *hold) {
+	l.holds[h.grant.ID] = h
+	l.accounts[h.grant.Account]++
+	h.replica.held++
+	if l.nextExpiry.IsZero() || h.expires.Before(l.nextExpiry) {
+		l.nextExpiry = h.expires
+	}
+	if h.grant.Alone {
+		h.replica.alone = true
+	}
+}
+
+// remove counts a grant out. It reports false for a grant that is not held, so
+// that a second settlement frees nothing.
+func (l *ledger) remove(id string) (*hold, bool) {
+	h, ok := l.holds[id]
+	if !ok {
+		return nil, false
+	}
+	delete(l.holds, id)
+	l.accounts[h.grant.Account]--
+	if l.accounts[h.grant.Account] == 0 {
+		delete(l.accounts, h.grant.Account)
+	}
+	h.replica.held--
+	if h.grant.Alone {
+		h.replica.alone = false
+	}
+	return h, true
+}
+
+// expire counts out every grant whose lifetime has run out.
+func (l *ledger) expire(now time.Time) {
+	if !now.After(l.nextExpiry) {
+		return
+	}
+	l.nextExpiry = time.Time{}
+	for id, h := range l.holds {
+		if now.After(h.expires) {
+			l.remove(id)
+			continue
+		}
+		if l.nextExpiry.IsZero() || h.expires.Before(l.nextExpiry) {
+			l.nextExpiry = h.expires
+		}
+	}
+}
--- /dev/null
+++ b/internal/shard/limit.go
@@ -0,0 +1,112 @@
+package shard
+
+import (
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+const (
+	// coldFactor is the ratio of a first-token time to the warm baseline that
+	// counts as a cold signal.
+	coldFactor = 4
+	// coldSamples is the number of consecutive slow first tokens that lower
+	// the limit.
+	coldSamples = 2
+	// baselineSamples is the number of first tokens before the baseline counts.
+	baselineSamples = 8
+	// baselineWeight is the weight of a new sample in the baseline.
+	baselineWeight = 1.0 / 16
+)
+
+// limiter is the concurrency limit of one replica. It starts at what the
+// replica announced and grows with completed work only, by one for each
+// completed request, so it at most doubles for each round of completions.
+type limiter struct {
+	// value is the limit in concurrent requests.
+	value int
+	// floor is what the replica announced to bear at the last cold signal.
+	floor int
+	// ceiling is the highest limit in the present announced state.
+	ceiling int
+	warm    bool
+	// bearable is the last announced bearable load, 0 if unknown.
+	bearable int
+	// baseline is the first-token time when warm, in microseconds.
+	baseline float64
+	samples  int
+	slow     int
+}
+
+// newLimiter starts the limit of a replica that was not seen before.
+func newLimiter(g *api.Group, defaultWarm int) limiter {
+	l := limiter{}
+	l.announce(g, defaultWarm)
+	l.value = l.floor
+	return l
+}
+
+// announce applies the announced state. A drop takes effect at once.
+func (l *limiter) announce(g *api.Group, defaultWarm int) {
+	cold := l.warm && !g.Warm
+	dropped := l.bearable > 0 && g.BearableLoad > 0 && g.BearableLoad < l.bearable
+	l.warm = g.Warm
+	l.bearable = g.BearableLoad
+	l.floor = max(1, g.BearableLoad)
+	if g.Warm && g.BearableLoad == 0 && g.WarmLoad > 0 {
+		l.floor = g.WarmLoad
+	}
+	l.ceiling = ceilingOf(g, defaultWarm)
+	l.floor = min(l.floor, l.ceiling)
+	if cold || dropped {
+		l.value = l.floor
+		l.samples = 0
+	}
+	l.value = min(l.value, l.ceiling)
+}
+
+// ceilingOf returns the highest limit that the announced state allows.
+func ceilingOf(g *api.Group, defaultWarm int) int {
+	if !g.Warm && g.BearableLoad > 0 {
+		return g.BearableLoad
+	}
+	if g.WarmLoad > 0 {
+		return max(g.WarmLoad, g.BearableLoad)
+	}
+	return max(defaultWarm, g.BearableLoad)
+}
+
+// complete counts one completed request and its first-token time in
+// microseconds, 0 if unknown.
+func (l *limiter) complete(firstToken int64) {
+	if firstToken > 0 && l.isCold(float64(firstToken)) {
+		l.drop()
+		return
+	}
+	if l.value < l.ceiling {
+		l.value++
+	}
+}
+
+// drop lowers the limit after a cold signal.
+func (l *limiter) drop() {
+	l.value = min(l.value, l.floor)
+	if l.warm {
+		l.value = 1
+	}
+	l.samples = 0
+	l.slow = 0
+}
+
+// isCold feeds the baseline and reports a cold signal.
+func (l *limiter) isCold(micros float64) bool {
+	if l.samples >= baselineSamples && micros > coldFactor*l.baseline {
+		l.slow++
+		return l.slow >= coldSamples
+	}
+	l.slow = 0
+	if l.samples == 0 {
+		l.baseline = micros
+	}
+	l.samples++
+	l.baseline += (micros - l.baseline) * baselineWeight
+	return false
+}
--- /dev/null
+++ b/internal/shard/scorer_held.go
@@ -0,0 +1,12 @@
+package shard
+
+// heldScorer rates the free part of the limit: 1 for an idle replica, 0 for a
+// full one. The count is the owner's own and exact.
+type heldScorer struct{}
+
+func (heldScorer) score(_ *choice, r *replica) float64 {
+	if r.limit.value <= 0 {
+		return 0
+	}
+	return max(0, float64(r.free())/float64(r.limit.value))
+}
--- /dev/null
+++ b/internal/shard/scorer_prefix.go
@@ -0,0 +1,65 @@
+package shard
+
+import "time"
+
+const (
+	// prefixAge is the time after which a remembered block is taken for evicted.
+	prefixAge = 2 * time.Minute
+	// prefixBlocks bounds the remembered blocks of one replica.
+	prefixBlocks = 2048
+)
+
+// prefixIndex remembers which prompt blocks a replica has seen. It is a hint:
+// blocks age, the oldest make room, and a replica that turns cold loses them.
+type prefixIndex struct {
+	seen map[uint64]time.Time
+	ring []uint64
+	next int
+}
+
+// add remembers the blocks of a request.
+func (p *prefixIndex) add(now time.Time, blocks []uint64) {
+	if len(blocks) > 0 && p.seen == nil {
+		p.seen = make(map[uint64]time.Time, len(blocks))
+	}
+	for _, b := range blocks {
+		if _, ok := p.seen[b]; !ok {
+			p.push(b)
+		}
+		p.seen[b] = now
+	}
+}
+
+// push enters a new block and evicts the oldest entry when the ring is full.
+func (p *prefixIndex) push(b uint64) {
+	if len(p.ring) < prefixBlocks {
+		p.ring = append(p.ring, b)
+		return
+	}
+	delete(p.seen, p.ring[p.next])
+	p.ring[p.next] = b
+	p.next = (p.next + 1) % prefixBlocks
+}
+
+// match returns the number of leading blocks that the replica likely holds.
+func (p *prefixIndex) match(now time.Time, blocks []uint64) int {
+	for i := len(blocks) - 1; i >= 0; i-- {
+		at, ok := p.seen[blocks[i]]
+		if ok && now.Sub(at) <= prefixAge {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+// prefixScorer rates the part of the prompt's blocks that the replica likely
+// caches: 0 none, 1 all.
+type prefixScorer struct{}
+
+func (prefixScorer) score(c *choice, r *replica) float64 {
+	blocks := c.request.PrefixHashes
+	if len(blocks) == 0 {
+		return 0
+	}
+	return float64(r.prefix.match(c.now, blocks)) / float64(len(blocks))
+}
