Lent capacity taken back, expired work stopped before it is counted out

Cause: a claimed share had to wait for borrowers; an expired grant was counted out while a stopped entry's request could still run on the engine. Ruled out: counting out at expiry alone; cutting the borrower's answer. Change: shard.revoke with cancel and resume, Lapsed grants cancelled by the owner, Holdings as the pure entry side, Abandon after an unconfirmed cancel. Conclusion: unit and two-node tests pass; fuzzing follows.

--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -23,6 +23,8 @@
 	MethodAcquire    Method = "shard.acquire"
 	MethodSettle     Method = "shard.settle"
 	MethodReport     Method = "shard.report"
+	// MethodRevoke is answered by the entry that holds the grant.
+	MethodRevoke Method = "shard.revoke"
 )
 
 // RenewRequest renews the work lease of an entry.
@@ -237,6 +239,11 @@
 	Exclude []GroupID `json:"exclude,omitempty"`
 	// Alone asks for a replica that runs nothing else.
 	Alone bool `json:"alone,omitempty"`
+	// Revocable is set when the entry can stop the request and resume it later.
+	Revocable bool `json:"revocable,omitempty"`
+	// Resumed is set for a request that has begun: it goes before the other
+	// waiting requests of its account, and a full queue does not refuse it.
+	Resumed bool `json:"resumed,omitempty"`
 }
 
 // Grant allows one request on one replica until it expires.
@@ -274,6 +281,12 @@
 	CachedTokens int `json:"cached_tokens,omitempty"`
 }
 
+// RevokeRequest takes a grant back: the entry stops the request on the engine,
+// settles the grant, and may resume the request under a new one.
+type RevokeRequest struct {
+	Grant Grant `json:"grant"`
+}
+
 // ReportRequest tells a new shard owner every grant that an entry still holds.
 type ReportRequest struct {
 	Shard       ShardID     `json:"shard"`
--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -44,15 +44,20 @@
 }
 
 func (f admit) acquire(c *call, name api.ServingGroupName) (api.Grant, error) {
-	left := c.deadline.Sub(f.cfg.Clock.Now())
+	wait := c.deadline.Sub(f.cfg.Clock.Now())
+	if !c.hasBegun() {
+		wait = min(wait, f.cfg.Settings.QueueWait)
+	}
 	return f.cfg.Grants.Acquire(c.ctx, shard.Request{
 		ServingGroup: name,
 		ID:           c.id,
 		Account:      c.account.ID,
 		PrefixHashes: c.generation.blocks,
-		Wait:         min(left, f.cfg.Settings.QueueWait),
+		Wait:         wait,
 		Exclude:      c.excluded,
 		Alone:        c.alone,
+		Revocable:    c.generation.stream || !c.takenBack,
+		Resumed:      c.hasBegun(),
 	})
 }
 
--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -48,6 +48,10 @@
 	t := c.target
 	c.target = target{}
 	c.sent = c.sent || failed.sent
+	if c.grantEnded() || errors.Is(failed, errGrantEnded) {
+		failed.grantEnded = true
+		c.takenBack = c.takenBack || failed.sent
+	}
 	if c.endAttempt != nil {
 		c.endAttempt()
 	}
@@ -65,12 +69,16 @@
 		return nil
 	}
 	if !failed.sent {
-		s.cfg.Grants.Settle(t.grant, shard.Result{Outcome: api.OutcomeNotRun, Failed: !errors.Is(failed, errGrantEnded)})
+		s.cfg.Grants.Settle(t.grant, shard.Result{Outcome: api.OutcomeNotRun, Failed: !failed.grantEnded})
 		c.exclude(t.grant.Group)
 		return nil
 	}
 	stopped := s.stop(c, t)
-	s.cfg.Grants.Settle(t.grant, c.result(api.OutcomeUnknown, true))
+	if !stopped.stopped && !stopped.dead {
+		s.cfg.Grants.Abandon(t.grant)
+		return nil
+	}
+	s.cfg.Grants.Settle(t.grant, c.result(api.OutcomeUnknown, !failed.grantEnded))
 	if failed.response != nil {
 		c.exclude(t.grant.Group)
 		return nil
@@ -99,6 +107,9 @@
 	if c.sent && !c.repeatable {
 		return refuse
 	}
+	if failed.grantEnded && failed.sent {
+		return nil
+	}
 	if !c.sent {
 		refuse.status = fasthttp.StatusServiceUnavailable
 		refuse.retryAfter = time.Second
--- a/internal/pipeline/call.go
+++ b/internal/pipeline/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -61,8 +62,11 @@
 	firstToken time.Duration
 	outcome    api.Outcome
 	settled    bool
-	// endAttempt ends the context of the present attempt.
+	// attemptCtx is the context of the present attempt, which endAttempt ends.
+	attemptCtx context.Context
 	endAttempt context.CancelFunc
+	// takenBack is set once a grant of the call ended under its work.
+	takenBack bool
 }
 
 // target is the backend server of the present attempt.
@@ -76,6 +80,10 @@
 	host api.HostID
 }
 
+// hasBegun reports whether the caller or an engine has already put work into
+// the request, so that it should not be refused any more.
+func (c *call) hasBegun() bool { return c.delivered > 0 || c.takenBack }
+
 // isModel reports whether the call goes to an engine.
 func (c *call) isModel() bool { return c.kind != callService }
 
@@ -87,6 +95,12 @@
 	return api.OutcomeNotRun
 }
 
+// grantEnded reports whether the present attempt stopped because its grant
+// ended, and not because the engine failed.
+func (c *call) grantEnded() bool {
+	return c.attemptCtx != nil && errors.Is(context.Cause(c.attemptCtx), errGrantEnded)
+}
+
 // result describes the present attempt for its settlement.
 func (c *call) result(outcome api.Outcome, failed bool) shard.Result {
 	return shard.Result{Outcome: outcome, Failed: failed, FirstToken: c.firstToken}
--- a/internal/pipeline/config.go
+++ b/internal/pipeline/config.go
@@ -31,6 +31,8 @@
 	// Ended is closed when the grant may no longer be used.
 	Ended(g api.Grant) <-chan struct{}
 	Settle(g api.Grant, r shard.Result)
+	// Abandon leaves a grant to expire, because its work may still run.
+	Abandon(g api.Grant)
 }
 
 // Config is what the request path needs.
--- a/internal/pipeline/dispatch.go
+++ b/internal/pipeline/dispatch.go
@@ -16,7 +16,9 @@
 	sent bool
 	// response is a whole answer that says the server failed, if there is one.
 	response *backend.Response
-	cause    error
+	// grantEnded is set when the grant ended under the attempt.
+	grantEnded bool
+	cause      error
 }
 
 // Error implements error.
@@ -65,6 +67,7 @@
 // bind returns the context of this attempt, which ends with the grant.
 func (f dispatch) bind(c *call) context.Context {
 	ctx, cancel := context.WithCancelCause(c.ctx)
+	c.attemptCtx = ctx
 	c.endAttempt = func() { cancel(nil) }
 	if !c.target.granted {
 		return ctx
--- a/internal/pipeline/fakes_test.go
+++ b/internal/pipeline/fakes_test.go
@@ -53,14 +53,17 @@
 
 // fakeGrants grants the replicas in turn and counts what is held.
 type fakeGrants struct {
-	mu      sync.Mutex
-	state   *entry.State
-	n       int
-	held    map[string]bool
-	settled []shard.Result
-	alone   []bool
-	invalid bool
-	err     error
+	mu        sync.Mutex
+	state     *entry.State
+	n         int
+	held      map[string]bool
+	settled   []shard.Result
+	ended     map[string]chan struct{}
+	requests  []shard.Request
+	abandoned int
+	alone     []bool
+	invalid   bool
+	err       error
 }
 
 func (f *fakeGrants) Acquire(_ context.Context, r shard.Request) (api.Grant, error) {
@@ -78,6 +81,8 @@
 		f.n++
 		id := string(r.ID) + string(g.ID) + time.Duration(f.n).String()
 		f.held[id] = true
+		f.ended[id] = make(chan struct{})
+		f.requests = append(f.requests, r)
 		f.alone = append(f.alone, r.Alone)
 		return api.Grant{ID: id, Request: r.ID, Group: g.ID, Fencing: g.Fencing, Address: g.Address, Alone: r.Alone}, nil
 	}
@@ -99,7 +104,25 @@
 	return f.held[g.ID] && !f.invalid
 }
 
-func (f *fakeGrants) Ended(api.Grant) <-chan struct{} { return nil }
+func (f *fakeGrants) Ended(g api.Grant) <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ended[g.ID]
+}
+
+// revoke ends a held grant.
+func (f *fakeGrants) revoke(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.ended[id])
+}
+
+func (f *fakeGrants) Abandon(g api.Grant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.held, g.ID)
+	f.abandoned++
+}
 
 func (f *fakeGrants) Settle(g api.Grant, r shard.Result) {
 	f.mu.Lock()
@@ -294,7 +317,7 @@
 	state.SetLease(time.Now().Add(time.Hour))
 	h := &harness{
 		state:    state,
-		grants:   &fakeGrants{state: state, held: map[string]bool{}},
+		grants:   &fakeGrants{state: state, held: map[string]bool{}, ended: map[string]chan struct{}{}},
 		control:  newFakeControl(),
 		backends: &fakeBackends{},
 	}
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -234,3 +234,56 @@
 	require.Equal(t, 503, a.status)
 	require.Zero(t, h.backends.runCount())
 }
+
+// heldStream yields tokens up to a count, and then waits for the end of its
+// context.
+type heldStream struct {
+	fakeStream
+	ctx    context.Context
+	onHold func()
+}
+
+func (s *heldStream) Next() (backend.Event, error) {
+	if len(s.events) > 0 {
+		return s.fakeStream.Next()
+	}
+	s.onHold()
+	<-s.ctx.Done()
+	return backend.Event{}, s.ctx.Err()
+}
+
+func TestRevokedGrantIsCancelledAndResumed(t *testing.T) {
+	h := newHarness(Settings{MaxAttempts: 1})
+	h.backends.do = func(ctx context.Context, r backend.Request) (*backend.Response, error) {
+		if r.Offset > 0 {
+			return streamOf(&fakeStream{events: tokens(r.Offset, 4)}), nil
+		}
+		s := &heldStream{fakeStream: fakeStream{events: tokens(0, 2)}, ctx: ctx}
+		s.onHold = func() {
+			for id := range h.grants.held {
+				h.grants.revoke(id)
+			}
+		}
+		return streamOf(s), nil
+	}
+	a := send(t, h.listen(t), "POST", "/v1/chat/completions", testKey, chatBody)
+	require.Equal(t, api.OutcomeComplete, a.outcome(), a.body)
+	require.Equal(t, 4, strings.Count(a.body, "token"))
+	require.True(t, strings.HasSuffix(a.body, "data: [DONE]\n\n"))
+	h.server.Wait()
+	require.Len(t, h.backends.cancelled, 1)
+	require.Equal(t, []bool{false, true}, []bool{h.grants.requests[0].Resumed, h.grants.requests[1].Resumed})
+	require.True(t, h.grants.requests[0].Revocable)
+	require.False(t, h.grants.settled[0].Failed, "a revocation is no failure of the replica")
+	require.Zero(t, h.grants.outstanding())
+}
+
+func TestUnconfirmedCancelLeavesTheGrantToExpire(t *testing.T) {
+	h := newHarness(Settings{MaxAttempts: 1})
+	h.backends.cancelErr = errBroken
+	h.backends.do = func(context.Context, backend.Request) (*backend.Response, error) { return nil, errBroken }
+	a := send(t, h.listen(t), "POST", "/v1/chat/completions", testKey, chatBody)
+	require.Equal(t, 502, a.status)
+	require.Equal(t, 1, h.grants.abandoned)
+	require.Empty(t, h.grants.settled)
+}
--- a/internal/pipeline/tokens.go
+++ b/internal/pipeline/tokens.go
@@ -122,7 +122,7 @@
 	}
 	if c.delivered > 0 && !c.target.resume {
 		_ = c.response.Stream.Close()
-		t.stop(c, c.target)
+		t.stopGranted(c)
 		return errors.New("the next engine does not resume streams")
 	}
 	return nil
@@ -168,9 +168,19 @@
 	c := t.call
 	c.outcome = api.OutcomeUnknown
 	_ = c.response.Stream.Close()
-	if c.target.granted {
-		t.stop(c, c.target)
-	}
+	t.stopGranted(c)
 	t.end(c)
 	return nil
 }
+
+// stopGranted stops the work of a call that no one waits for. If that can't be
+// confirmed its grant is left to expire.
+func (s *Server) stopGranted(c *call) {
+	if !c.target.granted {
+		return
+	}
+	if r := s.stop(c, c.target); !r.stopped && !r.dead {
+		s.cfg.Grants.Abandon(c.target.grant)
+		c.target.granted = false
+	}
+}
--- a/internal/shard/client.go
+++ b/internal/shard/client.go
@@ -8,7 +8,6 @@
 	"github.com/go-kit/log"
 
 	"github.com/crocusway/crocusway/internal/api"
-	"github.com/crocusway/crocusway/internal/clock"
 	"github.com/crocusway/crocusway/internal/entry"
 	"github.com/crocusway/crocusway/internal/errs"
 	"github.com/crocusway/crocusway/internal/logging"
@@ -24,40 +23,18 @@
 	pressureAge = 100 * time.Millisecond
 )
 
-// ClientConfig is what the entry side needs.
-type ClientConfig struct {
-	// Self is the entry that this process runs.
-	Self api.EntryInfo
-	View Viewer
-	// Local answers for the shards that this entry owns; nil for none.
-	Local    *Manager
-	Peers    peer.Caller
-	Clock    clock.Clock
-	Logger   log.Logger
-	Settings Settings
-}
-
 // Client acquires grants for this entry, keeps them alive and gives them back.
 // It is safe for concurrent use.
 type Client struct {
-	cfg    ClientConfig
+	cfg    Config
 	logger log.Logger
-	mu     sync.Mutex
-	held   map[string]*heldGrant
-	// announced is the newest epoch for which a report was begun, by shard. A
-	// grant of an older epoch that arrives later is not used.
-	announced map[api.ShardID]api.Revision
-	// acknowledged is the newest epoch whose owner accepted a report.
-	acknowledged map[api.ShardID]api.Revision
-	pressure     map[api.ShardID]pressure
-}
-
-// heldGrant is a grant in use by this entry.
-type heldGrant struct {
-	grant   api.Grant
-	expires time.Time
-	// ended is closed when the grant may no longer be used.
-	ended chan struct{}
+	// local answers for the shards that this entry owns.
+	local *Manager
+	// renewing is set while a report to an owner is under way.
+	renewing map[api.ShardID]bool
+	mu       sync.Mutex
+	holdings *Holdings
+	pressure map[api.ShardID]pressure
 }
 
 // pressure remembers a refusal of a full shard.
@@ -79,6 +56,10 @@
 	Exclude []api.GroupID
 	// Alone asks for a replica that runs nothing else.
 	Alone bool
+	// Revocable is set when the request can be stopped and resumed later.
+	Revocable bool
+	// Resumed is set for a request that has begun.
+	Resumed bool
 }
 
 // Result tells how the work of a grant ended.
@@ -92,16 +73,15 @@
 	CachedTokens int
 }
 
-// NewClient returns a client that holds no grant.
-func NewClient(cfg ClientConfig) *Client {
-	cfg.Settings = cfg.Settings.withDefaults()
+// newClient returns a client that holds no grant.
+func newClient(cfg Config, local *Manager) *Client {
 	return &Client{
-		cfg:          cfg,
-		logger:       logging.For(cfg.Logger, "grants"),
-		held:         map[string]*heldGrant{},
-		announced:    map[api.ShardID]api.Revision{},
-		acknowledged: map[api.ShardID]api.Revision{},
-		pressure:     map[api.ShardID]pressure{},
+		cfg:      cfg,
+		local:    local,
+		logger:   logging.For(cfg.Logger, "grants"),
+		renewing: map[api.ShardID]bool{},
+		holdings: NewHoldings(),
+		pressure: map[api.ShardID]pressure{},
 	}
 }
 
@@ -223,6 +203,8 @@
 		WaitMillis:   wait.Milliseconds(),
 		Exclude:      r.Exclude,
 		Alone:        r.Alone,
+		Revocable:    r.Revocable,
+		Resumed:      r.Resumed,
 	}
 	sent := c.cfg.Clock.Now()
 	res, err := c.callAcquire(ctx, lease, params, wait)
@@ -235,7 +217,7 @@
 
 func (c *Client) callAcquire(ctx context.Context, lease api.ShardLease, params api.AcquireRequest, wait time.Duration) (api.AcquireResponse, error) {
 	if c.isLocal(lease) {
-		return c.cfg.Local.Acquire(ctx, params)
+		return c.local.Acquire(ctx, params)
 	}
 	address, err := c.ownerAddress(lease)
 	if err != nil {
@@ -249,7 +231,7 @@
 }
 
 func (c *Client) isLocal(lease api.ShardLease) bool {
-	return c.cfg.Local != nil && lease.Owner == c.cfg.Self.ID
+	return lease.Owner == c.cfg.Self.ID
 }
 
 func (c *Client) ownerAddress(lease api.ShardLease) (string, error) {
@@ -264,52 +246,66 @@
 // is given back unused.
 func (c *Client) hold(g api.Grant, sent time.Time) (api.Grant, error) {
 	c.mu.Lock()
-	stale := g.Epoch < c.announced[g.Shard]
-	if !stale {
-		expires := sent.Add(time.Duration(g.ExpiresMillis) * time.Millisecond)
-		c.held[holdKey(g)] = &heldGrant{grant: g, expires: expires, ended: make(chan struct{})}
+	ok := c.holdings.Add(c.cfg.Clock.Now(), sent, g)
+	if ok {
 		delete(c.pressure, g.Shard)
 	}
 	c.mu.Unlock()
-	if stale {
+	if !ok {
 		c.sendSettle(g, Result{Outcome: api.OutcomeNotRun})
 		return api.Grant{}, staleError(g.Shard)
 	}
 	return g, nil
 }
 
-// holdKey identifies a grant over all shards.
-func holdKey(g api.Grant) string { return g.Shard.String() + "#" + g.ID }
-
 // Valid reports whether the grant may be used now. Check it right before a
 // request is written to the replica.
 func (c *Client) Valid(g api.Grant) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	h := c.held[holdKey(g)]
-	return h != nil && c.cfg.Clock.Now().Before(h.expires)
+	return c.holdings.Valid(c.cfg.Clock.Now(), g)
 }
 
-// Ended returns a channel that is closed when the grant may no longer be used
-// because it was revoked, refused or not renewed in time. It is nil, and never
-// ready, for a grant that is not held.
+// Ended returns a channel that is closed when the request must stop, because
+// the grant was revoked, refused by a new owner or not renewed in time. It is
+// nil, and never ready, for a grant that is not held.
 func (c *Client) Ended(g api.Grant) <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if h := c.held[holdKey(g)]; h != nil {
-		return h.ended
-	}
-	return nil
+	return c.holdings.Ended(g)
 }
 
 // Settle gives a grant back. A second call changes nothing.
 func (c *Client) Settle(g api.Grant, r Result) {
 	c.mu.Lock()
-	delete(c.held, holdKey(g))
+	c.holdings.Remove(g)
 	c.mu.Unlock()
 	c.sendSettle(g, r)
 }
 
+// Abandon leaves a grant to expire at the owner, because its work may still
+// run on the replica.
+func (c *Client) Abandon(g api.Grant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holdings.Remove(g)
+}
+
+// Revoke stops the request of a grant that its owner takes back.
+func (c *Client) Revoke(g api.Grant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holdings.Revoke(g)
+}
+
+// Register accepts the calls of shard owners.
+func (c *Client) Register(r peer.Registrar) {
+	r.Handle(api.MethodRevoke, peer.Typed(func(_ context.Context, r api.RevokeRequest) (api.Empty, error) {
+		c.Revoke(r.Grant)
+		return api.Empty{}, nil
+	}))
+}
+
 // sendSettle tells the present owner. A lost message is made up for by the
 // expiry of the grant, which is no longer renewed.
 func (c *Client) sendSettle(g api.Grant, r Result) {
@@ -326,7 +322,7 @@
 		CachedTokens:     r.CachedTokens,
 	}
 	if c.isLocal(*lease) {
-		c.logLost(c.cfg.Local.Settle(params), g)
+		c.logLost(c.local.Settle(params), g)
 		return
 	}
 	address, err := c.ownerAddress(*lease)
--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -44,6 +44,8 @@
 	service   time.Duration
 	evaluated time.Time
 	out       []Decision
+	revoked   []Revocation
+	lapsed    []api.Grant
 }
 
 // NewCore returns the state machine of a shard that this process owns from now
@@ -84,6 +86,9 @@
 // refusal returns why a ticket can't wait, or nil. A ticket that goes before
 // the last one in a full queue takes its place.
 func (c *Core) refusal(t *Ticket) *errs.Error {
+	if t.Request.Resumed {
+		return nil
+	}
 	if c.queue.length(t.Request.Account) >= c.settings.AccountQueueLimit {
 		return c.full(t, "queue of the account is full")
 	}
@@ -202,6 +207,10 @@
 // learn draws the conclusions of a settled request.
 func (c *Core) learn(now time.Time, h *hold, s api.SettleRequest) {
 	r := h.replica
+	if s.Failed {
+		r.limit.fail()
+		r.prefix = prefixIndex{}
+	}
 	if s.Outcome != api.OutcomeComplete || s.Failed {
 		return
 	}
@@ -240,6 +249,9 @@
 func (c *Core) renew(now time.Time, g api.Grant, entry api.EntryID, adopt bool) bool {
 	expires := now.Add(c.settings.GrantLifetime)
 	if h, ok := c.ledger.holds[g.ID]; ok {
+		if h.lapsed || now.After(h.expires) {
+			return false
+		}
 		h.expires = expires
 		return true
 	}
@@ -248,19 +260,35 @@
 	if !adopt || g.Epoch >= c.epoch || c.ledger.settled[g.ID] || !known {
 		return false
 	}
-	c.ledger.add(&hold{grant: g, entry: entry, replica: r, granted: now, expires: expires})
+	c.ledger.add(&hold{
+		grant:   g,
+		entry:   entry,
+		replica: r,
+		granted: now,
+		expires: expires,
+		stopBy:  now.Add(c.settings.RequestTimeout),
+	})
 	return true
 }
 
-// Advance moves time forward: it counts out expired grants, refuses tickets
+// Lapsed returns, once, the grants whose lifetime ran out. Stop their work on
+// the engine and then settle them; until then they stay counted.
+func (c *Core) Lapsed() []api.Grant {
+	out := c.lapsed
+	c.lapsed = nil
+	return out
+}
+
+// Advance moves time forward: it finds expired grants, refuses tickets
 // that can't be served and, when mayGrant is set, grants free slots in order
 // of priority. The returned slice is valid until the next call.
 func (c *Core) Advance(now time.Time, mayGrant bool) []Decision {
-	c.ledger.expire(now)
+	c.lapsed = append(c.lapsed, c.ledger.expire(now)...)
 	c.endHandover(now)
 	c.evaluate(now)
 	if mayGrant {
 		c.grantAll(now)
+		c.revokeLent(now)
 	}
 	c.refuseWaiting(now)
 	out := c.out
--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -126,7 +126,12 @@
 		replica: r,
 		granted: now,
 		expires: now.Add(lifetime),
+		stopBy:  now.Add(c.settings.RequestTimeout),
 		blocks:  t.Request.PrefixHashes,
+		class:   t.Class,
+		share:   t.Share,
+
+		revocable: t.Request.Revocable && r.group.Capabilities.Cancel && r.group.Capabilities.Resume,
 	})
 	r.prefix.add(now, t.Request.PrefixHashes)
 	c.out = append(c.out, Decision{Ticket: t.ID, Grant: g})
--- /dev/null
+++ b/internal/shard/holdings.go
@@ -0,0 +1,155 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// Holdings is what one entry knows of the grants it holds. It is the entry
+// side's counterpart of Core: deterministic, without I/O, and not safe for
+// concurrent use.
+type Holdings struct {
+	held map[string]*heldGrant
+	// announced is the newest epoch for which a report was begun, by shard. A
+	// grant of an older epoch that arrives later must not be used.
+	announced map[api.ShardID]api.Revision
+	// acknowledged is the newest epoch whose owner accepted a report.
+	acknowledged map[api.ShardID]api.Revision
+}
+
+// heldGrant is a grant in use by this entry.
+type heldGrant struct {
+	grant   api.Grant
+	expires time.Time
+	// ended is closed when the request must stop.
+	ended chan struct{}
+	// stopped is set once ended is closed.
+	stopped bool
+}
+
+// stop tells the user of the grant to stop.
+func (h *heldGrant) stop() {
+	if !h.stopped {
+		h.stopped = true
+		close(h.ended)
+	}
+}
+
+// NewHoldings returns an entry's state without grants.
+func NewHoldings() *Holdings {
+	return &Holdings{
+		held:         map[string]*heldGrant{},
+		announced:    map[api.ShardID]api.Revision{},
+		acknowledged: map[api.ShardID]api.Revision{},
+	}
+}
+
+// holdKey identifies a grant over all shards.
+func holdKey(g api.Grant) string { return g.Shard.String() + "#" + g.ID }
+
+// Add enters a grant whose acquire call was sent at a moment. It reports false
+// for a grant that must not be used: a newer owner was already told what this
+// entry holds, or the lifetime has run out on the way.
+func (h *Holdings) Add(now, sent time.Time, g api.Grant) bool {
+	expires := sent.Add(time.Duration(g.ExpiresMillis) * time.Millisecond)
+	if g.Epoch < h.announced[g.Shard] || !now.Before(expires) {
+		return false
+	}
+	h.held[holdKey(g)] = &heldGrant{grant: g, expires: expires, ended: make(chan struct{})}
+	return true
+}
+
+// Remove forgets a grant that is given back or left to expire.
+func (h *Holdings) Remove(g api.Grant) bool {
+	key := holdKey(g)
+	if h.held[key] == nil {
+		return false
+	}
+	delete(h.held, key)
+	return true
+}
+
+// Valid reports whether the grant may be used now.
+func (h *Holdings) Valid(now time.Time, g api.Grant) bool {
+	held := h.held[holdKey(g)]
+	return held != nil && !held.stopped && now.Before(held.expires)
+}
+
+// Ended returns the channel that is closed when the request must stop, or nil.
+func (h *Holdings) Ended(g api.Grant) <-chan struct{} {
+	if held := h.held[holdKey(g)]; held != nil {
+		return held.ended
+	}
+	return nil
+}
+
+// Revoke stops the request of a grant, which stays held until it is settled.
+func (h *Holdings) Revoke(g api.Grant) {
+	if held := h.held[holdKey(g)]; held != nil {
+		held.stop()
+	}
+}
+
+// Expire ends every grant whose lifetime has run out.
+func (h *Holdings) Expire(now time.Time) {
+	for key, held := range h.held {
+		if !now.Before(held.expires) {
+			delete(h.held, key)
+			held.stop()
+		}
+	}
+}
+
+// Owes reports whether the owner of a lease has not yet accepted a report.
+func (h *Holdings) Owes(lease api.ShardLease) bool {
+	return h.acknowledged[lease.Shard] < lease.Epoch
+}
+
+// Shards returns the shards of which a grant is held.
+func (h *Holdings) Shards() map[api.ShardID]bool {
+	shards := make(map[api.ShardID]bool, len(h.held))
+	for _, held := range h.held {
+		shards[held.grant.Shard] = true
+	}
+	return shards
+}
+
+// BeginReport lists the held grants of a shard for its owner. From here on a
+// grant of an older epoch that still arrives is not used.
+func (h *Holdings) BeginReport(lease api.ShardLease) []api.Grant {
+	h.announced[lease.Shard] = max(h.announced[lease.Shard], lease.Epoch)
+	grants := []api.Grant{}
+	for _, held := range h.held {
+		if held.grant.Shard == lease.Shard {
+			grants = append(grants, held.grant)
+		}
+	}
+	return grants
+}
+
+// ApplyReport applies the owner's answer to a report that was sent at a
+// moment: it extends the renewed grants and ends the refused ones.
+func (h *Holdings) ApplyReport(lease api.ShardLease, grants []api.Grant, res api.ReportResponse, sent time.Time) {
+	h.acknowledged[lease.Shard] = max(h.acknowledged[lease.Shard], lease.Epoch)
+	refused := make(map[string]bool, len(res.Refused))
+	for _, id := range res.Refused {
+		refused[id] = true
+	}
+	expires := sent.Add(time.Duration(res.RenewMillis) * time.Millisecond)
+	for _, g := range grants {
+		key := holdKey(g)
+		held := h.held[key]
+		if held == nil {
+			continue
+		}
+		if refused[g.ID] {
+			delete(h.held, key)
+			held.stop()
+			continue
+		}
+		if expires.After(held.expires) {
+			held.expires = expires
+		}
+	}
+}
--- a/internal/shard/ledger.go
+++ b/internal/shard/ledger.go
@@ -6,6 +6,10 @@
 	"github.com/crocusway/crocusway/internal/api"
 )
 
+// stopRepeat is the time after which the work of an expired grant is stopped
+// again.
+const stopRepeat = time.Second
+
 // replica is the state of one replica at one generation.
 type replica struct {
 	group api.Group
@@ -34,10 +38,22 @@
 	entry   api.EntryID
 	replica *replica
 	granted time.Time
-	// expires is when the grant is counted out without a settlement.
+	// expires is when the lifetime runs out, or, once it has, when the work is
+	// stopped again.
 	expires time.Time
+	// lapsed is set once the lifetime has run out. The grant is not renewed.
+	lapsed bool
+	// stopBy is when no engine can work on the request any more.
+	stopBy time.Time
 	// blocks are the prefix hashes of the request.
 	blocks []uint64
+	// class and share are those of the account; revocable is set when the
+	// request can be stopped and resumed.
+	class     int
+	share     int
+	revocable bool
+	// revokedAt is when the grant was last asked back, or zero.
+	revokedAt time.Time
 }
 
 // ledger counts the grants of one shard.
@@ -48,6 +64,8 @@
 	order    []*replica
 	holds    map[string]*hold
 	accounts map[api.AccountID]int
+	// revoked counts the grants that were asked back and are still held.
+	revoked int
 	// settled remembers grants that were given back before they were reported
 	// to this owner, until the handover ends.
 	settled map[string]bool
@@ -122,20 +140,31 @@
 		delete(l.accounts, h.grant.Account)
 	}
 	h.replica.held--
+	if !h.revokedAt.IsZero() {
+		l.revoked--
+	}
 	if h.grant.Alone {
 		h.replica.alone = false
 	}
 	return h, true
 }
 
-// expire counts out every grant whose lifetime has run out.
-func (l *ledger) expire(now time.Time) {
+// expire returns the grants whose lifetime has run out and whose work must be
+// stopped on the engine. They stay counted until that is confirmed, or until
+// no engine can work on them any more.
+func (l *ledger) expire(now time.Time) []api.Grant {
 	if !now.After(l.nextExpiry) {
-		return
+		return nil
 	}
 	l.nextExpiry = time.Time{}
+	var out []api.Grant
 	for id, h := range l.holds {
 		if now.After(h.expires) {
+			h.lapsed = true
+			out = append(out, h.grant)
+			h.expires = now.Add(stopRepeat)
+		}
+		if h.lapsed && !now.Before(h.stopBy) {
 			l.remove(id)
 			continue
 		}
@@ -143,4 +172,5 @@
 			l.nextExpiry = h.expires
 		}
 	}
+	return out
 }
--- a/internal/shard/limit.go
+++ b/internal/shard/limit.go
@@ -96,6 +96,9 @@
 	l.slow = 0
 }
 
+// fail halves the limit after a failed request.
+func (l *limiter) fail() { l.value = max(1, l.value/2) }
+
 // isCold feeds the baseline and reports a cold signal.
 func (l *limiter) isCold(micros float64) bool {
 	if l.samples >= baselineSamples && micros > coldFactor*l.baseline {
--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -5,11 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"github.com/crocusway/crocusway/internal/api"
-	"github.com/crocusway/crocusway/internal/clock"
+	"github.com/crocusway/crocusway/internal/backend"
 	"github.com/crocusway/crocusway/internal/entry"
 	"github.com/crocusway/crocusway/internal/errs"
 	"github.com/crocusway/crocusway/internal/logging"
@@ -19,33 +20,15 @@
 // tickPeriod is the time between two checks of deadlines and expiries.
 const tickPeriod = 20 * time.Millisecond
 
-// Viewer is the soft state of the entry. It is implemented by entry.State.
-type Viewer interface {
-	// Snapshot returns the newest applied view.
-	Snapshot() *entry.Snapshot
-	// MayWork reports whether the entry may take new work.
-	MayWork() bool
-	// HasLease reports whether the work lease is valid, also while leaving.
-	HasLease() bool
-}
-
-// ManagerConfig is what the owner side needs.
-type ManagerConfig struct {
-	// Self is the entry that this process runs.
-	Self     api.EntryInfo
-	View     Viewer
-	Clock    clock.Clock
-	Logger   log.Logger
-	Settings Settings
-}
-
 // Manager owns the shards that control leased to this entry. It is safe for
 // concurrent use.
 type Manager struct {
-	cfg    ManagerConfig
+	cfg    Config
 	logger log.Logger
-	mu     sync.RWMutex
-	shards map[api.ShardID]*owned
+	// revokeLocal stops a request of this entry.
+	revokeLocal func(api.Grant)
+	mu          sync.RWMutex
+	shards      map[api.ShardID]*owned
 }
 
 // owned is one shard under its own lock.
@@ -61,9 +44,8 @@
 	lost bool
 }
 
-// NewManager returns a manager without shards; Update gives it some.
-func NewManager(cfg ManagerConfig) *Manager {
-	cfg.Settings = cfg.Settings.withDefaults()
+// newManager returns a manager without shards; Update gives it some.
+func newManager(cfg Config) *Manager {
 	return &Manager{
 		cfg:    cfg,
 		logger: logging.For(cfg.Logger, "shard"),
@@ -115,6 +97,49 @@
 			delete(o.waiters, d.Ticket)
 		}
 	}
+	m.revoke(o.core.Revocations())
+	for _, g := range o.core.Lapsed() {
+		go m.stopLapsed(o, g)
+	}
+}
+
+// stopLapsed stops the work of an expired grant on its engine, and counts the
+// grant out once it can't run there any more.
+func (m *Manager) stopLapsed(o *owned, g api.Grant) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopRepeat)
+	defer cancel()
+	err := m.cfg.Engines.Cancel(ctx, g.Address, g.Request)
+	if err != nil && !errors.Is(err, backend.ErrNotSent) {
+		level.Debug(m.logger).Log("msg", "expired request not stopped", "request", g.Request, "err", err)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.core.Settle(m.cfg.Clock.Now(), api.SettleRequest{Grant: g, Outcome: api.OutcomeUnknown})
+	m.advance(o)
+}
+
+// revoke asks the holders of grants to give them back. A lost message is sent
+// again by the core.
+func (m *Manager) revoke(revocations []Revocation) {
+	for _, r := range revocations {
+		if r.Entry == m.cfg.Self.ID {
+			m.revokeLocal(r.Grant)
+			continue
+		}
+		m.revokeRemote(r)
+	}
+}
+
+func (m *Manager) revokeRemote(r Revocation) {
+	holder := m.cfg.View.Snapshot().Entry(r.Entry)
+	if holder == nil {
+		return
+	}
+	err := m.cfg.Peers.Notify(holder.PeerAddress, api.MethodRevoke, api.RevokeRequest{Grant: r.Grant})
+	if err != nil {
+		level.Debug(m.logger).Log("msg", "revocation not sent", "entry", r.Entry, "err", err)
+	}
 }
 
 // Update applies a newer view: it takes over shards newly leased to this
--- /dev/null
+++ b/internal/shard/manager_test.go
@@ -0,0 +1,222 @@
+package shard
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/clock"
+	"github.com/crocusway/crocusway/internal/entry"
+	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/logging"
+	"github.com/crocusway/crocusway/internal/peer"
+)
+
+// network delivers calls between the nodes of a test, as JSON.
+type network struct {
+	mu       sync.Mutex
+	handlers map[string]map[api.Method]peer.Handler
+	cut      map[string]bool
+}
+
+// at registers the handlers of one address.
+type at struct {
+	n       *network
+	address string
+}
+
+func (a at) Handle(method api.Method, h peer.Handler) {
+	a.n.mu.Lock()
+	defer a.n.mu.Unlock()
+	if a.n.handlers[a.address] == nil {
+		a.n.handlers[a.address] = map[api.Method]peer.Handler{}
+	}
+	a.n.handlers[a.address][method] = h
+}
+
+func (n *network) Call(ctx context.Context, address string, method api.Method, params, result any) error {
+	n.mu.Lock()
+	h, cut := n.handlers[address][method], n.cut[address]
+	n.mu.Unlock()
+	if h == nil || cut {
+		return errs.New(errs.Unavailable, "call", address, "no link")
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	res, err := h(ctx, raw)
+	if err != nil {
+		return err
+	}
+	if raw, err = json.Marshal(res); err != nil || result == nil {
+		return err
+	}
+	return json.Unmarshal(raw, result)
+}
+
+func (n *network) Notify(address string, method api.Method, params any) error {
+	go func() { _ = n.Call(context.Background(), address, method, params, nil) }()
+	return nil
+}
+
+type stopAll struct{}
+
+func (stopAll) Cancel(context.Context, string, api.RequestID) error { return nil }
+
+// node is one entry with both sides.
+type node struct {
+	state *entry.State
+	owner *Manager
+	entry *Client
+}
+
+// cluster returns two running entries; e1 owns the shard.
+func cluster(t *testing.T) (*network, map[string]*node) {
+	t.Helper()
+	n := &network{handlers: map[string]map[api.Method]peer.Handler{}, cut: map[string]bool{}}
+	nodes := map[string]*node{}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, id := range []string{"e1", "e2"} {
+		info := api.EntryInfo{ID: api.EntryID(id), Incarnation: 1, Domain: "east", PeerAddress: id, Live: true}
+		state := entry.NewState(info, clock.System{})
+		state.SetLease(time.Now().Add(time.Hour))
+		owner, client := New(Config{
+			Self: info, View: state, Peers: n, Engines: stopAll{}, Clock: clock.System{}, Logger: logging.Discard(),
+			Settings: Settings{GrantLifetime: 2 * time.Second},
+		})
+		owner.Register(at{n, id})
+		client.Register(at{n, id})
+		nodes[id] = &node{state: state, owner: owner, entry: client}
+		for _, run := range []func(context.Context) error{owner.Run, client.Run} {
+			running.Go(func() { _ = run(ctx) })
+		}
+	}
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return n, nodes
+}
+
+func viewOwnedBy(owner string, epoch api.Revision, groups ...api.Group) api.View {
+	return api.View{
+		Revision: epoch,
+		Groups:   groups,
+		Accounts: []api.Account{{ID: "a"}, {ID: "quiet", Share: 1}},
+		Entries: []api.EntryInfo{
+			{ID: "e1", Incarnation: 1, Domain: "east", PeerAddress: "e1", Live: true},
+			{ID: "e2", Incarnation: 1, Domain: "east", PeerAddress: "e2", Live: true},
+		},
+		Shards: []api.ShardLease{{Shard: testShard, Owner: api.EntryID(owner), Epoch: epoch}},
+	}
+}
+
+func apply(nodes map[string]*node, v api.View) {
+	for _, n := range nodes {
+		n.state.Apply(v)
+		n.owner.Update(n.state.Snapshot())
+	}
+}
+
+func ask(id, account string, wait time.Duration) Request {
+	return Request{ServingGroup: "scribe", ID: api.RequestID(id), Account: api.AccountID(account), Wait: wait, Revocable: true}
+}
+
+func TestGrantsOverTheWireAndHandover(t *testing.T) {
+	_, nodes := cluster(t)
+	g := *resumableGroup(api.Capabilities{Resume: true, Cancel: true})
+	apply(nodes, viewOwnedBy("e1", 2, g))
+	ctx := context.Background()
+	remote, err := nodes["e2"].entry.Acquire(ctx, ask("r1", "a", 10*time.Second))
+	require.NoError(t, err)
+	local, err := nodes["e1"].entry.Acquire(ctx, ask("r2", "a", 10*time.Second))
+	require.NoError(t, err)
+	_, err = nodes["e2"].entry.Acquire(ctx, ask("r3", "a", 0))
+	require.True(t, errs.Is(err, errs.Full), "%v", err)
+
+	apply(nodes, viewOwnedBy("e2", 3, g))
+	_, err = nodes["e2"].entry.Acquire(ctx, ask("r4", "a", 300*time.Millisecond))
+	require.True(t, errs.Is(err, errs.Full), "both grants of the old owner still count: %v", err)
+	require.True(t, nodes["e1"].entry.Valid(local))
+	nodes["e1"].entry.Settle(local, Result{Outcome: api.OutcomeComplete})
+	_, err = nodes["e1"].entry.Acquire(ctx, ask("r5", "a", 10*time.Second))
+	require.NoError(t, err)
+	require.True(t, nodes["e2"].entry.Valid(remote))
+}
+
+func TestRevocationReachesTheHolder(t *testing.T) {
+	_, nodes := cluster(t)
+	g := *resumableGroup(api.Capabilities{Resume: true, Cancel: true})
+	apply(nodes, viewOwnedBy("e1", 2, g))
+	ctx := context.Background()
+	for _, id := range []string{"r1", "r2"} {
+		held, err := nodes["e2"].entry.Acquire(ctx, ask(id, "a", 10*time.Second))
+		require.NoError(t, err)
+		ended := nodes["e2"].entry.Ended(held)
+		go func() {
+			<-ended
+			nodes["e2"].entry.Settle(held, Result{Outcome: api.OutcomeUnknown})
+		}()
+	}
+	_, err := nodes["e1"].entry.Acquire(ctx, ask("r3", "quiet", 10*time.Second))
+	require.NoError(t, err)
+	require.Len(t, nodes["e2"].entry.holdings.held, 1)
+}
+
+func TestWrongEpochAndNoLeaseAreRefused(t *testing.T) {
+	_, nodes := cluster(t)
+	apply(nodes, viewOwnedBy("e1", 2, *warmGroup("g1", 2)))
+	owner := nodes["e1"].owner
+	_, err := owner.Acquire(context.Background(), api.AcquireRequest{Shard: testShard, Epoch: 1})
+	require.True(t, errs.Is(err, errs.Stale))
+	_, err = owner.Report(api.ReportRequest{Shard: testShard, Epoch: 3})
+	require.True(t, errs.Is(err, errs.Stale))
+	nodes["e1"].state.SetLease(time.Now().Add(-time.Second))
+	_, err = owner.Acquire(context.Background(), api.AcquireRequest{Shard: testShard, Epoch: 2})
+	require.True(t, errs.Is(err, errs.Unavailable))
+}
+
+func TestLosingAShardRefusesItsWaiters(t *testing.T) {
+	_, nodes := cluster(t)
+	apply(nodes, viewOwnedBy("e1", 2, *warmGroup("g1", 1)))
+	_, err := nodes["e1"].entry.Acquire(context.Background(), ask("r1", "a", 10*time.Second))
+	require.NoError(t, err)
+	got := make(chan error, 1)
+	go func() {
+		_, err := nodes["e1"].owner.Acquire(context.Background(), api.AcquireRequest{
+			Shard: testShard, Epoch: 2, Account: "a", WaitMillis: 60_000,
+		})
+		got <- err
+	}()
+	o := nodes["e1"].owner.shards[testShard]
+	require.Eventually(t, func() bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return len(o.waiters) == 1
+	}, 10*time.Second, time.Millisecond)
+	apply(nodes, viewOwnedBy("e2", 3, *warmGroup("g1", 1)))
+	require.True(t, errs.Is(<-got, errs.Stale))
+}
+
+func TestUnrenewedGrantEnds(t *testing.T) {
+	n, nodes := cluster(t)
+	apply(nodes, viewOwnedBy("e1", 2, *warmGroup("g1", 1)))
+	held, err := nodes["e2"].entry.Acquire(context.Background(), ask("r1", "a", 10*time.Second))
+	require.NoError(t, err)
+	n.mu.Lock()
+	n.cut["e1"] = true
+	n.mu.Unlock()
+	<-nodes["e2"].entry.Ended(held)
+	require.False(t, nodes["e2"].entry.Valid(held))
+	_, err = nodes["e2"].entry.Acquire(context.Background(), ask("r2", "a", 0))
+	require.True(t, errs.Is(err, errs.Unavailable))
+	_, err = nodes["e1"].entry.Acquire(context.Background(), ask("r3", "a", 30*time.Second))
+	require.NoError(t, err, "the owner stops the work on the engine and counts the grant out")
+}
--- a/internal/shard/queue.go
+++ b/internal/shard/queue.go
@@ -45,8 +45,12 @@
 		q.accounts[a.id] = a
 		q.order = append(q.order, a)
 	}
-	a.tickets = append(a.tickets, t)
 	q.size++
+	if t.Request.Resumed {
+		a.tickets = append([]*Ticket{t}, a.tickets...)
+		return
+	}
+	a.tickets = append(a.tickets, t)
 }
 
 // length returns the number of waiting tickets of an account.
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -7,7 +7,6 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/crocusway/crocusway/internal/api"
-	"github.com/crocusway/crocusway/internal/entry"
 )
 
 const (
@@ -42,99 +41,60 @@
 
 // Tick ends expired grants and reports to every owner that has not yet
 // acknowledged its epoch; with renew set, also to every owner of a held grant.
-// The calls run in the background.
+// The calls run in the background, one at a time for each shard.
 func (c *Client) Tick(ctx context.Context, renew bool) {
-	c.endExpired()
-	s := c.cfg.View.Snapshot()
-	holding := c.holding()
-	for _, lease := range s.Shards {
-		if !c.owesReport(lease) && (!renew || !holding[lease.Shard]) {
-			continue
-		}
+	for _, lease := range c.due(renew) {
 		go c.report(ctx, lease)
 	}
 }
 
 // Update reports to the owners of a newer view at once.
-func (c *Client) Update(ctx context.Context, s *entry.Snapshot) {
-	for _, lease := range s.Shards {
-		if c.owesReport(lease) {
-			go c.report(ctx, lease)
-		}
-	}
-}
-
-func (c *Client) owesReport(lease api.ShardLease) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.acknowledged[lease.Shard] < lease.Epoch
-}
-
-// holding returns the shards of which a grant is held.
-func (c *Client) holding() map[api.ShardID]bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	shards := make(map[api.ShardID]bool, len(c.held))
-	for _, h := range c.held {
-		shards[h.grant.Shard] = true
-	}
-	return shards
-}
+func (c *Client) Update(ctx context.Context) { c.Tick(ctx, false) }
 
-// endExpired ends the grants whose lifetime has run out.
-func (c *Client) endExpired() {
+// due ends expired grants and returns the leases to report on.
+func (c *Client) due(renew bool) []api.ShardLease {
+	s := c.cfg.View.Snapshot()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.cfg.Clock.Now()
-	for key, h := range c.held {
-		if !now.Before(h.expires) {
-			c.end(key, h)
+	c.holdings.Expire(c.cfg.Clock.Now())
+	holding := c.holdings.Shards()
+	var due []api.ShardLease
+	for _, lease := range s.Shards {
+		wanted := c.holdings.Owes(lease) || (renew && holding[lease.Shard])
+		if wanted && !c.renewing[lease.Shard] {
+			c.renewing[lease.Shard] = true
+			due = append(due, lease)
 		}
 	}
-}
-
-// end forgets a grant and tells its user. The lock is held.
-func (c *Client) end(key string, h *heldGrant) {
-	delete(c.held, key)
-	close(h.ended)
+	return due
 }
 
 // report sends the held grants of one shard to its owner.
 func (c *Client) report(ctx context.Context, lease api.ShardLease) {
 	sent := c.cfg.Clock.Now()
-	params := api.ReportRequest{
+	c.mu.Lock()
+	grants := c.holdings.BeginReport(lease)
+	c.mu.Unlock()
+	res, err := c.callReport(ctx, lease, api.ReportRequest{
 		Shard:       lease.Shard,
 		Epoch:       lease.Epoch,
 		Entry:       c.cfg.Self.ID,
 		Incarnation: c.cfg.Self.Incarnation,
-		Grants:      c.beginReport(lease),
-	}
-	res, err := c.callReport(ctx, lease, params)
+		Grants:      grants,
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.renewing, lease.Shard)
 	if err != nil {
 		level.Debug(c.logger).Log("msg", "report failed", "shard", lease.Shard, "err", err)
 		return
 	}
-	c.applyReport(lease, params.Grants, res, sent)
-}
-
-// beginReport lists the held grants of a shard. From here on a grant of an
-// older epoch that still arrives is not used.
-func (c *Client) beginReport(lease api.ShardLease) []api.Grant {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.announced[lease.Shard] = max(c.announced[lease.Shard], lease.Epoch)
-	grants := []api.Grant{}
-	for _, h := range c.held {
-		if h.grant.Shard == lease.Shard {
-			grants = append(grants, h.grant)
-		}
-	}
-	return grants
+	c.holdings.ApplyReport(lease, grants, res, sent)
 }
 
 func (c *Client) callReport(ctx context.Context, lease api.ShardLease, params api.ReportRequest) (api.ReportResponse, error) {
 	if c.isLocal(lease) {
-		return c.cfg.Local.Report(params)
+		return c.local.Report(params)
 	}
 	var res api.ReportResponse
 	address, err := c.ownerAddress(lease)
@@ -147,32 +107,6 @@
 	return res, err
 }
 
-// applyReport extends the renewed grants and ends the refused ones.
-func (c *Client) applyReport(lease api.ShardLease, grants []api.Grant, res api.ReportResponse, sent time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.acknowledged[lease.Shard] = max(c.acknowledged[lease.Shard], lease.Epoch)
-	refused := make(map[string]bool, len(res.Refused))
-	for _, id := range res.Refused {
-		refused[id] = true
-	}
-	expires := sent.Add(time.Duration(res.RenewMillis) * time.Millisecond)
-	for _, g := range grants {
-		key := holdKey(g)
-		h := c.held[key]
-		if h == nil {
-			continue
-		}
-		if refused[g.ID] {
-			c.end(key, h)
-			continue
-		}
-		if expires.After(h.expires) {
-			h.expires = expires
-		}
-	}
-}
-
 // logLost notes a settlement that did not reach the owner.
 func (c *Client) logLost(err error, g api.Grant) {
 	if err != nil {
