Clients of engines, services and orders

Ruled out: fasthttp.Client, since it may send a request again after an idle connection proves closed, and hides whether a byte left. Change: own connections with fasthttp's message types, answers bound by the echoed id, bounded bodies and events, event stream parser, orders, announcement checks; tables and fuzz targets. Conclusion: not-sent is claimed exactly when the kernel took no byte; a bad or half-read answer never leaves its connection in use.

--- /dev/null
+++ b/internal/backend/announcement_test.go
@@ -0,0 +1,99 @@
+package backend
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+func validAnnouncement() api.Announcement {
+	return api.Announcement{
+		Version: 1, Host: "h1", Incarnation: 1, Sequence: 1, Address: "127.0.0.1:8000",
+		Kind: api.BackendEngine, Fabric: "f1", Domain: "d1", Accelerators: 8,
+	}
+}
+
+func TestAnnouncementContract(t *testing.T) {
+	cases := map[string]struct {
+		change func(*api.Announcement)
+		faults []string
+	}{
+		"engine":            {func(*api.Announcement) {}, nil},
+		"service":           {func(a *api.Announcement) { a.Kind, a.Service, a.Fabric = api.BackendService, "orders", "" }, nil},
+		"version":           {func(a *api.Announcement) { a.Version = 2 }, []string{"version is 2, want eq=1"}},
+		"no host":           {func(a *api.Announcement) { a.Host = "" }, []string{`host is "", want required`}},
+		"long host":         {func(a *api.Announcement) { a.Host = api.HostID(strings.Repeat("h", 65)) }, []string{"want max=64"}},
+		"no incarnation":    {func(a *api.Announcement) { a.Incarnation = 0 }, []string{"incarnation is 0x0, want min=1"}},
+		"no sequence":       {func(a *api.Announcement) { a.Sequence = 0 }, []string{"sequence is 0x0, want min=1"}},
+		"address":           {func(a *api.Announcement) { a.Address = "127.0.0.1" }, []string{`address is "127.0.0.1", want hostname_port`}},
+		"kind":              {func(a *api.Announcement) { a.Kind = "proxy" }, []string{`kind is "proxy", want oneof=engine service`}},
+		"engine, no fabric": {func(a *api.Announcement) { a.Fabric = "" }, []string{`fabric is "", want required_if=Kind engine`}},
+		"service, no name":  {func(a *api.Announcement) { a.Kind = api.BackendService }, []string{`service is "", want required_if=Kind service`}},
+		"rank":              {func(a *api.Announcement) { a.Rank = 16 }, []string{"rank is 16, want max=15"}},
+		"load":              {func(a *api.Announcement) { a.Load = "half" }, []string{`load is "half", want oneof=idle loading ready`}},
+		"negative load":     {func(a *api.Announcement) { a.Running = -1 }, []string{"running is -1, want min=0"}},
+		"several": {
+			func(a *api.Announcement) { a.Domain, a.Queued, a.Accelerators = "", -1, 65 },
+			[]string{`domain is "", want required`, "queued is -1, want min=0", "accelerators is 65, want max=64"},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := validAnnouncement()
+			c.change(&a)
+			raw, err := json.Marshal(a)
+			require.NoError(t, err)
+			got, err := DecodeAnnouncement(raw)
+			if c.faults == nil {
+				require.NoError(t, err)
+				require.Equal(t, a, got)
+				return
+			}
+			require.Equal(t, errs.Invalid, errs.CodeOf(err))
+			for _, fault := range c.faults {
+				require.ErrorContains(t, err, fault)
+			}
+		})
+	}
+}
+
+func TestAnnouncementBytes(t *testing.T) {
+	good, err := json.Marshal(validAnnouncement())
+	require.NoError(t, err)
+	cases := map[string]string{
+		"empty":          "",
+		"truncated":      string(good[:len(good)-1]),
+		"unknown field":  strings.Replace(string(good), `{`, `{"more":1,`, 1),
+		"trailing bytes": string(good) + "{}",
+		"wrong type":     `{"version":"1"}`,
+		"oversized":      string(good) + strings.Repeat(" ", MaxAnnouncement),
+		"negative":       `{"version":1,"incarnation":-1}`,
+	}
+	for name, raw := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := DecodeAnnouncement([]byte(raw))
+			require.Equal(t, errs.Invalid, errs.CodeOf(err))
+		})
+	}
+}
+
+func FuzzDecodeAnnouncement(f *testing.F) {
+	good, _ := json.Marshal(validAnnouncement())
+	f.Add(good)
+	f.Add([]byte(`{"version":1,"kind":"service"}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		a, err := DecodeAnnouncement(raw)
+		if err != nil {
+			require.Equal(t, errs.Invalid, errs.CodeOf(err))
+			return
+		}
+		require.NoError(t, ValidateAnnouncement(a))
+		require.NotEmpty(t, a.Host)
+		require.Contains(t, []api.BackendKind{api.BackendEngine, api.BackendService}, a.Kind)
+	})
+}
--- /dev/null
+++ b/internal/backend/client.go
@@ -0,0 +1,390 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/clock"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxBody       = 16 << 20
+	DefaultMaxEvent      = 1 << 20
+	DefaultDialTimeout   = time.Second
+	DefaultAnswerTimeout = 2 * time.Minute
+	DefaultStallTimeout  = 10 * time.Second
+	DefaultCancelTimeout = 2 * time.Second
+	DefaultIdleLifetime  = 4 * time.Second
+	DefaultIdlePerServer = 64
+)
+
+// Paths of the engine contract.
+const (
+	pathCancel = "/v1/cancel"
+	pathOrders = "/v1/orders"
+)
+
+const (
+	contentJSON   = "application/json"
+	contentEvents = "text/event-stream"
+)
+
+// Config are the settings of a client. A zero value stands for the default.
+type Config struct {
+	// Token is the bearer token of the backends.
+	Token string
+	// MaxBody bounds an answer that is not a stream, MaxEvent one event of a
+	// stream, in bytes.
+	MaxBody  int
+	MaxEvent int
+	// DialTimeout bounds one connection attempt.
+	DialTimeout time.Duration
+	// AnswerTimeout bounds a call without a deadline.
+	AnswerTimeout time.Duration
+	// StallTimeout bounds the wait for the next event of a stream.
+	StallTimeout time.Duration
+	// CancelTimeout bounds a call of Cancel.
+	CancelTimeout time.Duration
+	// IdleLifetime is how long an idle connection is kept. It must be below the
+	// idle timeout of the backend servers.
+	IdleLifetime time.Duration
+	// IdlePerServer bounds the idle connections to one backend server.
+	IdlePerServer int
+	Clock         clock.Clock
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.MaxBody, DefaultMaxBody)
+	setDefault(&c.MaxEvent, DefaultMaxEvent)
+	setDefault(&c.DialTimeout, DefaultDialTimeout)
+	setDefault(&c.AnswerTimeout, DefaultAnswerTimeout)
+	setDefault(&c.StallTimeout, DefaultStallTimeout)
+	setDefault(&c.CancelTimeout, DefaultCancelTimeout)
+	setDefault(&c.IdleLifetime, DefaultIdleLifetime)
+	setDefault(&c.IdlePerServer, DefaultIdlePerServer)
+	if c.Clock == nil {
+		c.Clock = clock.System{}
+	}
+	return c
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// HTTPClient implements Client and OrderSender over HTTP/1.1. It uses the
+// message types of fasthttp on connections of its own, since fasthttp's client
+// may send a request again when an idle connection turns out to be closed.
+type HTTPClient struct {
+	cfg  Config
+	pool *pool
+}
+
+var (
+	_ Client      = (*HTTPClient)(nil)
+	_ OrderSender = (*HTTPClient)(nil)
+)
+
+// NewClient returns a client. The caller must Close it.
+func NewClient(cfg Config) *HTTPClient {
+	cfg = cfg.withDefaults()
+	return &HTTPClient{cfg: cfg, pool: newPool(cfg.Clock, cfg.IdleLifetime, cfg.IdlePerServer)}
+}
+
+// Close closes the idle connections.
+func (c *HTTPClient) Close() { c.pool.close() }
+
+// Do implements Client.
+func (c *HTTPClient) Do(ctx context.Context, r Request) (*Response, error) {
+	if err := checkRequest(r); err != nil {
+		return nil, failure("check request", r.Address, false, err)
+	}
+	ctx, cancel := c.withDeadline(ctx, r.Deadline)
+	call, err := c.connect(ctx, r)
+	if err != nil {
+		cancel()
+		return nil, failure("connect", r.Address, false, err)
+	}
+	call.cancel = cancel
+	response, err := c.exchange(call)
+	if err != nil {
+		sent := call.conn.sent > 0
+		err = call.cause(err)
+		call.end(false)
+		return nil, failure("exchange", r.Address, sent, err)
+	}
+	return response, nil
+}
+
+func (c *HTTPClient) withDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	if deadline.IsZero() {
+		return context.WithTimeout(ctx, c.cfg.AnswerTimeout)
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
+// checkRequest refuses what can't be written as one request line and header.
+func checkRequest(r Request) error {
+	invalid := func(field string) error {
+		return errs.New(errs.Invalid, "check request", r.Address, "%s has characters that a request can't carry", field)
+	}
+	switch {
+	case r.Path == "" || r.Path[0] != '/' || hasControl(r.Path) || strings.Contains(r.Path, " "):
+		return invalid("path")
+	case r.Method == "" || hasControl(r.Method) || strings.Contains(r.Method, " "):
+		return invalid("method")
+	case hasControl(r.ContentType):
+		return invalid("content type")
+	case r.ID == "" || hasControl(string(r.ID)):
+		return invalid("request id")
+	case hasControl(r.IdempotencyKey):
+		return invalid("idempotency key")
+	case len(r.Body) > 0 && !mayHaveBody(r.Method):
+		return errs.New(errs.Invalid, "check request", r.Address, "method %s has no body", r.Method)
+	}
+	return nil
+}
+
+func hasControl(s string) bool {
+	return strings.ContainsFunc(s, func(r rune) bool { return r < ' ' || r == 0x7f })
+}
+
+func mayHaveBody(method string) bool {
+	return method != fasthttp.MethodGet && method != fasthttp.MethodHead
+}
+
+// connect takes an idle connection or dials. Calls of a service that are not
+// safe to repeat get a new connection: an idle one may have been closed by the
+// server unseen, and the outcome of the call would be unknown.
+func (c *HTTPClient) connect(ctx context.Context, r Request) (*inFlight, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	if r.Fencing != 0 || !mayHaveBody(r.Method) {
+		if idle := c.pool.get(r.Address); idle != nil {
+			return newInFlight(ctx, c.pool, idle, r), nil
+		}
+	}
+	fresh, err := dial(ctx, r.Address, c.cfg.DialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return newInFlight(ctx, c.pool, fresh, r), nil
+}
+
+// inFlight is one request on its connection.
+type inFlight struct {
+	ctx      context.Context
+	cancel   context.CancelFunc
+	pool     *pool
+	conn     *conn
+	request  Request
+	deadline time.Time
+	stop     func() bool
+	aborted  atomic.Bool
+}
+
+func newInFlight(ctx context.Context, p *pool, cn *conn, r Request) *inFlight {
+	cn.sent = 0
+	deadline, _ := ctx.Deadline()
+	call := &inFlight{ctx: ctx, pool: p, conn: cn, request: r, deadline: deadline}
+	_ = cn.SetDeadline(deadline)
+	// An ended context unblocks reads and writes by closing the connection.
+	call.stop = context.AfterFunc(ctx, func() {
+		call.aborted.Store(true)
+		_ = cn.Close()
+	})
+	return call
+}
+
+// extend bounds the next read by d and the deadline of the call.
+func (f *inFlight) extend(d time.Duration) {
+	until := time.Now().Add(d)
+	if until.After(f.deadline) {
+		until = f.deadline
+	}
+	_ = f.conn.SetReadDeadline(until)
+}
+
+// cause replaces the error of a closed connection by the reason of the close.
+func (f *inFlight) cause(err error) error {
+	if f.aborted.Load() {
+		return errors.CombineErrors(f.ctx.Err(), err)
+	}
+	return err
+}
+
+// end gives the connection back if its answer was read whole, else closes it.
+func (f *inFlight) end(reusable bool) {
+	untouched := f.stop()
+	if f.cancel != nil {
+		f.cancel()
+	}
+	if !reusable || !untouched || f.conn.reader.Buffered() > 0 {
+		_ = f.conn.Close()
+		return
+	}
+	f.pool.put(f.request.Address, f.conn)
+}
+
+// exchange writes the request and reads the answer, or its header when it is a
+// stream.
+func (c *HTTPClient) exchange(call *inFlight) (*Response, error) {
+	if err := c.write(call); err != nil {
+		return nil, err
+	}
+	response := &fasthttp.Response{StreamBody: true}
+	response.SkipBody = call.request.Method == fasthttp.MethodHead
+	if err := response.ReadLimitBody(call.conn.reader, 0); err != nil {
+		return nil, errors.Wrap(err, "read header")
+	}
+	if echoed := string(response.Header.Peek(api.HeaderRequest)); echoed != string(call.request.ID) {
+		return nil, errors.Wrapf(ErrWrongAnswer, "echoed request id %q", echoed)
+	}
+	out := &Response{
+		Status:      response.StatusCode(),
+		ContentType: string(response.Header.ContentType()),
+	}
+	if strings.HasPrefix(out.ContentType, contentEvents) {
+		out.Stream = newEventStream(call, response, c.cfg)
+		return out, nil
+	}
+	body, err := readBody(response, c.cfg.MaxBody)
+	if err != nil {
+		return nil, err
+	}
+	out.Body = body
+	call.end(!response.Header.ConnectionClose())
+	return out, nil
+}
+
+func (c *HTTPClient) write(call *inFlight) error {
+	if call.request.BeforeWrite != nil {
+		if err := call.request.BeforeWrite(); err != nil {
+			return err
+		}
+	}
+	if err := call.ctx.Err(); err != nil {
+		return err
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	c.fill(req, call.request, call.deadline)
+	w := bufio.NewWriter(call.conn)
+	if err := req.Write(w); err != nil {
+		return errors.Wrap(err, "write request")
+	}
+	return errors.Wrap(w.Flush(), "write request")
+}
+
+// fill sets the header and body of the request.
+func (c *HTTPClient) fill(req *fasthttp.Request, r Request, deadline time.Time) {
+	h := &req.Header
+	h.SetMethod(r.Method)
+	h.SetRequestURI(r.Path)
+	h.SetHost(r.Address)
+	h.Set(api.HeaderRequest, string(r.ID))
+	if millis := time.Until(deadline).Milliseconds(); millis > 0 {
+		h.Set(api.HeaderDeadlineMillis, strconv.FormatInt(millis, 10))
+	}
+	if c.cfg.Token != "" {
+		h.Set(fasthttp.HeaderAuthorization, "Bearer "+c.cfg.Token)
+	}
+	if r.Fencing != 0 {
+		h.Set(api.HeaderFencing, strconv.FormatUint(uint64(r.Fencing), 10))
+		h.Set(api.HeaderPriority, strconv.Itoa(r.Priority))
+	}
+	if r.Offset > 0 {
+		h.Set(api.HeaderOffset, strconv.Itoa(r.Offset))
+	}
+	if r.IdempotencyKey != "" {
+		h.Set(api.HeaderIdempotencyKey, r.IdempotencyKey)
+	}
+	if r.ContentType != "" {
+		h.SetContentType(r.ContentType)
+	}
+	req.SetBodyRaw(r.Body)
+}
+
+// readBody reads a whole body. One that ends with the connection is refused,
+// since a cut could not be told from its end.
+func readBody(response *fasthttp.Response, limit int) ([]byte, error) {
+	stream := response.BodyStream()
+	if stream == nil {
+		return nil, nil
+	}
+	defer func() { _ = response.CloseBodyStream() }()
+	length := response.Header.ContentLength()
+	if length < -1 {
+		return nil, errors.Wrap(ErrMalformed, "body without a length")
+	}
+	if length > limit {
+		return nil, errors.Wrapf(ErrTooLarge, "body of %d bytes, limit %d", length, limit)
+	}
+	body, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read body")
+	}
+	if len(body) > limit {
+		return nil, errors.Wrapf(ErrTooLarge, "body over %d bytes", limit)
+	}
+	return body, nil
+}
+
+// cancelRequest is the body of a cancel call.
+type cancelRequest struct {
+	Request api.RequestID `json:"request"`
+}
+
+// Cancel implements Client.
+func (c *HTTPClient) Cancel(ctx context.Context, address string, id api.RequestID) error {
+	body, err := json.Marshal(cancelRequest{Request: id})
+	if err != nil {
+		return failure("cancel", address, false, err)
+	}
+	response, err := c.Do(ctx, Request{
+		ID:          "cancel-" + id,
+		Address:     address,
+		Method:      fasthttp.MethodPost,
+		Path:        pathCancel,
+		ContentType: contentJSON,
+		Body:        body,
+		Deadline:    time.Now().Add(c.cfg.CancelTimeout),
+	})
+	if err != nil {
+		return errs.Wrap(err, "cancel", address)
+	}
+	return checkStatus("cancel", address, response)
+}
+
+// checkStatus turns an answer other than 200 into an error.
+func checkStatus(step, address string, response *Response) error {
+	if response.Stream != nil {
+		_ = response.Stream.Close()
+		return failure(step, address, true, errors.Wrap(ErrMalformed, "unexpected stream"))
+	}
+	switch response.Status {
+	case fasthttp.StatusOK:
+		return nil
+	case fasthttp.StatusUnauthorized, fasthttp.StatusForbidden:
+		return errs.New(errs.Denied, step, address, "status %d", response.Status)
+	case fasthttp.StatusNotFound:
+		return errs.New(errs.NotFound, step, address, "status %d", response.Status)
+	default:
+		return errs.New(errs.Internal, step, address, "status %d", response.Status)
+	}
+}
--- /dev/null
+++ b/internal/backend/client_test.go
@@ -0,0 +1,232 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// TestAnswerContract lists what a server may answer to a plain call.
+func TestAnswerContract(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nCrocusway-Request: {id}\r\n"
+	cases := map[string]struct {
+		answer string
+		body   string
+		is     error
+		code   errs.Code
+	}{
+		"whole":            {answer: plain("{id}", "ok"), body: "ok"},
+		"chunked":          {answer: head + "Transfer-Encoding: chunked\r\n\r\n" + chunk("o") + chunk("k") + lastChunk, body: "ok"},
+		"empty":            {answer: plain("{id}", "")},
+		"wrong id":         {answer: plain("r2", "ok"), is: ErrWrongAnswer, code: errs.Internal},
+		"no id":            {answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", is: ErrWrongAnswer, code: errs.Internal},
+		"truncated body":   {answer: head + "Content-Length: 5\r\n\r\nok" + closeConn, is: io.ErrUnexpectedEOF, code: errs.Unavailable},
+		"truncated chunks": {answer: head + "Transfer-Encoding: chunked\r\n\r\n" + chunk("ok") + closeConn, is: io.ErrUnexpectedEOF, code: errs.Unavailable},
+		"truncated head":   {answer: "HTTP/1.1 200 OK\r\nContent" + closeConn, code: errs.Unavailable},
+		"no length":        {answer: head + "\r\nok" + closeConn, is: ErrMalformed, code: errs.Internal},
+		"oversized":        {answer: plain("{id}", strings.Repeat("x", 101)), is: ErrTooLarge, code: errs.Internal},
+		"oversized chunks": {answer: head + "Transfer-Encoding: chunked\r\n\r\n" + chunk(strings.Repeat("x", 101)) + lastChunk, is: ErrTooLarge, code: errs.Internal},
+		"oversized head":   {answer: head + "X: " + strings.Repeat("x", headerBytes) + "\r\n\r\n", code: errs.Unavailable},
+		"not HTTP":         {answer: "hello there\r\n\r\n" + closeConn, code: errs.Unavailable},
+		"closed":           {answer: closeConn, code: errs.Unavailable},
+		"silent":           {answer: hold, code: errs.Timeout},
+		"silent body":      {answer: head + "Content-Length: 5\r\n\r\nok" + hold, code: errs.Timeout},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := serveScript(t, func(int) string { return c.answer })
+			client := testClient(t, func(cfg *Config) { cfg.MaxBody = 100 })
+			r := engineRequest(s.addr())
+			if c.code == errs.Timeout {
+				r.Deadline = time.Now().Add(100 * time.Millisecond)
+			}
+			response, err := client.Do(t.Context(), r)
+			if c.code == "" {
+				require.NoError(t, err)
+				require.Equal(t, c.body, string(response.Body))
+				return
+			}
+			require.Error(t, err)
+			require.Equal(t, c.code, errs.CodeOf(err), "%v", err)
+			require.NotErrorIs(t, err, ErrNotSent)
+			if c.is != nil {
+				require.ErrorIs(t, err, c.is)
+			}
+			_, _ = client.Do(t.Context(), withDeadline(r))
+			require.Equal(t, int64(2), s.conns.Load(), "connection reused after a bad answer")
+		})
+	}
+}
+
+func withDeadline(r Request) Request {
+	r.Deadline = time.Now().Add(100 * time.Millisecond)
+	return r
+}
+
+func TestConnectionIsReusedAfterWholeAnswer(t *testing.T) {
+	s := serveScript(t, func(int) string { return plain("{id}", "ok") })
+	client := testClient(t, nil)
+	for range 5 {
+		_, err := client.Do(t.Context(), engineRequest(s.addr()))
+		require.NoError(t, err)
+	}
+	require.Equal(t, int64(1), s.conns.Load())
+}
+
+// TestLateAnswerReachesNobody sends a second answer after the first, as a
+// server would that answers a timed-out call late.
+func TestLateAnswerReachesNobody(t *testing.T) {
+	s := serveScript(t, func(n int) string {
+		if n == 1 {
+			return plain("{id}", "own") + plain("r0", "late")
+		}
+		return plain("{id}", "own")
+	})
+	client := testClient(t, nil)
+	for range 2 {
+		response, err := client.Do(t.Context(), engineRequest(s.addr()))
+		require.NoError(t, err)
+		require.Equal(t, "own", string(response.Body))
+	}
+}
+
+// TestServiceCallUsesFreshConnection keeps a call that may not be repeated off
+// connections that the server may have closed.
+func TestServiceCallUsesFreshConnection(t *testing.T) {
+	s := serveScript(t, func(int) string { return plain("{id}", "ok") })
+	client := testClient(t, nil)
+	r := engineRequest(s.addr())
+	r.Fencing = 0
+	for range 3 {
+		_, err := client.Do(t.Context(), r)
+		require.NoError(t, err)
+	}
+	require.Equal(t, int64(3), s.conns.Load())
+}
+
+func TestNothingIsSentTwice(t *testing.T) {
+	s := serveScript(t, func(n int) string {
+		if n == 1 {
+			return plain("{id}", "ok")
+		}
+		return closeConn
+	})
+	client := testClient(t, nil)
+	get := Request{ID: "r1", Address: s.addr(), Method: "GET", Path: "/x"}
+	_, err := client.Do(t.Context(), get)
+	require.NoError(t, err)
+	_, err = client.Do(t.Context(), get)
+	require.Error(t, err)
+	require.NotErrorIs(t, err, ErrNotSent)
+	require.Equal(t, int64(2), s.requests.Load())
+}
+
+// TestNotSent lists the failures before the first byte.
+func TestNotSent(t *testing.T) {
+	s := serveScript(t, func(int) string { return plain("{id}", "ok") })
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed := ln.Addr().String()
+	require.NoError(t, ln.Close())
+	canceled, cancel := context.WithCancel(t.Context())
+	cancel()
+	refuse := errors.New("lease ran out")
+	cases := map[string]struct {
+		ctx    context.Context
+		change func(*Request)
+		code   errs.Code
+	}{
+		"nobody listens":   {change: func(r *Request) { r.Address = closed }, code: errs.Unavailable},
+		"deadline passed":  {change: func(r *Request) { r.Deadline = time.Now().Add(-time.Second) }, code: errs.Timeout},
+		"context canceled": {ctx: canceled, change: func(*Request) {}, code: errs.Timeout},
+		"refused check":    {change: func(r *Request) { r.BeforeWrite = func() error { return refuse } }, code: errs.Unavailable},
+		"split path":       {change: func(r *Request) { r.Path = "/x HTTP/1.1\r\nX: y" }, code: errs.Invalid},
+		"relative path":    {change: func(r *Request) { r.Path = "x" }, code: errs.Invalid},
+		"split method":     {change: func(r *Request) { r.Method = "GET /y" }, code: errs.Invalid},
+		"split type":       {change: func(r *Request) { r.ContentType = "a\r\nX: y" }, code: errs.Invalid},
+		"split key":        {change: func(r *Request) { r.IdempotencyKey = "a\nb" }, code: errs.Invalid},
+		"no id":            {change: func(r *Request) { r.ID = "" }, code: errs.Invalid},
+		"GET with a body":  {change: func(r *Request) { r.Method = "GET" }, code: errs.Invalid},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := engineRequest(s.addr())
+			c.change(&r)
+			ctx := t.Context()
+			if c.ctx != nil {
+				ctx = c.ctx
+			}
+			_, err := testClient(t, nil).Do(ctx, r)
+			require.ErrorIs(t, err, ErrNotSent)
+			require.Equal(t, c.code, errs.CodeOf(err), "%v", err)
+			var typed *errs.Error
+			require.ErrorAs(t, err, &typed)
+			require.Equal(t, r.Address, typed.Peer)
+			require.Equal(t, int64(0), s.requests.Load())
+		})
+	}
+}
+
+func TestContextEndsCall(t *testing.T) {
+	s := serveScript(t, func(int) string { return hold })
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() {
+		_, err := testClient(t, nil).Do(ctx, engineRequest(s.addr()))
+		done <- err
+	}()
+	require.Eventually(t, func() bool { return s.requests.Load() == 1 }, waitFor, pollAt)
+	cancel()
+	err := <-done
+	require.Equal(t, errs.Timeout, errs.CodeOf(err), "%v", err)
+	require.NotErrorIs(t, err, ErrNotSent)
+}
+
+func TestOrderContract(t *testing.T) {
+	order := api.Order{Version: 1, Kind: api.OrderAssign, Host: "h1", Group: "g1", Fencing: 9}
+	status := func(line string) string {
+		return "HTTP/1.1 " + line + "\r\nCrocusway-Request: {id}\r\nContent-Length: 0\r\n\r\n"
+	}
+	cases := map[string]struct {
+		answer string
+		code   errs.Code
+	}{
+		"accepted":      {plain("{id}", `{"accepted":true,"host":"h1","incarnation":3,"fencing":9}`), ""},
+		"other host":    {plain("{id}", `{"accepted":true,"host":"h2","incarnation":3,"fencing":9}`), errs.Internal},
+		"unknown field": {plain("{id}", `{"accepted":true,"host":"h1","more":1}`), errs.Internal},
+		"not JSON":      {plain("{id}", `ok`), errs.Internal},
+		"denied":        {status("401 Unauthorized"), errs.Denied},
+		"no orders":     {status("404 Not Found"), errs.NotFound},
+		"failed":        {status("500 Internal Server Error"), errs.Internal},
+		"stream":        {streamHead("{id}") + done + lastChunk, errs.Internal},
+		"lost":          {closeConn, errs.Unavailable},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := serveScript(t, func(int) string { return c.answer })
+			result, err := testClient(t, nil).Send(t.Context(), s.addr(), order)
+			if c.code != "" {
+				require.Equal(t, c.code, errs.CodeOf(err), "%v", err)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, api.OrderResult{Accepted: true, Host: "h1", Incarnation: 3, Fencing: 9}, result)
+			require.JSONEq(t, `{"version":1,"kind":"assign","host":"h1","group":"g1","fencing":9}`, s.bodies[0])
+		})
+	}
+}
+
+func TestCancelNamesRequest(t *testing.T) {
+	s := serveScript(t, func(int) string { return plain("{id}", "{}") })
+	require.NoError(t, testClient(t, nil).Cancel(t.Context(), s.addr(), "r1"))
+	require.JSONEq(t, `{"request":"r1"}`, s.bodies[0])
+}
--- /dev/null
+++ b/internal/backend/errors.go
@@ -0,0 +1,54 @@
+package backend
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// Errors of a backend server that breaks the contract. Test with errors.Is.
+var (
+	// ErrWrongAnswer marks an answer or event of another request.
+	ErrWrongAnswer = errors.New("answer of another request")
+	// ErrMalformed marks an answer that is not as the contract says.
+	ErrMalformed = errors.New("malformed answer")
+	// ErrTooLarge marks an answer or event over its limit.
+	ErrTooLarge = errors.New("answer over the size limit")
+)
+
+// notSent adds ErrNotSent to a cause.
+type notSent struct{ cause error }
+
+func (e notSent) Error() string        { return e.cause.Error() }
+func (e notSent) Unwrap() error        { return e.cause }
+func (e notSent) Is(target error) bool { return target == ErrNotSent }
+
+// failure builds the error of one call.
+func failure(step, address string, sent bool, cause error) error {
+	code := codeOf(cause)
+	if !sent {
+		cause = notSent{cause}
+	}
+	return &errs.Error{Code: code, Step: step, Peer: address, Err: cause}
+}
+
+func codeOf(cause error) errs.Code {
+	var typed *errs.Error
+	switch {
+	case errors.As(cause, &typed):
+		return typed.Code
+	case errors.Is(cause, ErrWrongAnswer), errors.Is(cause, ErrMalformed), errors.Is(cause, ErrTooLarge):
+		return errs.Internal
+	case errors.Is(cause, context.DeadlineExceeded), errors.Is(cause, context.Canceled), isTimeout(cause):
+		return errs.Timeout
+	default:
+		return errs.Unavailable
+	}
+}
+
+func isTimeout(cause error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(cause, &timeout) && timeout.Timeout()
+}
--- /dev/null
+++ b/internal/backend/sse.go
@@ -0,0 +1,105 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// sseEvent is one server-sent event as it came, without its meaning.
+type sseEvent struct {
+	ID   string
+	Name string
+	Data []byte
+}
+
+// sseReader parses a text/event-stream. It accepts the line ends LF, CRLF and
+// CR and skips comments, unknown fields and events without data.
+type sseReader struct {
+	src   *bufio.Reader
+	limit int
+	line  []byte
+	// skipLF is set after a CR, which a LF may follow.
+	skipLF bool
+}
+
+// newSSEReader limits one event, its field names included, to limit bytes.
+func newSSEReader(src *bufio.Reader, limit int) *sseReader {
+	return &sseReader{src: src, limit: limit}
+}
+
+// next returns the next event with data. It returns io.EOF at the end of the
+// stream; an event without its closing blank line is dropped.
+func (r *sseReader) next() (sseEvent, error) {
+	var ev sseEvent
+	size := 0
+	hasData := false
+	for {
+		line, err := r.readLine()
+		if err != nil {
+			return sseEvent{}, err
+		}
+		size += len(line)
+		if size > r.limit {
+			return sseEvent{}, errors.Wrapf(ErrTooLarge, "event over %d bytes", r.limit)
+		}
+		if len(line) == 0 {
+			if hasData {
+				return ev, nil
+			}
+			ev = sseEvent{}
+			size = 0
+			continue
+		}
+		if ev.addField(line, hasData) {
+			hasData = true
+		}
+	}
+}
+
+// addField adds one line to the event and reports whether it held data.
+func (ev *sseEvent) addField(line []byte, more bool) bool {
+	name, value, _ := bytes.Cut(line, []byte{':'})
+	value = bytes.TrimPrefix(value, []byte{' '})
+	switch string(name) {
+	case "data":
+		if more {
+			ev.Data = append(ev.Data, '\n')
+		}
+		ev.Data = append(ev.Data, value...)
+		return true
+	case "id":
+		ev.ID = string(value)
+	case "event":
+		ev.Name = string(value)
+	}
+	return false
+}
+
+// readLine returns the next line without its end. The slice is valid until the
+// next call.
+func (r *sseReader) readLine() ([]byte, error) {
+	r.line = r.line[:0]
+	for {
+		b, err := r.src.ReadByte()
+		if err != nil {
+			if len(r.line) > 0 && errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+		skipped := r.skipLF && b == '\n'
+		r.skipLF = b == '\r'
+		switch {
+		case skipped:
+		case b == '\n' || b == '\r':
+			return r.line, nil
+		case len(r.line) >= r.limit:
+			return nil, errors.Wrapf(ErrTooLarge, "line over %d bytes", r.limit)
+		default:
+			r.line = append(r.line, b)
+		}
+	}
+}
--- /dev/null
+++ b/internal/backend/stream.go
@@ -0,0 +1,154 @@
+package backend
+
+import (
+	"bufio"
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// terminator is the data of the event that ends a token stream.
+const terminator = "[DONE]"
+
+// errorEvent names the event by which an engine ends a stream that it can't
+// complete.
+const errorEvent = "error"
+
+// EventID returns the id of the event that brings a stream to offset tokens.
+func EventID(request api.RequestID, offset int) string {
+	return string(request) + "/" + strconv.Itoa(offset)
+}
+
+// eventStream implements Stream on one connection.
+type eventStream struct {
+	call     *inFlight
+	response *fasthttp.Response
+	body     io.Reader
+	events   *sseReader
+	stall    time.Duration
+	offset   int
+	err      error
+	once     sync.Once
+}
+
+func newEventStream(call *inFlight, response *fasthttp.Response, cfg Config) *eventStream {
+	body := response.BodyStream()
+	return &eventStream{
+		call:     call,
+		response: response,
+		body:     body,
+		events:   newSSEReader(bufio.NewReaderSize(body, streamBuffer), cfg.MaxEvent),
+		stall:    cfg.StallTimeout,
+		offset:   call.request.Offset,
+	}
+}
+
+// streamBuffer is the read buffer of a stream, in bytes.
+const streamBuffer = 1 << 10
+
+// Next implements Stream.
+func (s *eventStream) Next() (Event, error) {
+	if s.err != nil {
+		return Event{}, s.err
+	}
+	s.call.extend(s.stall)
+	raw, err := s.events.next()
+	if err != nil {
+		return Event{}, s.fail(s.readError(err))
+	}
+	ev, err := s.interpret(raw)
+	if err != nil {
+		return Event{}, s.fail(err)
+	}
+	if ev.Done {
+		s.err = io.EOF
+	}
+	return ev, nil
+}
+
+// readError tells an early end from other failures.
+func (s *eventStream) readError(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return failure("read stream", s.call.request.Address, true, s.call.cause(err))
+}
+
+// interpret checks that the event belongs to the request and is the next one.
+func (s *eventStream) interpret(raw sseEvent) (Event, error) {
+	if raw.Name == errorEvent {
+		return Event{}, errs.New(errs.Internal, "run request", s.call.request.Address, "engine reported: %s", raw.Data)
+	}
+	if string(raw.Data) == terminator {
+		return Event{Offset: s.offset, Data: raw.Data, Done: true}, nil
+	}
+	if err := s.checkID(raw.ID); err != nil {
+		return Event{}, failure("check event", s.call.request.Address, true, err)
+	}
+	s.offset++
+	return Event{Offset: s.offset, Data: raw.Data}, nil
+}
+
+// checkID refuses events of other requests and gaps. An event without an id
+// counts as the next one.
+func (s *eventStream) checkID(id string) error {
+	if id == "" {
+		return nil
+	}
+	request, text, ok := cutLast(id, "/")
+	if !ok {
+		return errors.Wrapf(ErrMalformed, "event id %q", id)
+	}
+	if request != string(s.call.request.ID) {
+		return errors.Wrapf(ErrWrongAnswer, "event of request %q", request)
+	}
+	offset, err := strconv.Atoi(text)
+	if err != nil || offset != s.offset+1 {
+		return errors.Wrapf(ErrMalformed, "event offset %q, want %d", text, s.offset+1)
+	}
+	return nil
+}
+
+func cutLast(s, sep string) (before, after string, ok bool) {
+	i := strings.LastIndex(s, sep)
+	if i < 0 {
+		return s, "", false
+	}
+	return s[:i], s[i+len(sep):], true
+}
+
+func (s *eventStream) fail(err error) error {
+	s.err = err
+	return err
+}
+
+// Close implements Stream.
+func (s *eventStream) Close() error {
+	s.once.Do(func() {
+		reusable := errors.Is(s.err, io.EOF) && !s.response.Header.ConnectionClose() && s.atEnd()
+		_ = s.response.CloseBodyStream()
+		s.call.end(reusable)
+		if s.err == nil {
+			s.err = io.ErrClosedPipe
+		}
+	})
+	return nil
+}
+
+// endWait bounds the wait for the end of the body after the terminator.
+const endWait = 20 * time.Millisecond
+
+// atEnd reports whether nothing follows the terminator.
+func (s *eventStream) atEnd() bool {
+	s.call.extend(endWait)
+	_, err := s.events.next()
+	return errors.Is(err, io.EOF)
+}
--- a/internal/backend/types.go
+++ b/internal/backend/types.go
@@ -32,6 +32,11 @@
 	Deadline time.Time
 	// Offset is the number of tokens already delivered, for a resumed stream.
 	Offset int
+	// IdempotencyKey is passed on to a service; empty when the caller sent none.
+	IdempotencyKey string
+	// BeforeWrite is called once a connection is ready and before the first byte
+	// is written; an error ends the call as not sent. Nil allows the write.
+	BeforeWrite func() error
 }
 
 // Response is an answer. Exactly one of Body and Stream is used.
