Stand-ins of engines and plain services

Ruled out: one HTTP server a host, for its goroutines; a cluster simulator. Change: a fleet of hosts on one server and one announcer, with groups, orders, fencing, cold start, batching, prefix cache, cancel, resume, faults and records of what ran.

--- /dev/null
+++ b/internal/standin/generate.go
@@ -0,0 +1,203 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/backend"
+)
+
+var (
+	errAborted  = errors.New("engine died")
+	errCanceled = errors.New("canceled")
+)
+
+// TokenText is the text of token i, counted from 1, of a request. It depends on
+// nothing else, so that a resumed answer continues exactly.
+func TokenText(id api.RequestID, i int) string {
+	return fmt.Sprintf("%08x.%d ", crc32.ChecksumIEEE([]byte(id)), i)
+}
+
+// AnswerText is the whole text of n tokens.
+func AnswerText(id api.RequestID, n int) string {
+	var sb strings.Builder
+	for i := 1; i <= n; i++ {
+		sb.WriteString(TokenText(id, i))
+	}
+	return sb.String()
+}
+
+// wait sleeps for d, then as long as the host is paused.
+func (c *completion) wait(d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.job.aborted:
+		return errAborted
+	case <-c.job.canceled:
+		return errCanceled
+	}
+	select {
+	case <-c.host.pauseGate():
+		return nil
+	case <-c.job.aborted:
+		return errAborted
+	}
+}
+
+// awaitTurn waits in the engine's queue, then for the first token.
+func (c *completion) awaitTurn() error {
+	select {
+	case <-c.job.admitted:
+	case <-c.job.aborted:
+		return errAborted
+	case <-c.job.canceled:
+		return errCanceled
+	}
+	if c.fault.Kind == FaultLate {
+		if err := c.wait(c.fault.Delay); err != nil {
+			return err
+		}
+	}
+	cfg := c.host.fleet.cfg.Engine
+	return c.wait(c.pace(cfg.FirstToken + time.Duration(c.blocks-c.cached)*cfg.BlockTime))
+}
+
+func (c *completion) pace(d time.Duration) time.Duration {
+	c.host.mu.Lock()
+	defer c.host.mu.Unlock()
+	return c.host.engine.pace(d)
+}
+
+// end takes the job out of the batch.
+func (c *completion) end(complete bool) {
+	c.host.mu.Lock()
+	c.host.engine.remove(c.job, complete)
+	c.host.mu.Unlock()
+	if complete {
+		c.host.fleet.record.addComplete()
+	}
+}
+
+// leave ends a request that is not a stream yet.
+func (c *completion) leave(ctx *fasthttp.RequestCtx, cause error) {
+	c.end(false)
+	if errors.Is(cause, errAborted) {
+		_ = c.conn.Close()
+		return
+	}
+	refuse(ctx, fasthttp.StatusGone, cause.Error())
+}
+
+// answer runs a request whose answer is not a stream.
+func (c *completion) answer(ctx *fasthttp.RequestCtx) {
+	for i := c.offset + 2; i <= c.body.MaxTokens; i++ {
+		if err := c.wait(c.pace(c.host.fleet.cfg.Engine.TokenTime)); err != nil {
+			c.leave(ctx, err)
+			return
+		}
+	}
+	c.end(true)
+	var text strings.Builder
+	for i := c.offset + 1; i <= c.body.MaxTokens; i++ {
+		text.WriteString(TokenText(c.id, i))
+	}
+	writeJSON(ctx, c.whole(text.String()))
+	if c.fault.Kind == FaultTruncate {
+		body := ctx.Response.Body()
+		ctx.Response.SetBodyStream(&cutBody{left: body[:len(body)/2], conn: c.conn}, len(body))
+	}
+}
+
+// cutBody yields part of a body, then closes the connection.
+type cutBody struct {
+	left []byte
+	conn *hostConn
+}
+
+// Read implements io.Reader.
+func (b *cutBody) Read(p []byte) (int, error) {
+	if len(b.left) == 0 {
+		_ = b.conn.Close()
+		return 0, errAborted
+	}
+	n := copy(p, b.left)
+	b.left = b.left[n:]
+	return n, nil
+}
+
+// stream writes the events of an answer. It runs on its own goroutine.
+func (c *completion) stream(w *bufio.Writer) {
+	complete := false
+	defer func() { c.end(complete) }()
+	for i := c.offset + 1; i <= c.body.MaxTokens; i++ {
+		if i > c.offset+1 {
+			if err := c.wait(c.pace(c.host.fleet.cfg.Engine.TokenTime)); err != nil {
+				c.breakStream(w, err)
+				return
+			}
+		}
+		if c.faultAt(w, i) {
+			return
+		}
+		if c.writeToken(w, i) != nil {
+			return
+		}
+	}
+	complete = true
+	_, _ = w.WriteString("data: [DONE]\n\n")
+	_ = w.Flush()
+}
+
+// breakStream ends a stream early: with an error event when the engine lives.
+func (c *completion) breakStream(w *bufio.Writer, cause error) {
+	if errors.Is(cause, errAborted) {
+		_ = c.conn.Close()
+		return
+	}
+	_, _ = fmt.Fprintf(w, "event: error\ndata: %s\n\n", cause)
+	_ = w.Flush()
+}
+
+// faultAt acts on the fault before token i and reports whether the stream ends.
+func (c *completion) faultAt(w *bufio.Writer, i int) bool {
+	sent := i - 1 - c.offset
+	if sent != c.fault.After {
+		return false
+	}
+	switch c.fault.Kind {
+	case FaultTruncate:
+		_ = c.conn.Close()
+		return true
+	case FaultNoEnd:
+		return true
+	case FaultRepeat:
+		return sent > 0 && c.writeToken(w, i-1) != nil
+	default:
+		return false
+	}
+}
+
+func (c *completion) writeToken(w *bufio.Writer, i int) error {
+	id := c.id
+	if c.fault.Kind == FaultSwapEvent && i-1-c.offset == c.fault.After {
+		id = "swapped-" + id
+	}
+	raw, err := json.Marshal(c.chunk(i))
+	if err != nil {
+		return err
+	}
+	if _, err = fmt.Fprintf(w, "id: %s\ndata: %s\n\n", backend.EventID(id, i), raw); err != nil {
+		return err
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/standin/host.go
@@ -0,0 +1,271 @@
+package standin
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// Host is one stand-in backend server. Its methods are safe for concurrent
+// use.
+type Host struct {
+	fleet   *Fleet
+	id      api.HostID
+	kind    api.BackendKind
+	fabric  api.FabricDomain
+	domain  api.FailureDomain
+	service Service
+
+	mu          sync.Mutex
+	ln          net.Listener
+	address     string
+	conns       map[*hostConn]struct{}
+	up          bool
+	incarnation api.Incarnation
+	sequence    uint64
+	leavingAt   time.Time
+	// resumed is closed while the host is not paused.
+	resumed chan struct{}
+	paused  bool
+	faults  []Fault
+	member  membership
+	load    loadReport
+	engine  batch
+	// due is when the next announcement is sent; announcing is set meanwhile.
+	due        time.Time
+	announcing bool
+}
+
+// membership is what the host's orders made of it.
+type membership struct {
+	group   api.GroupID
+	fencing api.Fencing
+	rank    int
+	members []api.HostID
+	model   string
+	readyAt time.Time
+	// highest is the highest fencing number accepted by this incarnation.
+	highest api.Fencing
+}
+
+func newHost(f *Fleet, id api.HostID, domain api.FailureDomain) *Host {
+	open := make(chan struct{})
+	close(open)
+	return &Host{
+		fleet:   f,
+		id:      id,
+		domain:  domain,
+		conns:   make(map[*hostConn]struct{}),
+		resumed: open,
+	}
+}
+
+// ID returns the name of the host.
+func (h *Host) ID() api.HostID { return h.id }
+
+// Domain returns the failure domain of the host.
+func (h *Host) Domain() api.FailureDomain { return h.domain }
+
+// Fabric returns the fabric domain of the host, empty for a service.
+func (h *Host) Fabric() api.FabricDomain { return h.fabric }
+
+// Address returns the "ip:port" of the host.
+func (h *Host) Address() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.address
+}
+
+// Incarnation returns the present incarnation.
+func (h *Host) Incarnation() api.Incarnation {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.incarnation
+}
+
+// Up reports whether the host is running, paused or not.
+func (h *Host) Up() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.up
+}
+
+// LeavingSince returns when the host announced that it leaves, or the zero
+// time.
+func (h *Host) LeavingSince() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leavingAt
+}
+
+// Membership returns the group and fencing number that the host holds.
+func (h *Host) Membership() (api.GroupID, api.Fencing) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.member.group, h.member.fencing
+}
+
+// start begins a new incarnation without a membership. It keeps the address
+// of an earlier one.
+func (h *Host) start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.up || h.fleet.ctx.Err() != nil {
+		return nil
+	}
+	address := h.address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "start host %s", h.id)
+	}
+	h.ln = ln
+	h.address = ln.Addr().String()
+	h.up = true
+	h.incarnation++
+	h.sequence = 0
+	h.leavingAt = time.Time{}
+	h.member = membership{}
+	h.load = loadReport{}
+	h.engine = newBatch(h.fleet.cfg.Engine)
+	h.due = h.fleet.cfg.Clock.Now()
+	h.fleet.tasks.Go(func() { h.fleet.listener.serve(ln, h) })
+	return nil
+}
+
+// Kill stops the host: its connections break and it announces nothing until
+// Restart.
+func (h *Host) Kill() {
+	group, fencing, members, ok := h.stop()
+	if !ok || len(members) == 0 || members[0] == h.id {
+		return
+	}
+	// A replica does not survive a member: what runs at rank 0 breaks off.
+	if first := h.fleet.Host(members[0]); first != nil {
+		first.breakOff(group, fencing)
+	}
+}
+
+func (h *Host) stop() (api.GroupID, api.Fencing, []api.HostID, bool) {
+	h.mu.Lock()
+	if !h.up {
+		h.mu.Unlock()
+		return "", 0, nil, false
+	}
+	h.up = false
+	ln := h.ln
+	m := h.member
+	conns := h.takeConns()
+	h.engine.abort()
+	h.mu.Unlock()
+	_ = ln.Close()
+	closeAll(conns)
+	return m.group, m.fencing, m.members, true
+}
+
+// takeConns returns the open connections. The lock is held.
+func (h *Host) takeConns() []*hostConn {
+	conns := make([]*hostConn, 0, len(h.conns))
+	for c := range h.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+func closeAll(conns []*hostConn) {
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
+// breakOff cuts what runs for one generation of a group.
+func (h *Host) breakOff(group api.GroupID, fencing api.Fencing) {
+	h.mu.Lock()
+	if h.member.group != group || h.member.fencing != fencing {
+		h.mu.Unlock()
+		return
+	}
+	conns := h.takeConns()
+	h.engine.abort()
+	h.mu.Unlock()
+	closeAll(conns)
+}
+
+// Restart starts a killed host as a new incarnation.
+func (h *Host) Restart() error { return h.start() }
+
+// fall kills the host and starts it again after the restart time.
+func (h *Host) fall() {
+	h.fleet.record.addFall()
+	h.Kill()
+	h.fleet.after(h.fleet.cfg.Engine.RestartTime, func() { _ = h.start() })
+}
+
+// Pause freezes the host: connections stay open, nothing moves.
+func (h *Host) Pause() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.paused {
+		return
+	}
+	h.paused = true
+	h.resumed = make(chan struct{})
+}
+
+// Resume ends a pause.
+func (h *Host) Resume() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.paused {
+		return
+	}
+	h.paused = false
+	close(h.resumed)
+}
+
+// Leave announces at once that the host is leaving. It finishes what runs.
+func (h *Host) Leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leavingAt.IsZero() {
+		h.leavingAt = h.fleet.cfg.Clock.Now()
+		h.due = h.leavingAt
+	}
+}
+
+// TurnCold begins a cold start without a warning. The next announcement says
+// so.
+func (h *Host) TurnCold() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.engine.turnCold()
+}
+
+// pauseGate returns a channel that is closed while the host is not paused.
+func (h *Host) pauseGate() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.resumed
+}
+
+func (h *Host) remember(c *hostConn) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.up {
+		return false
+	}
+	h.conns[c] = struct{}{}
+	return true
+}
+
+func (h *Host) forget(c *hostConn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.conns, c)
+}
--- /dev/null
+++ b/internal/standin/main_test.go
@@ -0,0 +1,19 @@
+package standin
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		// fasthttp keeps two goroutines per process, for its Date header and for
+		// resolved addresses; its cleaners notice the end of their owner only
+		// after a pause of 10 s.
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*TCPDialer).tcpAddrsClean"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*Client).mCleaner"))
+}
--- /dev/null
+++ b/internal/standin/openai.go
@@ -0,0 +1,80 @@
+package standin
+
+// The shapes of the OpenAI completions API, as far as the stand-in fills them.
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+	Details          struct {
+		CachedTokens int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Message      *message `json:"message,omitempty"`
+	Delta        *delta   `json:"delta,omitempty"`
+	Text         *string  `json:"text,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type completionAnswer struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+func (c *completion) usage() *usage {
+	u := &usage{PromptTokens: len(c.body.prompt()) / BytesPerToken, CompletionTokens: c.body.MaxTokens}
+	u.TotalTokens = u.PromptTokens + u.CompletionTokens
+	u.Details.CachedTokens = c.cached * BlockBytes / BytesPerToken
+	return u
+}
+
+// whole is an answer that is not a stream.
+func (c *completion) whole(text string) completionAnswer {
+	reason := "length"
+	ch := choice{FinishReason: &reason}
+	object := "text_completion"
+	if c.chat {
+		object = "chat.completion"
+		ch.Message = &message{Role: "assistant", Content: text}
+	} else {
+		ch.Text = &text
+	}
+	return completionAnswer{
+		ID: string(c.id), Object: object, Model: c.body.Model, Choices: []choice{ch}, Usage: c.usage(),
+	}
+}
+
+// chunk is the event of token i. The last one carries the usage.
+func (c *completion) chunk(i int) completionAnswer {
+	text := TokenText(c.id, i)
+	var ch choice
+	object := "text_completion"
+	if c.chat {
+		object = "chat.completion.chunk"
+		ch.Delta = &delta{Content: text}
+		if i == 1 {
+			ch.Delta.Role = "assistant"
+		}
+	} else {
+		ch.Text = &text
+	}
+	answer := completionAnswer{ID: string(c.id), Object: object, Model: c.body.Model}
+	if i == c.body.MaxTokens {
+		reason := "length"
+		ch.FinishReason = &reason
+		answer.Usage = c.usage()
+	}
+	answer.Choices = []choice{ch}
+	return answer
+}
