A whole system on loopback, a caller and the demonstration

Cause: the demonstration, the experiments and the tests need the same system and the same caller. Change: packages local, caller and demo. Ruled out: child processes, which the users' rules keep to tests.

--- /dev/null
+++ b/internal/caller/directory.go
@@ -0,0 +1,94 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// directoryTimeout bounds one question for the list of entries.
+const directoryTimeout = 2 * time.Second
+
+// directory is the answer of GET /v1/entries.
+type directory struct {
+	Entries []struct {
+		Address string `json:"address"`
+	} `json:"entries"`
+	TTLSeconds int `json:"ttl_seconds"`
+}
+
+// entry returns the next entry in turn, from a list that is not too old.
+func (c *Client) entry(ctx context.Context) (string, error) {
+	c.mu.Lock()
+	fresh := len(c.entries) > 0 && time.Now().Before(c.expires)
+	c.mu.Unlock()
+	if !fresh {
+		if err := c.refresh(ctx); err != nil {
+			return "", err
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.entries) == 0 {
+		return "", errors.New("find an entry: none is listed")
+	}
+	c.next++
+	return c.entries[c.next%len(c.entries)], nil
+}
+
+// refresh asks the entries in turn for the list.
+func (c *Client) refresh(ctx context.Context) error {
+	var last error
+	for _, address := range c.seed {
+		list, err := c.ask(ctx, address)
+		if err == nil && len(list.Entries) > 0 {
+			c.keep(list)
+			return nil
+		}
+		last = err
+	}
+	return errors.Wrap(last, "ask for entries")
+}
+
+func (c *Client) ask(ctx context.Context, address string) (directory, error) {
+	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
+	defer cancel()
+	var list directory
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/entries", nil)
+	if err != nil {
+		return list, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return list, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	err = json.NewDecoder(response.Body).Decode(&list)
+	return list, errors.Wrapf(err, "read entries (peer %s)", address)
+}
+
+func (c *Client) keep(list directory) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries = c.entries[:0]
+	for _, e := range list.Entries {
+		c.entries = append(c.entries, e.Address)
+	}
+	c.expires = time.Now().Add(time.Duration(list.TTLSeconds) * time.Second)
+}
+
+// forget drops an entry that could not be reached until the next refresh.
+func (c *Client) forget(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := c.entries[:0]
+	for _, e := range c.entries {
+		if e != address {
+			kept = append(kept, e)
+		}
+	}
+	c.entries = kept
+}
--- /dev/null
+++ b/internal/demo/domain.go
@@ -0,0 +1,129 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/caller"
+	"github.com/crocusway/crocusway/internal/local"
+)
+
+// underLoad runs change while callers stream answers, and counts how their
+// calls ended.
+func (d *Demo) underLoad(ctx context.Context, change func(context.Context) error) error {
+	loadCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for range callers {
+		wg.Go(func() {
+			client := caller.New(apiKey, d.System.Entries())
+			for loadCtx.Err() == nil {
+				answer, err := client.Chat(ctx, model, "summarise the order history of tin 42", maxTokens)
+				mu.Lock()
+				d.report.Service.add(answer, err)
+				mu.Unlock()
+			}
+		})
+	}
+	err := change(ctx)
+	if err == nil {
+		wait(ctx, settleTime)
+	}
+	stop()
+	wg.Wait()
+	return err
+}
+
+func (c *ServiceCount) add(a caller.Answer, err error) {
+	switch {
+	case err == nil && a.Whole():
+		c.Complete++
+	case a.Outcome == api.OutcomeNotRun:
+		c.NotRun++
+	case a.Status == http.StatusOK:
+		c.Cut++
+	default:
+		c.Unknown++
+	}
+}
+
+func (d *Demo) drain(ctx context.Context) (string, error) {
+	domain := domains[2]
+	err := d.underLoad(ctx, func(ctx context.Context) error {
+		if err := d.setDomain(ctx, domain, api.DomainDrained); err != nil {
+			return err
+		}
+		before := d.runsIn(domain)
+		wait(ctx, settleTime)
+		d.report.DrainedWork = d.runsIn(domain) - before
+		return nil
+	})
+	if err != nil {
+		return "", err
+	}
+	if d.report.DrainedWork > 0 {
+		return "", errors.Newf("%d requests reached the drained domain", d.report.DrainedWork)
+	}
+	return d.serviceSentence("drained, no new work there"), nil
+}
+
+func (d *Demo) restore(ctx context.Context) (string, error) {
+	domain := domains[2]
+	err := d.underLoad(ctx, func(ctx context.Context) error {
+		if err := d.setDomain(ctx, domain, api.DomainActive); err != nil {
+			return err
+		}
+		_, err := d.System.Await(ctx, "replicas of the restored domain", func(s api.StatusResponse) bool {
+			return local.ReadyGroups(s, model) == replicas
+		})
+		return err
+	})
+	if err != nil {
+		return "", err
+	}
+	if d.report.Service.Cut > 0 {
+		return "", errors.Newf("%d answers were cut", d.report.Service.Cut)
+	}
+	return d.serviceSentence("all replicas are ready again"), nil
+}
+
+func (d *Demo) serviceSentence(what string) string {
+	c := d.report.Service
+	return fmt.Sprintf("%s; calls so far: %d complete, %d not run, %d unknown, %d cut", what, c.Complete, c.NotRun, c.Unknown, c.Cut)
+}
+
+func (d *Demo) setDomain(ctx context.Context, name api.FailureDomain, state api.DomainState) error {
+	_, decision, err := d.System.Confirm(ctx, api.Intent{Domains: []api.Domain{{Name: name, State: state}}})
+	if err != nil {
+		return err
+	}
+	if !decision.InForce {
+		return errors.Newf("the change is not in force, held out: %v", decision.HeldOut)
+	}
+	return nil
+}
+
+// runsIn counts the requests that engines of a failure domain ran.
+func (d *Demo) runsIn(domain api.FailureDomain) int {
+	n := 0
+	for _, h := range d.System.Fleet.InDomain(domain) {
+		n += len(h.Runs())
+	}
+	return n
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/local/system.go
@@ -0,0 +1,286 @@
+// Package local runs a whole system on loopback in one process: daemons in
+// every role and a fleet of stand-in backend servers. The demonstration, the
+// experiments and the tests use it.
+package local
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/config"
+	"github.com/crocusway/crocusway/internal/ctl"
+	"github.com/crocusway/crocusway/internal/daemon"
+	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/logging"
+	"github.com/crocusway/crocusway/internal/standin"
+)
+
+const (
+	// anyPort lets the kernel choose a port on loopback.
+	anyPort = "127.0.0.1:0"
+	// pollInterval is the time between two looks at the system's state.
+	pollInterval = 20 * time.Millisecond
+	// secretBytes is the length of generated secrets before encoding.
+	secretBytes = 24
+)
+
+// Config sets up a System.
+type Config struct {
+	// Daemons is the number of entry daemons, of which the first Voters run the
+	// control role too.
+	Daemons int
+	Voters  int
+	// Domains are the failure domains, dealt over the daemons in turn.
+	Domains []api.FailureDomain
+	// Fleet sets up the backend servers; its entries, token and domains are
+	// filled in.
+	Fleet standin.Config
+	// Adjust changes the settings of each daemon, if not nil.
+	Adjust func(*config.Serve)
+	Logger log.Logger
+}
+
+// System is a running system.
+type System struct {
+	Fleet *standin.Fleet
+	// Client is the operator's client for all daemons.
+	Client *ctl.Client
+
+	cfg      Config
+	dir      string
+	operator config.Secret
+	members  []*member
+}
+
+// member is one daemon of the system.
+type member struct {
+	daemon *daemon.Daemon
+	cancel context.CancelFunc
+	done   chan struct{}
+	err    error
+}
+
+// Start runs the daemons and the fleet. The caller must Close the system.
+func Start(cfg Config) (*System, error) {
+	if cfg.Logger == nil {
+		cfg.Logger = logging.Discard()
+	}
+	dir, err := os.MkdirTemp("", "crocusway-")
+	if err != nil {
+		return nil, errors.Wrap(err, "create data folder")
+	}
+	s := &System{cfg: cfg, dir: dir}
+	if err := s.start(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *System) start() error {
+	peerSecret, backendToken := newSecret(), newSecret()
+	s.operator = newSecret()
+	for i := range s.cfg.Daemons {
+		settings := s.settings(i)
+		settings.PeerSecret = peerSecret
+		settings.BackendToken = backendToken
+		d, err := daemon.Listen(settings, s.cfg.Logger)
+		if err != nil {
+			return err
+		}
+		s.members = append(s.members, &member{daemon: d, done: make(chan struct{})})
+	}
+	voters := s.voters()
+	for _, m := range s.members {
+		m.daemon.SetVoters(voters)
+		m.run()
+	}
+	s.Client = ctl.NewClient(s.Entries(), s.operator, "local")
+	return s.startFleet(backendToken)
+}
+
+func (s *System) settings(i int) config.Serve {
+	settings := config.DefaultServe()
+	settings.Name = fmt.Sprintf("entry%d", i+1)
+	settings.Domain = s.cfg.Domains[i%len(s.cfg.Domains)]
+	settings.PeerListen = anyPort
+	settings.CallerListen = anyPort
+	settings.OperatorToken = s.operator
+	settings.Roles = []config.Role{config.RoleEntry}
+	if i < s.cfg.Voters {
+		settings.Roles = []config.Role{config.RoleControl, config.RoleEntry}
+		settings.DataDir = filepath.Join(s.dir, settings.Name)
+		settings.Bootstrap = true
+	}
+	if s.cfg.Adjust != nil {
+		s.cfg.Adjust(&settings)
+	}
+	return settings
+}
+
+func (s *System) voters() []config.Voter {
+	var voters []config.Voter
+	for _, m := range s.members[:s.cfg.Voters] {
+		voters = append(voters, config.Voter{ID: api.VoterID(m.daemon.Name()), Address: m.daemon.PeerAddress()})
+	}
+	return voters
+}
+
+func (s *System) startFleet(token config.Secret) error {
+	fleet := s.cfg.Fleet
+	fleet.Entries = s.Entries()
+	fleet.Token = token.Reveal()
+	fleet.Domains = s.cfg.Domains
+	fleet.Logger = s.cfg.Logger
+	started, err := standin.Start(fleet)
+	s.Fleet = started
+	return err
+}
+
+func (m *member) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	go func() {
+		defer close(m.done)
+		m.err = m.daemon.Run(ctx)
+	}()
+}
+
+// Entries returns the caller addresses of all daemons.
+func (s *System) Entries() []string {
+	var out []string
+	for _, m := range s.members {
+		out = append(out, m.daemon.CallerAddress())
+	}
+	return out
+}
+
+// OperatorToken returns the token that the daemons accept from operators.
+func (s *System) OperatorToken() config.Secret { return s.operator }
+
+// Stop shuts a daemon down gracefully and returns the error of its run.
+func (s *System) Stop(i int) error {
+	m := s.members[i]
+	m.cancel()
+	<-m.done
+	return m.err
+}
+
+// Close stops everything and removes the data folders.
+func (s *System) Close() {
+	if s.Fleet != nil {
+		s.Fleet.Close()
+	}
+	var wg sync.WaitGroup
+	for i := range s.members {
+		if s.members[i].cancel != nil {
+			wg.Go(func() { _ = s.Stop(i) })
+		}
+	}
+	wg.Wait()
+	_ = os.RemoveAll(s.dir)
+}
+
+// Confirm states an intent and confirms its plan. It repeats both while
+// control has no leader or the plan is in conflict.
+func (s *System) Confirm(ctx context.Context, intent api.Intent) (api.Plan, api.DecideResponse, error) {
+	for {
+		plan, decision, err := s.confirmOnce(intent)
+		if err == nil || !passing(err) {
+			return plan, decision, err
+		}
+		if !pause(ctx) {
+			return plan, decision, err
+		}
+	}
+}
+
+func (s *System) confirmOnce(intent api.Intent) (api.Plan, api.DecideResponse, error) {
+	plan, err := s.Client.Plan(intent)
+	if err != nil {
+		return plan, api.DecideResponse{}, err
+	}
+	decision, err := s.Client.Decide(plan.ID, true, decideWait)
+	return plan, decision, err
+}
+
+// decideWait bounds the wait for a change to be in force.
+const decideWait = 10 * time.Second
+
+// passing reports whether an error goes away by itself.
+func passing(err error) bool {
+	switch errs.CodeOf(err) {
+	case errs.Unavailable, errs.NotLeader, errs.Timeout, errs.Conflict:
+		return true
+	default:
+		return false
+	}
+}
+
+// Await returns once the condition holds for the leader's status, or with an
+// error that names what was awaited when ctx ends.
+func (s *System) Await(ctx context.Context, what string, holds func(api.StatusResponse) bool) (api.StatusResponse, error) {
+	var last error
+	for {
+		status, err := s.Client.Status()
+		if err == nil && holds(status) {
+			return status, nil
+		}
+		if err != nil {
+			last = err
+		}
+		if !pause(ctx) {
+			return status, errors.CombineErrors(errors.Newf("await %s: %v", what, ctx.Err()), last)
+		}
+	}
+}
+
+// ReadyGroups counts the ready replicas of a serving group.
+func ReadyGroups(s api.StatusResponse, name api.ServingGroupName) int {
+	n := 0
+	for _, g := range s.View.Groups {
+		if g.ServingGroup == name && g.Phase == api.GroupReady {
+			n++
+		}
+	}
+	return n
+}
+
+// LiveEntries counts the entries that hold a work lease.
+func LiveEntries(s api.StatusResponse) int {
+	n := 0
+	for _, e := range s.View.Entries {
+		if e.Live && !e.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// pause waits a moment and reports whether ctx goes on.
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(pollInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func newSecret() config.Secret {
+	raw := make([]byte, secretBytes)
+	_, _ = rand.Read(raw)
+	return config.Secret(hex.EncodeToString(raw))
+}
