Daemon on the shard and pipeline parts that stand

Cause: the parts landed with their own constructors. Change: wiring, state dump of owned shards, release of the work lease at the end of a graceful shutdown, no second voter asked after a refusal by the leader. Ruled out: retrying a refusal elsewhere, which returned to the leader with a stale revision until the call's limit.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -64,7 +64,7 @@
 		Logger:        logging.For(d.base, "entry"),
 		RenewInterval: d.cfg.RenewInterval,
 		WatchWait:     watchWait,
-		OnSnapshot:    r.shards.Update,
+		OnSnapshot:    r.apply,
 		ApplyUpdate:   control.ApplyUpdate,
 	})
 	return r
@@ -74,23 +74,18 @@
 	settings := shard.DefaultSettings()
 	settings.QueueLimit = d.cfg.QueueLimit
 	settings.WorkLease = d.cfg.WorkLease
-	r.shards = shard.NewManager(shard.ManagerConfig{
+	settings.RequestTimeout = d.cfg.RequestTimeout
+	r.shards, r.grants = shard.New(shard.Config{
 		Self:     info,
 		View:     r.state,
-		Clock:    clock.System{},
-		Logger:   d.base,
-		Settings: settings,
-	})
-	r.shards.Register(d.node)
-	r.grants = shard.NewClient(shard.ClientConfig{
-		Self:     info,
-		View:     r.state,
-		Local:    r.shards,
 		Peers:    d.node,
+		Engines:  d.backends,
 		Clock:    clock.System{},
 		Logger:   d.base,
 		Settings: settings,
 	})
+	r.shards.Register(d.node)
+	r.grants.Register(d.node)
 }
 
 func pipelineSettings(d *Daemon) pipeline.Settings {
@@ -109,6 +104,12 @@
 	g.Go(func() error { return r.grants.Run(ctx) })
 }
 
+// apply hands a new snapshot to the parts that keep state of their own.
+func (r *entryRole) apply(snapshot *entry.Snapshot) {
+	r.shards.Update(snapshot)
+	r.grants.Update(context.Background())
+}
+
 // leave takes the entry out of the directory, waits until the calls that it
 // took have ended, and tells control that it works no more.
 func (r *entryRole) leave(ctx context.Context) {
@@ -125,5 +126,9 @@
 	case <-finished:
 	case <-ctx.Done():
 		level.Warn(r.agent.Logger()).Log("msg", "calls are still in progress at the end of the shutdown")
+		return
+	}
+	if err := r.agent.Release(ctx); err != nil {
+		level.Warn(r.agent.Logger()).Log("msg", "work lease was not given back", "err", err)
 	}
 }
--- a/internal/demo/domain.go
+++ b/internal/demo/domain.go
@@ -113,8 +113,10 @@
 // runsIn counts the requests that engines of a failure domain ran.
 func (d *Demo) runsIn(domain api.FailureDomain) int {
 	n := 0
-	for _, h := range d.System.Fleet.InDomain(domain) {
-		n += len(h.Runs())
+	for _, run := range d.System.Fleet.Runs() {
+		if d.System.Fleet.Host(run.Host).Domain() == domain {
+			n++
+		}
 	}
 	return n
 }
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -61,11 +61,8 @@
 // before the request was sent, so that the entry never believes longer in it
 // than the leader does.
 func (a *Agent) Renew(ctx context.Context) error {
-	info := a.cfg.State.Info
-	info.Live = true
-	info.Leaving = a.cfg.State.Leaving()
 	sent := a.cfg.Clock.Now()
-	request := api.RenewRequest{Entry: info, Applied: a.cfg.State.Snapshot().Revision}
+	request := a.renewal()
 	var response api.RenewResponse
 	if err := a.cfg.Control.Call(ctx, api.MethodRenew, request, &response); err != nil {
 		return err
@@ -74,6 +71,23 @@
 	return nil
 }
 
+func (a *Agent) renewal() api.RenewRequest {
+	info := a.cfg.State.Info
+	info.Live = true
+	info.Leaving = a.cfg.State.Leaving()
+	return api.RenewRequest{Entry: info, Applied: a.cfg.State.Snapshot().Revision}
+}
+
+// Release gives the work lease back at the end of a graceful shutdown, so that
+// the shards of this entry move on at once. The entry must be leaving and do
+// no more work.
+func (a *Agent) Release(ctx context.Context) error {
+	a.cfg.State.SetLease(time.Time{})
+	request := a.renewal()
+	request.Release = true
+	return a.cfg.Control.Call(ctx, api.MethodRenew, request, &api.RenewResponse{})
+}
+
 // extend sets the lease unless the entry lags behind a revision that an
 // earlier renewal named. The first renewal only learns that revision: a
 // restarted entry takes no work on an old view.
--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -85,6 +85,10 @@
 
 // redirect chooses the next target after err and reports whether to repeat.
 func (c *LeaderClient) redirect(failed string, err error, method api.Method) bool {
+	if errs.RetryAfterOf(err) > 0 {
+		// The leader itself refused: the same call has no better luck elsewhere.
+		return false
+	}
 	switch errs.CodeOf(err) {
 	case errs.NotLeader:
 		c.moveOn(failed, errs.DetailOf(err))
