Pass the idempotency key on to services

Cause: the demonstration's deposit ran 0 times by its key: the service never saw it. Ruled out: counting by body alone, since a service of the users' own may want the key. Change: the dispatch filter forwards the header.

--- a/internal/pipeline/dispatch.go
+++ b/internal/pipeline/dispatch.go
@@ -98,6 +98,7 @@
 	}
 	if c.kind == callService {
 		r.Path = c.service.path
+		r.IdempotencyKey = string(c.http.Request.Header.Peek(api.HeaderIdempotencyKey))
 		return r
 	}
 	r.Fencing = c.target.grant.Fencing
