Tests with separate processes; a caller that follows hand-overs

Change: the caller takes the list from a refusal that says not-run and sends again; tests that kill, freeze and stop real processes.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -24,6 +24,8 @@
 	maxLine = 1 << 20
 	// idlePerEntry bounds the idle connections to one entry.
 	idlePerEntry = 256
+	// maxHandovers bounds the entries that a request is handed on by.
+	maxHandovers = 3
 	dataPrefix   = "data: "
 	terminator   = "[DONE]"
 )
@@ -34,6 +36,9 @@
 	seed []string
 	http *http.Client
 
+	// pinned keeps the one entry whatever the directory says.
+	pinned bool
+
 	mu      sync.Mutex
 	entries []string
 	expires time.Time
@@ -47,12 +52,22 @@
 	return &Client{key: key, seed: addresses, http: &http.Client{Transport: transport}}
 }
 
+// Pinned returns a client that uses one entry without asking which to use.
+func Pinned(key, address string) *Client {
+	c := New(key, []string{address})
+	c.entries = []string{address}
+	c.pinned = true
+	return c
+}
+
 // Answer is what a caller learns of one request.
 type Answer struct {
 	Entry   string
 	Status  int
 	Request api.RequestID
 	Outcome api.Outcome
+	// Handovers is the number of entries that named others to use instead.
+	Handovers int
 	// Body is the whole answer that is not a stream.
 	Body []byte
 	// Tokens are the contents of the stream's events, in order.
@@ -107,7 +122,21 @@
 	return c.send(ctx, method, "/services/"+name+path, key, body)
 }
 
+// send follows an entry that hands its callers over: the refusal says that the
+// request did not run and lists the entries to use.
 func (c *Client) send(ctx context.Context, method, path, key string, body []byte) (Answer, error) {
+	var handovers int
+	for {
+		answer, err := c.sendOnce(ctx, method, path, key, body)
+		answer.Handovers = handovers
+		if err != nil || handovers == maxHandovers || !c.handedOver(answer) {
+			return answer, err
+		}
+		handovers++
+	}
+}
+
+func (c *Client) sendOnce(ctx context.Context, method, path, key string, body []byte) (Answer, error) {
 	address, err := c.entry(ctx)
 	if err != nil {
 		return Answer{}, err
--- a/internal/caller/directory.go
+++ b/internal/caller/directory.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/crocusway/crocusway/internal/api"
 )
 
 // directoryTimeout bounds one question for the list of entries.
@@ -23,7 +25,7 @@
 // entry returns the next entry in turn, from a list that is not too old.
 func (c *Client) entry(ctx context.Context) (string, error) {
 	c.mu.Lock()
-	fresh := len(c.entries) > 0 && time.Now().Before(c.expires)
+	fresh := c.pinned || len(c.entries) > 0 && time.Now().Before(c.expires)
 	c.mu.Unlock()
 	if !fresh {
 		if err := c.refresh(ctx); err != nil {
@@ -80,8 +82,30 @@
 	c.expires = time.Now().Add(time.Duration(list.TTLSeconds) * time.Second)
 }
 
+// handover is the part of a refusal that names other entries.
+type handover struct {
+	Entries *directory `json:"entries"`
+}
+
+// handedOver takes the list of entries from a refusal and reports whether the
+// request may be sent to one of them.
+func (c *Client) handedOver(a Answer) bool {
+	if c.pinned || a.Status == http.StatusOK || a.Outcome != api.OutcomeNotRun {
+		return false
+	}
+	var h handover
+	if err := json.Unmarshal(a.Body, &h); err != nil || h.Entries == nil || len(h.Entries.Entries) == 0 {
+		return false
+	}
+	c.keep(*h.Entries)
+	return true
+}
+
 // forget drops an entry that could not be reached until the next refresh.
 func (c *Client) forget(address string) {
+	if c.pinned {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kept := c.entries[:0]
--- /dev/null
+++ b/internal/e2e/cluster_test.go
@@ -0,0 +1,301 @@
+package e2e
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/caller"
+	"github.com/crocusway/crocusway/internal/ctl"
+	"github.com/crocusway/crocusway/internal/standin"
+)
+
+const (
+	peerSecret    = "e2e-peer-secret-0001"
+	operatorToken = "e2e-operator-token-1"
+	backendToken  = "e2e-backend-token-01"
+	apiKey        = "e2e-counter-key"
+	model         = "scribe"
+	service       = "ledger"
+	// patience bounds every wait of these tests; it is no measure of speed.
+	patience = 60 * time.Second
+	poll     = 50 * time.Millisecond
+)
+
+var domains = []api.FailureDomain{"cairo", "alexandria", "tanta"}
+
+// binary is the path of the program under test, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "crocusway-e2e-")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary = filepath.Join(dir, "crocusway")
+	out, err := exec.Command("go", "build", "-race", "-o", binary, "../../cmd/crocusway").CombinedOutput()
+	if err != nil {
+		fmt.Printf("build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one daemon.
+type process struct {
+	t       *testing.T
+	name    string
+	env     []string
+	peer    string
+	callers string
+	dataDir string
+	log     string
+	cmd     *exec.Cmd
+	exited  chan struct{}
+}
+
+// cluster is 3 voters that are entries too, 1 more entry, and stand-ins.
+type cluster struct {
+	t         *testing.T
+	processes []*process
+	fleet     *standin.Fleet
+	client    *ctl.Client
+	caller    *caller.Client
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+func startCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := &cluster{t: t}
+	dir := t.TempDir()
+	for i := range 4 {
+		c.processes = append(c.processes, &process{
+			t:       t,
+			name:    fmt.Sprintf("entry%d", i+1),
+			peer:    freeAddress(t),
+			callers: freeAddress(t),
+			dataDir: filepath.Join(dir, fmt.Sprintf("entry%d", i+1)),
+			log:     filepath.Join(dir, fmt.Sprintf("entry%d.log", i+1)),
+		})
+	}
+	for i, p := range c.processes {
+		p.env = c.environment(i)
+		p.start("CROCUSWAY_BOOTSTRAP=true")
+	}
+	c.client = ctl.NewClient(c.addresses(), operatorToken, "amal")
+	c.caller = caller.New(apiKey, c.addresses())
+	c.startFleet()
+	c.await("4 live entries and all hosts", func(s api.StatusResponse) bool {
+		return liveEntries(s) == 4 && len(s.Hosts) == len(c.fleet.Hosts())
+	})
+	return c
+}
+
+func (c *cluster) environment(i int) []string {
+	p := c.processes[i]
+	roles := "entry"
+	var voters []string
+	for _, v := range c.processes[:3] {
+		voters = append(voters, v.name+"="+v.peer)
+	}
+	env := []string{
+		"PATH=" + os.Getenv("PATH"),
+		"CROCUSWAY_NAME=" + p.name,
+		"CROCUSWAY_DOMAIN=" + string(domains[i%3]),
+		"CROCUSWAY_PEER_LISTEN=" + p.peer,
+		"CROCUSWAY_CALLER_LISTEN=" + p.callers,
+		"CROCUSWAY_VOTERS=" + strings.Join(voters, ","),
+		"CROCUSWAY_PEER_SECRET=" + peerSecret,
+		"CROCUSWAY_OPERATOR_TOKEN=" + operatorToken,
+		"CROCUSWAY_BACKEND_TOKEN=" + backendToken,
+		"CROCUSWAY_PAUSE_GRACE=1s",
+	}
+	if i < 3 {
+		roles = "control,entry"
+		env = append(env, "CROCUSWAY_DATA_DIR="+p.dataDir)
+	}
+	return append(env, "CROCUSWAY_ROLES="+roles)
+}
+
+func (c *cluster) startFleet() {
+	fleet, err := standin.Start(standin.Config{
+		Entries:        c.addresses(),
+		Token:          backendToken,
+		Domains:        domains,
+		Fabrics:        3,
+		HostsPerFabric: 5,
+		Engine:         standin.Engine{ChecksFencing: true, Capabilities: standin.AllCapabilities},
+		Services:       []standin.Service{{Name: service, PerDomain: 1}},
+	})
+	require.NoError(c.t, err)
+	c.fleet = fleet
+	c.t.Cleanup(fleet.Close)
+}
+
+func (c *cluster) addresses() []string {
+	var out []string
+	for _, p := range c.processes {
+		out = append(out, p.callers)
+	}
+	return out
+}
+
+// start runs the process with further environment.
+func (p *process) start(extra ...string) {
+	p.t.Helper()
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(p.t, err)
+	defer func() { _ = log.Close() }()
+	p.cmd = exec.Command(binary, "serve")
+	p.cmd.Env = append(append([]string{}, p.env...), extra...)
+	p.cmd.Stderr = log
+	require.NoError(p.t, p.cmd.Start())
+	p.exited = make(chan struct{})
+	go func(cmd *exec.Cmd, exited chan struct{}) {
+		defer close(exited)
+		_ = cmd.Wait()
+	}(p.cmd, p.exited)
+	p.t.Cleanup(p.kill)
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	require.NoError(p.t, p.cmd.Process.Signal(s))
+}
+
+// kill ends the process at once; a frozen one too.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+}
+
+// logText returns what the process logged.
+func (p *process) logText() string {
+	raw, err := os.ReadFile(p.log)
+	require.NoError(p.t, err)
+	return string(raw)
+}
+
+// await polls the leader's status until it holds.
+func (c *cluster) await(what string, holds func(api.StatusResponse) bool) api.StatusResponse {
+	c.t.Helper()
+	var status api.StatusResponse
+	require.Eventually(c.t, func() bool {
+		s, err := c.client.Status()
+		if err != nil || !holds(s) {
+			return false
+		}
+		status = s
+		return true
+	}, patience, poll, what)
+	return status
+}
+
+func (c *cluster) leader() *process {
+	c.t.Helper()
+	status := c.await("leader", func(s api.StatusResponse) bool { return s.Leader != "" })
+	return c.process(string(status.Leader))
+}
+
+func (c *cluster) process(name string) *process {
+	for _, p := range c.processes {
+		if p.name == name {
+			return p
+		}
+	}
+	c.t.Fatalf("no process %q", name)
+	return nil
+}
+
+func keyHash() string {
+	sum := sha256.Sum256([]byte(apiKey))
+	return hex.EncodeToString(sum[:])
+}
+
+func intent(replicas int) api.Intent {
+	in := api.Intent{
+		ServingGroups: []api.ServingGroup{{Name: model, Model: model, Replicas: replicas, HostsPerReplica: 2, ChecksFencing: true, LoadBytes: 1 << 20}},
+		Accounts:      []api.Account{{ID: "counter", KeyHashes: []string{keyHash()}, Class: 5, Share: 8}},
+		Services:      []api.Service{{Name: service}},
+	}
+	for _, d := range domains {
+		in.Domains = append(in.Domains, api.Domain{Name: d, State: api.DomainActive})
+	}
+	return in
+}
+
+// confirm plans and confirms until both are accepted.
+func (c *cluster) confirm(in api.Intent) api.DecideResponse {
+	c.t.Helper()
+	var decision api.DecideResponse
+	require.Eventually(c.t, func() bool {
+		plan, err := c.client.Plan(in)
+		if err != nil {
+			return false
+		}
+		decision, err = c.client.Decide(plan.ID, true, 10*time.Second)
+		return err == nil
+	}, patience, poll, "confirm")
+	return decision
+}
+
+// serve brings the cluster to where calls are answered.
+func (c *cluster) serve(replicas int) {
+	c.t.Helper()
+	c.confirm(intent(replicas))
+	c.await("ready replicas", func(s api.StatusResponse) bool { return readyGroups(s) == replicas })
+	c.awaitAnswer()
+}
+
+func (c *cluster) awaitAnswer() {
+	c.t.Helper()
+	require.Eventually(c.t, func() bool {
+		answer, err := c.caller.Chat(context.Background(), model, "hello", 4)
+		return err == nil && answer.Whole()
+	}, patience, poll, "whole answer")
+}
+
+func liveEntries(s api.StatusResponse) int {
+	n := 0
+	for _, e := range s.View.Entries {
+		if e.Live && !e.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+func readyGroups(s api.StatusResponse) int {
+	n := 0
+	for _, g := range s.View.Groups {
+		if g.Phase == api.GroupReady {
+			n++
+		}
+	}
+	return n
+}
+
--- /dev/null
+++ b/internal/e2e/failure_test.go
@@ -0,0 +1,183 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/caller"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+func TestPathThroughSeparateProcesses(t *testing.T) {
+	c := startCluster(t)
+	c.serve(6)
+	answer, err := c.caller.Chat(context.Background(), model, "draft a lid", 16)
+	require.NoError(t, err)
+	require.True(t, answer.Whole(), "%+v", answer)
+	require.Len(t, answer.Tokens, 16)
+	for range 2 {
+		deposit, err := c.caller.Service(context.Background(), http.MethodPost, service, "/deposits", "d1", []byte(`{"amount":1}`))
+		require.NoError(t, err)
+		require.True(t, deposit.Whole(), "%+v", deposit)
+	}
+	require.Equal(t, 1, c.fleet.RunsOfKey(service, "d1"))
+}
+
+// TestLeaderFailures kills or freezes the leader and requires that accepted
+// changes stay, that new ones are accepted and that calls are answered.
+func TestLeaderFailures(t *testing.T) {
+	cases := []struct {
+		name   string
+		signal syscall.Signal
+	}{
+		{"killed", syscall.SIGKILL},
+		{"frozen", syscall.SIGSTOP},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := startCluster(t)
+			c.serve(4)
+			old := c.leader()
+			before := c.await("revision", func(s api.StatusResponse) bool { return s.View.Revision > 0 }).View.Revision
+			old.signal(tc.signal)
+			status := c.await("another leader", func(s api.StatusResponse) bool { return string(s.Leader) != old.name })
+			require.GreaterOrEqual(t, status.View.Revision, before)
+			c.confirm(api.Intent{Domains: []api.Domain{{Name: domains[2], State: api.DomainDrained}}})
+			c.awaitAnswer()
+			c.rejoin(old, tc.signal)
+			status = c.await("4 live entries", func(s api.StatusResponse) bool { return liveEntries(s) == 4 })
+			require.Equal(t, api.DomainDrained, domainState(status, domains[2]))
+		})
+	}
+}
+
+func (c *cluster) rejoin(p *process, by syscall.Signal) {
+	c.t.Helper()
+	if by == syscall.SIGSTOP {
+		p.signal(syscall.SIGCONT)
+		return
+	}
+	<-p.exited
+	p.start()
+}
+
+func domainState(s api.StatusResponse, name api.FailureDomain) api.DomainState {
+	for _, d := range s.View.Domains {
+		if d.Name == name {
+			return d.State
+		}
+	}
+	return ""
+}
+
+// TestFrozenEntryHoldsNothingOut freezes an entry: a change is in force once
+// its lease has run out, and when it wakes it applies the change.
+func TestFrozenEntryHoldsNothingOut(t *testing.T) {
+	c := startCluster(t)
+	c.serve(4)
+	frozen := c.processes[3]
+	frozen.signal(syscall.SIGSTOP)
+	decision := c.confirm(api.Intent{Domains: []api.Domain{{Name: domains[2], State: api.DomainDrained}}})
+	require.True(t, decision.InForce, "held out: %v", decision.HeldOut)
+	frozen.signal(syscall.SIGCONT)
+	c.await("4 live entries", func(s api.StatusResponse) bool { return liveEntries(s) == 4 })
+	c.awaitAnswer()
+}
+
+// TestLostDisk empties the data folder of a voter. It must not vote on old
+// promises; it comes back as a learner and becomes a voter again.
+func TestLostDisk(t *testing.T) {
+	c := startCluster(t)
+	c.serve(4)
+	lost := c.processes[0]
+	lost.kill()
+	require.NoError(t, os.RemoveAll(lost.dataDir))
+	lost.start()
+	c.await("voter again", func(s api.StatusResponse) bool {
+		for _, v := range s.Voters {
+			if string(v.ID) == lost.name {
+				return v.Role == "follower" && liveEntries(s) == 4
+			}
+		}
+		return false
+	})
+	c.processes[1].kill()
+	c.confirm(api.Intent{Domains: []api.Domain{{Name: domains[2], State: api.DomainDrained}}})
+}
+
+func TestRacingOperators(t *testing.T) {
+	c := startCluster(t)
+	c.serve(2)
+	var plans []api.Plan
+	for _, n := range []int{3, 4} {
+		plan, err := c.client.Plan(intent(n))
+		require.NoError(t, err)
+		plans = append(plans, plan)
+	}
+	require.Equal(t, plans[0].Base, plans[1].Base)
+	failures := make([]error, len(plans))
+	var wg sync.WaitGroup
+	for i, p := range plans {
+		wg.Go(func() { _, failures[i] = c.client.Decide(p.ID, true, time.Second) })
+	}
+	wg.Wait()
+	conflicts := 0
+	for i, err := range failures {
+		if err == nil {
+			again, err := c.client.Decide(plans[i].ID, true, time.Second)
+			require.NoError(t, err)
+			require.Equal(t, api.PlanConfirmed, again.Plan.State)
+			continue
+		}
+		require.Equal(t, errs.Conflict, errs.CodeOf(err), "%v", err)
+		conflicts++
+	}
+	require.Equal(t, 1, conflicts)
+}
+
+func TestSecondInstanceIsRefused(t *testing.T) {
+	c := startCluster(t)
+	p := c.processes[0]
+	second := exec.Command(binary, "serve", "--peer-listen=127.0.0.1:0", "--caller-listen=127.0.0.1:0")
+	second.Env = p.env
+	out, err := second.CombinedOutput()
+	require.Error(t, err)
+	require.Contains(t, string(out), "in use by another instance")
+}
+
+// TestGracefulStopCutsNothing stops the entry that serves streams. Every
+// stream that it took must end whole.
+func TestGracefulStopCutsNothing(t *testing.T) {
+	c := startCluster(t)
+	c.serve(6)
+	stopping := c.processes[3]
+	client := caller.Pinned(apiKey, stopping.callers)
+	answers := make([]caller.Answer, 8)
+	failures := make([]error, len(answers))
+	var wg sync.WaitGroup
+	for i := range answers {
+		wg.Go(func() {
+			answers[i], failures[i] = client.Chat(context.Background(), model, fmt.Sprintf("prompt %d", i), 200)
+		})
+	}
+	require.Eventually(t, func() bool { return len(c.fleet.Runs()) >= len(answers) }, patience, poll)
+	stopping.signal(syscall.SIGTERM)
+	wg.Wait()
+	<-stopping.exited
+	require.True(t, stopping.cmd.ProcessState.Success(), stopping.logText())
+	for i, a := range answers {
+		require.NoError(t, failures[i])
+		require.True(t, a.Whole(), "answer %d: %d tokens, outcome %q", i, len(a.Tokens), a.Outcome)
+		require.Len(t, a.Tokens, 200)
+	}
+}
