Kernel-chosen ports in settings; renewals under a lock

Cause: the process tests showed (1) a data race between the renewal loop and the renewal of a shutdown, (2) port 0 refused by the settings, (3) a test caller that hung on a frozen entry without a limit, (4) a test that took the status of before the loss for the state after it. Ruled out for (3): a fault of the system; the answer was never asked for again. Change: a lock, a listen address check, a limit for each call, a look at the lost voter's own log.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -31,10 +31,16 @@
 	setEnv(t)
 	s, err := parse(t, validArgs...)
 	require.NoError(t, err)
-	require.Equal(t, "127.0.0.1:7100", s.PeerAddress)
+	require.Equal(t, "127.0.0.1:7100", s.PeerListen)
 	require.Equal(t, "***", s.PeerSecret.String())
 }
 
+func TestKernelMayChooseThePort(t *testing.T) {
+	setEnv(t)
+	_, err := parse(t, append(append([]string{}, validArgs...), "--peer-listen=127.0.0.1:0", "--caller-listen=[::1]:0")...)
+	require.NoError(t, err)
+}
+
 func TestFaults(t *testing.T) {
 	cases := []struct {
 		name   string
@@ -43,6 +49,8 @@
 	}{
 		{"no name", []string{"--name="}, []string{"name", "voters"}},
 		{"unknown role", []string{"--roles=queen"}, []string{"roles[0]"}},
+		{"port out of range", []string{"--peer-listen=127.0.0.1:70000"}, []string{"peer-listen"}},
+		{"listen by name", []string{"--caller-listen=somewhere:7200"}, []string{"caller-listen"}},
 		{"no data folder", []string{"--data-dir="}, []string{"data-dir"}},
 		{"not a voter", []string{"--name=e9"}, []string{"voters"}},
 		{"voter twice", []string{"--voters=e1=127.0.0.1:1,e1=127.0.0.1:2"}, []string{"voters"}},
--- a/internal/config/flags.go
+++ b/internal/config/flags.go
@@ -107,22 +107,12 @@
 		}
 		*target = value
 	}
-	s.fillAddresses()
 	if err := Validate(&s); err != nil {
 		return nil, err
 	}
 	return &s, nil
 }
 
-func (s *Serve) fillAddresses() {
-	if s.PeerAddress == "" {
-		s.PeerAddress = s.PeerListen
-	}
-	if s.CallerAddress == "" {
-		s.CallerAddress = s.CallerListen
-	}
-}
-
 func splitRoles(list string) []Role {
 	var roles []Role
 	for _, name := range strings.Split(list, ",") {
--- a/internal/config/serve.go
+++ b/internal/config/serve.go
@@ -28,8 +28,8 @@
 	Name          string            `flag:"name" validate:"required,max=64"`
 	Roles         []Role            `flag:"roles" validate:"min=1,max=2,unique,dive,oneof=control entry"`
 	Domain        api.FailureDomain `flag:"domain" validate:"required,max=64"`
-	PeerListen    string            `flag:"peer-listen" validate:"required,hostname_port"`
-	CallerListen  string            `flag:"caller-listen" validate:"required,hostname_port"`
+	PeerListen    string            `flag:"peer-listen" validate:"required,listen_address"`
+	CallerListen  string            `flag:"caller-listen" validate:"required,listen_address"`
 	PeerAddress   string            `flag:"peer-address" validate:"omitempty,hostname_port"`
 	CallerAddress string            `flag:"caller-address" validate:"omitempty,hostname_port"`
 	Voters        []Voter           `flag:"voters" validate:"min=1,max=9,dive"`
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"reflect"
 	"sort"
 	"strings"
@@ -54,6 +55,9 @@
 func tagFaults(settings any) []Fault {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(flagName)
+	if err := v.RegisterValidation("listen_address", isListenAddress); err != nil {
+		panic(err)
+	}
 	err := v.Struct(settings)
 	if err == nil {
 		return nil
@@ -69,6 +73,12 @@
 	return faults
 }
 
+// isListenAddress accepts "ip:port"; the kernel chooses port 0.
+func isListenAddress(f validator.FieldLevel) bool {
+	address, err := netip.ParseAddrPort(f.Field().String())
+	return err == nil && address.Addr().IsValid()
+}
+
 func flagName(field reflect.StructField) string {
 	if name := field.Tag.Get("flag"); name != "" {
 		return name
@@ -103,6 +113,8 @@
 		return "one of " + f.Param()
 	case "hostname_port":
 		return "host:port"
+	case "listen_address":
+		return "ip:port, port 0 to 65535"
 	case "unique":
 		return "without repeats"
 	default:
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -32,6 +32,8 @@
 	// patience bounds every wait of these tests; it is no measure of speed.
 	patience = 60 * time.Second
 	poll     = 50 * time.Millisecond
+	// callLimit bounds one call, so that a frozen entry does not hold it.
+	callLimit = 5 * time.Second
 )
 
 var domains = []api.FailureDomain{"cairo", "alexandria", "tanta"}
@@ -274,7 +276,9 @@
 func (c *cluster) awaitAnswer() {
 	c.t.Helper()
 	require.Eventually(c.t, func() bool {
-		answer, err := c.caller.Chat(context.Background(), model, "hello", 4)
+		ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+		defer cancel()
+		answer, err := c.caller.Chat(ctx, model, "hello", 4)
 		return err == nil && answer.Whole()
 	}, patience, poll, "whole answer")
 }
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -15,6 +16,7 @@
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/caller"
+	"github.com/crocusway/crocusway/internal/daemon"
 	"github.com/crocusway/crocusway/internal/errs"
 )
 
@@ -103,6 +105,7 @@
 	lost.kill()
 	require.NoError(t, os.RemoveAll(lost.dataDir))
 	lost.start()
+	require.Eventually(t, func() bool { return c.appliedAt(lost) > 0 }, patience, poll, "log of the lost voter")
 	c.await("voter again", func(s api.StatusResponse) bool {
 		for _, v := range s.Voters {
 			if string(v.ID) == lost.name {
@@ -115,6 +118,18 @@
 	c.confirm(api.Intent{Domains: []api.Domain{{Name: domains[2], State: api.DomainDrained}}})
 }
 
+// appliedAt returns the last log index that a voter has applied, 0 if it does
+// not answer.
+func (c *cluster) appliedAt(p *process) uint64 {
+	raw, err := c.client.Dump(p.callers)
+	if err != nil {
+		return 0
+	}
+	var dump daemon.Dump
+	require.NoError(c.t, json.Unmarshal(raw, &dump))
+	return dump.Control.Log.Applied
+}
+
 func TestRacingOperators(t *testing.T) {
 	c := startCluster(t)
 	c.serve(2)
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -33,8 +34,10 @@
 type Agent struct {
 	cfg   AgentConfig
 	batch *announceBatch
+
+	mu sync.Mutex
 	// required is the revision that must be applied before the next renewal
-	// extends the lease. It is touched by the renewal loop only.
+	// extends the lease.
 	required api.Revision
 	joined   bool
 }
@@ -92,6 +95,8 @@
 // earlier renewal named. The first renewal only learns that revision: a
 // restarted entry takes no work on an old view.
 func (a *Agent) extend(sent time.Time, applied api.Revision, r api.RenewResponse) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	required := a.required
 	a.required = r.Revision
 	if !a.joined {
