--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -26,9 +26,17 @@
 )
 
 // RenewRequest renews the work lease of an entry.
+//
+// It is refused with errs.Stale when a newer incarnation is known, and with
+// errs.Unavailable and RetryAfterMillis while an older incarnation may still
+// hold a lease, or while Applied is below the newest configuration change: the
+// entry then keeps the lease it has, applies the newer view and renews again.
 type RenewRequest struct {
 	Entry   EntryInfo `json:"entry"`
 	Applied Revision  `json:"applied"`
+	// Release gives the lease back at the end of a graceful shutdown. The entry
+	// does no more work; Entry.Leaving must be set.
+	Release bool `json:"release,omitempty"`
 }
 
 // RenewResponse grants a work lease. The entry counts LeaseMillis from the
--- /dev/null
+++ b/internal/control/duties.go
@@ -0,0 +1,148 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+const (
+	// dutyTimeout bounds one round of leader duties.
+	dutyTimeout = 2 * time.Second
+	// expireBatch bounds the records that one command forgets.
+	expireBatch = 1000
+)
+
+// tick runs one round of duties, if this voter leads, and wakes waiting calls
+// so that they see the time.
+func (s *Service) tick(ctx context.Context) {
+	defer s.ticks.wake()
+	ctx, cancel := context.WithTimeout(ctx, dutyTimeout)
+	defer cancel()
+	lead, err := s.lead(ctx)
+	if err != nil {
+		return
+	}
+	s.expireEntries(ctx, lead)
+	s.assignShards(ctx)
+	s.syncServers(ctx, lead)
+	s.expire(ctx)
+	s.measure(ctx, lead)
+	lead.hosts.forget(s.cfg.Clock.Now(), s.isAssigned)
+}
+
+func (s *Service) isAssigned(host api.HostID) bool {
+	_, ok := s.state.assignments.get(host)
+	return ok
+}
+
+// report logs a failed duty, which the next round repeats.
+func (s *Service) report(duty string, err error) {
+	if err != nil {
+		s.logger.Log("msg", "Duty failed", "duty", duty, "err", err)
+	}
+}
+
+// expireEntries marks the entries whose work lease has run out.
+func (s *Service) expireEntries(ctx context.Context, lead *leadership) {
+	for _, row := range s.state.entries.list() {
+		if !row.Info.Live || !lead.leases.beginExpiry(row.Info.ID, s.cfg.Clock.Now()) {
+			continue
+		}
+		s.report("expire entry", s.expireEntry(ctx, lead, row))
+	}
+}
+
+// expireEntry commits that a lease has run out. When the outcome is unknown the
+// lease stays marked, so that it can't be renewed, and the next round tries
+// again.
+func (s *Service) expireEntry(ctx context.Context, lead *leadership, row entryRow) error {
+	cmd := &entryExpireCommand{
+		ID:              row.Info.ID,
+		Registered:      row.Registered,
+		RetentionMillis: s.cfg.Limits.Records.RetentionMillis,
+	}
+	if _, err := propose[entryRow](ctx, s, cmd); err != nil {
+		return err
+	}
+	lead.leases.endExpiry(row.Info.ID)
+	s.renewed.wake()
+	s.logger.Log("msg", "Entry lease ended", "entry", row.Info.ID, "incarnation", row.Info.Incarnation)
+	return nil
+}
+
+// assignShards leases shards that have no owner which can work.
+func (s *Service) assignShards(ctx context.Context) {
+	cmd := assignShards(s.state.View())
+	if len(cmd.Assign) == 0 && len(cmd.Remove) == 0 {
+		return
+	}
+	_, err := propose[api.Empty](ctx, s, &cmd)
+	s.report("assign shards", err)
+}
+
+// syncServers brings the replicated service servers in line with the
+// announcements.
+func (s *Service) syncServers(ctx context.Context, lead *leadership) {
+	cmd := diffServers(s.state.View().Servers, lead.hosts, s.cfg.Clock.Now())
+	if len(cmd.Put) == 0 && len(cmd.Remove) == 0 {
+		return
+	}
+	_, err := propose[api.Empty](ctx, s, &cmd)
+	s.report("update service servers", err)
+}
+
+// diffServers returns the command that makes servers match the live hosts. A
+// server that has not announced itself to this leader is kept for the detection
+// bound.
+func diffServers(servers []api.ServiceServer, hosts *hostTable, now time.Time) serversCommand {
+	var cmd serversCommand
+	known := make(map[api.HostID]api.ServiceServer, len(servers))
+	for _, server := range servers {
+		known[server.Host] = server
+		row, ok := hosts.get(server.Host)
+		seen := hosts.since
+		if ok {
+			seen = row.seen
+		}
+		if !hosts.alive(seen, now) || (ok && row.announcement.Kind != api.BackendService) {
+			cmd.Remove = append(cmd.Remove, server.Host)
+		}
+	}
+	for _, status := range hosts.services(now) {
+		server := serverOf(status.Announcement)
+		if old, ok := known[server.Host]; !ok || old != server {
+			cmd.Put = append(cmd.Put, server)
+		}
+	}
+	return cmd
+}
+
+func serverOf(a api.Announcement) api.ServiceServer {
+	return api.ServiceServer{
+		Host:    a.Host,
+		Service: a.Service,
+		Domain:  a.Domain,
+		Address: a.Address,
+		Leaving: a.Leaving,
+	}
+}
+
+// expire forgets records and quarantines whose time is over.
+func (s *Service) expire(ctx context.Context) {
+	if !s.state.due(s.cfg.Clock.Now().UnixMilli()) {
+		return
+	}
+	_, err := propose[api.Empty](ctx, s, &expireCommand{MaxRecords: expireBatch})
+	s.report("expire", err)
+}
+
+// measure samples group downtime and stranded hosts.
+func (s *Service) measure(ctx context.Context, lead *leadership) {
+	fleet := s.fleet(lead)
+	now := s.cfg.Clock.Now()
+	downtime, stranded := lead.measures.sample(now, downReplicas(fleet), strandedHosts(fleet))
+	s.metrics.downtime.Add(ctx, downtime)
+	s.metrics.stranded.Add(ctx, stranded)
+}
--- /dev/null
+++ b/internal/control/entry_calls.go
@@ -0,0 +1,142 @@
+package control
+
+import (
+	"context"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// renew answers control.renew.
+func (s *Service) renew(ctx context.Context, r api.RenewRequest) (api.RenewResponse, error) {
+	var none api.RenewResponse
+	if err := checkRenew(r); err != nil {
+		return none, err
+	}
+	lead, err := s.lead(ctx)
+	if err != nil {
+		return none, err
+	}
+	if row, ok := s.state.entries.get(r.Entry.ID); ok && r.Entry.Incarnation < row.Info.Incarnation {
+		return none, refuse(errs.Stale, "renew lease", "incarnation %d is older than %d", r.Entry.Incarnation, row.Info.Incarnation)
+	}
+	if r.Release {
+		return none, s.release(ctx, lead, r.Entry)
+	}
+	if err := lead.leases.renew(r, s.cfg.Clock.Now(), s.state.Required); err != nil {
+		s.renewed.wake()
+		return none, err
+	}
+	if err := s.register(ctx, r.Entry); err != nil {
+		return none, err
+	}
+	if err := s.confirmLeading(lead); err != nil {
+		return none, err
+	}
+	s.renewed.wake()
+	return api.RenewResponse{LeaseMillis: s.cfg.LeaseDuration.Milliseconds(), Revision: s.state.Revision()}, nil
+}
+
+// register replicates what an entry says of itself, before its lease is
+// granted: the next leader must know every entry that may hold one.
+func (s *Service) register(ctx context.Context, info api.EntryInfo) error {
+	info.Live = true
+	row, known := s.state.entries.get(info.ID)
+	if known && row.Info == info {
+		return nil
+	}
+	cmd := &entryPutCommand{Info: info, RetentionMillis: s.cfg.Limits.Records.RetentionMillis}
+	_, err := propose[entryRow](ctx, s, cmd)
+	if err == nil {
+		s.logger.Log("msg", "Entry registered", "entry", info.ID, "incarnation", info.Incarnation, "leaving", info.Leaving)
+	}
+	return err
+}
+
+// release ends the lease that a leaving entry gives back.
+func (s *Service) release(ctx context.Context, lead *leadership, info api.EntryInfo) error {
+	if err := lead.leases.release(info, s.cfg.Clock.Now()); err != nil {
+		return err
+	}
+	row, ok := s.state.entries.get(info.ID)
+	if !ok || !row.Info.Live {
+		return nil
+	}
+	return s.expireEntry(ctx, lead, row)
+}
+
+// watch answers control.watch.
+func (s *Service) watch(ctx context.Context, r api.WatchRequest) (api.WatchResponse, error) {
+	var none api.WatchResponse
+	if err := checkWait("watch", r.WaitMillis); err != nil {
+		return none, err
+	}
+	lead, err := s.lead(ctx)
+	if err != nil {
+		return none, err
+	}
+	changed := func() bool { return s.state.Revision() != r.From || !s.stillLeading(lead) }
+	s.wait(ctx, s.deadline(r.WaitMillis), s.state.viewed, changed)
+	update := s.state.Update(r.From)
+	if err := s.confirmLeading(lead); err != nil {
+		return none, err
+	}
+	return api.WatchResponse{Update: update}, nil
+}
+
+// announce answers control.announce. Invalid announcements are dropped.
+func (s *Service) announce(ctx context.Context, r api.AnnounceBatch) (api.AnnounceBatchResponse, error) {
+	var none api.AnnounceBatchResponse
+	if len(r.Announcements) > s.cfg.Limits.MaxBatch {
+		return none, refuse(errs.Invalid, "announce", "%d announcements, the limit is %d", len(r.Announcements), s.cfg.Limits.MaxBatch)
+	}
+	lead, err := s.lead(ctx)
+	if err != nil {
+		return none, err
+	}
+	accepted, changed := s.noteAll(lead, r.Announcements)
+	if changed {
+		s.requestReconcile()
+	}
+	return api.AnnounceBatchResponse{Accepted: accepted}, s.confirmLeading(lead)
+}
+
+func (s *Service) noteAll(lead *leadership, announcements []api.Announcement) (accepted int, changed bool) {
+	now := s.cfg.Clock.Now()
+	for _, a := range announcements {
+		if faults := structFaults(a); len(faults) > 0 {
+			s.logger.Log("msg", "Announcement dropped", "host", a.Host, "err", faults.Error())
+			continue
+		}
+		kept, new := lead.hosts.note(a, now)
+		if kept {
+			accepted++
+		}
+		changed = changed || new
+	}
+	return accepted, changed
+}
+
+func checkRenew(r api.RenewRequest) error {
+	var f Faults
+	if r.Entry.ID == "" || len(r.Entry.ID) > maxNameLength {
+		f.add("entry.id", r.Entry.ID, "must have 1 to %d characters", maxNameLength)
+	}
+	if r.Entry.Incarnation == 0 {
+		f.add("entry.incarnation", r.Entry.Incarnation, "must be 1 or more")
+	}
+	if r.Release && !r.Entry.Leaving {
+		f.add("release", r.Release, "must come from an entry that is leaving")
+	}
+	return f.err("renew lease")
+}
+
+// maxNameLength is the length of a name in a call, in bytes.
+const maxNameLength = 64
+
+func checkWait(step string, waitMillis int64) error {
+	if waitMillis < 0 {
+		return refuse(errs.Invalid, step, "wait_millis = %d: must be 0 or more", waitMillis)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/entry_table.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// entryRow is a known entry daemon.
+type entryRow struct {
+	Info api.EntryInfo `cbor:"1,keyasint"`
+	// Registered is the revision of its newest registration. It tells a
+	// repeated expiry from a new one.
+	Registered api.Revision `cbor:"2,keyasint"`
+}
+
+func (s *State) entryInfos() []api.EntryInfo {
+	return mapRows(s.entries.list(), func(row entryRow) api.EntryInfo { return row.Info })
+}
+
+// entryPutCommand registers an entry or changes what is known of it. The
+// leader proposes it only while no older incarnation can hold a work lease.
+type entryPutCommand struct {
+	Info api.EntryInfo `cbor:"1,keyasint"`
+	// RetentionMillis is how long records of older incarnations are kept.
+	RetentionMillis int64 `cbor:"2,keyasint"`
+}
+
+func (*entryPutCommand) kind() commandKind { return kindEntryPut }
+
+func (c *entryPutCommand) apply(t *tx) (any, error) {
+	old, known := t.entries.get(c.Info.ID)
+	if known && c.Info.Incarnation < old.Info.Incarnation {
+		return nil, refuse(errs.Stale, "register entry", "incarnation %d is older than %d", c.Info.Incarnation, old.Info.Incarnation)
+	}
+	if known && old.Info == c.Info {
+		return old, nil
+	}
+	row := entryRow{Info: c.Info, Registered: t.next()}
+	t.entries.put(c.Info.ID, row)
+	t.touch(tableEntries, string(c.Info.ID))
+	if known && c.Info.Incarnation > old.Info.Incarnation {
+		t.renewEpochs(c.Info.ID)
+		t.records.orphan(c.Info.ID, c.Info.Incarnation-1, t.now+c.RetentionMillis)
+	}
+	return row, nil
+}
+
+// renewEpochs gives the shards of a restarted entry a new epoch, because its
+// count of outstanding work is lost.
+func (t *tx) renewEpochs(owner api.EntryID) {
+	for _, lease := range t.shards.list() {
+		if lease.Owner != owner {
+			continue
+		}
+		lease.Epoch = t.next()
+		t.putShard(lease)
+	}
+}
+
+// entryExpireCommand marks an entry whose work lease has run out.
+type entryExpireCommand struct {
+	ID         api.EntryID  `cbor:"1,keyasint"`
+	Registered api.Revision `cbor:"2,keyasint"`
+	// RetentionMillis is how long its open records are kept.
+	RetentionMillis int64 `cbor:"3,keyasint"`
+}
+
+func (*entryExpireCommand) kind() commandKind { return kindEntryExpire }
+
+func (c *entryExpireCommand) apply(t *tx) (any, error) {
+	row, ok := t.entries.get(c.ID)
+	if !ok || row.Registered != c.Registered || !row.Info.Live {
+		return row, nil
+	}
+	row.Info.Live = false
+	row.Registered = t.next()
+	t.entries.put(c.ID, row)
+	t.touch(tableEntries, string(c.ID))
+	t.records.orphan(c.ID, row.Info.Incarnation, t.now+c.RetentionMillis)
+	return row, nil
+}
--- /dev/null
+++ b/internal/control/guards.go
@@ -0,0 +1,63 @@
+package control
+
+import (
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// guards are the checks that keep the invariants of the state. They are fields
+// so that tests can show that the invariant checkers catch their absence.
+type guards struct {
+	// base is the compare-and-set of a confirmation.
+	base func(t *tx, plan api.Plan) error
+	// free keeps a host out of a second group.
+	free func(t *tx, hosts []api.HostID) error
+	// shardMove keeps a shard with an owner that can still work.
+	shardMove func(t *tx, lease api.ShardLease) error
+	// recordExists finds the record that an open must not replace.
+	recordExists func(t *tx, key recordKey) (api.Record, bool)
+}
+
+func newGuards() guards {
+	return guards{
+		base:         checkBase,
+		free:         checkFree,
+		shardMove:    checkShardMove,
+		recordExists: findRecord,
+	}
+}
+
+func checkBase(t *tx, plan api.Plan) error {
+	base := t.ConfigRevision()
+	if plan.Base == base {
+		return nil
+	}
+	return refuse(errs.Conflict, "decide plan", "plan %d is based on configuration %d, now %d: %s",
+		plan.ID, plan.Base, base, t.history.since(plan.Base))
+}
+
+func checkFree(t *tx, hosts []api.HostID) error {
+	for _, host := range hosts {
+		if a, ok := t.assignments.get(host); ok {
+			return refuse(errs.Conflict, stepGroup, "host %s belongs to group %s at fencing number %d", host, a.Group, a.Fencing)
+		}
+	}
+	return nil
+}
+
+func checkShardMove(t *tx, lease api.ShardLease) error {
+	const step = "assign shard"
+	if old, ok := t.shards.get(shardKey(lease.Shard)); ok && old.Owner != lease.Owner {
+		row, known := t.entries.get(old.Owner)
+		if known && row.Info.Live && !row.Info.Leaving {
+			return refuse(errs.Conflict, step, "owner %s of shard %s is live", old.Owner, lease.Shard)
+		}
+	}
+	row, ok := t.entries.get(lease.Owner)
+	if !ok || !row.Info.Live || row.Info.Leaving {
+		return refuse(errs.Conflict, step, "entry %s takes no shards", lease.Owner)
+	}
+	return nil
+}
+
+func findRecord(t *tx, key recordKey) (api.Record, bool) { return t.records.get(key) }
--- /dev/null
+++ b/internal/control/hosts.go
@@ -0,0 +1,196 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+const (
+	hostShards = 16
+	// hostForgetBounds is the silence, in detection bounds, after which a
+	// backend server without an assignment is forgotten.
+	hostForgetBounds = 60
+)
+
+// hostRow is the newest announcement of one backend server.
+type hostRow struct {
+	announcement api.Announcement
+	seen         time.Time
+}
+
+type hostShard struct {
+	mu   sync.RWMutex
+	rows map[api.HostID]hostRow
+}
+
+// hostTable is the leader's soft knowledge of backend servers, in shards under
+// their own locks. It belongs to one leadership.
+type hostTable struct {
+	shards [hostShards]hostShard
+	// limit bounds the rows of one shard.
+	limit int
+	bound time.Duration
+	// since is when the leadership began: a host that has not announced itself
+	// yet counts as seen then.
+	since time.Time
+}
+
+func newHostTable(limit int, bound time.Duration, since time.Time) *hostTable {
+	t := &hostTable{limit: max(1, limit/hostShards), bound: bound, since: since}
+	for i := range t.shards {
+		t.shards[i].rows = make(map[api.HostID]hostRow)
+	}
+	return t
+}
+
+func (t *hostTable) shard(id api.HostID) *hostShard {
+	return &t.shards[xxhash.Sum64String(string(id))%hostShards]
+}
+
+// note keeps an announcement that is newer than the known one. It returns
+// whether it was kept, and whether it tells more than the load.
+func (t *hostTable) note(a api.Announcement, now time.Time) (kept, changed bool) {
+	shard := t.shard(a.Host)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	old, known := shard.rows[a.Host]
+	if known && !newer(a, old.announcement) {
+		return false, false
+	}
+	if !known && len(shard.rows) >= t.limit {
+		return false, false
+	}
+	shard.rows[a.Host] = hostRow{announcement: a, seen: now}
+	return true, !known || !t.alive(old.seen, now) || significant(old.announcement) != significant(a)
+}
+
+func newer(a, than api.Announcement) bool {
+	return cmp.Or(cmp.Compare(a.Incarnation, than.Incarnation), cmp.Compare(a.Sequence, than.Sequence)) > 0
+}
+
+// significant clears what changes with every heartbeat.
+func significant(a api.Announcement) api.Announcement {
+	a.Sequence = 0
+	a.Running = 0
+	a.Queued = 0
+	return a
+}
+
+func (t *hostTable) alive(seen, now time.Time) bool { return now.Sub(seen) <= t.bound }
+
+func (t *hostTable) get(id api.HostID) (hostRow, bool) {
+	shard := t.shard(id)
+	shard.mu.RLock()
+	defer shard.mu.RUnlock()
+	row, ok := shard.rows[id]
+	return row, ok
+}
+
+// list returns the status of every known host, by name.
+func (t *hostTable) list(now time.Time) []api.HostStatus {
+	var out []api.HostStatus
+	for i := range t.shards {
+		out = t.shards[i].appendTo(out, t, now)
+	}
+	slices.SortFunc(out, func(a, b api.HostStatus) int {
+		return cmp.Compare(a.Announcement.Host, b.Announcement.Host)
+	})
+	return out
+}
+
+// services returns the live backend servers of plain services, by name.
+func (t *hostTable) services(now time.Time) []api.HostStatus {
+	return slices.DeleteFunc(t.list(now), func(h api.HostStatus) bool {
+		return !h.Alive || h.Announcement.Kind != api.BackendService
+	})
+}
+
+func (s *hostShard) appendTo(out []api.HostStatus, t *hostTable, now time.Time) []api.HostStatus {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, row := range s.rows {
+		out = append(out, t.status(row.announcement, row.seen, now))
+	}
+	return out
+}
+
+func (t *hostTable) status(a api.Announcement, seen, now time.Time) api.HostStatus {
+	return api.HostStatus{
+		Announcement: a,
+		AgeMillis:    max(0, now.Sub(seen).Milliseconds()),
+		Alive:        t.alive(seen, now),
+	}
+}
+
+// forget drops hosts that have been silent for long and are not assigned.
+func (t *hostTable) forget(now time.Time, assigned func(api.HostID) bool) {
+	for i := range t.shards {
+		t.shards[i].forget(now.Add(-hostForgetBounds*t.bound), assigned)
+	}
+}
+
+func (s *hostShard) forget(before time.Time, assigned func(api.HostID) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, row := range s.rows {
+		if row.seen.Before(before) && !assigned(id) {
+			delete(s.rows, id)
+		}
+	}
+}
+
+// withAssumed adds the assigned hosts that have not announced themselves to
+// this leader. They count as seen when the leadership began, in the state that
+// their group was last known to be in. Their incarnation is 0.
+func (t *hostTable) withAssumed(f api.FleetView, now time.Time) []api.HostStatus {
+	hosts := t.list(now)
+	groups := make(map[api.GroupID]api.Group, len(f.Groups))
+	for _, g := range f.Groups {
+		groups[g.ID] = g
+	}
+	known := len(hosts)
+	for _, a := range f.Assignments {
+		if _, ok := t.get(a.Host); ok {
+			continue
+		}
+		hosts = append(hosts, t.status(assumed(a, groups[a.Group]), t.since, now))
+	}
+	if len(hosts) > known {
+		slices.SortFunc(hosts, func(a, b api.HostStatus) int {
+			return cmp.Compare(a.Announcement.Host, b.Announcement.Host)
+		})
+	}
+	return hosts
+}
+
+func assumed(a api.Assignment, g api.Group) api.Announcement {
+	out := api.Announcement{
+		Version: api.AnnouncementVersion,
+		Host:    a.Host,
+		Kind:    api.BackendEngine,
+		Fabric:  g.Fabric,
+		Domain:  g.Domain,
+		Group:   a.Group,
+		Fencing: a.Fencing,
+		Rank:    max(0, slices.Index(g.Members, a.Host)),
+		Model:   g.Model,
+		Load:    api.LoadLoading,
+	}
+	if g.Phase == api.GroupReady {
+		out.Load = api.LoadReady
+	}
+	if out.Rank == 0 {
+		out.Address = g.Address
+		out.Warm = g.Warm
+		out.BearableLoad = g.BearableLoad
+		out.WarmLoad = g.WarmLoad
+		out.Capabilities = g.Capabilities
+	}
+	return out
+}
--- /dev/null
+++ b/internal/control/leadership.go
@@ -0,0 +1,105 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// leadership is the soft state of one term as leader.
+type leadership struct {
+	term      uint64
+	electedAt time.Time
+	leases    *leaseTable
+	hosts     *hostTable
+	measures  *measures
+	// ctx ends when this voter steps down.
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// lead returns the present leadership. The first call of a term waits for a
+// read barrier, so that the state holds every accepted change.
+func (s *Service) lead(ctx context.Context) (*leadership, error) {
+	status := s.log.Status()
+	if !status.Leading {
+		s.stepDown()
+		return nil, s.notLeader("lead")
+	}
+	if lead := s.leading.Load(); lead != nil && lead.term == status.Term {
+		return lead, nil
+	}
+	return s.takeOver(ctx, status.Term)
+}
+
+func (s *Service) takeOver(ctx context.Context, term uint64) (*leadership, error) {
+	s.leadingMu.Lock()
+	defer s.leadingMu.Unlock()
+	if lead := s.leading.Load(); lead != nil && lead.term == term {
+		return lead, nil
+	}
+	if err := s.log.ReadBarrier(ctx); err != nil {
+		return nil, errs.Wrap(err, "take over", "")
+	}
+	status := s.log.Status()
+	if !status.Leading || status.Term != term {
+		return nil, s.notLeader("take over")
+	}
+	lead := s.newLeadership(term)
+	if old := s.leading.Swap(lead); old != nil {
+		old.cancel()
+	}
+	s.logger.Log("msg", "Leading", "term", term, "revision", s.state.Revision())
+	return lead, nil
+}
+
+func (s *Service) newLeadership(term uint64) *leadership {
+	now := s.cfg.Clock.Now()
+	ctx, cancel := context.WithCancel(context.Background())
+	return &leadership{
+		term:      term,
+		electedAt: now,
+		leases:    newLeaseTable(s.leaseLength(), now, s.state.View().Entries),
+		hosts:     newHostTable(s.cfg.Limits.MaxHosts, s.cfg.DetectionBound, now),
+		measures:  newMeasures(now),
+		ctx:       ctx,
+		cancel:    cancel,
+	}
+}
+
+// leaseLength is how long the leader takes a lease as valid.
+func (s *Service) leaseLength() time.Duration { return s.cfg.LeaseDuration + s.cfg.DriftMargin }
+
+// stillLeading reports whether this voter holds the leader lease of the same
+// term. An answer that promises something is sent only after this check.
+func (s *Service) stillLeading(lead *leadership) bool {
+	status := s.log.Status()
+	return status.Leading && status.Term == lead.term
+}
+
+func (s *Service) confirmLeading(lead *leadership) error {
+	if s.stillLeading(lead) {
+		return nil
+	}
+	return s.notLeader("confirm leadership")
+}
+
+func (s *Service) stepDown() {
+	if old := s.leading.Swap(nil); old != nil {
+		old.cancel()
+		s.logger.Log("msg", "Not leading any more", "term", old.term)
+	}
+}
+
+// notLeader names the leader's peer address, if it is known.
+func (s *Service) notLeader(step string) error {
+	status := s.log.Status()
+	err := errs.New(errs.NotLeader, step, "", "voter %s is not the leader", status.ID)
+	for _, voter := range status.Voters {
+		if voter.ID == status.Leader && voter.ID != status.ID {
+			err.Detail = voter.Address
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/control/lease_table.go
@@ -0,0 +1,135 @@
+package control
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// leaseRow is the leader's idea of one entry's work lease. It ends later than
+// the entry's own, which counts from when it sent the renewal.
+type leaseRow struct {
+	incarnation api.Incarnation
+	until       time.Time
+	applied     api.Revision
+	// expiring is set from when the leader decides that the lease has run out
+	// until that is committed. The lease can't be renewed meanwhile.
+	expiring bool
+}
+
+// leaseTable holds the work leases that entries may hold. It belongs to one
+// leadership.
+type leaseTable struct {
+	mu sync.Mutex
+	// length is the lease duration with the drift margin.
+	length time.Duration
+	rows   map[api.EntryID]*leaseRow
+}
+
+// newLeaseTable assumes that every live entry renewed its lease just before the
+// election.
+func newLeaseTable(length time.Duration, electedAt time.Time, entries []api.EntryInfo) *leaseTable {
+	t := &leaseTable{length: length, rows: make(map[api.EntryID]*leaseRow)}
+	for _, e := range entries {
+		if e.Live {
+			t.rows[e.ID] = &leaseRow{incarnation: e.Incarnation, until: electedAt.Add(length)}
+		}
+	}
+	return t
+}
+
+// renew extends the lease of an entry from now on. An entry that has not
+// applied the required revision is refused, so that its lease runs out.
+func (t *leaseTable) renew(r api.RenewRequest, now time.Time, required func() api.Revision) error {
+	const step = "renew lease"
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.rows[r.Entry.ID]
+	if row != nil && r.Entry.Incarnation < row.incarnation {
+		return refuse(errs.Stale, step, "incarnation %d is older than %d", r.Entry.Incarnation, row.incarnation)
+	}
+	if row != nil && row.expiring {
+		return retryLater(t.length/10, step, "the expiry of the lease is being recorded")
+	}
+	if row != nil && r.Entry.Incarnation > row.incarnation && row.until.After(now) {
+		return retryLater(row.until.Sub(now), step, "incarnation %d may still hold a lease", row.incarnation)
+	}
+	if row != nil && r.Entry.Incarnation == row.incarnation {
+		row.applied = max(row.applied, r.Applied)
+	}
+	if floor := required(); r.Applied < floor {
+		return retryLater(retryApply, step, "revision %d is not applied yet", floor)
+	}
+	if row == nil || row.incarnation != r.Entry.Incarnation {
+		row = &leaseRow{incarnation: r.Entry.Incarnation, applied: r.Applied}
+		t.rows[r.Entry.ID] = row
+	}
+	row.until = now.Add(t.length)
+	return nil
+}
+
+// retryApply is how soon an entry may renew again that lags behind.
+const retryApply = 50 * time.Millisecond
+
+func retryLater(after time.Duration, step, format string, args ...any) error {
+	err := errs.New(errs.Unavailable, step, "", format, args...)
+	err.RetryAfterMillis = max(1, after.Milliseconds())
+	return err
+}
+
+// heldOut names the entries that may work and have not applied a revision.
+func (t *leaseTable) heldOut(revision api.Revision, now time.Time) []api.EntryID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []api.EntryID
+	for id, row := range t.rows {
+		if row.until.After(now) && row.applied < revision {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// beginExpiry marks the lease of an entry as expiring if it has run out.
+func (t *leaseTable) beginExpiry(id api.EntryID, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.rows[id]
+	if row == nil {
+		row = &leaseRow{}
+		t.rows[id] = row
+	}
+	if row.until.After(now) {
+		return false
+	}
+	row.expiring = true
+	return true
+}
+
+// release ends the lease that an entry gives back. It can't be renewed until
+// that is committed.
+func (t *leaseTable) release(e api.EntryInfo, now time.Time) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.rows[e.ID]
+	if row == nil {
+		return nil
+	}
+	if row.incarnation != e.Incarnation {
+		return refuse(errs.Stale, "release lease", "incarnation %d is not %d", e.Incarnation, row.incarnation)
+	}
+	row.until = now
+	row.expiring = true
+	return nil
+}
+
+// endExpiry forgets an entry whose expiry is committed.
+func (t *leaseTable) endExpiry(id api.EntryID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.rows, id)
+}
--- /dev/null
+++ b/internal/control/operator_calls.go
@@ -0,0 +1,195 @@
+package control
+
+import (
+	"context"
+	"slices"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+const (
+	// planAttempts bounds the evaluations of one intent when the configuration
+	// changes meanwhile.
+	planAttempts = 3
+	// defaultHistory is the number of changes listed when none is asked for.
+	defaultHistory = 100
+	// maxOperatorLength is the length of an operator's name, in bytes.
+	maxOperatorLength = 128
+)
+
+// plan answers control.plan.
+func (s *Service) plan(ctx context.Context, r api.PlanRequest) (api.PlanResponse, error) {
+	var none api.PlanResponse
+	if err := checkOperator("plan", r.Operator); err != nil {
+		return none, err
+	}
+	lead, err := s.lead(ctx)
+	if err != nil {
+		return none, err
+	}
+	for attempt := 1; ; attempt++ {
+		plan, err := s.evaluate(ctx, lead, r)
+		if errs.Is(err, errs.Conflict) && attempt < planAttempts {
+			continue
+		}
+		if err != nil {
+			return none, err
+		}
+		s.logger.Log("msg", "Plan recorded", "plan", plan.ID, "operator", r.Operator)
+		return api.PlanResponse{Plan: plan}, nil
+	}
+}
+
+// evaluate checks an intent against the present configuration and records the
+// plan on that base.
+func (s *Service) evaluate(ctx context.Context, lead *leadership, r api.PlanRequest) (api.Plan, error) {
+	base := s.state.ConfigRevision()
+	fleet := s.fleet(lead)
+	if err := validateIntent(s.state.configView(fleet.Hosts), r.Intent); err != nil {
+		return api.Plan{}, err
+	}
+	cmd := &planCommand{
+		Operator:     r.Operator,
+		Intent:       r.Intent,
+		Base:         base,
+		Consequences: append(consequencesOf(s.state, r.Intent), s.forecast(fleet, r.Intent)...),
+		Limit:        s.cfg.Limits.MaxPlans,
+	}
+	return propose[api.Plan](ctx, s, cmd)
+}
+
+func (s *Service) forecast(fleet api.FleetView, intent api.Intent) []api.Consequence {
+	if s.cfg.Forecaster == nil {
+		return nil
+	}
+	return s.cfg.Forecaster.Forecast(fleet, intent)
+}
+
+// decide answers control.decide.
+func (s *Service) decide(ctx context.Context, r api.DecideRequest) (api.DecideResponse, error) {
+	var none api.DecideResponse
+	if err := checkDecide(r); err != nil {
+		return none, err
+	}
+	lead, err := s.lead(ctx)
+	if err != nil {
+		return none, err
+	}
+	if err := s.checkPossible(lead, r); err != nil {
+		return none, err
+	}
+	plan, err := propose[api.Plan](ctx, s, &decideCommand{Operator: r.Operator, Plan: r.Plan, Confirm: r.Confirm})
+	if err != nil {
+		return none, err
+	}
+	s.logger.Log("msg", "Plan decided", "plan", plan.ID, "state", plan.State, "operator", r.Operator, "revision", plan.Decided)
+	s.requestReconcile()
+	if plan.State != api.PlanConfirmed {
+		return api.DecideResponse{Plan: plan}, nil
+	}
+	return s.awaitInForce(ctx, lead, plan, r.WaitMillis)
+}
+
+// checkPossible refuses to confirm a pending plan when something can't be met
+// now that the plan did not tell.
+func (s *Service) checkPossible(lead *leadership, r api.DecideRequest) error {
+	plan, ok := s.state.plans.get(r.Plan)
+	if !r.Confirm || !ok || plan.State != api.PlanPending || plan.Base != s.state.ConfigRevision() {
+		return nil
+	}
+	unmet := newlyUnmet(plan, s.forecast(s.fleet(lead), plan.Intent))
+	if len(unmet) == 0 {
+		return nil
+	}
+	return refuse(errs.Conflict, "decide plan", "plan %d can no longer be met: %s", plan.ID, describe(unmet))
+}
+
+// awaitInForce waits until every entry that may work has applied the plan.
+func (s *Service) awaitInForce(ctx context.Context, lead *leadership, plan api.Plan, waitMillis int64) (api.DecideResponse, error) {
+	until := s.deadline(waitMillis)
+	if waitMillis == 0 {
+		until = s.cfg.Clock.Now().Add(s.leaseLength())
+	}
+	var held []api.EntryID
+	inForce := func() bool {
+		held = lead.leases.heldOut(plan.Decided, s.cfg.Clock.Now())
+		return len(held) == 0
+	}
+	done := s.wait(ctx, until, s.renewed, inForce)
+	response := api.DecideResponse{Plan: plan, InForce: done, HeldOut: held}
+	if done && !s.stillLeading(lead) {
+		// The change is accepted; whether it is in force is for the next leader
+		// to say.
+		response.InForce = false
+	}
+	return response, nil
+}
+
+// plans answers control.plans.
+func (s *Service) plans(ctx context.Context, _ api.Empty) (api.PlansResponse, error) {
+	lead, err := s.lead(ctx)
+	if err != nil {
+		return api.PlansResponse{}, err
+	}
+	plans := s.state.plans.list()
+	slices.Reverse(plans)
+	return api.PlansResponse{Plans: plans}, s.confirmLeading(lead)
+}
+
+// history answers control.history.
+func (s *Service) history(ctx context.Context, r api.HistoryRequest) (api.HistoryResponse, error) {
+	var none api.HistoryResponse
+	if r.Limit < 0 || r.Limit > historyLimit {
+		return none, refuse(errs.Invalid, "history", "limit = %d: must be 0 to %d", r.Limit, historyLimit)
+	}
+	lead, err := s.lead(ctx)
+	if err != nil {
+		return none, err
+	}
+	limit := r.Limit
+	if limit == 0 {
+		limit = defaultHistory
+	}
+	rows := s.state.history.list()
+	slices.Reverse(rows)
+	response := api.HistoryResponse{}
+	for _, row := range rows[:min(limit, len(rows))] {
+		response.Items = append(response.Items, row.Item)
+	}
+	return response, s.confirmLeading(lead)
+}
+
+// member answers control.member.
+func (s *Service) member(ctx context.Context, r api.MemberRequest) (api.Empty, error) {
+	var none api.Empty
+	if err := structFaults(r).err("change member"); err != nil {
+		return none, err
+	}
+	changer, ok := s.log.(MemberChanger)
+	if !ok {
+		return none, refuse(errs.Unavailable, "change member", "the log can't change its voters")
+	}
+	if _, err := s.lead(ctx); err != nil {
+		return none, err
+	}
+	return none, changer.ChangeMember(ctx, r)
+}
+
+func checkOperator(step, operator string) error {
+	var f Faults
+	if operator == "" || len(operator) > maxOperatorLength {
+		f.add("operator", operator, "must have 1 to %d characters", maxOperatorLength)
+	}
+	return f.err(step)
+}
+
+func checkDecide(r api.DecideRequest) error {
+	if err := checkOperator("decide plan", r.Operator); err != nil {
+		return err
+	}
+	if r.Plan == 0 {
+		return refuse(errs.Invalid, "decide plan", "plan = 0: must be 1 or more")
+	}
+	return checkWait("decide plan", r.WaitMillis)
+}
--- /dev/null
+++ b/internal/control/quarantine_table.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"slices"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// deathsToQuarantine is the number of replicas that a request may take down.
+const deathsToQuarantine = 2
+
+// death is the loss of one generation of a group.
+type death struct {
+	Group   api.GroupID `cbor:"1,keyasint"`
+	Fencing api.Fencing `cbor:"2,keyasint"`
+}
+
+// quarantineRow is a suspected or quarantined request.
+type quarantineRow struct {
+	Quarantine api.Quarantine `cbor:"1,keyasint"`
+	Deaths     []death        `cbor:"2,keyasint"`
+	// ExpiresUnixMillis is when the row is forgotten.
+	ExpiresUnixMillis int64 `cbor:"3,keyasint"`
+}
+
+func (s *State) quarantineList() []api.Quarantine {
+	return mapRows(s.quarantines.list(), func(row quarantineRow) api.Quarantine { return row.Quarantine })
+}
+
+// QuarantineLimits bounds suspects and quarantined requests.
+type QuarantineLimits struct {
+	// MaxRows is the largest number of fingerprints.
+	MaxRows int `cbor:"1,keyasint"`
+	// SuspectMillis is how long a suspect is remembered after its last death.
+	SuspectMillis int64 `cbor:"2,keyasint"`
+	// QuarantineMillis is how long a request is refused.
+	QuarantineMillis int64 `cbor:"3,keyasint"`
+}
+
+// suspectCommand counts the death of a replica against a request.
+type suspectCommand struct {
+	Suspect api.SuspectRequest `cbor:"1,keyasint"`
+	Limits  QuarantineLimits   `cbor:"2,keyasint"`
+}
+
+func (*suspectCommand) kind() commandKind { return kindSuspect }
+
+func (c *suspectCommand) apply(t *tx) (any, error) {
+	id := c.Suspect.Fingerprint
+	row, known := t.quarantines.get(id)
+	if known && !c.counts(row) {
+		return row.Quarantine, nil
+	}
+	if !known {
+		if err := c.makeRoom(t); err != nil {
+			return nil, err
+		}
+	}
+	row.Deaths = append(slices.Clone(row.Deaths), death{Group: c.Suspect.Group, Fencing: c.Suspect.Fencing})
+	row.Quarantine.Fingerprint = id
+	row.Quarantine.Deaths = len(row.Deaths)
+	row.ExpiresUnixMillis = t.now + c.Limits.SuspectMillis
+	if len(row.Deaths) >= deathsToQuarantine {
+		row.ExpiresUnixMillis = t.now + c.Limits.QuarantineMillis
+		row.Quarantine.UntilUnixMillis = row.ExpiresUnixMillis
+	}
+	t.quarantines.put(id, row)
+	t.touch(tableQuarantines, id)
+	return row.Quarantine, nil
+}
+
+// counts reports whether the death counts against a known suspect. A request
+// that ran beside others is not blamed for a second death.
+func (c *suspectCommand) counts(row quarantineRow) bool {
+	if len(row.Deaths) >= deathsToQuarantine || !c.Suspect.Alone {
+		return false
+	}
+	return !slices.Contains(row.Deaths, death{Group: c.Suspect.Group, Fencing: c.Suspect.Fencing})
+}
+
+// makeRoom forgets the suspect that expires first. A quarantined request is
+// never forgotten early.
+func (c *suspectCommand) makeRoom(t *tx) error {
+	if t.quarantines.size() < c.Limits.MaxRows {
+		return nil
+	}
+	var oldest *quarantineRow
+	for _, row := range t.quarantines.list() {
+		if row.Quarantine.UntilUnixMillis != 0 {
+			continue
+		}
+		if oldest == nil || row.ExpiresUnixMillis < oldest.ExpiresUnixMillis {
+			oldest = &row
+		}
+	}
+	if oldest == nil {
+		return refuse(errs.Full, "suspect request", "%d requests are quarantined", c.Limits.MaxRows)
+	}
+	t.dropQuarantine(oldest.Quarantine.Fingerprint)
+	return nil
+}
+
+func (t *tx) dropQuarantine(fingerprint string) {
+	t.quarantines.del(fingerprint)
+	t.touch(tableQuarantines, fingerprint)
+}
+
+// expireCommand forgets what has expired at the time of the command.
+type expireCommand struct {
+	// MaxRecords bounds the records that one command forgets.
+	MaxRecords int `cbor:"1,keyasint"`
+}
+
+func (*expireCommand) kind() commandKind { return kindExpire }
+
+func (c *expireCommand) apply(t *tx) (any, error) {
+	for _, row := range t.quarantines.list() {
+		if row.ExpiresUnixMillis <= t.now {
+			t.dropQuarantine(row.Quarantine.Fingerprint)
+		}
+	}
+	t.records.expire(t.now, c.MaxRecords)
+	return api.Empty{}, nil
+}
+
+// due reports whether an expireCommand would forget something.
+func (s *State) due(now int64) bool {
+	expired := func(row quarantineRow) bool { return row.ExpiresUnixMillis <= now }
+	return s.records.due(now) || s.quarantines.any(expired)
+}
--- /dev/null
+++ b/internal/control/record_table.go
@@ -0,0 +1,185 @@
+package control
+
+import (
+	"cmp"
+	"sync"
+
+	"github.com/google/btree"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+const (
+	recordTreeDegree = 32
+	// recordOverhead is the size charged for a record beside its strings.
+	recordOverhead = 256
+)
+
+// recordKey identifies an idempotency record.
+type recordKey struct {
+	account api.AccountID
+	key     string
+}
+
+func keyOf(r api.Record) recordKey { return recordKey{account: r.Account, key: r.Key} }
+
+// recordExpiry orders ended records by the time they may be forgotten.
+type recordExpiry struct {
+	unixMillis int64
+	key        recordKey
+}
+
+func expiryLess(a, b recordExpiry) bool {
+	return cmp.Or(cmp.Compare(a.unixMillis, b.unixMillis), compareKeys(a.key, b.key)) < 0
+}
+
+func compareKeys(a, b recordKey) int {
+	return cmp.Or(cmp.Compare(a.account, b.account), cmp.Compare(a.key, b.key))
+}
+
+// recordTable holds the idempotency records. Running records never expire;
+// they end by their entry or by its loss.
+type recordTable struct {
+	mu      sync.RWMutex
+	rows    map[recordKey]api.Record
+	expiry  *btree.BTreeG[recordExpiry]
+	running map[api.EntryID]map[recordKey]struct{}
+	bytes   int64
+}
+
+func newRecordTable() *recordTable {
+	t := &recordTable{}
+	t.clear()
+	return t
+}
+
+func (t *recordTable) clear() {
+	t.rows = make(map[recordKey]api.Record)
+	t.expiry = btree.NewG(recordTreeDegree, expiryLess)
+	t.running = make(map[api.EntryID]map[recordKey]struct{})
+	t.bytes = 0
+}
+
+func (t *recordTable) get(key recordKey) (api.Record, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	r, ok := t.rows[key]
+	return r, ok
+}
+
+func (t *recordTable) put(r api.Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.insert(r)
+}
+
+func (t *recordTable) del(key recordKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.drop(key)
+}
+
+func (t *recordTable) insert(r api.Record) {
+	key := keyOf(r)
+	t.drop(key)
+	t.rows[key] = r
+	t.bytes += recordSize(r)
+	if r.State != api.RecordRunning {
+		t.expiry.ReplaceOrInsert(recordExpiry{unixMillis: r.ExpiresUnixMillis, key: key})
+		return
+	}
+	if t.running[r.Entry] == nil {
+		t.running[r.Entry] = make(map[recordKey]struct{})
+	}
+	t.running[r.Entry][key] = struct{}{}
+}
+
+func (t *recordTable) drop(key recordKey) {
+	old, ok := t.rows[key]
+	if !ok {
+		return
+	}
+	delete(t.rows, key)
+	t.bytes -= recordSize(old)
+	t.expiry.Delete(recordExpiry{unixMillis: old.ExpiresUnixMillis, key: key})
+	delete(t.running[old.Entry], key)
+	if len(t.running[old.Entry]) == 0 {
+		delete(t.running, old.Entry)
+	}
+}
+
+// recordSize is the storage charged for a record, in bytes.
+func recordSize(r api.Record) int64 {
+	size := recordOverhead + len(r.Account) + len(r.Key) + len(r.BodyHash) + len(r.Request)
+	return int64(size + len(r.Entry) + len(r.ContentType) + len(r.Body))
+}
+
+// usage returns the number of records, how many of them are running, and the
+// stored bytes.
+func (t *recordTable) usage() (records, running int, bytes int64) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, keys := range t.running {
+		running += len(keys)
+	}
+	return len(t.rows), running, t.bytes
+}
+
+// expire forgets ended records whose time is over and returns their number.
+func (t *recordTable) expire(now int64, limit int) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for n := 0; n < limit; n++ {
+		oldest, ok := t.expiry.Min()
+		if !ok || oldest.unixMillis > now {
+			return n
+		}
+		t.drop(oldest.key)
+	}
+	return limit
+}
+
+// due reports whether a record may be forgotten.
+func (t *recordTable) due(now int64) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	oldest, ok := t.expiry.Min()
+	return ok && oldest.unixMillis <= now
+}
+
+// orphan marks the running records of an entry up to an incarnation as unknown.
+func (t *recordTable) orphan(entry api.EntryID, upTo api.Incarnation, expires int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var orphans []api.Record
+	for key := range t.running[entry] {
+		if r := t.rows[key]; r.Incarnation <= upTo {
+			orphans = append(orphans, r)
+		}
+	}
+	for _, r := range orphans {
+		r.State = api.RecordUnknown
+		r.ExpiresUnixMillis = expires
+		t.insert(r)
+	}
+}
+
+// list returns the records in no order.
+func (t *recordTable) list() []api.Record {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := make([]api.Record, 0, len(t.rows))
+	for _, r := range t.rows {
+		out = append(out, r)
+	}
+	return out
+}
+
+func (t *recordTable) replace(rows []api.Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.clear()
+	for _, r := range rows {
+		t.insert(r)
+	}
+}
--- /dev/null
+++ b/internal/control/snapshot.go
@@ -0,0 +1,107 @@
+package control
+
+import (
+	"slices"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+const (
+	// snapshotVersion is the version of the encoding of snapshots.
+	snapshotVersion = 1
+	// maxSnapshotRows bounds the rows of one table that are decoded.
+	maxSnapshotRows = 1 << 22
+)
+
+// image is the encoded form of the whole state.
+type image struct {
+	Version       uint8               `cbor:"1,keyasint"`
+	Counters      counterValues       `cbor:"2,keyasint"`
+	ServingGroups []api.ServingGroup  `cbor:"3,keyasint"`
+	Accounts      []api.Account       `cbor:"4,keyasint"`
+	Domains       []api.Domain        `cbor:"5,keyasint"`
+	Services      []api.Service       `cbor:"6,keyasint"`
+	Weights       api.Weights         `cbor:"7,keyasint"`
+	Plans         []api.Plan          `cbor:"8,keyasint"`
+	History       []historyRow        `cbor:"9,keyasint"`
+	Groups        []api.Group         `cbor:"10,keyasint"`
+	Assignments   []api.Assignment    `cbor:"11,keyasint"`
+	Entries       []entryRow          `cbor:"12,keyasint"`
+	Shards        []api.ShardLease    `cbor:"13,keyasint"`
+	Servers       []api.ServiceServer `cbor:"14,keyasint"`
+	Quarantines   []quarantineRow     `cbor:"15,keyasint"`
+	Records       []api.Record        `cbor:"16,keyasint"`
+}
+
+// Snapshot implements StateMachine. Commands wait only while the rows are
+// copied, not while they are encoded.
+func (s *State) Snapshot() ([]byte, error) {
+	img := s.image()
+	slices.SortFunc(img.Records, func(a, b api.Record) int { return compareKeys(keyOf(a), keyOf(b)) })
+	data, err := encMode.Marshal(img)
+	return data, errs.Wrap(err, "encode snapshot", "")
+}
+
+func (s *State) image() image {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	return image{
+		Version:       snapshotVersion,
+		Counters:      s.counters.load(),
+		ServingGroups: s.config.servingGroups.list(),
+		Accounts:      s.config.accounts.list(),
+		Domains:       s.config.domains.list(),
+		Services:      s.config.services.list(),
+		Weights:       s.config.getWeights(),
+		Plans:         s.plans.list(),
+		History:       s.history.list(),
+		Groups:        s.groups.list(),
+		Assignments:   s.assignments.list(),
+		Entries:       s.entries.list(),
+		Shards:        s.shards.list(),
+		Servers:       s.servers.list(),
+		Quarantines:   s.quarantines.list(),
+		Records:       s.records.list(),
+	}
+}
+
+// Restore implements StateMachine. A snapshot that can't be decoded leaves the
+// state unchanged.
+func (s *State) Restore(data []byte) error {
+	var img image
+	if err := decMode.Unmarshal(data, &img); err != nil {
+		return errs.New(errs.Invalid, "decode snapshot", "", "%v", err)
+	}
+	if img.Version != snapshotVersion {
+		return errs.New(errs.Invalid, "decode snapshot", "", "version %d is not %d", img.Version, snapshotVersion)
+	}
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	s.cut.Lock()
+	defer s.cut.Unlock()
+	s.load(img)
+	s.cache.clear()
+	s.viewed.wake()
+	s.recorded.wake()
+	return nil
+}
+
+func (s *State) load(img image) {
+	s.counters.store(img.Counters)
+	s.config.servingGroups.replace(img.ServingGroups, servingGroupKey)
+	s.config.accounts.replace(img.Accounts, accountKey)
+	s.config.domains.replace(img.Domains, domainKey)
+	s.config.services.replace(img.Services, serviceKey)
+	s.config.setWeights(img.Weights)
+	s.plans.replace(img.Plans)
+	s.history.replace(img.History)
+	s.groups.replace(img.Groups, groupKey)
+	s.assignments.replace(img.Assignments, assignmentKey)
+	s.entries.replace(img.Entries, func(row entryRow) api.EntryID { return row.Info.ID })
+	s.shards.replace(img.Shards, leaseKey)
+	s.servers.replace(img.Servers, serverKey)
+	s.quarantines.replace(img.Quarantines, func(row quarantineRow) string { return row.Quarantine.Fingerprint })
+	s.records.replace(img.Records)
+	s.changes.reset(img.Counters.Revision)
+}
--- /dev/null
+++ b/internal/control/state.go
@@ -0,0 +1,222 @@
+package control
+
+import (
+	"sync"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// firstRevision is the revision of an empty state. An entry that has applied
+// nothing is at revision 0.
+const firstRevision api.Revision = 1
+
+// State is the replicated state of the control role. Commands are applied one
+// at a time; readers are concurrent. Each table has its own lock.
+type State struct {
+	// applying serialises commands, restores and the copy for a snapshot.
+	applying sync.Mutex
+	// cut is held exclusively while a command changes the view, so that a
+	// reader of several tables sees one revision.
+	cut sync.RWMutex
+
+	guards      guards
+	counters    *counters
+	config      *configuration
+	plans       *planTable
+	history     *historyTable
+	groups      *table[api.GroupID, api.Group]
+	assignments *table[api.HostID, api.Assignment]
+	entries     *table[api.EntryID, entryRow]
+	shards      *table[string, api.ShardLease]
+	servers     *table[api.HostID, api.ServiceServer]
+	quarantines *table[string, quarantineRow]
+	records     *recordTable
+	changes     *changeRing
+	// viewed and recorded wake those who wait for a change of the view or of a
+	// record.
+	viewed   *broadcast
+	recorded *broadcast
+	cache    viewCache
+}
+
+// NewState returns an empty state.
+func NewState() *State {
+	return &State{
+		guards:      newGuards(),
+		counters:    &counters{values: counterValues{Revision: firstRevision}},
+		config:      newConfiguration(),
+		plans:       newPlanTable(),
+		history:     &historyTable{},
+		groups:      newTable[api.GroupID, api.Group](),
+		assignments: newTable[api.HostID, api.Assignment](),
+		entries:     newTable[api.EntryID, entryRow](),
+		shards:      newTable[string, api.ShardLease](),
+		servers:     newTable[api.HostID, api.ServiceServer](),
+		quarantines: newTable[string, quarantineRow](),
+		records:     newRecordTable(),
+		changes:     newChangeRing(changeRingSize, firstRevision),
+		viewed:      newBroadcast(),
+		recorded:    newBroadcast(),
+	}
+}
+
+// Apply implements StateMachine. The result is a *errs.Error when the command
+// is refused.
+func (s *State) Apply(_ uint64, data []byte) any {
+	cmd, unixMillis, err := decodeCommand(data)
+	if err != nil {
+		return err
+	}
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	result, err := s.execute(cmd, s.counters.advance(unixMillis))
+	if err != nil {
+		return err
+	}
+	return result
+}
+
+func (s *State) execute(cmd command, now int64) (any, error) {
+	t := &tx{State: s, now: now}
+	if kind := cmd.kind(); kind == kindRecordOpen || kind == kindRecordEnd {
+		defer s.recorded.wake()
+		return cmd.apply(t)
+	}
+	return s.executeView(cmd, t)
+}
+
+// executeView runs a command that may change the view.
+func (s *State) executeView(cmd command, t *tx) (any, error) {
+	s.cut.Lock()
+	defer s.cut.Unlock()
+	result, err := cmd.apply(t)
+	s.cache.clear()
+	if !t.changed {
+		return result, err
+	}
+	s.changes.add(s.counters.bump(), t.keys)
+	s.viewed.wake()
+	s.recorded.wake()
+	return result, err
+}
+
+// Revision returns the newest accepted revision.
+func (s *State) Revision() api.Revision { return s.counters.load().Revision }
+
+// ConfigRevision returns the number of accepted configuration changes.
+func (s *State) ConfigRevision() api.Revision { return s.counters.load().Config }
+
+// Required returns the revision of the newest configuration change. An entry
+// that has not applied it may not renew its work lease.
+func (s *State) Required() api.Revision { return s.counters.load().Required }
+
+// View returns the whole view at one revision. The caller must not change it.
+func (s *State) View() api.View {
+	s.cut.RLock()
+	defer s.cut.RUnlock()
+	return s.cache.view(s.view)
+}
+
+func (s *State) view() api.View {
+	return api.View{
+		Revision:      s.Revision(),
+		ServingGroups: s.config.servingGroups.list(),
+		Accounts:      s.config.accounts.list(),
+		Domains:       s.config.domains.list(),
+		Services:      s.config.services.list(),
+		Groups:        s.groups.list(),
+		Entries:       s.entryInfos(),
+		Shards:        s.shards.list(),
+		Servers:       s.servers.list(),
+		Quarantines:   s.quarantineList(),
+	}
+}
+
+// Fleet returns the replicated part of the planner's snapshot, without hosts.
+// The caller must not change it.
+func (s *State) Fleet() api.FleetView {
+	s.cut.RLock()
+	defer s.cut.RUnlock()
+	return s.cache.fleet(s.fleet)
+}
+
+func (s *State) fleet() api.FleetView {
+	return api.FleetView{
+		Revision:      s.Revision(),
+		ServingGroups: s.config.servingGroups.list(),
+		Domains:       s.config.domains.list(),
+		Weights:       s.config.getWeights(),
+		Groups:        s.groups.list(),
+		Assignments:   s.assignments.list(),
+	}
+}
+
+// counterValues are the numbers of the state that only grow.
+type counterValues struct {
+	Revision api.Revision `cbor:"1,keyasint"`
+	Config   api.Revision `cbor:"2,keyasint"`
+	Required api.Revision `cbor:"3,keyasint"`
+	Fencing  api.Fencing  `cbor:"4,keyasint"`
+	Plan     api.PlanID   `cbor:"5,keyasint"`
+	// UnixMillis is the newest time of a command.
+	UnixMillis int64 `cbor:"6,keyasint"`
+}
+
+type counters struct {
+	mu     sync.RWMutex
+	values counterValues
+}
+
+func (c *counters) load() counterValues {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.values
+}
+
+func (c *counters) store(values counterValues) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values = values
+}
+
+// advance keeps the time of commands monotone over leaders.
+func (c *counters) advance(unixMillis int64) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values.UnixMillis = max(c.values.UnixMillis, unixMillis)
+	return c.values.UnixMillis
+}
+
+func (c *counters) bump() api.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values.Revision++
+	return c.values.Revision
+}
+
+// configured counts a configuration change that takes effect at a revision.
+func (c *counters) configured(at api.Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values.Config++
+	c.values.Required = at
+}
+
+func (c *counters) nextFencing() api.Fencing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values.Fencing++
+	return c.values.Fencing
+}
+
+func (c *counters) nextPlan() api.PlanID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values.Plan++
+	return c.values.Plan
+}
+
+func refuse(code errs.Code, step, format string, args ...any) error {
+	return errs.New(code, step, "", format, args...)
+}
