Control: leases that hold across shard moves, with their checkers

Cause: an entry whose lease ran out could renew it on a view in which it still owned shards that had moved since. Ruled out: asking for the newest revision at every renewal, which starves under many changes. Change: a registration after a lost lease must have applied the newest shard change; a renewal must have applied the newest configuration change and whatever was accepted a lease duration ago.

--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -29,7 +29,9 @@
 	s.syncServers(ctx, lead)
 	s.expire(ctx)
 	s.measure(ctx, lead)
-	lead.hosts.forget(s.cfg.Clock.Now(), s.isAssigned)
+	now := s.cfg.Clock.Now()
+	lead.marks.add(now, s.state.Revision(), now.Add(-s.cfg.LeaseDuration))
+	lead.hosts.forget(now, s.isAssigned)
 }
 
 func (s *Service) isAssigned(host api.HostID) bool {
--- a/internal/control/entry_calls.go
+++ b/internal/control/entry_calls.go
@@ -23,11 +23,11 @@
 	if r.Release {
 		return none, s.release(ctx, lead, r.Entry)
 	}
-	if err := lead.leases.renew(r, s.cfg.Clock.Now(), s.state.Required); err != nil {
+	if err := lead.leases.renew(r, s.cfg.Clock.Now(), s.requiredRevision(lead)); err != nil {
 		s.renewed.wake()
 		return none, err
 	}
-	if err := s.register(ctx, r.Entry); err != nil {
+	if err := s.register(ctx, r); err != nil {
 		return none, err
 	}
 	if err := s.confirmLeading(lead); err != nil {
@@ -37,15 +37,30 @@
 	return api.RenewResponse{LeaseMillis: s.cfg.LeaseDuration.Milliseconds(), Revision: s.state.Revision()}, nil
 }
 
+// requiredRevision returns what an entry must have applied to renew its lease:
+// the newest configuration change, and whatever was accepted a lease duration
+// ago. So every change is in force within two lease durations.
+func (s *Service) requiredRevision(lead *leadership) func() api.Revision {
+	return func() api.Revision {
+		old := lead.marks.before(s.cfg.Clock.Now().Add(-s.cfg.LeaseDuration))
+		return max(s.state.Required(), old)
+	}
+}
+
 // register replicates what an entry says of itself, before its lease is
 // granted: the next leader must know every entry that may hold one.
-func (s *Service) register(ctx context.Context, info api.EntryInfo) error {
+func (s *Service) register(ctx context.Context, r api.RenewRequest) error {
+	info := r.Entry
 	info.Live = true
 	row, known := s.state.entries.get(info.ID)
 	if known && row.Info == info {
 		return nil
 	}
-	cmd := &entryPutCommand{Info: info, RetentionMillis: s.cfg.Limits.Records.RetentionMillis}
+	cmd := &entryPutCommand{
+		Info:            info,
+		RetentionMillis: s.cfg.Limits.Records.RetentionMillis,
+		Applied:         r.Applied,
+	}
 	_, err := propose[entryRow](ctx, s, cmd)
 	if err == nil {
 		s.logger.Log("msg", "Entry registered", "entry", info.ID, "incarnation", info.Incarnation, "leaving", info.Leaving)
--- a/internal/control/entry_table.go
+++ b/internal/control/entry_table.go
@@ -23,6 +23,8 @@
 	Info api.EntryInfo `cbor:"1,keyasint"`
 	// RetentionMillis is how long records of older incarnations are kept.
 	RetentionMillis int64 `cbor:"2,keyasint"`
+	// Applied is the revision that the entry has applied.
+	Applied api.Revision `cbor:"3,keyasint"`
 }
 
 func (*entryPutCommand) kind() commandKind { return kindEntryPut }
@@ -32,10 +34,17 @@
 	if known && c.Info.Incarnation < old.Info.Incarnation {
 		return nil, refuse(errs.Stale, "register entry", "incarnation %d is older than %d", c.Info.Incarnation, old.Info.Incarnation)
 	}
-	if known && old.Info == c.Info {
+	if err := t.guards.resume(t, c, old.Info); err != nil {
+		return nil, err
+	}
+	info := c.Info
+	if known && info.Incarnation == old.Info.Incarnation {
+		info.Leaving = info.Leaving || old.Info.Leaving
+	}
+	if known && old.Info == info {
 		return old, nil
 	}
-	row := entryRow{Info: c.Info, Registered: t.next()}
+	row := entryRow{Info: info, Registered: t.next()}
 	t.entries.put(c.Info.ID, row)
 	t.touch(tableEntries, string(c.Info.ID))
 	if known && c.Info.Incarnation > old.Info.Incarnation {
--- a/internal/control/guards.go
+++ b/internal/control/guards.go
@@ -14,6 +14,9 @@
 	free func(t *tx, hosts []api.HostID) error
 	// shardMove keeps a shard with an owner that can still work.
 	shardMove func(t *tx, lease api.ShardLease) error
+	// resume keeps an entry from working on shard leases that have moved while
+	// it held no work lease.
+	resume func(t *tx, c *entryPutCommand, old api.EntryInfo) error
 	// recordExists finds the record that an open must not replace.
 	recordExists func(t *tx, key recordKey) (api.Record, bool)
 }
@@ -23,6 +26,7 @@
 		base:         checkBase,
 		free:         checkFree,
 		shardMove:    checkShardMove,
+		resume:       checkResume,
 		recordExists: findRecord,
 	}
 }
@@ -61,3 +65,13 @@
 }
 
 func findRecord(t *tx, key recordKey) (api.Record, bool) { return t.records.get(key) }
+
+func checkResume(t *tx, c *entryPutCommand, old api.EntryInfo) error {
+	if old.Live && old.Incarnation == c.Info.Incarnation {
+		return nil
+	}
+	if moved := t.counters.load().Shards; c.Applied < moved {
+		return retryLater(retryApply, "register entry", "revision %d is not applied yet", moved)
+	}
+	return nil
+}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -14,6 +14,7 @@
 	leases    *leaseTable
 	hosts     *hostTable
 	measures  *measures
+	marks     *revisionMarks
 	// ctx ends when this voter steps down.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -63,6 +64,7 @@
 		leases:    newLeaseTable(s.leaseLength(), now, s.state.View().Entries),
 		hosts:     newHostTable(s.cfg.Limits.MaxHosts, s.cfg.DetectionBound, now),
 		measures:  newMeasures(now),
+		marks:     &revisionMarks{},
 		ctx:       ctx,
 		cancel:    cancel,
 	}
--- /dev/null
+++ b/internal/control/lease_fuzz_test.go
@@ -0,0 +1,283 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// simEntry is an entry as the protocol describes it: it counts its lease from
+// when it sent the renewal and applies views of growing revisions only.
+type simEntry struct {
+	info    api.EntryInfo
+	view    api.View
+	until   time.Time
+	leaving bool
+	// pending are answers on their way.
+	pending []simAnswer
+	// fromReceipt is the broken variant: the lease counts from receipt.
+	fromReceipt bool
+}
+
+type simAnswer struct {
+	sent     time.Time
+	response api.RenewResponse
+}
+
+func (e *simEntry) mayWork(now time.Time) bool { return !e.leaving && now.Before(e.until) }
+
+func (e *simEntry) owns(id api.ShardID) bool {
+	for _, lease := range e.view.Shards {
+		if lease.Shard == id && lease.Owner == e.info.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// leaseSim is a cluster with entries on one logical clock.
+type leaseSim struct {
+	*fixture
+	entries []*simEntry
+	// claimed is the highest revision that was said to be in force.
+	claimed api.Revision
+}
+
+func newLeaseSim(t require.TestingT, entries int) *leaseSim {
+	s := &leaseSim{fixture: newFixture()}
+	for i := range entries {
+		id := api.EntryID(fmt.Sprintf("e%d", i+1))
+		s.entries = append(s.entries, &simEntry{info: entryInfo(id, 1)})
+	}
+	seed := api.Intent{ServingGroups: []api.ServingGroup{servingGroup("sg1"), servingGroup("sg2")}}
+	s.configure(t, seed)
+	for i, sg := range []api.ServingGroupName{"sg1", "sg2"} {
+		_, err := s.service().ChangeGroup(ctx, api.GroupChange{Kind: api.GroupForm, Group: api.Group{
+			ServingGroup: sg, Domain: "cairo", Members: []api.HostID{api.HostID(fmt.Sprintf("h%d", i))},
+		}})
+		require.NoError(t, err)
+	}
+	return s
+}
+
+// send asks for a renewal; the answer is received later.
+func (s *leaseSim) send(e *simEntry) {
+	info := e.info
+	info.Leaving = e.leaving
+	sent := s.clock.Now()
+	r, err := s.service().renew(ctx, api.RenewRequest{Entry: info, Applied: e.view.Revision})
+	if err == nil {
+		e.pending = append(e.pending, simAnswer{sent: sent, response: r})
+	}
+}
+
+// receive delivers the oldest answer.
+func (s *leaseSim) receive(e *simEntry) {
+	if len(e.pending) == 0 {
+		return
+	}
+	answer := e.pending[0]
+	e.pending = e.pending[1:]
+	from := answer.sent
+	if e.fromReceipt {
+		from = s.clock.Now()
+	}
+	if until := from.Add(time.Duration(answer.response.LeaseMillis) * time.Millisecond); until.After(e.until) {
+		e.until = until
+	}
+}
+
+// watch applies the newest view.
+func (s *leaseSim) watch(e *simEntry) error {
+	r, err := s.service().watch(ctx, api.WatchRequest{Entry: e.info.ID, From: e.view.Revision})
+	if err != nil {
+		return nil
+	}
+	view, err := ApplyUpdate(e.view, r.Update)
+	if err != nil {
+		return nil
+	}
+	if view.Revision < e.view.Revision {
+		return fmt.Errorf("entry %s went from revision %d to %d", e.info.ID, e.view.Revision, view.Revision)
+	}
+	e.view = view
+	return nil
+}
+
+// restart forgets everything of an entry, which begins a new incarnation.
+func (s *leaseSim) restart(e *simEntry) {
+	info := e.info
+	info.Incarnation++
+	*e = simEntry{info: info, fromReceipt: e.fromReceipt}
+}
+
+// confirm changes the configuration and notes whether it is in force.
+func (s *leaseSim) confirm(t require.TestingT, share int) {
+	decided := s.configure(t, api.Intent{Accounts: []api.Account{{
+		ID: "a", Share: share, KeyHashes: []string{fmt.Sprintf("%064d", 1)},
+	}}})
+	if decided.InForce {
+		s.claimed = max(s.claimed, decided.Plan.Decided)
+	}
+}
+
+// askAgain resends the newest confirmation.
+func (s *leaseSim) askAgain() {
+	plans := s.state().plans.list()
+	for _, plan := range plans {
+		if plan.State != api.PlanConfirmed {
+			continue
+		}
+		r, err := s.service().decide(noWait(), api.DecideRequest{Operator: "amal", Plan: plan.ID, Confirm: true})
+		if err == nil && r.InForce {
+			s.claimed = max(s.claimed, plan.Decided)
+		}
+	}
+}
+
+// check returns a violation of what the leases promise.
+func (s *leaseSim) check() error {
+	now := s.clock.Now()
+	owners := make(map[api.ShardID]api.EntryID)
+	for _, e := range s.entries {
+		if !e.mayWork(now) {
+			continue
+		}
+		if e.view.Revision < s.claimed {
+			return fmt.Errorf("entry %s works at revision %d, in force is %d", e.info.ID, e.view.Revision, s.claimed)
+		}
+		for _, sg := range []api.ServingGroupName{"sg1", "sg2"} {
+			id := api.ShardID{ServingGroup: sg, Domain: "cairo"}
+			if !e.owns(id) {
+				continue
+			}
+			if other, ok := owners[id]; ok {
+				return fmt.Errorf("entries %s and %s both own shard %s", other, e.info.ID, id)
+			}
+			owners[id] = e.info.ID
+		}
+	}
+	return nil
+}
+
+// runLeases drives drawn events and returns the first violation.
+func runLeases(t *rapid.T, s *leaseSim) error {
+	for step := range rapid.IntRange(1, 120).Draw(t, "steps") {
+		e := rapid.SampledFrom(s.entries).Draw(t, "entry")
+		switch rapid.IntRange(0, 15).Draw(t, "event") {
+		case 0, 1, 2:
+			s.send(e)
+		case 3, 4, 5:
+			s.receive(e)
+		case 6, 7, 8:
+			if err := s.watch(e); err != nil {
+				return err
+			}
+		case 9:
+			s.confirm(t, step)
+		case 10:
+			s.askAgain()
+		case 11:
+			s.elect(rapid.IntRange(0, 2).Draw(t, "leader"))
+		case 12:
+			if rapid.IntRange(0, 3).Draw(t, "leave") == 0 {
+				e.leaving = true
+			}
+		case 13:
+			if rapid.IntRange(0, 3).Draw(t, "restart") == 0 {
+				s.restart(e)
+			}
+		default:
+			s.advance(time.Duration(rapid.IntRange(1, 1500).Draw(t, "millis")) * time.Millisecond)
+		}
+		if err := s.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func TestLeasesHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { require.NoError(t, runLeases(t, newLeaseSim(t, 3))) })
+}
+
+// join brings an entry to the newest view and a fresh lease.
+func (s *leaseSim) join(t require.TestingT, e *simEntry) {
+	require.NoError(t, s.watch(e))
+	s.send(e)
+	s.receive(e)
+	require.True(t, e.mayWork(s.clock.Now()))
+}
+
+func TestLeaseCheckerCatchesLeaseFromReceipt(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		s := newLeaseSim(t, 1)
+		e := s.entries[0]
+		e.fromReceipt = broken
+		s.join(t, e)
+		s.send(e)
+		s.advance(DefaultLeaseDuration + DefaultDriftMargin)
+		s.advance(time.Millisecond)
+		s.confirm(t, 1)
+		require.NotZero(t, s.claimed)
+		s.receive(e)
+		if broken {
+			require.ErrorContains(t, s.check(), "in force is")
+			continue
+		}
+		require.NoError(t, s.check())
+	}
+}
+
+func TestLeaseCheckerCatchesEarlyShardMove(t *testing.T) {
+	s := newLeaseSim(t, 2)
+	s.join(t, s.entries[0])
+	s.advance(time.Millisecond)
+	s.join(t, s.entries[0])
+	s.join(t, s.entries[1])
+	id := api.ShardID{ServingGroup: "sg1", Domain: "cairo"}
+	require.True(t, s.entries[0].owns(id))
+	move := &shardsCommand{Assign: []api.ShardLease{{Shard: id, Owner: "e2"}}}
+	_, err := propose[api.Empty](ctx, s.service(), move)
+	require.Error(t, err, "the owner is live")
+	for _, state := range s.states {
+		state.guards.shardMove = func(*tx, api.ShardLease) error { return nil }
+	}
+	_, err = propose[api.Empty](ctx, s.service(), move)
+	require.NoError(t, err)
+	require.NoError(t, s.watch(s.entries[1]))
+	require.ErrorContains(t, s.check(), "both own shard")
+}
+
+// An entry whose lease ran out must know of the moved shards before it works
+// again.
+func TestLeaseCheckerCatchesResumeOnOldShards(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		s := newLeaseSim(t, 2)
+		if broken {
+			for _, state := range s.states {
+				state.guards.resume = func(*tx, *entryPutCommand, api.EntryInfo) error { return nil }
+			}
+		}
+		s.join(t, s.entries[0])
+		s.advance(time.Millisecond)
+		s.join(t, s.entries[0])
+		s.advance(DefaultLeaseDuration)
+		s.join(t, s.entries[1])
+		s.advance(DefaultDriftMargin + time.Millisecond)
+		require.NoError(t, s.watch(s.entries[1]))
+		s.send(s.entries[0])
+		s.receive(s.entries[0])
+		if broken {
+			require.ErrorContains(t, s.check(), "both own shard")
+			continue
+		}
+		require.NoError(t, s.check())
+		s.join(t, s.entries[0])
+	}
+}
--- a/internal/control/shard_table.go
+++ b/internal/control/shard_table.go
@@ -43,6 +43,7 @@
 		}
 		t.shards.del(shardKey(id))
 		t.touch(tableShards, shardKey(id))
+		t.counters.leased(t.next())
 	}
 	return api.Empty{}, nil
 }
@@ -50,5 +51,6 @@
 func (t *tx) putShard(lease api.ShardLease) {
 	key := shardKey(lease.Shard)
 	t.shards.put(key, lease)
+	t.counters.leased(t.next())
 	t.touch(tableShards, key)
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -161,6 +161,8 @@
 	Plan     api.PlanID   `cbor:"5,keyasint"`
 	// UnixMillis is the newest time of a command.
 	UnixMillis int64 `cbor:"6,keyasint"`
+	// Shards is the revision of the newest change of a shard lease.
+	Shards api.Revision `cbor:"7,keyasint"`
 }
 
 type counters struct {
@@ -203,6 +205,13 @@
 	c.values.Required = at
 }
 
+// leased notes that a shard lease changes at a revision.
+func (c *counters) leased(at api.Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values.Shards = at
+}
+
 func (c *counters) nextFencing() api.Fencing {
 	c.mu.Lock()
 	defer c.mu.Unlock()
