Consensus: simulation with an oracle and six broken variants

Cause: the promises of the core need a check that sees them broken. Mended on the way:

entry is no membership, promotion of a member that is probed.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -113,11 +113,21 @@
 	c.rejoin = map[api.VoterID]Member{}
 	c.peers = map[api.VoterID]*progress{}
 	c.syncPeers()
-	c.termStart = c.appendOwn(EntryNoop, nil)
+	c.termStart = c.appendFirst()
 	c.lease.roundDue = true
 	c.deadline = c.now + c.cfg.Heartbeat
 }
 
+// appendFirst appends the first entry of a term. The very first entry of the log
+// restates the bootstrap membership, so that a member that starts empty learns
+// it from the log.
+func (c *Core) appendFirst() uint64 {
+	if c.log.last() > 0 {
+		return c.appendOwn(EntryNoop, nil)
+	}
+	return c.appendConfig(c.membership())
+}
+
 func (c *Core) tickLeader() {
 	if c.now-c.lease.start > c.cfg.ElectionMax {
 		c.becomeFollower(c.term, "")
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -158,14 +158,19 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	data, err := cbor.Marshal(next)
+	return c.appendConfig(next), c.term, nil
+}
+
+// appendConfig appends a membership, which is in force at once.
+func (c *Core) appendConfig(m Membership) uint64 {
+	data, err := cbor.Marshal(m)
 	if err != nil {
-		return 0, 0, errs.Wrap(err, step, "")
+		panic("consensus: membership does not encode: " + err.Error())
 	}
-	index = c.appendOwn(EntryConfig, data)
-	c.configs = append(c.configs, configAt{index, next})
+	index := c.appendOwn(EntryConfig, data)
+	c.configs = append(c.configs, configAt{index, m})
 	c.syncPeers()
-	return index, c.term, nil
+	return index
 }
 
 // changed returns the membership after a change.
@@ -219,8 +224,10 @@
 
 func (c *Core) caughtUp(m Member) bool {
 	p := c.peers[m.ID]
-	return p != nil && m.Incarnation != 0 && p.state == replicate && p.match+promoteLag >= c.log.last() &&
-		p.match >= c.log.offset
+	if p == nil || m.Incarnation == 0 || p.match < c.log.offset {
+		return false
+	}
+	return p.match+promoteLag >= c.log.last()
 }
 
 // syncPeers aligns the progress records with the membership. A member of a new
--- /dev/null
+++ b/internal/consensus/sim_actions_test.go
@@ -0,0 +1,271 @@
+package consensus
+
+import (
+	"fmt"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// action is one random event of a run.
+type action struct {
+	weight int
+	do     func(s *sim) error
+}
+
+func simActions() []action {
+	return []action{
+		{6, func(s *sim) error { return s.run(1 + s.choose(12)) }},
+		{4, func(s *sim) error { return s.run(20 + s.choose(60)) }},
+		{8, (*sim).actShuffle},
+		{4, (*sim).actTick},
+		{6, (*sim).actPropose},
+		{3, (*sim).actRead},
+		{2, (*sim).actCut},
+		{2, func(s *sim) error { clear(s.cut); return nil }},
+		{1, (*sim).actFreeze},
+		{3, (*sim).actCrash},
+		{4, (*sim).actRestart},
+		{1, (*sim).actLoseDisk},
+		{2, (*sim).actMember},
+		{2, (*sim).actSnapshot},
+	}
+}
+
+func (s *sim) anyNode() *simNode { return s.nodes[s.choose(len(s.nodes))] }
+
+// anyLeader prefers a member that believes it leads.
+func (s *sim) anyLeader() *simNode {
+	leaders := s.leaders()
+	if len(leaders) == 0 {
+		return s.anyNode()
+	}
+	return leaders[s.choose(len(leaders))]
+}
+
+// actShuffle delivers, drops and repeats messages out of order.
+func (s *sim) actShuffle() error {
+	for range 1 + s.choose(12) {
+		if len(s.network) == 0 {
+			return nil
+		}
+		i := s.choose(len(s.network))
+		switch s.choose(5) {
+		case 0:
+			s.network = append(s.network[:i], s.network[i+1:]...)
+		case 1:
+			if err := s.deliver(i, true); err != nil {
+				return err
+			}
+		default:
+			if err := s.deliver(i, false); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// actTick moves the time and runs the timer of one member only.
+func (s *sim) actTick() error {
+	s.now += simStep * 2 * (1 + simDuration(s.choose(10)))
+	n := s.anyNode()
+	if !n.up || n.frozen {
+		return s.oracle.observe(s)
+	}
+	n.core.Tick(s.local(n))
+	return s.carryOut(n, noCrash)
+}
+
+func (s *sim) actPropose() error {
+	n := s.anyLeader()
+	if !n.up || n.frozen {
+		return nil
+	}
+	for range 1 + s.choose(6) {
+		s.nextOp++
+		command := fmt.Sprintf("%d", s.nextOp)
+		if index, term, ok := n.core.Propose([]byte(command)); ok {
+			n.proposed[index] = term
+		}
+	}
+	return s.carryOut(n, noCrash)
+}
+
+func (s *sim) actRead() error {
+	n := s.anyLeader()
+	if !n.up || n.frozen {
+		return nil
+	}
+	s.nextOp++
+	n.reads[s.nextOp] = s.oracle.last
+	n.core.ReadIndex(s.local(n), s.nextOp)
+	return s.carryOut(n, noCrash)
+}
+
+// actCut cuts one member off, or one direction between two.
+func (s *sim) actCut() error {
+	a, b := s.anyNode(), s.anyNode()
+	if s.choose(2) == 0 {
+		s.cut[[2]api.VoterID{a.id, b.id}] = true
+		return nil
+	}
+	for _, n := range s.nodes {
+		s.cut[[2]api.VoterID{a.id, n.id}] = true
+		s.cut[[2]api.VoterID{n.id, a.id}] = true
+	}
+	return nil
+}
+
+func (s *sim) actFreeze() error {
+	n := s.anyNode()
+	n.frozen = !n.frozen
+	return nil
+}
+
+// actCrash kills a member, sometimes in the middle of its work.
+func (s *sim) actCrash() error {
+	n := s.anyNode()
+	if !n.up {
+		return nil
+	}
+	point := crashPoint(s.choose(3))
+	if point != noCrash && !n.frozen {
+		for i := 0; i < len(s.network); i++ {
+			if s.network[i].To == n.id {
+				n.core.Step(s.local(n), s.network[i])
+				break
+			}
+		}
+		if err := s.carryOut(n, point); err != nil {
+			return err
+		}
+	}
+	n.up = false
+	return nil
+}
+
+func (s *sim) actRestart() error {
+	n := s.anyNode()
+	if n.up && s.choose(2) == 0 {
+		return nil
+	}
+	s.start(n)
+	return s.carryOut(n, noCrash)
+}
+
+// actLoseDisk empties a data folder, where every other member has its own.
+func (s *sim) actLoseDisk() error {
+	n := s.anyNode()
+	if !s.mayLoseDisk(n) {
+		return nil
+	}
+	return s.loseDisk(n)
+}
+
+func (s *sim) loseDisk(n *simNode) error {
+	s.oracle.seen["disk lost"]++
+	n.disk = State{}
+	if s.fault == faultDiskLossIgnored {
+		n.disk.Snapshot.Membership = s.oracle.config
+	} else {
+		n.incarnation++
+	}
+	s.start(n)
+	return s.carryOut(n, noCrash)
+}
+
+// mayLoseDisk keeps a majority of intact voters, without which the log stops.
+func (s *sim) mayLoseDisk(lost *simNode) bool {
+	if s.oracle.config.voters() < 3 {
+		return false
+	}
+	for _, m := range s.oracle.config.Members {
+		n := s.node(m.ID)
+		if m.Rejoining || m.Incarnation != n.incarnation {
+			return false
+		}
+		if n != lost && n.disk.pendingConfig(s.oracle.last) {
+			return false
+		}
+	}
+	return !lost.disk.pendingConfig(s.oracle.last)
+}
+
+// pendingConfig reports whether a membership beyond index is stored.
+func (s State) pendingConfig(index uint64) bool {
+	for _, e := range s.Entries {
+		if e.Kind == EntryConfig && e.Index > index {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *sim) actMember() error {
+	n := s.anyLeader()
+	if !n.up || n.frozen {
+		return nil
+	}
+	target := s.anyNode()
+	kinds := []ChangeKind{ChangeAddLearner, ChangePromote, ChangePromote, ChangeRemove}
+	kind := kinds[s.choose(len(kinds))]
+	if kind == ChangeRemove && n.core.membership().voters() <= simVoters {
+		return nil
+	}
+	_, _, _ = n.core.ProposeMembership(Change{Kind: kind, Member: Member{ID: target.id}})
+	return s.carryOut(n, noCrash)
+}
+
+func (s *sim) actSnapshot() error {
+	n := s.anyNode()
+	if !n.up || n.frozen || n.applied == 0 || n.applied <= n.disk.Snapshot.Index {
+		return nil
+	}
+	snap := n.core.NewSnapshot(encodeSimState(n.applied, n.hash))
+	n.disk.Entries = n.disk.Entries[snap.Index-n.disk.Snapshot.Index:]
+	n.disk.Snapshot = snap
+	n.core.Compact(snap)
+	return s.carryOut(n, noCrash)
+}
+
+// simulate runs random actions, heals everything and returns the first
+// violation.
+func simulate(f fault, choose func(n int) int, steps int) (*sim, error) {
+	s := newSim(f, simVoters+2*choose(2), choose)
+	var deck []action
+	for _, a := range simActions() {
+		for range a.weight {
+			deck = append(deck, a)
+		}
+	}
+	if err := s.run(60); err != nil {
+		return s, err
+	}
+	for range steps {
+		if err := deck[s.choose(len(deck))].do(s); err != nil {
+			return s, err
+		}
+	}
+	return s, s.heal()
+}
+
+// heal ends every fault and lets the members agree.
+func (s *sim) heal() error {
+	clear(s.cut)
+	for _, n := range s.nodes {
+		n.frozen = false
+		if !n.up {
+			s.start(n)
+		}
+	}
+	err := fmt.Errorf("not run")
+	for range 60 {
+		if failed := s.run(20); failed != nil {
+			return failed
+		}
+		if err = s.oracle.settled(s); err == nil {
+			return nil
+		}
+	}
+	return err
+}
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -110,9 +110,14 @@
 	if p.state != installing || m.Index != p.sentAt {
 		return
 	}
-	if m.Hint > uint64(len(c.snapshot.Data)) || m.Hint <= p.offset {
+	if m.Hint > uint64(len(c.snapshot.Data)) {
 		return
 	}
+	progressed := m.Hint > p.offset
+	// A member that restarted meanwhile has lost the chunks and names a lower
+	// offset; the next heartbeat response sends it.
 	p.offset = m.Hint
-	c.sendChunk(m.From, p)
+	if progressed {
+		c.sendChunk(m.From, p)
+	}
 }
--- /dev/null
+++ b/internal/consensus/variants_test.go
@@ -0,0 +1,304 @@
+package consensus
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// TestBrokenVariantsAreCaught plays one scenario for each fault. The oracle
+// sees nothing in the correct core, and the named violation in the broken one.
+func TestBrokenVariantsAreCaught(t *testing.T) {
+	cases := []struct {
+		fault     fault
+		voters    int
+		play      func(s *sim) error
+		violation string
+	}{
+		{faultAckBeforeSync, 3, playAckBeforeSync, "leader completeness"},
+		{faultVoteForgotten, 3, playVoteForgotten, "election safety"},
+		{faultDiskLossIgnored, 3, playDiskLoss, "leader completeness"},
+		{faultOldTermCommit, 5, playOldTermCommit, "leader completeness"},
+		{faultLeaseOfResponse, 3, playLateResponse, "lease exclusivity"},
+		{faultRestartForgets, 3, playQuickRestart, "lease exclusivity"},
+	}
+	for _, tc := range cases {
+		t.Run(string(tc.fault), func(t *testing.T) {
+			noDrift := func(n int) int { return n / 2 }
+			require.NoError(t, tc.play(newSim(faultNone, tc.voters, noDrift)))
+			err := tc.play(newSim(tc.fault, tc.voters, noDrift))
+			require.Error(t, err)
+			require.True(t, strings.HasPrefix(err.Error(), tc.violation), "%v", err)
+		})
+	}
+}
+
+// lead makes the first member the leader of a healthy cluster.
+func (s *sim) lead() error {
+	s.now += 2 * DefaultElectionMax
+	if err := s.electAt(0, s.nodes[0].core.campaign); err != nil {
+		return err
+	}
+	return s.run(20)
+}
+
+// electAt starts an election and delivers everything without time passing.
+func (s *sim) electAt(i int, start func()) error {
+	n := s.nodes[i]
+	n.core.setNow(s.local(n))
+	start()
+	if err := s.carryOut(n, noCrash); err != nil {
+		return err
+	}
+	return s.drain()
+}
+
+// drain delivers every message in flight and what they cause.
+func (s *sim) drain() error {
+	for len(s.network) > 0 {
+		if err := s.deliver(0, false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// deliverOne delivers the oldest message of a kind between two members, if one
+// is in flight.
+func (s *sim) deliverOne(kind MessageKind, from, to int) error {
+	for i, m := range s.network {
+		if m.Kind == kind && m.From == simID(from) && m.To == simID(to) {
+			return s.deliver(i, false)
+		}
+	}
+	return nil
+}
+
+func (s *sim) separate(a, b int) {
+	s.cut[[2]api.VoterID{simID(a), simID(b)}] = true
+	s.cut[[2]api.VoterID{simID(b), simID(a)}] = true
+}
+
+func (s *sim) proposeAt(i int, command string) error {
+	n := s.nodes[i]
+	if index, term, ok := n.core.Propose([]byte(command)); ok {
+		n.proposed[index] = term
+	}
+	return s.carryOut(n, noCrash)
+}
+
+// playAckBeforeSync kills a follower between its answer and its sync.
+func playAckBeforeSync(s *sim) error {
+	if err := s.lead(); err != nil {
+		return err
+	}
+	s.separate(0, 2)
+	if err := s.proposeAt(0, "a"); err != nil {
+		return err
+	}
+	n := s.nodes[1]
+	for _, m := range s.network {
+		if m.To == n.id && m.Kind == MsgAppend {
+			n.core.Step(s.local(n), m)
+		}
+	}
+	if err := s.carryOut(n, crashBeforeSync); err != nil {
+		return err
+	}
+	if err := s.drain(); err != nil {
+		return err
+	}
+	s.nodes[0].up = false
+	s.start(n)
+	return s.run(100)
+}
+
+// playVoteForgotten restarts a voter between two candidates of one term.
+func playVoteForgotten(s *sim) error {
+	s.now = DefaultElectionMin
+	for _, i := range []int{0, 2} {
+		n := s.nodes[i]
+		n.core.setNow(s.local(n))
+		n.core.elect()
+		if err := s.carryOut(n, noCrash); err != nil {
+			return err
+		}
+	}
+	if err := s.deliverOne(MsgVote, 0, 1); err != nil {
+		return err
+	}
+	if err := s.deliverOne(MsgVoteResponse, 1, 0); err != nil {
+		return err
+	}
+	s.start(s.nodes[1])
+	s.now += DefaultElectionMax
+	if err := s.deliverOne(MsgVote, 2, 1); err != nil {
+		return err
+	}
+	return s.deliverOne(MsgVoteResponse, 1, 2)
+}
+
+// playDiskLoss loses the disk of one of the two voters that hold an entry, and
+// then the other voter.
+func playDiskLoss(s *sim) error {
+	if err := s.lead(); err != nil {
+		return err
+	}
+	s.separate(0, 2)
+	s.separate(1, 2)
+	if err := s.proposeAt(0, "a"); err != nil {
+		return err
+	}
+	if err := s.run(10); err != nil {
+		return err
+	}
+	n := s.nodes[1]
+	if s.oracle.acked == 0 || !s.mayLoseDisk(n) {
+		return nil
+	}
+	if err := s.loseDisk(n); err != nil {
+		return err
+	}
+	s.nodes[0].up = false
+	clear(s.cut)
+	return s.run(100)
+}
+
+// playOldTermCommit lets an entry of an older term reach a majority, and then
+// elects a member that holds a newer entry in its place.
+func playOldTermCommit(s *sim) error {
+	if err := s.lead(); err != nil {
+		return err
+	}
+	for i := 2; i < 5; i++ {
+		s.separate(0, i)
+	}
+	// Commands above the size of one message travel alone.
+	if err := s.proposeAt(0, strings.Repeat("a", 100)); err != nil {
+		return err
+	}
+	if err := s.drain(); err != nil {
+		return err
+	}
+	s.nodes[0].up = false
+	s.now += 2 * DefaultElectionMax
+	if err := s.electAlone(4, 2, 3); err != nil {
+		return err
+	}
+	s.nodes[4].up = false
+	clear(s.cut)
+	s.start(s.nodes[0])
+	s.now += 2 * DefaultElectionMax
+	if err := s.electAlone(0, 1, 2); err != nil {
+		return err
+	}
+	// Only the entry of the first term reaches member 2.
+	if err := s.replicateOldEntry(); err != nil {
+		return err
+	}
+	s.nodes[0].up = false
+	s.network = nil
+	s.start(s.nodes[4])
+	s.now += 2 * DefaultElectionMax
+	return s.electAlone(4, 2, 3)
+}
+
+// electAlone elects a member by the votes of two others and loses every other
+// message. A term that is already in use is followed by the next one.
+func (s *sim) electAlone(i, a, b int) error {
+	n := s.nodes[i]
+	n.core.setNow(s.local(n))
+	for n.core.role != leader {
+		s.network = nil
+		n.core.elect()
+		if err := s.carryOut(n, noCrash); err != nil {
+			return err
+		}
+		for _, voter := range []int{a, b} {
+			if err := s.deliverOne(MsgVote, i, voter); err != nil {
+				return err
+			}
+			if err := s.deliverOne(MsgVoteResponse, voter, i); err != nil {
+				return err
+			}
+		}
+		if n.core.term > 20 {
+			return nil
+		}
+	}
+	return nil
+}
+
+// replicateOldEntry exchanges appends between members 0 and 2 until member 2
+// holds the entry of the first term, and loses everything else.
+func (s *sim) replicateOldEntry() error {
+	old := s.nodes[0].core.log.last() - 1
+	for range 20 {
+		if err := s.deliverOne(MsgAppend, 0, 2); err != nil {
+			return err
+		}
+		if err := s.deliverOne(MsgAppendResponse, 2, 0); err != nil {
+			return err
+		}
+		if s.nodes[2].core.log.last() == old {
+			break
+		}
+	}
+	for range 4 {
+		if err := s.deliverOne(MsgAppend, 0, 1); err != nil {
+			return err
+		}
+		if err := s.deliverOne(MsgAppendResponse, 1, 0); err != nil {
+			return err
+		}
+		if s.nodes[1].core.log.last() > old {
+			return nil
+		}
+	}
+	return nil
+}
+
+// playLateResponse delivers the answer to a heartbeat after the member that
+// gave it has elected another leader.
+func playLateResponse(s *sim) error {
+	if err := s.lead(); err != nil {
+		return err
+	}
+	n := s.nodes[0]
+	n.core.lease.roundDue = true
+	if err := s.carryOut(n, noCrash); err != nil {
+		return err
+	}
+	for i := 1; i < 3; i++ {
+		if err := s.deliverOne(MsgHeartbeat, 0, i); err != nil {
+			return err
+		}
+	}
+	late := s.network
+	s.network = nil
+	n.frozen = true
+	if err := s.run(100); err != nil {
+		return err
+	}
+	n.frozen = false
+	s.network = late
+	return s.drain()
+}
+
+// playQuickRestart restarts the only follower of a leader, next to a member
+// that wants to lead.
+func playQuickRestart(s *sim) error {
+	if err := s.lead(); err != nil {
+		return err
+	}
+	s.separate(0, 2)
+	if err := s.run(60); err != nil {
+		return err
+	}
+	s.separate(0, 1)
+	s.start(s.nodes[1])
+	return s.electAt(2, s.nodes[2].core.campaign)
+}
