--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -61,8 +61,8 @@
 // formatVersion is the version of the files that this package writes.
 const formatVersion = 1
 
-// encodeRecord appends the encoded record to buf.
-func encodeRecord(buf []byte, r record) ([]byte, error) {
+// encodeRecord returns the framed record.
+func encodeRecord(r record) ([]byte, error) {
 	payload, err := cbor.Marshal(r)
 	if err != nil {
 		return nil, err
@@ -71,6 +71,7 @@
 		return nil, errors.Newf("record of %d bytes is too large", len(payload))
 	}
 	size := binary.BigEndian.AppendUint32(nil, uint32(len(payload)))
+	buf := make([]byte, 0, recordHeader+len(payload))
 	buf = append(buf, size...)
 	buf = binary.BigEndian.AppendUint32(buf, checksum(size, payload))
 	return append(buf, payload...), nil
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -52,7 +52,7 @@
 func (s *Store) replaceFile(name string, r record) error {
 	path := s.path(name)
 	tmp := path + tmpSuffix
-	buf, err := encodeRecord(nil, r)
+	buf, err := encodeRecord(r)
 	if err != nil {
 		return s.fail("encode file", path, err)
 	}
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -159,7 +159,7 @@
 // write appends one record to the active segment and syncs it.
 func (s *Store) write(r record) error {
 	name := s.segments[len(s.segments)-1].name
-	buf, err := encodeRecord(nil, r)
+	buf, err := encodeRecord(r)
 	if err != nil {
 		return s.fail("encode record", name, err)
 	}
