Shard rules fuzzed against a model; terms name the owner process

Ruled out: the handover deadline and the model's clock. Change: a term is epoch and owner incarnation; grants and reports carry it. Conclusion: six broken variants are caught and kept as tests.

--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -248,14 +248,17 @@
 
 // Grant allows one request on one replica until it expires.
 type Grant struct {
-	ID      string    `json:"id"`
-	Shard   ShardID   `json:"shard"`
-	Epoch   Revision  `json:"epoch"`
-	Request RequestID `json:"request"`
-	Account AccountID `json:"account"`
-	Group   GroupID   `json:"group"`
-	Fencing Fencing   `json:"fencing"`
-	Address string    `json:"address"`
+	ID    string   `json:"id"`
+	Shard ShardID  `json:"shard"`
+	Epoch Revision `json:"epoch"`
+	// OwnerIncarnation is that of the owner process that granted, because an
+	// owner that restarts may keep its epoch.
+	OwnerIncarnation Incarnation `json:"owner_incarnation"`
+	Request          RequestID   `json:"request"`
+	Account          AccountID   `json:"account"`
+	Group            GroupID     `json:"group"`
+	Fencing          Fencing     `json:"fencing"`
+	Address          string      `json:"address"`
 	// ExpiresMillis is the lifetime counted from when the request was sent.
 	ExpiresMillis int64 `json:"expires_millis"`
 	Priority      int   `json:"priority"`
@@ -293,7 +296,9 @@
 	Epoch       Revision    `json:"epoch"`
 	Entry       EntryID     `json:"entry"`
 	Incarnation Incarnation `json:"incarnation"`
-	Grants      []Grant     `json:"grants"`
+	// OwnerIncarnation is the owner process that the report is meant for.
+	OwnerIncarnation Incarnation `json:"owner_incarnation"`
+	Grants           []Grant     `json:"grants"`
 }
 
 // ReportResponse renews the reported grants.
--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -27,11 +27,11 @@
 	Err    *errs.Error
 }
 
-// Core is the state machine of one shard under one owner and epoch. It is not
+// Core is the state machine of one shard of one owner in one term. It is not
 // safe for concurrent use.
 type Core struct {
 	id       api.ShardID
-	epoch    api.Revision
+	term     term
 	settings Settings
 	ledger   *ledger
 	queue    *queue
@@ -50,17 +50,17 @@
 
 // NewCore returns the state machine of a shard that this process owns from now
 // on. Every replica of the first view may carry grants of an earlier owner.
-func NewCore(id api.ShardID, epoch api.Revision, s Settings, w World, now time.Time) *Core {
+func NewCore(id api.ShardID, t term, s Settings, w World, now time.Time) *Core {
 	s = s.withDefaults()
 	c := &Core{
 		id:       id,
-		epoch:    epoch,
+		term:     t,
 		settings: s,
 		ledger:   newLedger(s),
 		queue:    newQueue(),
 		chooser:  newChooser(),
 		handover: newHandover(w.Entries, now.Add(s.handoverHold())),
-		rand:     rand.New(rand.NewPCG(uint64(epoch), uint64(len(id.Domain)))),
+		rand:     rand.New(rand.NewPCG(uint64(t.epoch), uint64(t.incarnation))),
 	}
 	c.drained = w.Drained
 	c.ledger.update(w.Groups, true)
@@ -196,10 +196,10 @@
 	return true
 }
 
-// rememberSettled keeps the id of a grant of an earlier epoch, so that a late
+// rememberSettled keeps the id of a grant of an earlier term, so that a late
 // report does not count it again.
 func (c *Core) rememberSettled(now time.Time, g api.Grant) {
-	if g.Epoch < c.epoch && !c.handover.ended(now) {
+	if termOf(g).before(c.term) && !c.handover.ended(now) {
 		c.ledger.settled[g.ID] = true
 	}
 }
@@ -257,7 +257,7 @@
 	}
 	r := c.ledger.replicas[g.Group]
 	known := r != nil && r.group.Fencing == g.Fencing
-	if !adopt || g.Epoch >= c.epoch || c.ledger.settled[g.ID] || !known {
+	if !adopt || !termOf(g).before(c.term) || c.ledger.settled[g.ID] || !known {
 		return false
 	}
 	c.ledger.add(&hold{
--- a/internal/shard/core_test.go
+++ b/internal/shard/core_test.go
@@ -27,7 +27,7 @@
 
 // openCore returns a core whose handover has ended.
 func openCore(groups ...*api.Group) *Core {
-	c := NewCore(testShard, 5, Settings{}, World{Groups: groups, Entries: oneEntry}, testStart)
+	c := NewCore(testShard, term{5, 1}, Settings{}, World{Groups: groups, Entries: oneEntry}, testStart)
 	c.Report(testStart, api.ReportRequest{Entry: "e1", Incarnation: 1})
 	c.Advance(testStart, true)
 	return c
@@ -80,7 +80,7 @@
 
 func TestNewOwnerWaitsForReports(t *testing.T) {
 	entries := []api.EntryInfo{{ID: "e1", Incarnation: 1, Live: true}, {ID: "e2", Incarnation: 4}}
-	c := NewCore(testShard, 5, Settings{}, World{Groups: []*api.Group{warmGroup("g1", 2)}, Entries: entries}, testStart)
+	c := NewCore(testShard, term{5, 1}, Settings{}, World{Groups: []*api.Group{warmGroup("g1", 2)}, Entries: entries}, testStart)
 	old := api.Grant{ID: "3-1", Shard: testShard, Epoch: 3, Account: "a", Group: "g1", Fencing: 7}
 	require.Empty(t, c.Report(testStart, api.ReportRequest{Entry: "e1", Incarnation: 1, Grants: []api.Grant{old}}))
 	require.Empty(t, submit(c, ticket(1, "a", 0, 0, time.Minute)))
--- /dev/null
+++ b/internal/shard/fuzz_test.go
@@ -0,0 +1,316 @@
+package shard
+
+import (
+	"flag"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// waiting lists the tickets that the core has in its queue.
+func (w *world) waiting(c *Core) map[uint64]*Ticket {
+	out := map[uint64]*Ticket{}
+	c.queue.each(func(t *Ticket) { out[t.ID] = w.open[c][t.ID] })
+	return out
+}
+
+// settleOpen marks tickets as decided, each exactly once, and answers them.
+func (w *world) settleOpen(c *Core, out []Decision, o *fuzzEntry) {
+	for i, d := range out {
+		t := w.open[c][d.Ticket]
+		if t == nil {
+			w.fail("ticket %d was decided twice", d.Ticket)
+			continue
+		}
+		if w.fault == faultLostTicket && i > 0 {
+			continue
+		}
+		delete(w.open[c], d.Ticket)
+		if d.Err != nil {
+			continue
+		}
+		if o == nil {
+			w.fail("grant without a lease")
+			continue
+		}
+		w.checkGrant(c, d.Grant)
+		w.answer(d.Grant, t)
+	}
+}
+
+// checkGrant compares a new grant with what truly runs on the replica.
+func (w *world) checkGrant(c *Core, g api.Grant) {
+	limit := c.ledger.replicas[g.Group].limit.value
+	if n := w.used(g.Group, g.Fencing) + 1; n > limit {
+		w.fail("grant %s makes %d requests on %s, limit %d", g.ID, n, g.Group, limit)
+	}
+}
+
+// checkOrder reports a grant that passed over a ticket that goes first: one
+// within its share before one that is not, then the higher class.
+func (w *world) checkOrder(out []Decision, waiting map[uint64]*Ticket, held map[api.AccountID]int) {
+	for _, d := range out {
+		t := waiting[d.Ticket]
+		delete(waiting, d.Ticket)
+		if d.Err != nil || t == nil {
+			continue
+		}
+		for _, other := range waiting {
+			if !t.Request.Alone && !other.Request.Alone && goesFirst(other, t, held) {
+				w.fail("ticket %d was passed over by %d", other.ID, t.ID)
+			}
+		}
+		held[t.Request.Account]++
+	}
+}
+
+func goesFirst(a, b *Ticket, held map[api.AccountID]int) bool {
+	withinA := held[a.Request.Account] < a.Share
+	withinB := held[b.Request.Account] < b.Share
+	if withinA != withinB {
+		return withinA
+	}
+	return a.Class > b.Class
+}
+
+// checkIdle reports a plain ticket that waits beside a free slot.
+func (w *world) checkIdle(c *Core) {
+	plain := false
+	c.queue.each(func(t *Ticket) { plain = plain || !t.Request.Alone })
+	if !plain || c.drained {
+		return
+	}
+	for _, r := range c.ledger.order {
+		if r.isReady() && !r.uncertain && !r.alone && r.reserved == 0 && r.free() > 0 {
+			w.fail("a ticket waits beside a free slot of %s", r.group.ID)
+		}
+	}
+}
+
+// reorderWindow bounds how far a message overtakes others.
+const reorderWindow = 12
+
+// actions are the steps of the fuzz test.
+func (w *world) actions() map[string]func(pick) {
+	entry := func(p pick) *fuzzEntry { return w.entries[p(len(w.entries))] }
+	return map[string]func(pick){
+		"acquire": func(p pick) {
+			wait := time.Duration(p(4)) * 2 * time.Second
+			w.acquire(entry(p), p(3), p(2), wait, p(10) == 0)
+		},
+		"acquireMore": func(p pick) { w.acquire(entry(p), 0, 0, 20*time.Second, false) },
+		"deliver":     func(p pick) { w.deliver(p, true) },
+		"deliverMore": func(p pick) {
+			for range 8 {
+				w.deliver(p, true)
+			}
+		},
+		"drop": func(p pick) { w.deliver(p, false) },
+		"write": func(pick) {
+			for _, e := range w.entries {
+				for _, g := range e.grants {
+					w.write(e, g)
+				}
+			}
+		},
+		"finish": func(p pick) {
+			if e := entry(p); e.runs() && len(e.grants) > 0 {
+				w.finish(e, p(len(e.grants)), 1+p(2))
+			}
+		},
+		"tick":     func(p pick) { w.tick(entry(p)) },
+		"time":     func(p pick) { w.pass(time.Duration(1+p(20)) * 50 * time.Millisecond) },
+		"longTime": func(p pick) { w.pass(time.Duration(1+p(8)) * time.Second) },
+		"handOver": func(p pick) { w.handOver(entry(p)) },
+		"freeze":   func(p pick) { e := entry(p); e.frozen = p(2) == 0 },
+		"thaw":     func(p pick) { entry(p).frozen = false },
+		"cut":      func(p pick) { e := entry(p); e.cut = p(3) == 0 },
+		"kill": func(p pick) {
+			if e := entry(p); p(3) == 0 {
+				w.kill(e)
+			}
+		},
+		"restart": func(p pick) { w.restart(entry(p)) },
+		"group":   func(p pick) { w.changeGroup(p) },
+	}
+}
+
+func (w *world) deliver(p pick, whole bool) {
+	if len(w.flight) == 0 {
+		return
+	}
+	i := p(min(len(w.flight), reorderWindow))
+	m := w.flight[i]
+	w.flight = append(w.flight[:i:i], w.flight[i+1:]...)
+	if whole {
+		m.deliver()
+	}
+}
+
+func (w *world) pass(d time.Duration) {
+	w.now = w.now.Add(d)
+	w.renewAll()
+	w.replaceOwner()
+	for _, e := range w.entries {
+		w.advance(e)
+	}
+}
+
+// replaceOwner hands the shard over once the owner's lease has run out.
+func (w *world) replaceOwner() {
+	if o := w.entryOf(w.view.Shards[0].Owner); w.now.Before(o.lease) {
+		return
+	}
+	for _, e := range w.entries {
+		if w.now.Before(e.lease) {
+			w.handOver(e)
+			return
+		}
+	}
+}
+
+// handOver leases the shard to another live entry under a new epoch.
+func (w *world) handOver(e *fuzzEntry) {
+	if !w.now.Before(e.lease) {
+		return
+	}
+	w.view.Shards = []api.ShardLease{{Shard: testShard, Owner: e.info.ID, Epoch: w.view.Revision + 1}}
+	w.publish()
+	w.renewAll()
+}
+
+// kill ends a process; its connections to the engines close.
+func (w *world) kill(e *fuzzEntry) {
+	e.alive, e.core, e.grants = false, nil, nil
+	for key, user := range w.user {
+		if user == e {
+			delete(w.using, key)
+		}
+	}
+	e.hold = NewHoldings()
+}
+
+func (w *world) restart(e *fuzzEntry) {
+	if e.alive {
+		return
+	}
+	e.alive, e.frozen = true, false
+	e.info.Incarnation++
+	e.view = api.View{}
+	w.publish()
+	w.renewAll()
+	w.applyView(e)
+}
+
+// changeGroup makes a replica cold, warm, broken, or ready at a new generation.
+func (w *world) changeGroup(p pick) {
+	g := &w.view.Groups[p(len(w.view.Groups))]
+	switch p(4) {
+	case 0:
+		g.Warm, g.BearableLoad = false, p(2)
+	case 1:
+		g.Warm, g.BearableLoad = true, fuzzWarmLoad
+	case 2:
+		g.Phase = api.GroupBroken
+	case 3:
+		if g.Phase == api.GroupBroken {
+			g.Fencing++
+			g.Phase = api.GroupReady
+		}
+	}
+	w.publish()
+}
+
+// drain lets every deadline pass and reports tickets without a decision.
+func (w *world) drain() {
+	for range 3 {
+		for _, e := range w.entries {
+			e.frozen = false
+		}
+		w.pass(time.Minute)
+	}
+	for _, e := range w.entries {
+		if e.core != nil && len(w.open[e.core]) > 0 {
+			w.fail("%d tickets were never decided", len(w.open[e.core]))
+		}
+	}
+}
+
+func TestShardFuzz(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(noFault)
+		steps := map[string]func(*rapid.T){}
+		for name, action := range w.actions() {
+			steps[name] = func(rt *rapid.T) {
+				action(func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "pick") })
+			}
+		}
+		steps[""] = func(rt *rapid.T) {
+			if w.err != nil {
+				rt.Fatal(w.err)
+			}
+		}
+		rt.Repeat(steps)
+		w.drain()
+		if w.err != nil {
+			rt.Fatal(w.err)
+		}
+	})
+}
+
+// allNames weighs the steps of explore.
+var allNames = []string{
+	"acquire", "acquireMore", "acquireMore", "deliver", "deliverMore", "deliverMore", "drop", "write", "write", "finish",
+	"tick", "tick", "tick", "time", "time", "longTime", "handOver", "freeze", "thaw", "thaw", "cut", "kill", "restart", "restart", "group",
+	"acquire", "acquireMore", "acquireMore", "deliver", "deliverMore", "deliverMore", "write", "write", "tick", "tick", "time", "time",
+}
+
+// explore runs random steps with one rule switched off, and returns the first
+// violation that the checker reports.
+func explore(f fault, runs, steps int) error {
+	for seed := range runs {
+		rng := rand.New(rand.NewPCG(uint64(seed), 7))
+		w := newWorld(f)
+		actions := w.actions()
+		for range steps {
+			actions[allNames[rng.IntN(len(allNames))]](rng.IntN)
+		}
+		w.drain()
+		if w.err != nil {
+			return w.err
+		}
+	}
+	return nil
+}
+
+func TestCheckerCatchesBrokenRules(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault fault
+	}{
+		{"owner grants before the reports", faultNoHandover},
+		{"second settlement frees a slot", faultDoubleSettle},
+		{"grant of a reported epoch is used", faultLateGrant},
+		{"grant is not rechecked before the write", faultNoRecheck},
+		{"order of arrival", faultArrivalOrder},
+		{"decision is lost", faultLostTicket},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			require.Error(t, explore(tc.fault, 300, 400))
+		})
+	}
+}
+
+// TestLongWalks runs more steps for each case than rapid draws; the number of
+// walks is that of rapid's cases.
+func TestLongWalks(t *testing.T) {
+	walks, err := strconv.Atoi(flag.Lookup("rapid.checks").Value.String())
+	require.NoError(t, err)
+	require.NoError(t, explore(noFault, walks, 400))
+}
--- /dev/null
+++ b/internal/shard/fuzz_world_test.go
@@ -0,0 +1,362 @@
+package shard
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// fault switches one rule off, to show that the checker catches it.
+type fault int
+
+const (
+	noFault fault = iota
+	// faultNoHandover lets a new owner grant before the reports.
+	faultNoHandover
+	// faultDoubleSettle frees a slot for each settlement of a grant.
+	faultDoubleSettle
+	// faultLateGrant uses grants of an epoch that was reported as gone.
+	faultLateGrant
+	// faultNoRecheck writes without looking at the grant again.
+	faultNoRecheck
+	// faultArrivalOrder ignores class and share.
+	faultArrivalOrder
+	// faultLostTicket drops a decision.
+	faultLostTicket
+)
+
+// pick returns a number from 0 to n-1.
+type pick func(n int) int
+
+const (
+	fuzzWarmLoad = 3
+	fuzzGroups   = 2
+	fuzzEntries  = 3
+)
+
+// fuzzEntry is one entry of the model: its process, its view and its clock of
+// the work lease.
+type fuzzEntry struct {
+	info   api.EntryInfo
+	alive  bool
+	frozen bool
+	cut    bool
+	lease  time.Time
+	view   api.View
+	hold   *Holdings
+	core   *Core
+	grants []api.Grant
+}
+
+func (e *fuzzEntry) runs() bool { return e.alive && !e.frozen }
+
+// message is a call on its way.
+type message struct {
+	name    string
+	deliver func()
+}
+
+// world is the model: control, entries, engines and the network between them,
+// and the oracle that knows what runs where.
+type world struct {
+	fault    fault
+	now      time.Time
+	settings Settings
+	view     api.View
+	entries  []*fuzzEntry
+	// using maps a grant to the entry that uses it on the engine.
+	using    map[string]api.Grant
+	user     map[string]*fuzzEntry
+	flight   []message
+	requests uint64
+	// open counts the undecided tickets of each core.
+	open map[*Core]map[uint64]*Ticket
+	err  error
+}
+
+func newWorld(f fault) *world {
+	w := &world{
+		fault: f, now: testStart, settings: Settings{}.withDefaults(),
+		using: map[string]api.Grant{}, user: map[string]*fuzzEntry{}, open: map[*Core]map[uint64]*Ticket{},
+	}
+	for i := range fuzzEntries {
+		info := api.EntryInfo{ID: api.EntryID(fmt.Sprintf("e%d", i)), Incarnation: 1, Live: true}
+		w.entries = append(w.entries, &fuzzEntry{info: info, alive: true, hold: NewHoldings()})
+	}
+	for i := range fuzzGroups {
+		w.view.Groups = append(w.view.Groups, *warmGroup(fmt.Sprintf("g%d", i), fuzzWarmLoad))
+	}
+	w.view.Shards = []api.ShardLease{{Shard: testShard, Owner: "e0", Epoch: 1}}
+	w.publish()
+	w.renewAll()
+	return w
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.err == nil {
+		w.err = errors.Newf(format, args...)
+	}
+}
+
+// publish accepts a new view of the fleet.
+func (w *world) publish() {
+	w.view.Revision++
+	w.view.Entries = nil
+	for _, e := range w.entries {
+		info := e.info
+		info.Live = w.now.Before(e.lease)
+		w.view.Entries = append(w.view.Entries, info)
+	}
+}
+
+// renewAll renews the work lease of every reachable entry, which applies the
+// newest view with it.
+func (w *world) renewAll() {
+	for _, e := range w.entries {
+		if !e.runs() || e.cut {
+			continue
+		}
+		e.lease = w.now.Add(w.settings.WorkLease)
+		w.applyView(e)
+	}
+}
+
+func (w *world) applyView(e *fuzzEntry) {
+	if e.view.Revision == w.view.Revision {
+		return
+	}
+	e.view = w.view
+	e.view.Groups = slices.Clone(w.view.Groups)
+	lease := e.view.Shards[0]
+	if lease.Owner != e.info.ID {
+		e.core = nil
+		return
+	}
+	facts := World{Entries: e.view.Entries}
+	for i := range e.view.Groups {
+		facts.Groups = append(facts.Groups, &e.view.Groups[i])
+	}
+	if e.core == nil || e.core.term.epoch != lease.Epoch {
+		e.core = NewCore(testShard, term{lease.Epoch, e.info.Incarnation}, w.settings, facts, w.now)
+		w.open[e.core] = map[uint64]*Ticket{}
+		if w.fault == faultNoHandover {
+			e.core.handover.done = true
+		}
+	}
+	e.core.Update(facts)
+	w.advance(e)
+}
+
+// ownerTerm returns the term of the owner in the view of e.
+func (e *fuzzEntry) ownerTerm() term {
+	lease := e.view.Shards[0]
+	for _, info := range e.view.Entries {
+		if info.ID == lease.Owner {
+			return term{lease.Epoch, info.Incarnation}
+		}
+	}
+	return term{epoch: lease.Epoch}
+}
+
+// owner returns the entry that e takes for the owner, if it is reachable.
+func (w *world) owner(e *fuzzEntry) *fuzzEntry {
+	for _, o := range w.entries {
+		if o.info.ID == e.view.Shards[0].Owner && o.runs() && o.core != nil {
+			return o
+		}
+	}
+	return nil
+}
+
+func (w *world) send(name string, deliver func()) {
+	w.flight = append(w.flight, message{name: name, deliver: deliver})
+}
+
+// acquire sends a request for a grant to the owner.
+func (w *world) acquire(e *fuzzEntry, class, share int, wait time.Duration, alone bool) {
+	if !e.runs() || !w.now.Before(e.lease) {
+		return
+	}
+	w.requests++
+	id, epoch, incarnation := w.requests, e.view.Shards[0].Epoch, e.info.Incarnation
+	w.send("acquire", func() {
+		o := w.owner(e)
+		if o == nil || o.core.term.epoch != epoch {
+			return
+		}
+		t := ticket(id, fmt.Sprintf("a%d-%d", class, share), class, share, wait)
+		t.Received, t.Deadline = w.now, w.now.Add(wait)
+		t.Request.Entry, t.Request.Alone, t.Request.Revocable = e.info.ID, alone, true
+		if w.fault == faultArrivalOrder {
+			t.Class, t.Share = 0, 0
+		}
+		w.submit(o, t, class, share, incarnation)
+	})
+}
+
+// submit enters a ticket and remembers where its answer goes.
+func (w *world) submit(o *fuzzEntry, t *Ticket, class, share int, incarnation api.Incarnation) {
+	truth := *t
+	truth.Class, truth.Share = class, share
+	truth.Request.Incarnation = incarnation
+	w.open[o.core][t.ID] = &truth
+	o.core.Submit(t)
+	w.advance(o)
+}
+
+// answer sends a grant to the entry that asked for it.
+func (w *world) answer(g api.Grant, t *Ticket) {
+	w.send("grant", func() {
+		e := w.entryOf(t.Request.Entry)
+		if !e.runs() || e.info.Incarnation != t.Request.Incarnation {
+			return
+		}
+		if w.fault == faultLateGrant {
+			delete(e.hold.announced, testShard)
+		}
+		if e.hold.Add(w.now, t.Received, g) {
+			e.grants = append(e.grants, g)
+			return
+		}
+		w.sendSettle(e, g)
+	})
+}
+
+func (w *world) entryOf(id api.EntryID) *fuzzEntry {
+	for _, e := range w.entries {
+		if e.info.ID == id {
+			return e
+		}
+	}
+	return nil
+}
+
+// write begins the use of a held grant, as the request path does.
+func (w *world) write(e *fuzzEntry, g api.Grant) {
+	if !e.runs() || w.using[holdKey(g)].ID != "" {
+		return
+	}
+	if w.fault != faultNoRecheck && !e.hold.Valid(w.now, g) {
+		return
+	}
+	if held := e.hold.held[holdKey(g)]; held == nil || !w.now.Before(held.expires) {
+		w.fail("request of grant %s written after the grant ended", g.ID)
+	}
+	w.using[holdKey(g)], w.user[holdKey(g)] = g, e
+	if n := w.used(g.Group, g.Fencing); n > fuzzWarmLoad {
+		w.fail("%s runs %d requests, bears %d", g.Group, n, fuzzWarmLoad)
+	}
+}
+
+// used counts the requests on a replica. A stopped entry's grant counts until
+// its lifetime has run out.
+func (w *world) used(id api.GroupID, fencing api.Fencing) int {
+	n := 0
+	for key, g := range w.using {
+		if g.Group != id || g.Fencing != fencing {
+			continue
+		}
+		if held := w.user[key].hold.held[key]; held == nil || w.now.Before(held.expires) {
+			n++
+		}
+	}
+	return n
+}
+
+// finish ends the use of a grant and settles it.
+func (w *world) finish(e *fuzzEntry, i int, times int) {
+	g := e.grants[i]
+	e.grants = slices.Delete(e.grants, i, i+1)
+	delete(w.using, holdKey(g))
+	e.hold.Remove(g)
+	for range times {
+		w.sendSettle(e, g)
+	}
+}
+
+func (w *world) sendSettle(e *fuzzEntry, g api.Grant) {
+	w.send("settle", func() {
+		o := w.owner(e)
+		if o == nil {
+			return
+		}
+		ok := o.core.Settle(w.now, api.SettleRequest{Grant: g, Outcome: api.OutcomeComplete})
+		if r := o.core.ledger.replicas[g.Group]; !ok && w.fault == faultDoubleSettle && r != nil {
+			r.held--
+		}
+		w.advance(o)
+	})
+}
+
+// tick ends expired grants and reports to the owner.
+func (w *world) tick(e *fuzzEntry) {
+	if !e.runs() {
+		return
+	}
+	e.hold.Expire(w.now)
+	w.stopEnded(e)
+	sent, incarnation, owner := w.now, e.info.Incarnation, e.ownerTerm()
+	grants := e.hold.beginReport(testShard, owner)
+	w.send("report", func() {
+		o := w.owner(e)
+		if o == nil || o.core.term != owner || !w.now.Before(o.lease) {
+			return
+		}
+		refused := o.core.Report(w.now, api.ReportRequest{Entry: e.info.ID, Incarnation: incarnation, Grants: grants})
+		w.advance(o)
+		res := api.ReportResponse{RenewMillis: w.settings.GrantLifetime.Milliseconds(), Refused: refused}
+		w.send("reported", func() {
+			if e.runs() && e.info.Incarnation == incarnation {
+				e.hold.applyReport(testShard, owner, grants, res, sent)
+				w.stopEnded(e)
+			}
+		})
+	})
+}
+
+// stopEnded stops the requests whose grant ended, as the request path does.
+func (w *world) stopEnded(e *fuzzEntry) {
+	for i := len(e.grants) - 1; i >= 0; i-- {
+		if !e.hold.Valid(w.now, e.grants[i]) {
+			w.finish(e, i, 1)
+		}
+	}
+}
+
+// advance moves an owner's core forward and checks what it decides.
+func (w *world) advance(o *fuzzEntry) {
+	if !o.runs() || o.core == nil {
+		return
+	}
+	w.settleOpen(o.core, o.core.Advance(w.now, false), nil)
+	before := w.waiting(o.core)
+	held := make(map[api.AccountID]int)
+	for id, n := range o.core.ledger.accounts {
+		held[id] = n
+	}
+	leased := w.now.Before(o.lease)
+	out := o.core.Advance(w.now, leased)
+	w.checkOrder(out, before, held)
+	w.settleOpen(o.core, out, o)
+	if leased {
+		w.checkIdle(o.core)
+	}
+	for _, r := range o.core.Revocations() {
+		w.send("revoke", func() {
+			if e := w.entryOf(r.Entry); e.runs() {
+				e.hold.Revoke(r.Grant)
+			}
+		})
+	}
+	for _, g := range o.core.Lapsed() {
+		core := o.core
+		w.send("stop", func() {
+			delete(w.using, holdKey(g))
+			core.Settle(w.now, api.SettleRequest{Grant: g, Outcome: api.OutcomeUnknown})
+		})
+	}
+}
--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -101,24 +101,25 @@
 
 // grant counts a slot for a ticket and decides it.
 func (c *Core) grant(now time.Time, t *Ticket, r *replica) {
-	c.grants++
 	priority := t.Class
 	if c.ledger.accounts[t.Request.Account] < t.Share {
 		priority += priorityInShare
 	}
 	lifetime := c.settings.GrantLifetime
 	g := api.Grant{
-		ID:            strconv.FormatUint(uint64(c.epoch), 10) + "-" + strconv.FormatUint(c.grants, 10),
-		Shard:         c.id,
-		Epoch:         c.epoch,
-		Request:       t.Request.Request,
-		Account:       t.Request.Account,
-		Group:         r.group.ID,
-		Fencing:       r.group.Fencing,
-		Address:       r.group.Address,
-		ExpiresMillis: (now.Sub(t.Received) + lifetime).Milliseconds(),
-		Priority:      priority,
-		Alone:         t.Request.Alone,
+		ID:    c.grantID(),
+		Shard: c.id,
+		Epoch: c.term.epoch,
+
+		OwnerIncarnation: c.term.incarnation,
+		Request:          t.Request.Request,
+		Account:          t.Request.Account,
+		Group:            r.group.ID,
+		Fencing:          r.group.Fencing,
+		Address:          r.group.Address,
+		ExpiresMillis:    (now.Sub(t.Received) + lifetime).Milliseconds(),
+		Priority:         priority,
+		Alone:            t.Request.Alone,
 	}
 	c.ledger.add(&hold{
 		grant:   g,
@@ -136,3 +137,14 @@
 	r.prefix.add(now, t.Request.PrefixHashes)
 	c.out = append(c.out, Decision{Ticket: t.ID, Grant: g})
 }
+
+// grantID returns a new id, unique over all owners of the shard.
+func (c *Core) grantID() string {
+	c.grants++
+	id := strconv.AppendUint(nil, uint64(c.term.epoch), 10)
+	id = append(id, '-')
+	id = strconv.AppendUint(id, uint64(c.term.incarnation), 10)
+	id = append(id, '-')
+	id = strconv.AppendUint(id, c.grants, 10)
+	return string(id)
+}
--- a/internal/shard/holdings.go
+++ b/internal/shard/holdings.go
@@ -11,11 +11,11 @@
 // concurrent use.
 type Holdings struct {
 	held map[string]*heldGrant
-	// announced is the newest epoch for which a report was begun, by shard. A
-	// grant of an older epoch that arrives later must not be used.
-	announced map[api.ShardID]api.Revision
-	// acknowledged is the newest epoch whose owner accepted a report.
-	acknowledged map[api.ShardID]api.Revision
+	// announced is the newest term for which a report was begun, by shard. A
+	// grant of an older term that arrives later must not be used.
+	announced map[api.ShardID]term
+	// acknowledged is the newest term whose owner accepted a report.
+	acknowledged map[api.ShardID]term
 }
 
 // heldGrant is a grant in use by this entry.
@@ -40,8 +40,8 @@
 func NewHoldings() *Holdings {
 	return &Holdings{
 		held:         map[string]*heldGrant{},
-		announced:    map[api.ShardID]api.Revision{},
-		acknowledged: map[api.ShardID]api.Revision{},
+		announced:    map[api.ShardID]term{},
+		acknowledged: map[api.ShardID]term{},
 	}
 }
 
@@ -53,7 +53,7 @@
 // entry holds, or the lifetime has run out on the way.
 func (h *Holdings) Add(now, sent time.Time, g api.Grant) bool {
 	expires := sent.Add(time.Duration(g.ExpiresMillis) * time.Millisecond)
-	if g.Epoch < h.announced[g.Shard] || !now.Before(expires) {
+	if termOf(g).before(h.announced[g.Shard]) || !now.Before(expires) {
 		return false
 	}
 	h.held[holdKey(g)] = &heldGrant{grant: g, expires: expires, ended: make(chan struct{})}
@@ -101,9 +101,9 @@
 	}
 }
 
-// Owes reports whether the owner of a lease has not yet accepted a report.
-func (h *Holdings) Owes(lease api.ShardLease) bool {
-	return h.acknowledged[lease.Shard] < lease.Epoch
+// owes reports whether the owner of a term has not yet accepted a report.
+func (h *Holdings) owes(id api.ShardID, t term) bool {
+	return h.acknowledged[id].before(t)
 }
 
 // Shards returns the shards of which a grant is held.
@@ -115,23 +115,28 @@
 	return shards
 }
 
-// BeginReport lists the held grants of a shard for its owner. From here on a
-// grant of an older epoch that still arrives is not used.
-func (h *Holdings) BeginReport(lease api.ShardLease) []api.Grant {
-	h.announced[lease.Shard] = max(h.announced[lease.Shard], lease.Epoch)
+// beginReport lists the held grants of a shard for the owner of a term. From
+// here on a grant of an older term that still arrives is not used.
+func (h *Holdings) beginReport(id api.ShardID, t term) []api.Grant {
+	if h.announced[id].before(t) {
+		h.announced[id] = t
+	}
 	grants := []api.Grant{}
 	for _, held := range h.held {
-		if held.grant.Shard == lease.Shard {
+		if held.grant.Shard == id {
 			grants = append(grants, held.grant)
 		}
 	}
+	sortGrants(grants)
 	return grants
 }
 
-// ApplyReport applies the owner's answer to a report that was sent at a
+// applyReport applies the owner's answer to a report that was sent at a
 // moment: it extends the renewed grants and ends the refused ones.
-func (h *Holdings) ApplyReport(lease api.ShardLease, grants []api.Grant, res api.ReportResponse, sent time.Time) {
-	h.acknowledged[lease.Shard] = max(h.acknowledged[lease.Shard], lease.Epoch)
+func (h *Holdings) applyReport(id api.ShardID, t term, grants []api.Grant, res api.ReportResponse, sent time.Time) {
+	if h.acknowledged[id].before(t) {
+		h.acknowledged[id] = t
+	}
 	refused := make(map[string]bool, len(res.Refused))
 	for _, id := range res.Refused {
 		refused[id] = true
--- a/internal/shard/ledger.go
+++ b/internal/shard/ledger.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -172,5 +174,11 @@
 			l.nextExpiry = h.expires
 		}
 	}
+	sortGrants(out)
 	return out
 }
+
+// sortGrants orders grants by id, so that the core is deterministic.
+func sortGrants(grants []api.Grant) {
+	slices.SortFunc(grants, func(a, b api.Grant) int { return strings.Compare(a.ID, b.ID) })
+}
--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -170,7 +170,8 @@
 		o = nil
 	}
 	if o == nil {
-		core := NewCore(lease.Shard, lease.Epoch, m.cfg.Settings, w, m.cfg.Clock.Now())
+		t := term{epoch: lease.Epoch, incarnation: m.cfg.Self.Incarnation}
+		core := NewCore(lease.Shard, t, m.cfg.Settings, w, m.cfg.Clock.Now())
 		o = &owned{epoch: lease.Epoch, core: core, waiters: map[uint64]chan Decision{}}
 		m.shards[lease.Shard] = o
 		level.Info(m.logger).Log("msg", "took over a shard", "shard", lease.Shard, "epoch", lease.Epoch)
@@ -331,6 +332,9 @@
 	if err != nil {
 		return api.ReportResponse{}, err
 	}
+	if r.OwnerIncarnation != m.cfg.Self.Incarnation {
+		return api.ReportResponse{}, staleError(r.Shard)
+	}
 	if !m.cfg.View.HasLease() {
 		return api.ReportResponse{}, errs.New(errs.Unavailable, "report grants", "", "the owner has no work lease")
 	}
--- a/internal/shard/manager_test.go
+++ b/internal/shard/manager_test.go
@@ -176,7 +176,9 @@
 	owner := nodes["e1"].owner
 	_, err := owner.Acquire(context.Background(), api.AcquireRequest{Shard: testShard, Epoch: 1})
 	require.True(t, errs.Is(err, errs.Stale))
-	_, err = owner.Report(api.ReportRequest{Shard: testShard, Epoch: 3})
+	_, err = owner.Report(api.ReportRequest{Shard: testShard, Epoch: 3, OwnerIncarnation: 1})
+	require.True(t, errs.Is(err, errs.Stale))
+	_, err = owner.Report(api.ReportRequest{Shard: testShard, Epoch: 2, OwnerIncarnation: 7})
 	require.True(t, errs.Is(err, errs.Stale))
 	nodes["e1"].state.SetLease(time.Now().Add(-time.Second))
 	_, err = owner.Acquire(context.Background(), api.AcquireRequest{Shard: testShard, Epoch: 2})
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -43,53 +43,66 @@
 // acknowledged its epoch; with renew set, also to every owner of a held grant.
 // The calls run in the background, one at a time for each shard.
 func (c *Client) Tick(ctx context.Context, renew bool) {
-	for _, lease := range c.due(renew) {
-		go c.report(ctx, lease)
+	for _, o := range c.due(renew) {
+		go c.report(ctx, o)
 	}
 }
 
 // Update reports to the owners of a newer view at once.
 func (c *Client) Update(ctx context.Context) { c.Tick(ctx, false) }
 
-// due ends expired grants and returns the leases to report on.
-func (c *Client) due(renew bool) []api.ShardLease {
+// due ends expired grants and returns the owners to report to.
+func (c *Client) due(renew bool) []ownership {
 	s := c.cfg.View.Snapshot()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.holdings.Expire(c.cfg.Clock.Now())
 	holding := c.holdings.Shards()
-	var due []api.ShardLease
+	var due []ownership
 	for _, lease := range s.Shards {
-		wanted := c.holdings.Owes(lease) || (renew && holding[lease.Shard])
+		owner := s.Entry(lease.Owner)
+		if owner == nil {
+			continue
+		}
+		o := ownership{lease: lease, term: term{epoch: lease.Epoch, incarnation: owner.Incarnation}}
+		wanted := c.holdings.owes(lease.Shard, o.term) || (renew && holding[lease.Shard])
 		if wanted && !c.renewing[lease.Shard] {
 			c.renewing[lease.Shard] = true
-			due = append(due, lease)
+			due = append(due, o)
 		}
 	}
 	return due
 }
 
+// ownership is a lease and the term of the process that holds it.
+type ownership struct {
+	lease api.ShardLease
+	term  term
+}
+
 // report sends the held grants of one shard to its owner.
-func (c *Client) report(ctx context.Context, lease api.ShardLease) {
+func (c *Client) report(ctx context.Context, o ownership) {
+	shard := o.lease.Shard
 	sent := c.cfg.Clock.Now()
 	c.mu.Lock()
-	grants := c.holdings.BeginReport(lease)
+	grants := c.holdings.beginReport(shard, o.term)
 	c.mu.Unlock()
-	res, err := c.callReport(ctx, lease, api.ReportRequest{
-		Shard:       lease.Shard,
-		Epoch:       lease.Epoch,
-		Entry:       c.cfg.Self.ID,
-		Incarnation: c.cfg.Self.Incarnation,
-		Grants:      grants,
+	res, err := c.callReport(ctx, o.lease, api.ReportRequest{
+		Shard:            shard,
+		Epoch:            o.term.epoch,
+		Entry:            c.cfg.Self.ID,
+		Incarnation:      c.cfg.Self.Incarnation,
+		OwnerIncarnation: o.term.incarnation,
+		Grants:           grants,
 	})
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.renewing, lease.Shard)
+	delete(c.renewing, shard)
 	if err != nil {
-		level.Debug(c.logger).Log("msg", "report failed", "shard", lease.Shard, "err", err)
+		level.Debug(c.logger).Log("msg", "report failed", "shard", shard, "err", err)
 		return
 	}
-	c.holdings.ApplyReport(lease, grants, res, sent)
+	c.holdings.applyReport(shard, o.term, grants, res, sent)
 }
 
 func (c *Client) callReport(ctx context.Context, lease api.ShardLease, params api.ReportRequest) (api.ReportResponse, error) {
--- a/internal/shard/revoke.go
+++ b/internal/shard/revoke.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -100,4 +102,5 @@
 		h.revokedAt = now
 		c.revoked = append(c.revoked, Revocation{Entry: h.entry, Grant: h.grant})
 	}
+	slices.SortFunc(c.revoked, func(a, b Revocation) int { return strings.Compare(a.Grant.ID, b.Grant.ID) })
 }
