--- a/internal/pipeline/fakes_test.go
+++ b/internal/pipeline/fakes_test.go
@@ -21,6 +21,9 @@
 
 const testKey = "key-of-nilecraft"
 
+// testPast is a moment at which every lease has run out.
+var testPast = time.Unix(1, 0)
+
 func hashOf(key string) string {
 	sum := sha256.Sum256([]byte(key))
 	return hex.EncodeToString(sum[:])
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -22,7 +22,9 @@
 	header  http.Header
 	trailer http.Header
 	body    string
-	err     error
+	// closed is set when the server closes the connection after the answer.
+	closed bool
+	err    error
 }
 
 // outcome returns the outcome in the header, or in the trailer of a stream.
@@ -63,7 +65,7 @@
 	require.NoError(t, err)
 	defer func() { _ = res.Body.Close() }()
 	data, err := io.ReadAll(res.Body)
-	return answer{status: res.StatusCode, header: res.Header, trailer: res.Trailer, body: string(data), err: err}
+	return answer{status: res.StatusCode, header: res.Header, trailer: res.Trailer, body: string(data), closed: res.Close, err: err}
 }
 
 const chatBody = `{"model":"scribe-1","stream":true,"messages":[{"role":"user","content":"a tin"}]}`
@@ -205,6 +207,7 @@
 	require.Equal(t, api.OutcomeNotRun, a.outcome())
 	require.Contains(t, a.body, "10.0.0.2:80")
 	require.NotContains(t, a.body, "10.0.0.1:80")
+	require.True(t, a.closed)
 	list := send(t, c, "GET", "/v1/entries", "", "")
 	require.Equal(t, `{"entries":[{"address":"10.0.0.2:80","domain":"west"}],"ttl_seconds":5}`, list.body)
 }
--- a/internal/pipeline/service.go
+++ b/internal/pipeline/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/url"
 	"strings"
 	"sync"
 
@@ -39,12 +40,12 @@
 		return serviceCall{}, badField("path", quote(original), "below "+servicesPrefix)
 	}
 	name, path, _ := bytes.Cut(rest, []byte("/"))
-	sc := serviceCall{
-		name:    string(name),
-		method:  string(ctx.Method()),
-		path:    "/" + string(path),
-		decoded: strings.TrimPrefix(string(ctx.Path()), servicesPrefix+string(name)),
+	sc := serviceCall{name: string(name), method: string(ctx.Method()), path: "/" + string(path)}
+	decoded, err := url.PathUnescape(sc.path)
+	if err != nil {
+		return serviceCall{}, badField("path", quote(original), "percent-encoded")
 	}
+	sc.decoded = decoded
 	if query := ctx.URI().QueryString(); len(query) > 0 {
 		sc.path += "?" + string(query)
 	}
