--- /dev/null
+++ b/internal/pipeline/bench_test.go
@@ -0,0 +1,61 @@
+package pipeline
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/backend"
+	"github.com/crocusway/crocusway/internal/shard"
+)
+
+// openGrants grants at once and counts nothing.
+type openGrants struct{ grant api.Grant }
+
+func (g openGrants) Acquire(context.Context, shard.Request) (api.Grant, error) { return g.grant, nil }
+func (openGrants) Valid(api.Grant) bool                                        { return true }
+func (openGrants) Ended(api.Grant) <-chan struct{}                             { return nil }
+func (openGrants) Settle(api.Grant, shard.Result)                              {}
+func (openGrants) Abandon(api.Grant)                                           {}
+
+// BenchmarkChat measures the whole path of one chat request with a prompt of
+// 2 KB and 8 tokens, without a network.
+func BenchmarkChat(b *testing.B) {
+	h := newHarness(Settings{})
+	h.server.cfg.Grants = openGrants{api.Grant{ID: "1", Group: "g1", Fencing: 3, Address: "engine1"}}
+	events := tokens(0, 8)
+	h.server.cfg.Backends = &directBackends{do: func() *backend.Response { return streamOf(&fakeStream{events: events}) }}
+	body := `{"model":"scribe-1","stream":true,"messages":[{"role":"user","content":"` + strings.Repeat("a tin ", 340) + `"}]}`
+	var req fasthttp.Request
+	req.Header.SetMethod("POST")
+	req.SetRequestURI("/v1/chat/completions")
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	req.SetBodyString(body)
+	handler := h.server.Handler()
+	buf := make([]byte, 4096)
+	b.ReportAllocs()
+	for b.Loop() {
+		var ctx fasthttp.RequestCtx
+		ctx.Init(&req, nil, nil)
+		handler(&ctx)
+		stream := ctx.Response.BodyStream()
+		for {
+			if _, err := stream.Read(buf); err == io.EOF {
+				break
+			}
+		}
+		_ = ctx.Response.CloseBodyStream()
+	}
+}
+
+// directBackends answers without remembering.
+type directBackends struct{ do func() *backend.Response }
+
+func (d *directBackends) Do(context.Context, backend.Request) (*backend.Response, error) {
+	return d.do(), nil
+}
+func (d *directBackends) Cancel(context.Context, string, api.RequestID) error { return nil }
