Recheck right before the first byte; engine refusals are tried elsewhere

Cause: the lease was checked before the connection was made; an engine's 404 or 409 reached the caller as its answer; a paused replica made its requests suspects. Ruled out: passing an engine's 5xx on as a complete answer. Change: backend.Request.BeforeWrite, answered attempts settle without a cancel, suspicion only on a refused connection, offsets must follow each other, a caller that stops reading is dropped, a repeated open of the own record dispatches. Conclusion: tests of both packages pass under -race.

--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -31,6 +31,9 @@
 type RenewRequest struct {
 	Entry   EntryInfo `json:"entry"`
 	Applied Revision  `json:"applied"`
+	// Release gives the lease back at the end of a graceful shutdown. The entry
+	// does no more work; Entry.Leaving must be set.
+	Release bool `json:"release,omitempty"`
 }
 
 // RenewResponse grants a work lease. The entry counts LeaseMillis from the
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -298,4 +298,3 @@
 	}
 	return n
 }
-
--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -27,21 +27,11 @@
 			return err
 		}
 		if err := s.afterFailure(c, failed); err != nil {
-			return s.lastAnswer(c, failed, err)
+			return err
 		}
 	}
 }
 
-// lastAnswer passes on the engine's own failure when there is one, because a
-// whole answer says more than a refusal.
-func (s *Server) lastAnswer(c *call, failed *attemptError, err error) error {
-	if failed.response == nil || c.delivered > 0 {
-		return err
-	}
-	c.response = failed.response
-	return nil
-}
-
 // afterFailure gives the failed attempt's grant back and decides whether
 // another attempt may follow.
 func (s *Server) afterFailure(c *call, failed *attemptError) error {
@@ -73,16 +63,23 @@
 		c.exclude(t.grant.Group)
 		return nil
 	}
+	if failed.answered {
+		s.cfg.Grants.Settle(t.grant, c.result(api.OutcomeUnknown, true))
+		c.exclude(t.grant.Group)
+		return nil
+	}
+	return s.releaseBroken(c, t, failed)
+}
+
+// releaseBroken gives back the grant of an attempt whose connection broke.
+func (s *Server) releaseBroken(c *call, t target, failed *attemptError) error {
 	stopped := s.stop(c, t)
 	if !stopped.stopped && !stopped.dead {
 		s.cfg.Grants.Abandon(t.grant)
-		return nil
-	}
-	s.cfg.Grants.Settle(t.grant, c.result(api.OutcomeUnknown, !failed.grantEnded))
-	if failed.response != nil {
 		c.exclude(t.grant.Group)
 		return nil
 	}
+	s.cfg.Grants.Settle(t.grant, c.result(api.OutcomeUnknown, !failed.grantEnded))
 	if !stopped.dead {
 		return nil
 	}
--- a/internal/pipeline/bench_test.go
+++ b/internal/pipeline/bench_test.go
@@ -40,7 +40,8 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		var ctx fasthttp.RequestCtx
-		ctx.Init(&req, nil, nil)
+		ctx.Init2(nopConn{}, nil, false)
+		req.CopyTo(&ctx.Request)
 		handler(&ctx)
 		stream := ctx.Response.BodyStream()
 		for {
--- a/internal/pipeline/config.go
+++ b/internal/pipeline/config.go
@@ -61,6 +61,8 @@
 	ReadTimeout time.Duration
 	// WriteTimeout bounds the sending of one answer.
 	WriteTimeout time.Duration
+	// StallTimeout bounds how long a caller may leave a piece of a stream unread.
+	StallTimeout time.Duration
 	// IdleTimeout bounds the wait for the next request on a connection.
 	IdleTimeout time.Duration
 	// RequestTimeout bounds a request from receipt to its last byte.
@@ -95,6 +97,7 @@
 		MaxConns:        4096,
 		ReadTimeout:     10 * time.Second,
 		WriteTimeout:    130 * time.Second,
+		StallTimeout:    20 * time.Second,
 		IdleTimeout:     30 * time.Second,
 		RequestTimeout:  2 * time.Minute,
 		QueueWait:       10 * time.Second,
@@ -117,6 +120,7 @@
 	fill(&s.MaxConns, d.MaxConns)
 	fill(&s.ReadTimeout, d.ReadTimeout)
 	fill(&s.WriteTimeout, d.WriteTimeout)
+	fill(&s.StallTimeout, d.StallTimeout)
 	fill(&s.IdleTimeout, d.IdleTimeout)
 	fill(&s.RequestTimeout, d.RequestTimeout)
 	fill(&s.QueueWait, d.QueueWait)
--- a/internal/pipeline/deduplicate.go
+++ b/internal/pipeline/deduplicate.go
@@ -15,8 +15,12 @@
 	"github.com/crocusway/crocusway/internal/errs"
 )
 
-// maxKeyBytes bounds an idempotency key.
-const maxKeyBytes = 255
+const (
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 255
+	// awaitPause is the time between two reads of a running record.
+	awaitPause = 50 * time.Millisecond
+)
 
 // deduplicate opens the record of a non-idempotent request. Only the call that
 // created the record goes on; a resend gets the end of the first one.
@@ -34,7 +38,10 @@
 	if err != nil {
 		return f.openFailure(c, record, err)
 	}
-	if res.Created {
+	// The open call may have been repeated on its way to the leader: a running
+	// record with the id of this call is its own.
+	own := res.Record.Request == c.id && res.Record.State == api.RecordRunning
+	if res.Created || own {
 		c.record = &record
 		return nil
 	}
@@ -147,6 +154,20 @@
 		if res.Record.State != api.RecordRunning {
 			return res.Record, nil
 		}
+		if err := pause(c.ctx, awaitPause); err != nil {
+			return api.Record{}, unknownEnd("the first call still runs", err)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
 	}
 }
 
--- a/internal/pipeline/dispatch.go
+++ b/internal/pipeline/dispatch.go
@@ -2,20 +2,23 @@
 
 import (
 	"context"
+	"net"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/backend"
+	"github.com/crocusway/crocusway/internal/errs"
 )
 
 // attemptError ends one attempt. The call may go on with another one.
 type attemptError struct {
 	// sent is set when a byte of the request may have reached the server.
 	sent bool
-	// response is a whole answer that says the server failed, if there is one.
-	response *backend.Response
+	// answered is set when the engine answered, so that it no longer works on
+	// the request.
+	answered bool
 	// grantEnded is set when the grant ended under the attempt.
 	grantEnded bool
 	cause      error
@@ -36,23 +39,51 @@
 	c.attempts++
 	ctx := f.bind(c)
 	req := f.request(c)
-	// The process may have been stopped for long since the last check.
-	if err := f.recheck(c); err != nil {
-		return err
+	// The process may have been stopped for long since the grant.
+	var refused error
+	req.BeforeWrite = func() error {
+		refused = f.recheck(c)
+		return refused
 	}
 	c.started = f.cfg.Clock.Now()
 	res, err := f.cfg.Backends.Do(ctx, req)
+	if refused != nil {
+		return refused
+	}
 	if err != nil {
 		return &attemptError{sent: !errors.Is(err, backend.ErrNotSent), cause: err}
 	}
 	c.sent = true
-	if c.isModel() && res.Stream == nil && res.Status >= fasthttp.StatusInternalServerError {
-		return &attemptError{sent: true, response: res, cause: errors.Newf("the engine answered %d", res.Status)}
-	}
 	c.response = res
+	return checkResponse(c, res)
+}
+
+// checkResponse fails the attempt when the answer is not the caller's: an
+// engine's refusal or fault, or a stream where none was asked for.
+func checkResponse(c *call, res *backend.Response) error {
+	if res.Stream != nil {
+		if c.isModel() && c.generation.stream && res.Status < fasthttp.StatusBadRequest {
+			return nil
+		}
+		_ = res.Stream.Close()
+		return &attemptError{sent: true, cause: errors.New("unexpected stream")}
+	}
+	if c.isModel() && isEngineFault(res.Status) {
+		return &attemptError{sent: true, answered: true, cause: errors.Newf("the engine answered %d", res.Status)}
+	}
 	return nil
 }
 
+// isEngineFault reports whether a status speaks of the engine and not of the
+// caller's request: not found and conflict mean another model or generation.
+func isEngineFault(status int) bool {
+	switch status {
+	case fasthttp.StatusNotFound, fasthttp.StatusConflict, fasthttp.StatusTooManyRequests:
+		return true
+	}
+	return status >= fasthttp.StatusInternalServerError
+}
+
 // recheck refuses when the work lease or the grant has run out meanwhile.
 func (f dispatch) recheck(c *call) error {
 	if !f.cfg.State.HasLease() {
@@ -107,11 +138,12 @@
 	return r
 }
 
-// stopResult tells what became of a cancelled request: the engine confirmed
-// that it no longer runs, or the replica is dead, or neither.
+// stopResult tells what became of a request that was stopped.
 type stopResult struct {
+	// stopped is set when the request no longer runs.
 	stopped bool
-	dead    bool
+	// dead is set when the replica refuses connections.
+	dead bool
 }
 
 // stop cancels the request on the engine of an attempt.
@@ -119,10 +151,18 @@
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
 	err := s.cfg.Backends.Cancel(ctx, t.address, c.id)
-	if err == nil {
+	switch {
+	case err == nil, errs.Is(err, errs.NotFound), !s.isServing(t.grant):
 		return stopResult{stopped: true}
+	case errors.Is(err, backend.ErrNotSent) && !isTimeout(err):
+		return stopResult{dead: true}
 	}
-	return stopResult{dead: errors.Is(err, backend.ErrNotSent) || !s.isServing(t.grant)}
+	return stopResult{}
+}
+
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.Is(err, context.DeadlineExceeded) || (errors.As(err, &e) && e.Timeout())
 }
 
 // isServing reports whether the newest view still has the granted replica.
--- a/internal/pipeline/fakes_test.go
+++ b/internal/pipeline/fakes_test.go
@@ -248,12 +248,23 @@
 }
 
 func (f *fakeBackends) Do(ctx context.Context, r backend.Request) (*backend.Response, error) {
+	if err := beforeWrite(r); err != nil {
+		return nil, err
+	}
 	f.mu.Lock()
 	f.runs = append(f.runs, r)
 	f.mu.Unlock()
 	return f.do(ctx, r)
 }
 
+// beforeWrite does what a client does once its connection is ready.
+func beforeWrite(r backend.Request) error {
+	if r.BeforeWrite == nil {
+		return nil
+	}
+	return errors.Mark(r.BeforeWrite(), backend.ErrNotSent)
+}
+
 func (f *fakeBackends) Cancel(_ context.Context, _ string, id api.RequestID) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/pipeline/fuzz_test.go
+++ b/internal/pipeline/fuzz_test.go
@@ -203,7 +203,9 @@
 
 func (f carelessDispatch) apply(c *call) error {
 	c.attempts++
-	res, err := f.cfg.Backends.Do(f.bind(c), f.request(c))
+	req := f.request(c)
+	req.BeforeWrite = nil
+	res, err := f.cfg.Backends.Do(f.bind(c), req)
 	if err != nil {
 		return &attemptError{sent: true, cause: err}
 	}
--- a/internal/pipeline/fuzz_world_test.go
+++ b/internal/pipeline/fuzz_world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"time"
 
@@ -111,6 +112,9 @@
 	if what == behaveRefuse {
 		return nil, errors.Mark(errors.New("connection refused"), backend.ErrNotSent)
 	}
+	if err := beforeWrite(r); err != nil {
+		return nil, err
+	}
 	if b.w.stopped[b.entry] {
 		b.w.fail("request %s was written after the lease ran out", r.ID)
 	}
@@ -209,7 +213,8 @@
 	}
 	req.SetBodyString(body)
 	var ctx fasthttp.RequestCtx
-	ctx.Init(&req, nil, nil)
+	ctx.Init2(nopConn{}, nil, false)
+	req.CopyTo(&ctx.Request)
 	h.server.Handler()(&ctx)
 	a := answer{status: ctx.Response.StatusCode()}
 	if stream := ctx.Response.BodyStream(); stream != nil {
@@ -227,6 +232,13 @@
 	return a
 }
 
+// nopConn is the connection of a caller that is not there.
+type nopConn struct{ net.Conn }
+
+func (nopConn) SetWriteDeadline(time.Time) error { return nil }
+func (nopConn) RemoteAddr() net.Addr             { return &net.TCPAddr{} }
+func (nopConn) LocalAddr() net.Addr              { return &net.TCPAddr{} }
+
 // checkAnswer compares what every caller is told with what ran.
 func (w *pathWorld) checkAnswer(h *harness, a answer) {
 	id := api.RequestID(a.header.Get(api.HeaderRequest))
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -9,11 +9,13 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp/fasthttputil"
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/backend"
+	"github.com/crocusway/crocusway/internal/shard"
 )
 
 // answer is what a caller received.
@@ -101,6 +103,9 @@
 	h.server.Wait()
 	require.Len(t, h.backends.cancelled, 1)
 	require.Zero(t, h.grants.outstanding())
+	for _, r := range h.backends.runs {
+		require.Equal(t, chatBody, string(r.Body))
+	}
 }
 
 func TestCutStreamEndsWithAnErrorEvent(t *testing.T) {
@@ -290,3 +295,50 @@
 	require.Equal(t, 1, h.grants.abandoned)
 	require.Empty(t, h.grants.settled)
 }
+
+var _ Granter = (*shard.Client)(nil)
+
+func TestRefusalOfOneEngineIsTriedOnAnother(t *testing.T) {
+	for _, status := range []int{404, 409, 429, 500, 503} {
+		h := newHarness(Settings{})
+		h.backends.do = func(_ context.Context, r backend.Request) (*backend.Response, error) {
+			if r.Address == "engine1" {
+				return &backend.Response{Status: status}, nil
+			}
+			return streamOf(&fakeStream{events: tokens(0, 1)}), nil
+		}
+		a := send(t, h.listen(t), "POST", "/v1/chat/completions", testKey, chatBody)
+		require.Equal(t, api.OutcomeComplete, a.outcome(), "status %d: %s", status, a.body)
+		require.Zero(t, h.control.suspects)
+		require.Empty(t, h.backends.cancelled, "an engine that answered has nothing to cancel")
+	}
+}
+
+func TestSilentReplicaIsNoReasonForSuspicion(t *testing.T) {
+	h := newHarness(Settings{MaxAttempts: 2})
+	h.backends.cancelErr = errors.Mark(context.DeadlineExceeded, backend.ErrNotSent)
+	h.backends.do = func(context.Context, backend.Request) (*backend.Response, error) { return nil, errBroken }
+	a := send(t, h.listen(t), "POST", "/v1/chat/completions", testKey, chatBody)
+	require.Equal(t, api.OutcomeUnknown, a.outcome())
+	require.Zero(t, h.control.suspects)
+	require.Equal(t, 2, h.grants.abandoned, "the work may still run on a paused replica")
+}
+
+func TestOpenThatWasRepeatedOnItsWayStillDispatches(t *testing.T) {
+	h := newHarness(Settings{})
+	h.backends.do = func(context.Context, backend.Request) (*backend.Response, error) {
+		return &backend.Response{Status: 200, Body: []byte("ok")}, nil
+	}
+	h.server.cfg.Control = repeatingControl{h.control}
+	a := send(t, h.listen(t), "POST", "/services/ledger/d", testKey, `{}`, api.HeaderIdempotencyKey, "k")
+	require.Equal(t, 200, a.status)
+	require.Equal(t, 1, h.backends.runCount())
+}
+
+// repeatingControl sends every call twice and returns the second answer.
+type repeatingControl struct{ *fakeControl }
+
+func (r repeatingControl) Call(ctx context.Context, method api.Method, params, result any) error {
+	_ = r.fakeControl.Call(ctx, method, params, result)
+	return r.fakeControl.Call(ctx, method, params, result)
+}
--- a/internal/pipeline/tokens.go
+++ b/internal/pipeline/tokens.go
@@ -3,15 +3,15 @@
 import (
 	"encoding/json"
 	"io"
+	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/backend"
 )
 
-// errDisorder is a stream whose offsets go backwards.
+// errDisorder is a stream whose offsets skip or go backwards.
 var errDisorder = errors.New("stream out of order")
 
 // tokenReader is the body of a streamed answer. The HTTP server reads it while
@@ -22,9 +22,7 @@
 	// buf holds encoded events; read bytes are cut from pending.
 	buf     []byte
 	pending []byte
-	// last is the hash of the last delivered event.
-	last  uint64
-	ended bool
+	ended   bool
 }
 
 // Read implements io.Reader.
@@ -39,6 +37,8 @@
 	}
 	n := copy(p, t.pending)
 	t.pending = t.pending[n:]
+	// An error means that the caller is gone, which the write will show.
+	_ = t.call.http.SetWriteDeadline(time.Now().Add(t.cfg.Settings.StallTimeout))
 	return n, nil
 }
 
@@ -61,18 +61,16 @@
 // deliver encodes one event. An event that was already delivered is dropped.
 func (t *tokenReader) deliver(ev backend.Event) error {
 	c := t.call
-	if ev.Offset < c.delivered {
-		return errDisorder
-	}
-	hash := xxhash.Sum64(ev.Data)
-	if ev.Offset == c.delivered && ev.Offset > 0 && hash == t.last {
+	if ev.Offset == c.delivered && ev.Offset > 0 {
 		return nil
 	}
-	if c.firstToken == 0 && ev.Offset > 0 {
+	if ev.Offset != c.delivered+1 {
+		return errDisorder
+	}
+	if c.firstToken == 0 {
 		c.firstToken = t.cfg.Clock.Now().Sub(c.started)
 	}
 	c.delivered = ev.Offset
-	t.last = hash
 	t.buf = append(t.buf, "data: "...)
 	t.buf = append(t.buf, ev.Data...)
 	t.buf = append(t.buf, "\n\n"...)
