--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -302,4 +302,3 @@
 	}
 	return n
 }
-
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -9,11 +9,13 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp/fasthttputil"
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/backend"
+	"github.com/crocusway/crocusway/internal/shard"
 )
 
 // answer is what a caller received.
@@ -22,7 +24,9 @@
 	header  http.Header
 	trailer http.Header
 	body    string
-	err     error
+	// closed is set when the server closes the connection after the answer.
+	closed bool
+	err    error
 }
 
 // outcome returns the outcome in the header, or in the trailer of a stream.
@@ -63,7 +67,7 @@
 	require.NoError(t, err)
 	defer func() { _ = res.Body.Close() }()
 	data, err := io.ReadAll(res.Body)
-	return answer{status: res.StatusCode, header: res.Header, trailer: res.Trailer, body: string(data), err: err}
+	return answer{status: res.StatusCode, header: res.Header, trailer: res.Trailer, body: string(data), closed: res.Close, err: err}
 }
 
 const chatBody = `{"model":"scribe-1","stream":true,"messages":[{"role":"user","content":"a tin"}]}`
@@ -99,6 +103,9 @@
 	h.server.Wait()
 	require.Len(t, h.backends.cancelled, 1)
 	require.Zero(t, h.grants.outstanding())
+	for _, r := range h.backends.runs {
+		require.Equal(t, chatBody, string(r.Body))
+	}
 }
 
 func TestCutStreamEndsWithAnErrorEvent(t *testing.T) {
@@ -205,6 +212,7 @@
 	require.Equal(t, api.OutcomeNotRun, a.outcome())
 	require.Contains(t, a.body, "10.0.0.2:80")
 	require.NotContains(t, a.body, "10.0.0.1:80")
+	require.True(t, a.closed)
 	list := send(t, c, "GET", "/v1/entries", "", "")
 	require.Equal(t, `{"entries":[{"address":"10.0.0.2:80","domain":"west"}],"ttl_seconds":5}`, list.body)
 }
@@ -287,3 +295,50 @@
 	require.Equal(t, 1, h.grants.abandoned)
 	require.Empty(t, h.grants.settled)
 }
+
+var _ Granter = (*shard.Client)(nil)
+
+func TestRefusalOfOneEngineIsTriedOnAnother(t *testing.T) {
+	for _, status := range []int{404, 409, 429, 500, 503} {
+		h := newHarness(Settings{})
+		h.backends.do = func(_ context.Context, r backend.Request) (*backend.Response, error) {
+			if r.Address == "engine1" {
+				return &backend.Response{Status: status}, nil
+			}
+			return streamOf(&fakeStream{events: tokens(0, 1)}), nil
+		}
+		a := send(t, h.listen(t), "POST", "/v1/chat/completions", testKey, chatBody)
+		require.Equal(t, api.OutcomeComplete, a.outcome(), "status %d: %s", status, a.body)
+		require.Zero(t, h.control.suspects)
+		require.Empty(t, h.backends.cancelled, "an engine that answered has nothing to cancel")
+	}
+}
+
+func TestSilentReplicaIsNoReasonForSuspicion(t *testing.T) {
+	h := newHarness(Settings{MaxAttempts: 2})
+	h.backends.cancelErr = errors.Mark(context.DeadlineExceeded, backend.ErrNotSent)
+	h.backends.do = func(context.Context, backend.Request) (*backend.Response, error) { return nil, errBroken }
+	a := send(t, h.listen(t), "POST", "/v1/chat/completions", testKey, chatBody)
+	require.Equal(t, api.OutcomeUnknown, a.outcome())
+	require.Zero(t, h.control.suspects)
+	require.Equal(t, 2, h.grants.abandoned, "the work may still run on a paused replica")
+}
+
+func TestOpenThatWasRepeatedOnItsWayStillDispatches(t *testing.T) {
+	h := newHarness(Settings{})
+	h.backends.do = func(context.Context, backend.Request) (*backend.Response, error) {
+		return &backend.Response{Status: 200, Body: []byte("ok")}, nil
+	}
+	h.server.cfg.Control = repeatingControl{h.control}
+	a := send(t, h.listen(t), "POST", "/services/ledger/d", testKey, `{}`, api.HeaderIdempotencyKey, "k")
+	require.Equal(t, 200, a.status)
+	require.Equal(t, 1, h.backends.runCount())
+}
+
+// repeatingControl sends every call twice and returns the second answer.
+type repeatingControl struct{ *fakeControl }
+
+func (r repeatingControl) Call(ctx context.Context, method api.Method, params, result any) error {
+	_ = r.fakeControl.Call(ctx, method, params, result)
+	return r.fakeControl.Call(ctx, method, params, result)
+}
