--- a/internal/daemon/dump.go
+++ b/internal/daemon/dump.go
@@ -13,16 +13,16 @@
 
 // Dump is the state of one process at one moment. It holds no secret.
 type Dump struct {
-	Name       string         `json:"name"`
-	Roles      []config.Role  `json:"roles"`
-	Settings   config.Serve   `json:"settings"`
-	Uptime     string         `json:"uptime"`
-	Goroutines int            `json:"goroutines"`
-	HeapBytes  uint64         `json:"heap_bytes"`
-	Leader     string         `json:"leader"`
-	Links      peer.Stats     `json:"links"`
-	Control    *ControlDump   `json:"control,omitempty"`
-	Entry      *EntryDump     `json:"entry,omitempty"`
+	Name       string        `json:"name"`
+	Roles      []config.Role `json:"roles"`
+	Settings   config.Serve  `json:"settings"`
+	Uptime     string        `json:"uptime"`
+	Goroutines int           `json:"goroutines"`
+	HeapBytes  uint64        `json:"heap_bytes"`
+	Leader     string        `json:"leader"`
+	Links      peer.Stats    `json:"links"`
+	Control    *ControlDump  `json:"control,omitempty"`
+	Entry      *EntryDump    `json:"entry,omitempty"`
 }
 
 // ControlDump is the state of a voter.
