Oracle for peer calls and reflection check

Cause: the promises of a caller and the handshake had only single cases. Ruled out: nothing. Change: random scripts of a faulty acceptor against an oracle; careless callers and a proof without roles that the checks must catch; rapid settings usable beside goleak.

--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -84,17 +84,21 @@
 	return nil
 }
 
+// macFunc computes the proof of a role.
+type macFunc func(secret []byte, role string, dialer, acceptor []byte) []byte
+
 // handshake is the state machine of one side. Step functions take the payload
 // received and return the frame to send. They are not safe for concurrent use.
 type handshake struct {
 	secret []byte
+	mac    macFunc
 	own    []byte
 	other  []byte
 	done   bool
 }
 
 func newHandshake(secret []byte) *handshake {
-	return &handshake{secret: secret, own: newNonce()}
+	return &handshake{secret: secret, mac: proofMAC, own: newNonce()}
 }
 
 // open returns the first frame of the dialer.
@@ -113,13 +117,13 @@
 			return nil, err
 		}
 		h.other = answer.Nonce
-		return encodeHandshakeCall(proveID, methodProve, proof{MAC: proofMAC(h.secret, roleDialer, h.own, h.other)})
+		return encodeHandshakeCall(proveID, methodProve, proof{MAC: h.mac(h.secret, roleDialer, h.own, h.other)})
 	}
 	var answer proof
 	if err := decodeHandshakeAnswer(payload, proveID, &answer); err != nil {
 		return nil, err
 	}
-	if !hmac.Equal(answer.MAC, proofMAC(h.secret, roleAcceptor, h.own, h.other)) {
+	if !hmac.Equal(answer.MAC, h.mac(h.secret, roleAcceptor, h.own, h.other)) {
 		return nil, errors.Wrap(errHandshake, "wrong proof")
 	}
 	h.done = true
@@ -144,11 +148,11 @@
 	if err := decodeHandshakeCall(payload, proveID, methodProve, &call); err != nil {
 		return nil, err
 	}
-	if !hmac.Equal(call.MAC, proofMAC(h.secret, roleDialer, h.other, h.own)) {
+	if !hmac.Equal(call.MAC, h.mac(h.secret, roleDialer, h.other, h.own)) {
 		return nil, errors.Wrap(errHandshake, "wrong proof")
 	}
 	h.done = true
-	return encodeResult(jsonrpc2.ID{Num: proveID}, proof{MAC: proofMAC(h.secret, roleAcceptor, h.other, h.own)})
+	return encodeResult(jsonrpc2.ID{Num: proveID}, proof{MAC: h.mac(h.secret, roleAcceptor, h.other, h.own)})
 }
 
 func encodeHandshakeCall(id uint64, method api.Method, params any) ([]byte, error) {
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -19,11 +19,17 @@
 // Main runs the tests of a package with fixed rapid settings. Call it from
 // TestMain in every package that uses rapid.
 func Main(m *testing.M) {
+	Configure()
+	os.Exit(m.Run())
+}
+
+// Configure fixes the rapid settings. Call it from a TestMain that runs the
+// tests by other means than Main.
+func Configure() {
 	flag.Parse()
 	setFlag("rapid.seed", EnvSeed, "1")
 	setFlag("rapid.checks", EnvChecks, "100")
 	setFlag("rapid.nofailfile", "", "true")
-	os.Exit(m.Run())
 }
 
 func setFlag(name, env, fallback string) {
