--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -55,7 +55,6 @@
 
 	mu      sync.Mutex
 	entries []string
-	next    int
 }
 
 func newAnnouncer(f *Fleet) *announcer {
@@ -111,11 +110,12 @@
 	if err != nil {
 		return a.fleet.cfg.AnnounceInterval
 	}
-	for range a.known() {
-		response, err := a.post(a.entry(), body)
+	entries := a.known()
+	for range entries {
+		response, err := a.post(entries[h.entry%len(entries)], body)
 		if err != nil {
 			_ = level.Debug(a.fleet.logger).Log("msg", "announcement failed", "host", h.id, "err", err)
-			a.skip()
+			h.entry++
 			continue
 		}
 		a.learn(response.Entries)
@@ -153,22 +153,6 @@
 	return a.entries
 }
 
-// entry returns the entry that is announced to at present.
-func (a *announcer) entry() string {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if len(a.entries) == 0 {
-		return ""
-	}
-	return a.entries[a.next%len(a.entries)]
-}
-
-func (a *announcer) skip() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.next++
-}
-
 // learn replaces the known entries by those that an entry named.
 func (a *announcer) learn(entries []string) {
 	if len(entries) == 0 {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -101,6 +101,7 @@
 }
 
 func (f *Fleet) add(h *Host) {
+	h.entry = len(f.hosts)
 	f.hosts = append(f.hosts, h)
 	f.byID[h.id] = h
 }
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -19,6 +19,9 @@
 	fabric  api.FabricDomain
 	domain  api.FailureDomain
 	service Service
+	// entry numbers the entry that the host announces to. The worker that
+	// announces the host owns it.
+	entry int
 
 	mu          sync.Mutex
 	ln          net.Listener
