Lint of the integration code; a daemon may end as after a crash

Cause: the linter's findings, and experiments that need a daemon to vanish without a graceful shutdown. Ruled out: killing a child process from the product, which starts none. Change: ErrAbort as the cause of a cancelled context; System.Abort, Restart and Dump.

--- a/cmd/crocusway/bench.go
+++ b/cmd/crocusway/bench.go
@@ -52,8 +52,9 @@
 }
 
 func experimentNames() []string {
-	var names []string
-	for _, e := range bench.Experiments() {
+	all := bench.Experiments()
+	names := make([]string, 0, len(all))
+	for _, e := range all {
 		names = append(names, e.Name)
 	}
 	return names
--- a/cmd/crocusway/main.go
+++ b/cmd/crocusway/main.go
@@ -26,12 +26,12 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	os.Exit(run(ctx, os.Args[1:]))
+	os.Exit(run(os.Args[1:]))
 }
 
-func run(ctx context.Context, args []string) int {
+func run(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	root := &ffcli.Command{
 		Name:       "crocusway",
 		ShortUsage: "crocusway COMMAND [flags] [arguments]",
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -28,7 +28,7 @@
 }
 
 func list(addresses ...string) string {
-	var items []string
+	items := make([]string, 0, len(addresses))
 	for _, a := range addresses {
 		items = append(items, fmt.Sprintf(`{"address":%q}`, a))
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -64,7 +64,7 @@
 			_, err := parse(t, append(append([]string{}, validArgs...), c.args...)...)
 			var invalid *Error
 			require.True(t, errors.As(err, &invalid), "%v", err)
-			var fields []string
+			fields := make([]string, 0, len(invalid.Faults))
 			for _, f := range invalid.Faults {
 				fields = append(fields, f.Field)
 				require.NotEmpty(t, f.Bound)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -92,6 +93,10 @@
 // SetVoters replaces the voters. Call it before Run.
 func (d *Daemon) SetVoters(voters []config.Voter) { d.cfg.Voters = voters }
 
+// ErrAbort as the cause of a cancelled context makes Run end at once, without
+// a graceful shutdown, as after a crash of the process.
+var ErrAbort = errors.New("abort")
+
 // Run works until ctx ends, then shuts down: requests in progress are finished
 // within the shutdown timeout. It returns the error that ended it early.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -109,7 +114,9 @@
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
-			d.shutDown()
+			if !errors.Is(context.Cause(ctx), ErrAbort) {
+				d.shutDown()
+			}
 		case <-work.Done():
 		}
 		stop()
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -120,7 +120,7 @@
 func (c *cluster) environment(i int) []string {
 	p := c.processes[i]
 	roles := "entry"
-	var voters []string
+	voters := make([]string, 0, 3)
 	for _, v := range c.processes[:3] {
 		voters = append(voters, v.name+"="+v.peer)
 	}
@@ -159,7 +159,7 @@
 }
 
 func (c *cluster) addresses() []string {
-	var out []string
+	out := make([]string, 0, len(c.processes))
 	for _, p := range c.processes {
 		out = append(out, p.callers)
 	}
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -133,7 +133,7 @@
 func TestRacingOperators(t *testing.T) {
 	c := startCluster(t)
 	c.serve(2)
-	var plans []api.Plan
+	plans := make([]api.Plan, 0, 2)
 	for _, n := range []int{3, 4} {
 		plan, err := c.client.Plan(intent(n))
 		require.NoError(t, err)
--- a/internal/local/system.go
+++ b/internal/local/system.go
@@ -59,13 +59,15 @@
 	cfg      Config
 	dir      string
 	operator config.Secret
+	peer     config.Secret
+	backend  config.Secret
 	members  []*member
 }
 
 // member is one daemon of the system.
 type member struct {
 	daemon *daemon.Daemon
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	done   chan struct{}
 	err    error
 }
@@ -88,12 +90,9 @@
 }
 
 func (s *System) start() error {
-	peerSecret, backendToken := newSecret(), newSecret()
-	s.operator = newSecret()
+	s.operator, s.peer, s.backend = newSecret(), newSecret(), newSecret()
 	for i := range s.cfg.Daemons {
 		settings := s.settings(i)
-		settings.PeerSecret = peerSecret
-		settings.BackendToken = backendToken
 		d, err := daemon.Listen(settings, s.cfg.Logger)
 		if err != nil {
 			return err
@@ -106,7 +105,7 @@
 		m.run()
 	}
 	s.Client = ctl.NewClient(s.Entries(), s.operator, "local")
-	return s.startFleet(backendToken)
+	return s.startFleet()
 }
 
 func (s *System) settings(i int) config.Serve {
@@ -116,6 +115,8 @@
 	settings.PeerListen = anyPort
 	settings.CallerListen = anyPort
 	settings.OperatorToken = s.operator
+	settings.PeerSecret = s.peer
+	settings.BackendToken = s.backend
 	settings.Roles = []config.Role{config.RoleEntry}
 	if i < s.cfg.Voters {
 		settings.Roles = []config.Role{config.RoleControl, config.RoleEntry}
@@ -129,17 +130,17 @@
 }
 
 func (s *System) voters() []config.Voter {
-	var voters []config.Voter
+	voters := make([]config.Voter, 0, s.cfg.Voters)
 	for _, m := range s.members[:s.cfg.Voters] {
 		voters = append(voters, config.Voter{ID: api.VoterID(m.daemon.Name()), Address: m.daemon.PeerAddress()})
 	}
 	return voters
 }
 
-func (s *System) startFleet(token config.Secret) error {
+func (s *System) startFleet() error {
 	fleet := s.cfg.Fleet
 	fleet.Entries = s.Entries()
-	fleet.Token = token.Reveal()
+	fleet.Token = s.backend.Reveal()
 	fleet.Domains = s.cfg.Domains
 	fleet.Logger = s.cfg.Logger
 	started, err := standin.Start(fleet)
@@ -148,7 +149,7 @@
 }
 
 func (m *member) run() {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	m.cancel = cancel
 	go func() {
 		defer close(m.done)
@@ -158,7 +159,7 @@
 
 // Entries returns the caller addresses of all daemons.
 func (s *System) Entries() []string {
-	var out []string
+	out := make([]string, 0, len(s.members))
 	for _, m := range s.members {
 		out = append(out, m.daemon.CallerAddress())
 	}
@@ -171,11 +172,38 @@
 // Stop shuts a daemon down gracefully and returns the error of its run.
 func (s *System) Stop(i int) error {
 	m := s.members[i]
-	m.cancel()
+	m.cancel(nil)
 	<-m.done
 	return m.err
 }
 
+// Abort ends a daemon at once, as a crash does. Its data folder stays.
+func (s *System) Abort(i int) {
+	m := s.members[i]
+	m.cancel(daemon.ErrAbort)
+	<-m.done
+}
+
+// Restart starts a daemon that was stopped or aborted, at its old addresses.
+func (s *System) Restart(i int) error {
+	old := s.members[i].daemon
+	settings := s.settings(i)
+	settings.Bootstrap = false
+	settings.PeerListen = old.PeerAddress()
+	settings.CallerListen = old.CallerAddress()
+	d, err := daemon.Listen(settings, s.cfg.Logger)
+	if err != nil {
+		return err
+	}
+	d.SetVoters(s.voters())
+	s.members[i] = &member{daemon: d, done: make(chan struct{})}
+	s.members[i].run()
+	return nil
+}
+
+// Dump returns the state of a daemon.
+func (s *System) Dump(i int) daemon.Dump { return s.members[i].daemon.Dump() }
+
 // Close stops everything and removes the data folders.
 func (s *System) Close() {
 	if s.Fleet != nil {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -11,10 +11,12 @@
 
 // New returns a logger that writes logfmt lines to w, at or above min, one of
 // "debug", "info", "warn" and "error"; another value stands for "info".
+// A line without a level counts as "info".
 func New(w io.Writer, min string) log.Logger {
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(w))
 	logger = log.With(logger, "ts", log.DefaultTimestampUTC)
-	return level.NewFilter(logger, level.Allow(level.ParseDefault(min, level.InfoValue())))
+	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(min, level.InfoValue())))
+	return level.NewInjector(logger, level.InfoValue())
 }
 
 // For returns a logger for one part of the daemon.
