--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -102,6 +102,8 @@
 	nodes     map[api.VoterID]*node
 	members   consensus.Membership
 	snapshots uint64
+	// disturbances counts cuts, heals and restarts.
+	disturbances int
 }
 
 func newCluster(t testing.TB, size int) *cluster {
@@ -166,10 +168,10 @@
 	delete(c.nodes, id)
 }
 
-func (c *cluster) restart(id api.VoterID) *node {
+func (c *cluster) restart(id api.VoterID) {
 	dir := c.nodes[id].dir
 	c.stop(id)
-	return c.start(id, dir, false)
+	c.start(id, dir, false)
 }
 
 // advance moves the clock by one tick on every member.
--- a/internal/consensus/proposal.go
+++ b/internal/consensus/proposal.go
@@ -71,11 +71,8 @@
 
 // propose runs start on the run goroutine and waits for the entry it appended.
 func (s *Server) propose(ctx context.Context, step string, start func() (index, term uint64, err error)) (any, error) {
-	if _, bounded := ctx.Deadline(); !bounded {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, s.cfg.ProposalTimeout)
-		defer cancel()
-	}
+	ctx, cancel := s.bound(ctx)
+	defer cancel()
 	p := &proposal{done: make(chan proposalResult, 1)}
 	err := s.submit(ctx, step, func() {
 		index, term, err := start()
@@ -99,6 +96,14 @@
 	}
 }
 
+// bound adds a deadline to a context that has none.
+func (s *Server) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, bounded := ctx.Deadline(); bounded {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, s.cfg.ProposalTimeout)
+}
+
 // afterStop prefers a result that was delivered before the server ended.
 func (s *Server) afterStop(p *proposal, step string) (any, error) {
 	select {
@@ -154,6 +159,8 @@
 // ReadBarrier returns once this member, as leader, knows that no newer leader
 // existed at the call and has applied every entry committed before the call.
 func (s *Server) ReadBarrier(ctx context.Context) error {
+	ctx, cancel := s.bound(ctx)
+	defer cancel()
 	r := &read{done: make(chan error, 1)}
 	err := s.submit(ctx, stepRead, func() {
 		id := s.nextRead
@@ -240,6 +247,8 @@
 
 // TakeSnapshot compacts the log now.
 func (s *Server) TakeSnapshot(ctx context.Context) error {
+	ctx, cancel := s.bound(ctx)
+	defer cancel()
 	done := make(chan error, 1)
 	err := s.submit(ctx, "take snapshot", func() {
 		err := s.takeSnapshot()
