Metrics of grants and requests, load reports, and faster handovers

Cause: nothing was measured; a long dead entry delayed every handover by the longest grant lifetime; no load report reached the choice of a replica. Ruled out: shorter grant lifetimes, which would end streams during a handover. Change: instruments with kept attribute sets, Manager.ObserveLoad, and entries without a lease for longer than a grant lives are not waited for.

--- a/internal/pipeline/call.go
+++ b/internal/pipeline/call.go
@@ -60,8 +60,14 @@
 	// delivered is the number of tokens passed on to the caller.
 	delivered  int
 	firstToken time.Duration
-	outcome    api.Outcome
-	settled    bool
+	// firstTokenAt is when the first token of the whole answer arrived.
+	firstTokenAt time.Time
+	// dispatches counts the attempts over all resumptions.
+	dispatches int
+	// refusal is the code of the refusal, if the call was refused.
+	refusal string
+	outcome api.Outcome
+	settled bool
 	// attemptCtx is the context of the present attempt, which endAttempt ends.
 	attemptCtx context.Context
 	endAttempt context.CancelFunc
--- a/internal/pipeline/config.go
+++ b/internal/pipeline/config.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/backend"
@@ -46,6 +47,8 @@
 	Clock    clock.Clock
 	Logger   log.Logger
 	Settings Settings
+	// Meter creates the instruments; nil measures nothing.
+	Meter metric.Meter
 }
 
 // Settings bound what callers may use. Zero fields take the value of
--- a/internal/pipeline/dispatch.go
+++ b/internal/pipeline/dispatch.go
@@ -37,6 +37,8 @@
 
 func (f dispatch) apply(c *call) error {
 	c.attempts++
+	c.dispatches++
+	c.firstToken = 0
 	ctx := f.bind(c)
 	req := f.request(c)
 	// The process may have been stopped for long since the grant.
--- /dev/null
+++ b/internal/pipeline/metrics.go
@@ -0,0 +1,115 @@
+package pipeline
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// metrics are the instruments of the request path.
+type metrics struct {
+	requests   metric.Int64Counter
+	attempts   metric.Int64Counter
+	cuts       metric.Int64Counter
+	resumes    metric.Int64Counter
+	firstToken metric.Float64Histogram
+	duration   metric.Float64Histogram
+	labels     *labels
+}
+
+// newMetrics creates the instruments; a nil meter measures nothing.
+func newMetrics(meter metric.Meter) (metrics, error) {
+	if meter == nil {
+		meter = noop.NewMeterProvider().Meter("")
+	}
+	m := metrics{labels: newLabels()}
+	var failed error
+	note := func(err error) { failed = errors.CombineErrors(failed, err) }
+	var err error
+	m.requests, err = meter.Int64Counter("crocusway_requests", metric.WithDescription("Ended requests, by kind, outcome and refusal."))
+	note(err)
+	m.attempts, err = meter.Int64Counter("crocusway_request_attempts", metric.WithDescription("Dispatches to backend servers."))
+	note(err)
+	m.cuts, err = meter.Int64Counter("crocusway_streams_cut", metric.WithDescription("Streams that ended with an error event."))
+	note(err)
+	m.resumes, err = meter.Int64Counter("crocusway_streams_resumed", metric.WithDescription("Streams that continued on a further attempt."))
+	note(err)
+	m.firstToken, err = meter.Float64Histogram("crocusway_first_token", metric.WithUnit("s"), metric.WithDescription("Time from the receipt of a request to its first token."))
+	note(err)
+	m.duration, err = meter.Float64Histogram("crocusway_request_duration", metric.WithUnit("s"), metric.WithDescription("Time from the receipt of a request to its end."))
+	note(err)
+	return m, failed
+}
+
+// endLabels are the labels of an ended request.
+type endLabels struct {
+	kind    callKind
+	outcome api.Outcome
+	refusal string
+}
+
+// labels keeps the attribute sets that were used before, because building one
+// costs more than counting with it.
+type labels struct {
+	kinds [callService + 1]metric.MeasurementOption
+	// ends maps endLabels to a metric.MeasurementOption. Its size is bounded by
+	// the number of kinds, outcomes and refusal codes.
+	ends sync.Map
+}
+
+func newLabels() *labels {
+	l := &labels{}
+	for kind := range l.kinds {
+		l.kinds[kind] = metric.WithAttributeSet(attribute.NewSet(attribute.String("kind", callKind(kind).String())))
+	}
+	return l
+}
+
+// end returns the attributes of an ended request.
+func (l *labels) end(e endLabels) metric.MeasurementOption {
+	if found, ok := l.ends.Load(e); ok {
+		return found.(metric.MeasurementOption)
+	}
+	set := metric.WithAttributeSet(attribute.NewSet(
+		attribute.String("kind", e.kind.String()),
+		attribute.String("outcome", string(e.outcome)),
+		attribute.String("refusal", e.refusal),
+	))
+	l.ends.Store(e, set)
+	return set
+}
+
+// String returns the name of the kind for metrics.
+func (k callKind) String() string {
+	switch k {
+	case callChat:
+		return "chat"
+	case callCompletion:
+		return "completion"
+	default:
+		return "service"
+	}
+}
+
+// ended counts one call.
+func (m *metrics) ended(c *call, now time.Time) {
+	ctx := context.Background()
+	kind := m.labels.kinds[c.kind]
+	m.requests.Add(ctx, 1, m.labels.end(endLabels{c.kind, c.outcome, c.refusal}))
+	m.attempts.Add(ctx, int64(c.dispatches), kind)
+	if c.received.IsZero() {
+		return
+	}
+	m.duration.Record(ctx, now.Sub(c.received).Seconds(), kind)
+	if c.firstTokenAt.IsZero() {
+		return
+	}
+	m.firstToken.Record(ctx, c.firstTokenAt.Sub(c.received).Seconds(), kind)
+}
--- a/internal/pipeline/refusal.go
+++ b/internal/pipeline/refusal.go
@@ -104,6 +104,7 @@
 		outcome = api.OutcomeUnknown
 	}
 	c.outcome = outcome
+	c.refusal = r.code
 	s.writeRefusal(c.http, r, c.id, outcome)
 }
 
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -6,6 +6,7 @@
 
 	"github.com/fasthttp/router"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/oklog/ulid/v2"
 	"github.com/valyala/fasthttp"
 
@@ -21,6 +22,8 @@
 	order  order
 	budget *retryBudget
 	limits serviceLimits
+	// metrics are the instruments of the request path.
+	metrics metrics
 	// next rotates between the servers of plain services.
 	next atomic.Uint64
 	// active counts the calls that have not ended.
@@ -49,6 +52,10 @@
 		budget: newRetryBudget(cfg.Settings.RetryRatio, cfg.Settings.RetryBurst),
 		limits: newServiceLimits(cfg.Settings.ServiceLimit),
 	}
+	var err error
+	if s.metrics, err = newMetrics(cfg.Meter); err != nil {
+		level.Warn(s.logger).Log("msg", "metrics incomplete", "err", err)
+	}
 	s.order = newOrder(s)
 	s.router = s.routes()
 	return s
--- a/internal/pipeline/settle.go
+++ b/internal/pipeline/settle.go
@@ -32,5 +32,6 @@
 	if c.cancel != nil {
 		c.cancel()
 	}
+	s.metrics.ended(c, s.cfg.Clock.Now())
 	s.active.Done()
 }
--- a/internal/pipeline/tokens.go
+++ b/internal/pipeline/tokens.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"time"
@@ -68,7 +69,7 @@
 		return errDisorder
 	}
 	if c.firstToken == 0 {
-		c.firstToken = t.cfg.Clock.Now().Sub(c.started)
+		t.noteFirstToken()
 	}
 	c.delivered = ev.Offset
 	t.buf = append(t.buf, "data: "...)
@@ -77,6 +78,16 @@
 	return nil
 }
 
+// noteFirstToken measures the first token of an attempt.
+func (t *tokenReader) noteFirstToken() {
+	c := t.call
+	now := t.cfg.Clock.Now()
+	c.firstToken = now.Sub(c.started)
+	if c.firstTokenAt.IsZero() {
+		c.firstTokenAt = now
+	}
+}
+
 // finish ends a whole stream.
 func (t *tokenReader) finish() {
 	t.close(api.OutcomeComplete)
@@ -87,9 +98,12 @@
 func (t *tokenReader) broken(cause error) {
 	err := t.resume(cause)
 	if err == nil {
+		t.metrics.resumes.Add(context.Background(), 1)
 		return
 	}
+	t.metrics.cuts.Add(context.Background(), 1)
 	r := refusalOf(err)
+	t.call.refusal = r.code
 	t.close(api.OutcomeUnknown)
 	t.encodeError(r)
 }
--- a/internal/shard/config.go
+++ b/internal/shard/config.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/clock"
@@ -39,6 +40,8 @@
 	Clock    clock.Clock
 	Logger   log.Logger
 	Settings Settings
+	// Meter creates the instruments; nil measures nothing.
+	Meter metric.Meter
 }
 
 // New returns the owner side and the entry side of one process. To wire them:
--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -17,6 +17,7 @@
 type World struct {
 	Groups  []*api.Group
 	Drained bool
+	// Entries may hold grants of an earlier owner.
 	Entries []api.EntryInfo
 }
 
--- /dev/null
+++ b/internal/shard/load.go
@@ -0,0 +1,29 @@
+package shard
+
+import (
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// ObserveLoad feeds the load that rank 0 of a replica reported of itself. The
+// report lags and may be missing: it only corrects the choice between replicas
+// and never the count of grants.
+func (m *Manager) ObserveLoad(a api.Announcement) {
+	if a.Kind != api.BackendEngine || a.Rank != 0 || a.Group == "" {
+		return
+	}
+	group := m.cfg.View.Snapshot().Group(a.Group)
+	if group == nil || group.Fencing != a.Fencing {
+		return
+	}
+	m.mu.RLock()
+	o := m.shards[api.ShardID{ServingGroup: group.ServingGroup, Domain: group.Domain}]
+	m.mu.RUnlock()
+	if o == nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if r := o.core.ledger.replicas[a.Group]; r != nil {
+		r.load = loadReport{queued: a.Queued, at: m.cfg.Clock.Now()}
+	}
+}
--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -8,10 +8,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/backend"
-	"github.com/crocusway/crocusway/internal/entry"
 	"github.com/crocusway/crocusway/internal/errs"
 	"github.com/crocusway/crocusway/internal/logging"
 	"github.com/crocusway/crocusway/internal/peer"
@@ -27,8 +27,11 @@
 	logger log.Logger
 	// revokeLocal stops a request of this entry.
 	revokeLocal func(api.Grant)
+	metrics     metrics
 	mu          sync.RWMutex
 	shards      map[api.ShardID]*owned
+	// gone remembers since when entries are seen without a work lease.
+	gone map[api.EntryID]time.Time
 }
 
 // owned is one shard under its own lock.
@@ -37,20 +40,34 @@
 	mu      sync.Mutex
 	core    *Core
 	next    uint64
-	waiters map[uint64]chan Decision
+	waiters map[uint64]waiter
 	// parts is the number of shards that serve the serving group.
 	parts int
 	// lost is set once another owner may have the shard.
 	lost bool
+	// label is the attribute set of the metrics.
+	label metric.MeasurementOption
 }
 
 // newManager returns a manager without shards; Update gives it some.
 func newManager(cfg Config) *Manager {
-	return &Manager{
+	m := &Manager{
 		cfg:    cfg,
 		logger: logging.For(cfg.Logger, "shard"),
 		shards: map[api.ShardID]*owned{},
+		gone:   map[api.EntryID]time.Time{},
 	}
+	var err error
+	if m.metrics, err = newMetrics(cfg.Meter); err != nil {
+		level.Warn(m.logger).Log("msg", "metrics incomplete", "err", err)
+	}
+	return m
+}
+
+// waiter receives the decision on one ticket.
+type waiter struct {
+	decision chan Decision
+	since    time.Time
 }
 
 // Register accepts the calls of other entries.
@@ -91,14 +108,19 @@
 
 // advance moves a locked shard forward and delivers its decisions.
 func (m *Manager) advance(o *owned) {
-	for _, d := range o.core.Advance(m.cfg.Clock.Now(), m.cfg.View.MayWork()) {
-		if ch := o.waiters[d.Ticket]; ch != nil {
-			ch <- d
-			delete(o.waiters, d.Ticket)
+	now := m.cfg.Clock.Now()
+	for _, d := range o.core.Advance(now, m.cfg.View.MayWork()) {
+		w, ok := o.waiters[d.Ticket]
+		if !ok {
+			continue
 		}
+		w.decision <- d
+		delete(o.waiters, d.Ticket)
+		m.metrics.decided(o, d, now.Sub(w.since))
 	}
 	m.revoke(o.core.Revocations())
 	for _, g := range o.core.Lapsed() {
+		m.metrics.lapsed.Add(context.Background(), 1)
 		go m.stopLapsed(o, g)
 	}
 }
@@ -122,6 +144,7 @@
 // revoke asks the holders of grants to give them back. A lost message is sent
 // again by the core.
 func (m *Manager) revoke(revocations []Revocation) {
+	m.metrics.revocations.Add(context.Background(), int64(len(revocations)))
 	for _, r := range revocations {
 		if r.Entry == m.cfg.Self.ID {
 			m.revokeLocal(r.Grant)
@@ -142,93 +165,6 @@
 	}
 }
 
-// Update applies a newer view: it takes over shards newly leased to this
-// entry, and gives up those leased to another or under a newer epoch.
-func (m *Manager) Update(s *entry.Snapshot) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	kept := make(map[api.ShardID]bool, len(m.shards))
-	for _, lease := range s.Shards {
-		if lease.Owner != m.cfg.Self.ID {
-			continue
-		}
-		kept[lease.Shard] = true
-		m.updateShard(s, lease)
-	}
-	for id, o := range m.shards {
-		if !kept[id] {
-			m.giveUp(id, o)
-		}
-	}
-}
-
-func (m *Manager) updateShard(s *entry.Snapshot, lease api.ShardLease) {
-	w := worldOf(s, lease.Shard)
-	o := m.shards[lease.Shard]
-	if o != nil && o.epoch != lease.Epoch {
-		m.giveUp(lease.Shard, o)
-		o = nil
-	}
-	if o == nil {
-		t := term{epoch: lease.Epoch, incarnation: m.cfg.Self.Incarnation}
-		core := NewCore(lease.Shard, t, m.cfg.Settings, w, m.cfg.Clock.Now())
-		o = &owned{epoch: lease.Epoch, core: core, waiters: map[uint64]chan Decision{}}
-		m.shards[lease.Shard] = o
-		level.Info(m.logger).Log("msg", "took over a shard", "shard", lease.Shard, "epoch", lease.Epoch)
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.parts = servingShards(s, lease.Shard.ServingGroup)
-	o.core.Update(w)
-	m.advance(o)
-}
-
-// giveUp ends the ownership of a shard and refuses its waiting requests.
-func (m *Manager) giveUp(id api.ShardID, o *owned) {
-	delete(m.shards, id)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.lost = true
-	for ticket, ch := range o.waiters {
-		ch <- Decision{Ticket: ticket, Err: staleError(id)}
-		delete(o.waiters, ticket)
-	}
-	level.Info(m.logger).Log("msg", "gave up a shard", "shard", id, "epoch", o.epoch)
-}
-
-func staleError(id api.ShardID) *errs.Error {
-	return errs.New(errs.Stale, "acquire grant", "", "shard %s has another owner or epoch", id)
-}
-
-// worldOf extracts what the rules of one shard read.
-func worldOf(s *entry.Snapshot, id api.ShardID) World {
-	return World{Groups: s.ShardGroups(id), Drained: s.Drained(id.Domain), Entries: s.Entries}
-}
-
-// servingShards counts the shards of a serving group with a ready replica.
-func servingShards(s *entry.Snapshot, name api.ServingGroupName) int {
-	n := 0
-	for _, lease := range s.Shards {
-		if lease.Shard.ServingGroup == name && shardServes(s, lease.Shard) {
-			n++
-		}
-	}
-	return max(1, n)
-}
-
-// shardServes reports whether any replica of the shard may serve.
-func shardServes(s *entry.Snapshot, id api.ShardID) bool {
-	if s.Drained(id.Domain) {
-		return false
-	}
-	for _, g := range s.ShardGroups(id) {
-		if g.Phase == api.GroupReady && !g.Leaving {
-			return true
-		}
-	}
-	return false
-}
-
 // lookup returns the owned shard at an epoch.
 func (m *Manager) lookup(id api.ShardID, epoch api.Revision) (*owned, error) {
 	m.mu.RLock()
@@ -281,7 +217,7 @@
 	o.next++
 	t.ID = o.next
 	ch := make(chan Decision, 1)
-	o.waiters[t.ID] = ch
+	o.waiters[t.ID] = waiter{decision: ch, since: now}
 	o.core.Submit(t)
 	m.advance(o)
 	return t, ch, nil
--- a/internal/shard/manager_test.go
+++ b/internal/shard/manager_test.go
@@ -222,3 +222,39 @@
 	_, err = nodes["e1"].entry.Acquire(context.Background(), ask("r3", "a", 30*time.Second))
 	require.NoError(t, err, "the owner stops the work on the engine and counts the grant out")
 }
+
+func TestEntryLongGoneDoesNotDelayAHandover(t *testing.T) {
+	now := clock.NewManual(testStart)
+	info := api.EntryInfo{ID: "e1", Incarnation: 1, Domain: "east", Live: true}
+	state := entry.NewState(info, now)
+	state.SetLease(testStart.Add(time.Hour))
+	owner, _ := New(Config{Self: info, View: state, Engines: stopAll{}, Clock: now, Logger: logging.Discard()})
+	v := viewOwnedBy("e2", 2, *warmGroup("g1", 1))
+	v.Entries[1].Live = false
+	state.Apply(v)
+	owner.Update(state.Snapshot())
+	for _, tc := range []struct {
+		after  time.Duration
+		owner  string
+		epoch  api.Revision
+		reason string
+		code   errs.Code
+	}{
+		{time.Second, "e1", 3, "gone for a second", errs.Full},
+		{owner.cfg.Settings.handoverHold(), "e1", 4, "gone for longer than a grant lives", ""},
+	} {
+		now.Advance(tc.after)
+		v = viewOwnedBy(tc.owner, tc.epoch, *warmGroup("g1", 1))
+		v.Entries[1].Live = false
+		state.Apply(v)
+		owner.Update(state.Snapshot())
+		_, err := owner.Report(api.ReportRequest{Shard: testShard, Epoch: tc.epoch, Entry: "e1", Incarnation: 1, OwnerIncarnation: 1})
+		require.NoError(t, err)
+		_, err = owner.Acquire(context.Background(), api.AcquireRequest{Shard: testShard, Epoch: tc.epoch, Entry: "e1", Account: "a"})
+		if tc.code == "" {
+			require.NoError(t, err, tc.reason)
+			continue
+		}
+		require.True(t, errs.Is(err, tc.code), tc.reason)
+	}
+}
--- /dev/null
+++ b/internal/shard/ownership.go
@@ -0,0 +1,125 @@
+package shard
+
+import (
+	"github.com/go-kit/log/level"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/entry"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// Update applies a newer view: it takes over shards newly leased to this
+// entry, and gives up those leased to another or under a newer epoch.
+func (m *Manager) Update(s *entry.Snapshot) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noteGone(s)
+	kept := make(map[api.ShardID]bool, len(m.shards))
+	for _, lease := range s.Shards {
+		if lease.Owner != m.cfg.Self.ID {
+			continue
+		}
+		kept[lease.Shard] = true
+		m.updateShard(s, lease)
+	}
+	for id, o := range m.shards {
+		if !kept[id] {
+			m.giveUp(id, o)
+		}
+	}
+}
+
+// noteGone follows which entries have no work lease.
+func (m *Manager) noteGone(s *entry.Snapshot) {
+	now := m.cfg.Clock.Now()
+	for _, e := range s.Entries {
+		if e.Live {
+			delete(m.gone, e.ID)
+			continue
+		}
+		if _, ok := m.gone[e.ID]; !ok {
+			m.gone[e.ID] = now
+		}
+	}
+	for id := range m.gone {
+		if s.Entry(id) == nil {
+			delete(m.gone, id)
+		}
+	}
+}
+
+// holders returns the entries that may hold grants of an earlier owner: those
+// that were live within the longest lifetime of a grant.
+func (m *Manager) holders(s *entry.Snapshot) []api.EntryInfo {
+	now := m.cfg.Clock.Now()
+	holders := make([]api.EntryInfo, 0, len(s.Entries))
+	for _, e := range s.Entries {
+		since, gone := m.gone[e.ID]
+		if !gone || now.Sub(since) <= m.cfg.Settings.handoverHold() {
+			holders = append(holders, e)
+		}
+	}
+	return holders
+}
+
+func (m *Manager) updateShard(s *entry.Snapshot, lease api.ShardLease) {
+	w := World{Groups: s.ShardGroups(lease.Shard), Drained: s.Drained(lease.Shard.Domain), Entries: m.holders(s)}
+	o := m.shards[lease.Shard]
+	if o != nil && o.epoch != lease.Epoch {
+		m.giveUp(lease.Shard, o)
+		o = nil
+	}
+	if o == nil {
+		t := term{epoch: lease.Epoch, incarnation: m.cfg.Self.Incarnation}
+		core := NewCore(lease.Shard, t, m.cfg.Settings, w, m.cfg.Clock.Now())
+		o = &owned{epoch: lease.Epoch, core: core, waiters: map[uint64]waiter{}, label: groupLabel(lease.Shard)}
+		m.shards[lease.Shard] = o
+		level.Info(m.logger).Log("msg", "took over a shard", "shard", lease.Shard, "epoch", lease.Epoch)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.parts = servingShards(s, lease.Shard.ServingGroup)
+	o.core.Update(w)
+	m.advance(o)
+}
+
+// giveUp ends the ownership of a shard and refuses its waiting requests.
+func (m *Manager) giveUp(id api.ShardID, o *owned) {
+	delete(m.shards, id)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lost = true
+	for ticket, w := range o.waiters {
+		w.decision <- Decision{Ticket: ticket, Err: staleError(id)}
+		delete(o.waiters, ticket)
+	}
+	level.Info(m.logger).Log("msg", "gave up a shard", "shard", id, "epoch", o.epoch)
+}
+
+func staleError(id api.ShardID) *errs.Error {
+	return errs.New(errs.Stale, "acquire grant", "", "shard %s has another owner or epoch", id)
+}
+
+// servingShards counts the shards of a serving group with a ready replica.
+func servingShards(s *entry.Snapshot, name api.ServingGroupName) int {
+	n := 0
+	for _, lease := range s.Shards {
+		if lease.Shard.ServingGroup == name && shardServes(s, lease.Shard) {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
+// shardServes reports whether any replica of the shard may serve.
+func shardServes(s *entry.Snapshot, id api.ShardID) bool {
+	if s.Drained(id.Domain) {
+		return false
+	}
+	for _, g := range s.ShardGroups(id) {
+		if g.Phase == api.GroupReady && !g.Leaving {
+			return true
+		}
+	}
+	return false
+}
