--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -28,6 +28,11 @@
 )
 
 // RenewRequest renews the work lease of an entry.
+//
+// It is refused with errs.Stale when a newer incarnation is known, and with
+// errs.Unavailable and RetryAfterMillis while an older incarnation may still
+// hold a lease, or while Applied is below the newest configuration change: the
+// entry then keeps the lease it has, applies the newer view and renews again.
 type RenewRequest struct {
 	Entry   EntryInfo `json:"entry"`
 	Applied Revision  `json:"applied"`
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -24,7 +24,7 @@
 // campaign starts a pre-vote round, which changes no term.
 func (c *Core) campaign() {
 	c.resetElectionTimer()
-	if !c.membership().votes(c.cfg.ID, c.cfg.Incarnation) {
+	if !c.mayCampaign() {
 		return
 	}
 	c.role = preCandidate
@@ -34,6 +34,13 @@
 	c.requestVotes(MsgPreVote, c.term+1)
 }
 
+// mayCampaign reports whether this member is a voter. One whose removal is not
+// yet committed still is: the others may need its longer log.
+func (c *Core) mayCampaign() bool {
+	return c.membership().votes(c.cfg.ID, c.cfg.Incarnation) ||
+		c.configAtIndex(c.log.committed).votes(c.cfg.ID, c.cfg.Incarnation)
+}
+
 // elect starts an election in a new term.
 func (c *Core) elect() {
 	c.role = candidate
@@ -113,11 +120,21 @@
 	c.rejoin = map[api.VoterID]Member{}
 	c.peers = map[api.VoterID]*progress{}
 	c.syncPeers()
-	c.termStart = c.appendOwn(EntryNoop, nil)
+	c.termStart = c.appendFirst()
 	c.lease.roundDue = true
 	c.deadline = c.now + c.cfg.Heartbeat
 }
 
+// appendFirst appends the first entry of a term. The very first entry of the log
+// restates the bootstrap membership, so that a member that starts empty learns
+// it from the log.
+func (c *Core) appendFirst() uint64 {
+	if c.log.last() > 0 {
+		return c.appendOwn(EntryNoop, nil)
+	}
+	return c.appendConfig(c.membership())
+}
+
 func (c *Core) tickLeader() {
 	if c.now-c.lease.start > c.cfg.ElectionMax {
 		c.becomeFollower(c.term, "")
