--- a/internal/standin/completion.go
+++ b/internal/standin/completion.go
@@ -93,7 +93,9 @@
 	head := &ctx.Request.Header
 	c := &completion{host: h, conn: conn, chat: chat, id: api.RequestID(head.Peek(api.HeaderRequest))}
 	if c.id == "" {
-		return nil, errors.Newf("no %s header", api.HeaderRequest)
+		// A request without an id comes from a client that knows no crocusway.
+		c.id = h.fleet.directID()
+		ctx.Response.Header.Set(api.HeaderRequest, string(c.id))
 	}
 	if err := json.Unmarshal(ctx.PostBody(), &c.body); err != nil {
 		return nil, errors.Wrap(err, "decode body")
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +30,8 @@
 	hosts     []*Host
 	byID      map[api.HostID]*Host
 
+	direct atomic.Int64
+
 	mu      sync.Mutex
 	closed  bool
 	crashOn []byte
@@ -106,6 +109,9 @@
 	f.byID[h.id] = h
 }
 
+// Token returns the bearer token of the backends.
+func (f *Fleet) Token() string { return f.cfg.Token }
+
 // Hosts returns every host, engines first.
 func (f *Fleet) Hosts() []*Host { return f.hosts }
 
@@ -137,6 +143,41 @@
 	return out
 }
 
+// Form makes the hosts a replica, rank by rank, without an order over HTTP. It
+// returns false when a host refuses.
+func (f *Fleet) Form(group api.GroupID, fencing api.Fencing, model string, hosts ...*Host) bool {
+	members := make([]api.HostID, 0, len(hosts))
+	for _, h := range hosts {
+		members = append(members, h.id)
+	}
+	for rank, h := range hosts {
+		result := h.apply(api.Order{
+			Version: api.AnnouncementVersion,
+			Kind:    api.OrderAssign,
+			Host:    h.id,
+			Group:   group,
+			Fencing: fencing,
+			Rank:    rank,
+			Members: members,
+			Model:   model,
+		})
+		if !result.Accepted {
+			return false
+		}
+	}
+	return true
+}
+
+// WarmReplicas counts the whole and loaded replicas whose cold start is over.
+func (f *Fleet) WarmReplicas() int {
+	return len(f.filter(func(h *Host) bool { return h.isWarm() && h.Serving() }))
+}
+
+// directID returns an id for a request that brought none.
+func (f *Fleet) directID() api.RequestID {
+	return api.RequestID(fmt.Sprintf("direct-%d", f.direct.Add(1)))
+}
+
 // SetEntries replaces the entries to announce to.
 func (f *Fleet) SetEntries(addresses []string) { f.announcer.learn(addresses) }
 
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -112,6 +112,9 @@
 	return h.member.group, h.member.fencing
 }
 
+// Serving reports whether the host is rank 0 of a whole and loaded replica.
+func (h *Host) Serving() bool { return h.complete() }
+
 // start begins a new incarnation without a membership. It keeps the address
 // of an earlier one.
 func (h *Host) start() error {
@@ -272,3 +275,10 @@
 	defer h.mu.Unlock()
 	delete(h.conns, c)
 }
+
+// isWarm reports whether the host's cold start is over.
+func (h *Host) isWarm() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.engine.warm
+}
