--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -28,9 +28,17 @@
 )
 
 // RenewRequest renews the work lease of an entry.
+//
+// It is refused with errs.Stale when a newer incarnation is known, and with
+// errs.Unavailable and RetryAfterMillis while an older incarnation may still
+// hold a lease, or while Applied is below the newest configuration change: the
+// entry then keeps the lease it has, applies the newer view and renews again.
 type RenewRequest struct {
 	Entry   EntryInfo `json:"entry"`
 	Applied Revision  `json:"applied"`
+	// Release gives the lease back at the end of a graceful shutdown. The entry
+	// does no more work; Entry.Leaving must be set.
+	Release bool `json:"release,omitempty"`
 }
 
 // RenewResponse grants a work lease. The entry counts LeaseMillis from the
@@ -248,14 +256,17 @@
 
 // Grant allows one request on one replica until it expires.
 type Grant struct {
-	ID      string    `json:"id"`
-	Shard   ShardID   `json:"shard"`
-	Epoch   Revision  `json:"epoch"`
-	Request RequestID `json:"request"`
-	Account AccountID `json:"account"`
-	Group   GroupID   `json:"group"`
-	Fencing Fencing   `json:"fencing"`
-	Address string    `json:"address"`
+	ID    string   `json:"id"`
+	Shard ShardID  `json:"shard"`
+	Epoch Revision `json:"epoch"`
+	// OwnerIncarnation is that of the owner process that granted, because an
+	// owner that restarts may keep its epoch.
+	OwnerIncarnation Incarnation `json:"owner_incarnation"`
+	Request          RequestID   `json:"request"`
+	Account          AccountID   `json:"account"`
+	Group            GroupID     `json:"group"`
+	Fencing          Fencing     `json:"fencing"`
+	Address          string      `json:"address"`
 	// ExpiresMillis is the lifetime counted from when the request was sent.
 	ExpiresMillis int64 `json:"expires_millis"`
 	Priority      int   `json:"priority"`
@@ -293,7 +304,9 @@
 	Epoch       Revision    `json:"epoch"`
 	Entry       EntryID     `json:"entry"`
 	Incarnation Incarnation `json:"incarnation"`
-	Grants      []Grant     `json:"grants"`
+	// OwnerIncarnation is the owner process that the report is meant for.
+	OwnerIncarnation Incarnation `json:"owner_incarnation"`
+	Grants           []Grant     `json:"grants"`
 }
 
 // ReportResponse renews the reported grants.
