Experiment config; bounded calls of a shutdown

Cause: the last daemon of a system that stops as a whole asked a control that was gone until its shutdown limit of 2 min. Ruled out: a hang of the links; the calls were being repeated. Change: each call to control during a shutdown has 2 s.

--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -2,7 +2,9 @@
 
 // Experiments returns every experiment in the order of the help text.
 func Experiments() []Experiment {
-	return []Experiment{}
+	return []Experiment{
+		NewConfig(),
+	}
 }
 
 // Find returns the experiment with a name.
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -19,6 +19,8 @@
 const (
 	// watchWait is how long the leader may hold back an answer to a watch.
 	watchWait = time.Second
+	// leaveCallLimit bounds each call to control during a graceful shutdown.
+	leaveCallLimit = 2 * time.Second
 	// heartbeatsPerBound is the number of announcements that a backend server
 	// sends within the detection bound.
 	heartbeatsPerBound = 4
@@ -114,7 +116,7 @@
 // took have ended, and tells control that it works no more.
 func (r *entryRole) leave(ctx context.Context) {
 	r.state.SetLeaving()
-	if err := r.agent.Renew(ctx); err != nil {
+	if err := bounded(ctx, r.agent.Renew); err != nil {
 		level.Warn(r.agent.Logger()).Log("msg", "control does not know of the shutdown", "err", err)
 	}
 	finished := make(chan struct{})
@@ -128,7 +130,15 @@
 		level.Warn(r.agent.Logger()).Log("msg", "calls are still in progress at the end of the shutdown")
 		return
 	}
-	if err := r.agent.Release(ctx); err != nil {
+	if err := bounded(ctx, r.agent.Release); err != nil {
 		level.Warn(r.agent.Logger()).Log("msg", "work lease was not given back", "err", err)
 	}
 }
+
+// bounded makes one call to control within leaveCallLimit: without a control
+// majority a daemon must still be able to stop.
+func bounded(ctx context.Context, call func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveCallLimit)
+	defer cancel()
+	return call(ctx)
+}
--- a/internal/local/system.go
+++ b/internal/local/system.go
@@ -157,6 +157,16 @@
 	}()
 }
 
+// Index returns the position of the daemon with a name, or -1.
+func (s *System) Index(name string) int {
+	for i, m := range s.members {
+		if m.daemon.Name() == name {
+			return i
+		}
+	}
+	return -1
+}
+
 // Entries returns the caller addresses of all daemons.
 func (s *System) Entries() []string {
 	out := make([]string, 0, len(s.members))
