--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -10,6 +10,8 @@
 const (
 	// dutyTimeout bounds one round of leader duties.
 	dutyTimeout = 2 * time.Second
+	// slowInterval is the time between two rounds of slow duties.
+	slowInterval = time.Second
 	// expireBatch bounds the records that one command forgets.
 	expireBatch = 1000
 )
@@ -28,9 +30,19 @@
 	s.assignShards(ctx)
 	s.syncServers(ctx, lead)
 	s.expire(ctx)
-	s.measure(ctx, lead)
 	now := s.cfg.Clock.Now()
 	lead.marks.add(now, s.state.Revision(), now.Add(-s.cfg.LeaseDuration))
+	s.slowDuties(ctx, lead, now)
+}
+
+// slowDuties runs what needs no more than a round a second. Only tick calls it,
+// from one goroutine.
+func (s *Service) slowDuties(ctx context.Context, lead *leadership, now time.Time) {
+	if now.Sub(lead.slowRound) < slowInterval {
+		return
+	}
+	lead.slowRound = now
+	s.measure(ctx, lead)
 	lead.hosts.forget(now, s.isAssigned)
 }
 
@@ -133,10 +145,11 @@
 
 // expire forgets records and quarantines whose time is over.
 func (s *Service) expire(ctx context.Context) {
-	if !s.state.due(s.cfg.Clock.Now().UnixMilli()) {
+	retention := s.cfg.Limits.EntryRetention.Milliseconds()
+	if !s.state.due(s.cfg.Clock.Now().UnixMilli(), retention) {
 		return
 	}
-	_, err := propose[api.Empty](ctx, s, &expireCommand{MaxRecords: expireBatch})
+	_, err := propose[api.Empty](ctx, s, &expireCommand{MaxRecords: expireBatch, EntryRetentionMillis: retention})
 	s.report("expire", err)
 }
 
--- a/internal/control/entry_calls.go
+++ b/internal/control/entry_calls.go
@@ -118,16 +118,24 @@
 
 func (s *Service) noteAll(lead *leadership, announcements []api.Announcement) (accepted int, changed bool) {
 	now := s.cfg.Clock.Now()
+	dropped := 0
+	var first Faults
 	for _, a := range announcements {
 		if faults := structFaults(a); len(faults) > 0 {
-			s.logger.Log("msg", "Announcement dropped", "host", a.Host, "err", faults.Error())
+			dropped++
+			if first == nil {
+				first = faults
+			}
 			continue
 		}
-		kept, new := lead.hosts.note(a, now)
+		kept, news := lead.hosts.note(a, now)
 		if kept {
 			accepted++
 		}
-		changed = changed || new
+		changed = changed || news
+	}
+	if dropped > 0 {
+		s.logger.Log("msg", "Announcements dropped", "count", dropped, "first", first.Error())
 	}
 	return accepted, changed
 }
--- a/internal/control/entry_table.go
+++ b/internal/control/entry_table.go
@@ -11,6 +11,13 @@
 	// Registered is the revision of its newest registration. It tells a
 	// repeated expiry from a new one.
 	Registered api.Revision `cbor:"2,keyasint"`
+	// EndedUnixMillis is when the work lease ended, 0 while the entry is live.
+	EndedUnixMillis int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// forgotten reports whether the entry may be forgotten at a time.
+func (r entryRow) forgotten(now, retentionMillis int64) bool {
+	return !r.Info.Live && r.EndedUnixMillis+retentionMillis <= now
 }
 
 func (s *State) entryInfos() []api.EntryInfo {
@@ -83,6 +90,7 @@
 	}
 	row.Info.Live = false
 	row.Registered = t.next()
+	row.EndedUnixMillis = t.now
 	t.entries.put(c.ID, row)
 	t.touch(tableEntries, string(c.ID))
 	t.records.orphan(c.ID, row.Info.Incarnation, t.now+c.RetentionMillis)
--- /dev/null
+++ b/internal/control/expire.go
@@ -0,0 +1,36 @@
+package control
+
+import "github.com/crocusway/crocusway/internal/api"
+
+// expireCommand forgets what has expired at the time of the command.
+type expireCommand struct {
+	// MaxRecords bounds the records that one command forgets.
+	MaxRecords int `cbor:"1,keyasint"`
+	// EntryRetentionMillis is how long an entry without a lease is listed.
+	EntryRetentionMillis int64 `cbor:"2,keyasint"`
+}
+
+func (*expireCommand) kind() commandKind { return kindExpire }
+
+func (c *expireCommand) apply(t *tx) (any, error) {
+	for _, row := range t.quarantines.list() {
+		if row.ExpiresUnixMillis <= t.now {
+			t.dropQuarantine(row.Quarantine.Fingerprint)
+		}
+	}
+	for _, row := range t.entries.list() {
+		if row.forgotten(t.now, c.EntryRetentionMillis) {
+			t.entries.del(row.Info.ID)
+			t.touch(tableEntries, string(row.Info.ID))
+		}
+	}
+	t.records.expire(t.now, c.MaxRecords)
+	return api.Empty{}, nil
+}
+
+// due reports whether an expireCommand would forget something.
+func (s *State) due(now, entryRetentionMillis int64) bool {
+	expired := func(row quarantineRow) bool { return row.ExpiresUnixMillis <= now }
+	forgotten := func(row entryRow) bool { return row.forgotten(now, entryRetentionMillis) }
+	return s.records.due(now) || s.quarantines.any(expired) || s.entries.any(forgotten)
+}
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -18,7 +18,8 @@
 	hostForgetBounds = 60
 )
 
-// hostRow is the newest announcement of one backend server.
+// hostRow is the newest announcement of one backend server. Rows are immutable:
+// a newer announcement replaces the row.
 type hostRow struct {
 	announcement api.Announcement
 	seen         time.Time
@@ -26,7 +27,7 @@
 
 type hostShard struct {
 	mu   sync.RWMutex
-	rows map[api.HostID]hostRow
+	rows map[api.HostID]*hostRow
 }
 
 // hostTable is the leader's soft knowledge of backend servers, in shards under
@@ -44,7 +45,7 @@
 func newHostTable(limit int, bound time.Duration, since time.Time) *hostTable {
 	t := &hostTable{limit: max(1, limit/hostShards), bound: bound, since: since}
 	for i := range t.shards {
-		t.shards[i].rows = make(map[api.HostID]hostRow)
+		t.shards[i].rows = make(map[api.HostID]*hostRow)
 	}
 	return t
 }
@@ -66,7 +67,7 @@
 	if !known && len(shard.rows) >= t.limit {
 		return false, false
 	}
-	shard.rows[a.Host] = hostRow{announcement: a, seen: now}
+	shard.rows[a.Host] = &hostRow{announcement: a, seen: now}
 	return true, !known || !t.alive(old.seen, now) || significant(old.announcement) != significant(a)
 }
 
@@ -89,32 +90,47 @@
 	shard.mu.RLock()
 	defer shard.mu.RUnlock()
 	row, ok := shard.rows[id]
-	return row, ok
-}
-
-// list returns the status of every known host, by name.
-func (t *hostTable) list(now time.Time) []api.HostStatus {
-	var out []api.HostStatus
-	for i := range t.shards {
-		out = t.shards[i].appendTo(out, t, now)
+	if !ok {
+		return hostRow{}, false
 	}
-	slices.SortFunc(out, func(a, b api.HostStatus) int {
-		return cmp.Compare(a.Announcement.Host, b.Announcement.Host)
-	})
-	return out
+	return *row, true
 }
 
 // services returns the live backend servers of plain services, by name.
 func (t *hostTable) services(now time.Time) []api.HostStatus {
-	return slices.DeleteFunc(t.list(now), func(h api.HostStatus) bool {
-		return !h.Alive || h.Announcement.Kind != api.BackendService
+	rows := t.collect(func(row hostRow) bool {
+		return row.announcement.Kind == api.BackendService && t.alive(row.seen, now)
 	})
+	return t.statuses(rows, now)
 }
 
-func (s *hostShard) appendTo(out []api.HostStatus, t *hostTable, now time.Time) []api.HostStatus {
+// collect returns the rows that satisfy the predicate, in no order.
+func (t *hostTable) collect(f func(hostRow) bool) []*hostRow {
+	var out []*hostRow
+	for i := range t.shards {
+		out = t.shards[i].appendTo(out, f)
+	}
+	return out
+}
+
+func (s *hostShard) appendTo(out []*hostRow, f func(hostRow) bool) []*hostRow {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	for _, row := range s.rows {
+		if f(*row) {
+			out = append(out, row)
+		}
+	}
+	return out
+}
+
+// statuses sorts rows by host. Sorting pointers avoids moving announcements.
+func (t *hostTable) statuses(rows []*hostRow, now time.Time) []api.HostStatus {
+	slices.SortFunc(rows, func(a, b *hostRow) int {
+		return cmp.Compare(a.announcement.Host, b.announcement.Host)
+	})
+	out := make([]api.HostStatus, 0, len(rows))
+	for _, row := range rows {
 		out = append(out, t.status(row.announcement, row.seen, now))
 	}
 	return out
@@ -149,27 +165,32 @@
 // this leader. They count as seen when the leadership began, in the state that
 // their group was last known to be in. Their incarnation is 0.
 func (t *hostTable) withAssumed(f api.FleetView, now time.Time) []api.HostStatus {
-	hosts := t.list(now)
-	groups := make(map[api.GroupID]api.Group, len(f.Groups))
-	for _, g := range f.Groups {
-		groups[g.ID] = g
-	}
-	known := len(hosts)
+	rows := t.collect(func(hostRow) bool { return true })
+	var groups map[api.GroupID]*api.Group
 	for _, a := range f.Assignments {
 		if _, ok := t.get(a.Host); ok {
 			continue
 		}
-		hosts = append(hosts, t.status(assumed(a, groups[a.Group]), t.since, now))
+		if groups == nil {
+			groups = groupsByID(f.Groups)
+		}
+		rows = append(rows, &hostRow{announcement: assumed(a, groups[a.Group]), seen: t.since})
 	}
-	if len(hosts) > known {
-		slices.SortFunc(hosts, func(a, b api.HostStatus) int {
-			return cmp.Compare(a.Announcement.Host, b.Announcement.Host)
-		})
+	return t.statuses(rows, now)
+}
+
+func groupsByID(groups []api.Group) map[api.GroupID]*api.Group {
+	out := make(map[api.GroupID]*api.Group, len(groups))
+	for i := range groups {
+		out[groups[i].ID] = &groups[i]
 	}
-	return hosts
+	return out
 }
 
-func assumed(a api.Assignment, g api.Group) api.Announcement {
+func assumed(a api.Assignment, g *api.Group) api.Announcement {
+	if g == nil {
+		g = &api.Group{}
+	}
 	out := api.Announcement{
 		Version: api.AnnouncementVersion,
 		Host:    a.Host,
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -15,6 +15,8 @@
 	hosts     *hostTable
 	measures  *measures
 	marks     *revisionMarks
+	// slowRound is when the slow duties ran last.
+	slowRound time.Time
 	// ctx ends when this voter steps down.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -80,6 +82,13 @@
 	return status.Leading && status.Term == lead.term
 }
 
+// Leading reports whether this voter holds the leader lease now. A reconciler
+// checks it right before it sends an order.
+func (s *Service) Leading() bool {
+	lead := s.leading.Load()
+	return lead != nil && s.stillLeading(lead)
+}
+
 func (s *Service) confirmLeading(lead *leadership) error {
 	if s.stillLeading(lead) {
 		return nil
--- a/internal/control/quarantine_table.go
+++ b/internal/control/quarantine_table.go
@@ -105,27 +105,3 @@
 	t.quarantines.del(fingerprint)
 	t.touch(tableQuarantines, fingerprint)
 }
-
-// expireCommand forgets what has expired at the time of the command.
-type expireCommand struct {
-	// MaxRecords bounds the records that one command forgets.
-	MaxRecords int `cbor:"1,keyasint"`
-}
-
-func (*expireCommand) kind() commandKind { return kindExpire }
-
-func (c *expireCommand) apply(t *tx) (any, error) {
-	for _, row := range t.quarantines.list() {
-		if row.ExpiresUnixMillis <= t.now {
-			t.dropQuarantine(row.Quarantine.Fingerprint)
-		}
-	}
-	t.records.expire(t.now, c.MaxRecords)
-	return api.Empty{}, nil
-}
-
-// due reports whether an expireCommand would forget something.
-func (s *State) due(now int64) bool {
-	expired := func(row quarantineRow) bool { return row.ExpiresUnixMillis <= now }
-	return s.records.due(now) || s.quarantines.any(expired)
-}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -98,6 +98,25 @@
 		case <-s.reconciled:
 		}
 		s.reconcile(ctx)
+		if !pause(ctx, s.cfg.ReconcileInterval/reconcileGap) {
+			return
+		}
+	}
+}
+
+// reconcileGap is the part of the reconcile interval that passes at least
+// between two reconciliations.
+const reconcileGap = 4
+
+// pause waits and reports whether ctx is still valid.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
 	}
 }
 
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -125,3 +128,71 @@
 	require.NoError(t, <-done)
 	require.Nil(t, f.services[0].leading.Load())
 }
+
+func TestLostEntryIsForgotten(t *testing.T) {
+	f := newFixture()
+	require.NoError(t, f.renew("e1", 1))
+	f.advance(time.Minute)
+	require.False(t, f.state().View().Entries[0].Live)
+	f.advance(DefaultEntryRetention - time.Second)
+	require.Len(t, f.state().View().Entries, 1)
+	f.advance(time.Second)
+	require.Empty(t, f.state().View().Entries)
+}
+
+func TestDumpHidesKeys(t *testing.T) {
+	f := newFixture()
+	f.configure(t, api.Intent{Accounts: []api.Account{{ID: "shop", KeyHashes: []string{digest}}}})
+	require.NoError(t, f.renew("e1", 1))
+	dump := f.service().Dump()
+	require.True(t, dump.Leading)
+	require.Equal(t, (DefaultLeaseDuration + DefaultDriftMargin).Milliseconds(), dump.Leases[0].RemainingMillis)
+	data, err := json.Marshal(dump)
+	require.NoError(t, err)
+	require.NotContains(t, string(data), digest)
+	require.False(t, f.services[1].Dump().Leading)
+}
+
+// Every call at once, with duties and leader changes, under the race detector.
+func TestCallsRunConcurrently(t *testing.T) {
+	f := newFixture()
+	var calls sync.WaitGroup
+	for worker := range 6 {
+		calls.Go(func() {
+			for i := range 40 {
+				f.callAny(worker, i)
+			}
+		})
+	}
+	calls.Wait()
+	for _, s := range f.states[1:] {
+		require.Equal(t, snapshot(t, f.states[0]), snapshot(t, s))
+	}
+}
+
+// callAny makes one of the calls; refusals are expected.
+func (f *fixture) callAny(worker, i int) {
+	id := api.EntryID(fmt.Sprintf("e%d", worker))
+	s := f.service()
+	switch (worker + i) % 8 {
+	case 0:
+		_ = f.renew(id, 1)
+	case 1:
+		_, _ = s.watch(ctx, api.WatchRequest{Entry: id, From: api.Revision(i % 3)})
+	case 2:
+		in := api.Intent{Domains: []api.Domain{{Name: "cairo", State: api.DomainActive}}}
+		_, _ = s.plan(ctx, api.PlanRequest{Operator: "amal", Intent: in})
+	case 3:
+		_, _ = s.decide(noWait(), api.DecideRequest{Operator: "amal", Plan: api.PlanID(i), Confirm: true})
+	case 4:
+		r := api.Record{Account: "a", Key: fmt.Sprint(i), Request: "r", Entry: id, Incarnation: 1}
+		_, _ = s.recordOpen(ctx, api.RecordOpenRequest{Record: r})
+	case 5:
+		_, _ = s.status(ctx, api.Empty{})
+	case 6:
+		f.elect(i % 3)
+	case 7:
+		f.clock.Advance(50 * time.Millisecond)
+		s.tick(ctx)
+	}
+}
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -42,6 +42,8 @@
 	MaxHosts int
 	// MaxBatch is the number of announcements in one batch.
 	MaxBatch int
+	// EntryRetention is how long an entry without a work lease is listed.
+	EntryRetention time.Duration
 	// MaxWait bounds every long poll.
 	MaxWait time.Duration
 }
@@ -87,6 +89,7 @@
 	DefaultMaxPlans          = 256
 	DefaultMaxHosts          = 32_768
 	DefaultMaxBatch          = 4096
+	DefaultEntryRetention    = time.Hour
 	DefaultMaxWait           = 30 * time.Second
 )
 
@@ -120,6 +123,7 @@
 	l.MaxPlans = cmp.Or(l.MaxPlans, DefaultMaxPlans)
 	l.MaxHosts = cmp.Or(l.MaxHosts, DefaultMaxHosts)
 	l.MaxBatch = cmp.Or(l.MaxBatch, DefaultMaxBatch)
+	l.EntryRetention = cmp.Or(l.EntryRetention, DefaultEntryRetention)
 	l.MaxWait = cmp.Or(l.MaxWait, DefaultMaxWait)
 	return l
 }
