--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -23,6 +23,8 @@
 	MethodAcquire    Method = "shard.acquire"
 	MethodSettle     Method = "shard.settle"
 	MethodReport     Method = "shard.report"
+	// MethodRevoke is answered by the entry that holds the grant.
+	MethodRevoke Method = "shard.revoke"
 )
 
 // RenewRequest renews the work lease of an entry.
@@ -245,21 +247,31 @@
 	Exclude []GroupID `json:"exclude,omitempty"`
 	// Alone asks for a replica that runs nothing else.
 	Alone bool `json:"alone,omitempty"`
+	// Revocable is set when the entry can stop the request and resume it later.
+	Revocable bool `json:"revocable,omitempty"`
+	// Resumed is set for a request that has begun: it goes before the other
+	// waiting requests of its account, and a full queue does not refuse it.
+	Resumed bool `json:"resumed,omitempty"`
 }
 
 // Grant allows one request on one replica until it expires.
 type Grant struct {
-	ID      string    `json:"id"`
-	Shard   ShardID   `json:"shard"`
-	Epoch   Revision  `json:"epoch"`
-	Request RequestID `json:"request"`
-	Account AccountID `json:"account"`
-	Group   GroupID   `json:"group"`
-	Fencing Fencing   `json:"fencing"`
-	Address string    `json:"address"`
+	ID    string   `json:"id"`
+	Shard ShardID  `json:"shard"`
+	Epoch Revision `json:"epoch"`
+	// OwnerIncarnation is that of the owner process that granted, because an
+	// owner that restarts may keep its epoch.
+	OwnerIncarnation Incarnation `json:"owner_incarnation"`
+	Request          RequestID   `json:"request"`
+	Account          AccountID   `json:"account"`
+	Group            GroupID     `json:"group"`
+	Fencing          Fencing     `json:"fencing"`
+	Address          string      `json:"address"`
 	// ExpiresMillis is the lifetime counted from when the request was sent.
 	ExpiresMillis int64 `json:"expires_millis"`
 	Priority      int   `json:"priority"`
+	// Alone is set when nothing else runs on the replica.
+	Alone bool `json:"alone,omitempty"`
 }
 
 // AcquireResponse carries a grant.
@@ -280,13 +292,31 @@
 	CachedTokens int `json:"cached_tokens,omitempty"`
 }
 
+// RevokeRequest takes a grant back: the entry stops the request on the engine,
+// settles the grant, and may resume the request under a new one.
+type RevokeRequest struct {
+	Grant Grant `json:"grant"`
+}
+
 // ReportRequest tells a new shard owner every grant that an entry still holds.
 type ReportRequest struct {
 	Shard       ShardID     `json:"shard"`
 	Epoch       Revision    `json:"epoch"`
 	Entry       EntryID     `json:"entry"`
 	Incarnation Incarnation `json:"incarnation"`
-	Grants      []Grant     `json:"grants"`
+	// OwnerIncarnation is the owner process that the report is meant for.
+	OwnerIncarnation Incarnation `json:"owner_incarnation"`
+	Grants           []Grant     `json:"grants"`
+}
+
+// ReportResponse renews the reported grants.
+type ReportResponse struct {
+	// RenewMillis is the new lifetime of every reported grant that is not
+	// listed in Refused, counted from when the report was sent.
+	RenewMillis int64 `json:"renew_millis"`
+	// Refused lists ids of grants that the owner does not count. Their work
+	// must stop.
+	Refused []string `json:"refused,omitempty"`
 }
 
 // Empty is the result of calls that return nothing.
--- /dev/null
+++ b/internal/shard/manager.go
@@ -0,0 +1,285 @@
+package shard
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/backend"
+	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/logging"
+	"github.com/crocusway/crocusway/internal/peer"
+)
+
+// tickPeriod is the time between two checks of deadlines and expiries.
+const tickPeriod = 20 * time.Millisecond
+
+// Manager owns the shards that control leased to this entry. It is safe for
+// concurrent use.
+type Manager struct {
+	cfg    Config
+	logger log.Logger
+	// revokeLocal stops a request of this entry.
+	revokeLocal func(api.Grant)
+	metrics     metrics
+	mu          sync.RWMutex
+	shards      map[api.ShardID]*owned
+	// gone remembers since when entries are seen without a work lease.
+	gone map[api.EntryID]time.Time
+}
+
+// owned is one shard under its own lock.
+type owned struct {
+	epoch   api.Revision
+	mu      sync.Mutex
+	core    *Core
+	next    uint64
+	waiters map[uint64]waiter
+	// parts is the number of shards that serve the serving group.
+	parts int
+	// lost is set once another owner may have the shard.
+	lost bool
+	// label is the attribute set of the metrics.
+	label metric.MeasurementOption
+}
+
+// newManager returns a manager without shards; Update gives it some.
+func newManager(cfg Config) *Manager {
+	m := &Manager{
+		cfg:    cfg,
+		logger: logging.For(cfg.Logger, "shard"),
+		shards: map[api.ShardID]*owned{},
+		gone:   map[api.EntryID]time.Time{},
+	}
+	var err error
+	if m.metrics, err = newMetrics(cfg.Meter); err != nil {
+		level.Warn(m.logger).Log("msg", "metrics incomplete", "err", err)
+	}
+	return m
+}
+
+// waiter receives the decision on one ticket.
+type waiter struct {
+	decision chan Decision
+	since    time.Time
+}
+
+// Register accepts the calls of other entries.
+func (m *Manager) Register(r peer.Registrar) {
+	r.Handle(api.MethodAcquire, peer.Typed(m.Acquire))
+	r.Handle(api.MethodSettle, peer.Typed(func(_ context.Context, s api.SettleRequest) (api.Empty, error) {
+		return api.Empty{}, m.Settle(s)
+	}))
+	r.Handle(api.MethodReport, peer.Typed(func(_ context.Context, r api.ReportRequest) (api.ReportResponse, error) {
+		return m.Report(r)
+	}))
+}
+
+// Run checks deadlines and expiries until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			m.Tick()
+		}
+	}
+}
+
+// Tick moves every shard forward to the present time.
+func (m *Manager) Tick() {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, o := range m.shards {
+		o.mu.Lock()
+		m.advance(o)
+		o.mu.Unlock()
+	}
+}
+
+// advance moves a locked shard forward and delivers its decisions.
+func (m *Manager) advance(o *owned) {
+	now := m.cfg.Clock.Now()
+	for _, d := range o.core.Advance(now, m.cfg.View.MayWork()) {
+		w, ok := o.waiters[d.Ticket]
+		if !ok {
+			continue
+		}
+		w.decision <- d
+		delete(o.waiters, d.Ticket)
+		m.metrics.decided(o, d, now.Sub(w.since))
+	}
+	m.revoke(o.core.Revocations())
+	for _, g := range o.core.Lapsed() {
+		m.metrics.lapsed.Add(context.Background(), 1)
+		go m.stopLapsed(o, g)
+	}
+}
+
+// stopLapsed stops the work of an expired grant on its engine, and counts the
+// grant out once it can't run there any more.
+func (m *Manager) stopLapsed(o *owned, g api.Grant) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopRepeat)
+	defer cancel()
+	err := m.cfg.Engines.Cancel(ctx, g.Address, g.Request)
+	if err != nil && !errors.Is(err, backend.ErrNotSent) {
+		level.Debug(m.logger).Log("msg", "expired request not stopped", "request", g.Request, "err", err)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.core.Settle(m.cfg.Clock.Now(), api.SettleRequest{Grant: g, Outcome: api.OutcomeUnknown})
+	m.advance(o)
+}
+
+// revoke asks the holders of grants to give them back. A lost message is sent
+// again by the core.
+func (m *Manager) revoke(revocations []Revocation) {
+	m.metrics.revocations.Add(context.Background(), int64(len(revocations)))
+	for _, r := range revocations {
+		if r.Entry == m.cfg.Self.ID {
+			m.revokeLocal(r.Grant)
+			continue
+		}
+		m.revokeRemote(r)
+	}
+}
+
+func (m *Manager) revokeRemote(r Revocation) {
+	holder := m.cfg.View.Snapshot().Entry(r.Entry)
+	if holder == nil {
+		return
+	}
+	err := m.cfg.Peers.Notify(holder.PeerAddress, api.MethodRevoke, api.RevokeRequest{Grant: r.Grant})
+	if err != nil {
+		level.Debug(m.logger).Log("msg", "revocation not sent", "entry", r.Entry, "err", err)
+	}
+}
+
+// lookup returns the owned shard at an epoch.
+func (m *Manager) lookup(id api.ShardID, epoch api.Revision) (*owned, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	o := m.shards[id]
+	if o == nil || o.epoch != epoch {
+		return nil, staleError(id)
+	}
+	return o, nil
+}
+
+// Acquire waits for a grant. It fails with errs.Stale under another epoch,
+// errs.Full when no slot became free in time, and errs.Unavailable when no
+// replica may serve or this owner has no work lease.
+func (m *Manager) Acquire(ctx context.Context, r api.AcquireRequest) (api.AcquireResponse, error) {
+	o, err := m.lookup(r.Shard, r.Epoch)
+	if err != nil {
+		return api.AcquireResponse{}, err
+	}
+	if !m.cfg.View.MayWork() {
+		return api.AcquireResponse{}, errs.New(errs.Unavailable, "acquire grant", "", "the owner has no work lease")
+	}
+	ticket, ch, err := m.submit(o, r)
+	if err != nil {
+		return api.AcquireResponse{}, err
+	}
+	select {
+	case d := <-ch:
+		return answer(d)
+	case <-ctx.Done():
+		m.cancel(o, ticket, ch)
+		return api.AcquireResponse{}, errs.Wrap(ctx.Err(), "acquire grant", "")
+	}
+}
+
+// submit enters a request and moves the shard forward.
+func (m *Manager) submit(o *owned, r api.AcquireRequest) (*Ticket, chan Decision, error) {
+	now := m.cfg.Clock.Now()
+	t := &Ticket{Request: r, Received: now, Deadline: now.Add(time.Duration(r.WaitMillis) * time.Millisecond)}
+	account := m.cfg.View.Snapshot().Account(r.Account)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.lost {
+		return nil, nil, staleError(r.Shard)
+	}
+	if account != nil {
+		t.Class = account.Class
+		t.Share = (account.Share + o.parts - 1) / o.parts
+	}
+	o.next++
+	t.ID = o.next
+	ch := make(chan Decision, 1)
+	o.waiters[t.ID] = waiter{decision: ch, since: now}
+	o.core.Submit(t)
+	m.advance(o)
+	return t, ch, nil
+}
+
+// cancel withdraws a ticket, and gives a grant back that came at the same time.
+func (m *Manager) cancel(o *owned, t *Ticket, ch chan Decision) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.waiters, t.ID)
+	o.core.Cancel(t)
+	select {
+	case d := <-ch:
+		if d.Err == nil {
+			o.core.Settle(m.cfg.Clock.Now(), api.SettleRequest{Grant: d.Grant, Outcome: api.OutcomeNotRun})
+		}
+	default:
+	}
+	m.advance(o)
+}
+
+func answer(d Decision) (api.AcquireResponse, error) {
+	if d.Err != nil {
+		return api.AcquireResponse{}, d.Err
+	}
+	return api.AcquireResponse{Grant: d.Grant}, nil
+}
+
+// Settle gives a grant back. It is idempotent; a grant of an earlier epoch is
+// accepted by the present owner.
+func (m *Manager) Settle(s api.SettleRequest) error {
+	m.mu.RLock()
+	o := m.shards[s.Grant.Shard]
+	m.mu.RUnlock()
+	if o == nil {
+		return staleError(s.Grant.Shard)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.core.Settle(m.cfg.Clock.Now(), s)
+	m.advance(o)
+	return nil
+}
+
+// Report renews the grants that an entry holds.
+func (m *Manager) Report(r api.ReportRequest) (api.ReportResponse, error) {
+	o, err := m.lookup(r.Shard, r.Epoch)
+	if err != nil {
+		return api.ReportResponse{}, err
+	}
+	if r.OwnerIncarnation != m.cfg.Self.Incarnation {
+		return api.ReportResponse{}, staleError(r.Shard)
+	}
+	if !m.cfg.View.HasLease() {
+		return api.ReportResponse{}, errs.New(errs.Unavailable, "report grants", "", "the owner has no work lease")
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.lost {
+		return api.ReportResponse{}, staleError(r.Shard)
+	}
+	refused := o.core.Report(m.cfg.Clock.Now(), r)
+	m.advance(o)
+	return api.ReportResponse{RenewMillis: m.cfg.Settings.GrantLifetime.Milliseconds(), Refused: refused}, nil
+}
