--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -138,7 +138,7 @@
 func BenchmarkSnapshotCopy(b *testing.B) {
 	s := benchState(b, benchGroups, benchRecords)
 	for b.Loop() {
-		s.image()
+		s.copy()
 	}
 }
 
--- a/internal/control/contract_test.go
+++ b/internal/control/contract_test.go
@@ -61,7 +61,7 @@
 		{"history", api.MethodHistory, `{"limit":1}`, ""},
 		{"status", api.MethodStatus, `{}`, ""},
 		{"member out of range", api.MethodMember, `{"action":"explode","voter":"a","address":""}`, errs.Invalid},
-		{"member of a fixed log", api.MethodMember, `{"action":"remove","voter":"a","address":""}`, errs.Unavailable},
+		{"member of a fixed log", api.MethodMember, `{"action":"remove","voter":"a","address":""}`, errs.Internal},
 		{"end before open", api.MethodRecordEnd, `{"record":{` + strings.Replace(record, `"state":""`, `"state":"complete"`, 1) + `}}`, errs.NotFound},
 		{"end as running", api.MethodRecordEnd, `{"record":{` + strings.Replace(record, `"state":""`, `"state":"running"`, 1) + `}}`, errs.Invalid},
 		{"open without key", api.MethodRecordOpen, `{"record":{` + strings.Replace(record, `"key":"k"`, `"key":""`, 1) + `}}`, errs.Invalid},
--- /dev/null
+++ b/internal/control/member_calls.go
@@ -0,0 +1,62 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/consensus"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+const stepMember = "change member"
+
+// retryMember is how soon a membership change may be tried again that has to
+// wait for an earlier one or for a learner that lags behind.
+const retryMember = time.Second
+
+// member answers control.member. Promote and remove name a known voter; a new
+// learner needs its address.
+func (s *Service) member(ctx context.Context, r api.MemberRequest) (api.Empty, error) {
+	var none api.Empty
+	if err := checkMember(r); err != nil {
+		return none, err
+	}
+	changer, ok := s.log.(MemberChanger)
+	if !ok {
+		return none, refuse(errs.Internal, stepMember, "the log can't change its members")
+	}
+	if _, err := s.lead(ctx); err != nil {
+		return none, err
+	}
+	err := changer.ChangeMembers(ctx, memberChange(r))
+	if errs.Is(err, errs.Unavailable) {
+		return none, retryLater(retryMember, stepMember, "%v", err)
+	}
+	if err != nil {
+		return none, errs.Wrap(err, stepMember, "")
+	}
+	s.logger.Log("msg", "Member changed", "action", r.Action, "voter", r.Voter)
+	return none, nil
+}
+
+func checkMember(r api.MemberRequest) error {
+	faults := structFaults(r)
+	if r.Action == string(consensus.ChangeAddLearner) && r.Address == "" {
+		faults.add("address", r.Address, "must be the peer address of the learner")
+	}
+	return faults.err(stepMember)
+}
+
+// memberChange converts a call. A learner is added under the first incarnation;
+// the log replaces it by the one that the node reports.
+func memberChange(r api.MemberRequest) consensus.Change {
+	return consensus.Change{
+		Kind: consensus.ChangeKind(r.Action),
+		Member: consensus.Member{
+			ID:          r.Voter,
+			Address:     r.Address,
+			Incarnation: consensus.BootstrapIncarnation,
+		},
+	}
+}
--- a/internal/control/operator_calls.go
+++ b/internal/control/operator_calls.go
@@ -160,22 +160,6 @@
 	return response, s.confirmLeading(lead)
 }
 
-// member answers control.member.
-func (s *Service) member(ctx context.Context, r api.MemberRequest) (api.Empty, error) {
-	var none api.Empty
-	if err := structFaults(r).err("change member"); err != nil {
-		return none, err
-	}
-	changer, ok := s.log.(MemberChanger)
-	if !ok {
-		return none, refuse(errs.Unavailable, "change member", "the log can't change its voters")
-	}
-	if _, err := s.lead(ctx); err != nil {
-		return none, err
-	}
-	return none, changer.ChangeMember(ctx, r)
-}
-
 func checkOperator(step, operator string) error {
 	var f Faults
 	if operator == "" || len(operator) > maxOperatorLength {
--- a/internal/control/record_commands.go
+++ b/internal/control/record_commands.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
 )
@@ -18,6 +20,10 @@
 	RetentionMillis int64 `cbor:"4,keyasint"`
 }
 
+// retryRegistration is how soon an entry may open a record again that is not
+// registered as live.
+const retryRegistration = time.Second
+
 // recordOpenCommand creates a record unless one exists.
 type recordOpenCommand struct {
 	Record api.Record   `cbor:"1,keyasint"`
@@ -56,7 +62,7 @@
 	const step = "open record"
 	row, ok := t.entries.get(c.Record.Entry)
 	if !ok || !row.Info.Live {
-		return refuse(errs.Unavailable, step, "entry %s holds no work lease", c.Record.Entry)
+		return retryLater(retryRegistration, step, "entry %s holds no work lease", c.Record.Entry)
 	}
 	if c.Record.Incarnation != row.Info.Incarnation {
 		return refuse(errs.Stale, step, "entry %s is at incarnation %d, not %d", c.Record.Entry, row.Info.Incarnation, c.Record.Incarnation)
--- /dev/null
+++ b/internal/control/record_row.go
@@ -0,0 +1,62 @@
+package control
+
+import (
+	"slices"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// recordRow is the compact encoding of a record in a snapshot: an array instead
+// of a map with field names, because records are by far the most rows.
+type recordRow struct {
+	_                 struct{} `cbor:",toarray"`
+	Account           api.AccountID
+	Key               string
+	BodyHash          string
+	Request           api.RequestID
+	Entry             api.EntryID
+	Incarnation       api.Incarnation
+	State             api.RecordState
+	Status            int
+	ContentType       string
+	Body              []byte
+	ExpiresUnixMillis int64
+}
+
+func (r *recordRow) record() *api.Record {
+	return &api.Record{
+		Account:           r.Account,
+		Key:               r.Key,
+		BodyHash:          r.BodyHash,
+		Request:           r.Request,
+		Entry:             r.Entry,
+		Incarnation:       r.Incarnation,
+		State:             r.State,
+		Status:            r.Status,
+		ContentType:       r.ContentType,
+		Body:              r.Body,
+		ExpiresUnixMillis: r.ExpiresUnixMillis,
+	}
+}
+
+// recordRows encodes records in the order of their keys.
+func recordRows(records []*api.Record) []recordRow {
+	slices.SortFunc(records, func(a, b *api.Record) int { return compareKeys(keyOf(*a), keyOf(*b)) })
+	out := make([]recordRow, 0, len(records))
+	for _, r := range records {
+		out = append(out, recordRow{
+			Account:           r.Account,
+			Key:               r.Key,
+			BodyHash:          r.BodyHash,
+			Request:           r.Request,
+			Entry:             r.Entry,
+			Incarnation:       r.Incarnation,
+			State:             r.State,
+			Status:            r.Status,
+			ContentType:       r.ContentType,
+			Body:              r.Body,
+			ExpiresUnixMillis: r.ExpiresUnixMillis,
+		})
+	}
+	return out
+}
--- a/internal/control/record_table.go
+++ b/internal/control/record_table.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/google/btree"
@@ -41,7 +43,7 @@
 // they end by their entry or by its loss.
 type recordTable struct {
 	mu      sync.RWMutex
-	rows    map[recordKey]api.Record
+	rows    map[recordKey]*api.Record
 	expiry  *btree.BTreeG[recordExpiry]
 	running map[api.EntryID]map[recordKey]struct{}
 	bytes   int64
@@ -54,7 +56,7 @@
 }
 
 func (t *recordTable) clear() {
-	t.rows = make(map[recordKey]api.Record)
+	t.rows = make(map[recordKey]*api.Record)
 	t.expiry = btree.NewG(recordTreeDegree, expiryLess)
 	t.running = make(map[api.EntryID]map[recordKey]struct{})
 	t.bytes = 0
@@ -64,13 +66,16 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	r, ok := t.rows[key]
-	return r, ok
+	if !ok {
+		return api.Record{}, false
+	}
+	return *r, true
 }
 
 func (t *recordTable) put(r api.Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.insert(r)
+	t.insert(&r)
 }
 
 func (t *recordTable) del(key recordKey) {
@@ -79,11 +84,11 @@
 	t.drop(key)
 }
 
-func (t *recordTable) insert(r api.Record) {
-	key := keyOf(r)
+func (t *recordTable) insert(r *api.Record) {
+	key := keyOf(*r)
 	t.drop(key)
 	t.rows[key] = r
-	t.bytes += recordSize(r)
+	t.bytes += recordSize(*r)
 	if r.State != api.RecordRunning {
 		t.expiry.ReplaceOrInsert(recordExpiry{unixMillis: r.ExpiresUnixMillis, key: key})
 		return
@@ -100,7 +105,7 @@
 		return
 	}
 	delete(t.rows, key)
-	t.bytes -= recordSize(old)
+	t.bytes -= recordSize(*old)
 	t.expiry.Delete(recordExpiry{unixMillis: old.ExpiresUnixMillis, key: key})
 	delete(t.running[old.Entry], key)
 	if len(t.running[old.Entry]) == 0 {
@@ -154,32 +159,29 @@
 	var orphans []api.Record
 	for key := range t.running[entry] {
 		if r := t.rows[key]; r.Incarnation <= upTo {
-			orphans = append(orphans, r)
+			orphans = append(orphans, *r)
 		}
 	}
 	for _, r := range orphans {
 		r.State = api.RecordUnknown
 		r.ExpiresUnixMillis = expires
-		t.insert(r)
+		t.insert(&r)
 	}
 }
 
-// list returns the records in no order.
-func (t *recordTable) list() []api.Record {
+// list returns the records in no order. Records are immutable: a change
+// replaces the record.
+func (t *recordTable) list() []*api.Record {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	out := make([]api.Record, 0, len(t.rows))
-	for _, r := range t.rows {
-		out = append(out, r)
-	}
-	return out
+	return slices.AppendSeq(make([]*api.Record, 0, len(t.rows)), maps.Values(t.rows))
 }
 
-func (t *recordTable) replace(rows []api.Record) {
+func (t *recordTable) replace(rows []recordRow) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.clear()
-	for _, r := range rows {
-		t.insert(r)
+	for _, row := range rows {
+		t.insert(row.record())
 	}
 }
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -11,6 +11,7 @@
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/clock"
+	"github.com/crocusway/crocusway/internal/consensus"
 	"github.com/crocusway/crocusway/internal/logging"
 )
 
@@ -27,9 +28,9 @@
 	Reconcile(ctx context.Context, fleet api.FleetView, store GroupStore)
 }
 
-// MemberChanger is implemented by a Log that can change its voters.
+// MemberChanger is implemented by a Log that can change its members.
 type MemberChanger interface {
-	ChangeMember(ctx context.Context, change api.MemberRequest) error
+	ChangeMembers(ctx context.Context, change consensus.Change) error
 }
 
 // Limits bounds what the control role stores and accepts.
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"slices"
-
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
 )
@@ -31,19 +29,20 @@
 	Shards        []api.ShardLease    `cbor:"13,keyasint"`
 	Servers       []api.ServiceServer `cbor:"14,keyasint"`
 	Quarantines   []quarantineRow     `cbor:"15,keyasint"`
-	Records       []api.Record        `cbor:"16,keyasint"`
+	Records       []recordRow         `cbor:"16,keyasint"`
 }
 
 // Snapshot implements StateMachine. Commands wait only while the rows are
 // copied, not while they are encoded.
 func (s *State) Snapshot() ([]byte, error) {
-	img := s.image()
-	slices.SortFunc(img.Records, func(a, b api.Record) int { return compareKeys(keyOf(a), keyOf(b)) })
+	img, records := s.copy()
+	img.Records = recordRows(records)
 	data, err := encMode.Marshal(img)
 	return data, errs.Wrap(err, "encode snapshot", "")
 }
 
-func (s *State) image() image {
+// copy returns the state without its records, and the records in no order.
+func (s *State) copy() (image, []*api.Record) {
 	s.applying.Lock()
 	defer s.applying.Unlock()
 	return image{
@@ -62,8 +61,7 @@
 		Shards:        s.shards.list(),
 		Servers:       s.servers.list(),
 		Quarantines:   s.quarantines.list(),
-		Records:       s.records.list(),
-	}
+	}, s.records.list()
 }
 
 // Restore implements StateMachine. A snapshot that can't be decoded leaves the
