Control: one file a concern

Cause: plans and history, faults and intent checks, state and counters shared files. Ruled out: nothing.

--- /dev/null
+++ b/internal/control/counters.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"sync"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// counterValues are the numbers of the state that only grow.
+type counterValues struct {
+	Revision api.Revision `cbor:"1,keyasint"`
+	Config   api.Revision `cbor:"2,keyasint"`
+	Required api.Revision `cbor:"3,keyasint"`
+	Fencing  api.Fencing  `cbor:"4,keyasint"`
+	Plan     api.PlanID   `cbor:"5,keyasint"`
+	// UnixMillis is the newest time of a command.
+	UnixMillis int64 `cbor:"6,keyasint"`
+	// Shards is the revision of the newest change of a shard lease.
+	Shards api.Revision `cbor:"7,keyasint"`
+}
+
+type counters struct {
+	mu     sync.RWMutex
+	values counterValues
+}
+
+func (c *counters) load() counterValues {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.values
+}
+
+func (c *counters) store(values counterValues) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values = values
+}
+
+// advance keeps the time of commands monotone over leaders.
+func (c *counters) advance(unixMillis int64) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values.UnixMillis = max(c.values.UnixMillis, unixMillis)
+	return c.values.UnixMillis
+}
+
+func (c *counters) bump() api.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values.Revision++
+	return c.values.Revision
+}
+
+// configured counts a configuration change that takes effect at a revision.
+func (c *counters) configured(at api.Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values.Config++
+	c.values.Required = at
+}
+
+// leased notes that a shard lease changes at a revision.
+func (c *counters) leased(at api.Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values.Shards = at
+}
+
+func (c *counters) nextFencing() api.Fencing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values.Fencing++
+	return c.values.Fencing
+}
+
+func (c *counters) nextPlan() api.PlanID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values.Plan++
+	return c.values.Plan
+}
--- a/internal/control/lease_table.go
+++ b/internal/control/lease_table.go
@@ -71,15 +71,6 @@
 	return nil
 }
 
-// retryApply is how soon an entry may renew again that lags behind.
-const retryApply = 50 * time.Millisecond
-
-func retryLater(after time.Duration, step, format string, args ...any) error {
-	err := errs.New(errs.Unavailable, step, "", format, args...)
-	err.RetryAfterMillis = max(1, after.Milliseconds())
-	return err
-}
-
 // heldOut names the entries that may work and have not applied a revision.
 func (t *leaseTable) heldOut(revision api.Revision, now time.Time) []api.EntryID {
 	t.mu.Lock()
--- a/internal/control/member_calls.go
+++ b/internal/control/member_calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/consensus"
@@ -11,10 +10,6 @@
 
 const stepMember = "change member"
 
-// retryMember is how soon a membership change may be tried again that has to
-// wait for an earlier one or for a learner that lags behind.
-const retryMember = time.Second
-
 // member answers control.member. Promote and remove name a known voter; a new
 // learner needs its address.
 func (s *Service) member(ctx context.Context, r api.MemberRequest) (api.Empty, error) {
--- a/internal/control/record_commands.go
+++ b/internal/control/record_commands.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"time"
-
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
 )
@@ -20,10 +18,6 @@
 	RetentionMillis int64 `cbor:"4,keyasint"`
 }
 
-// retryRegistration is how soon an entry may open a record again that is not
-// registered as live.
-const retryRegistration = time.Second
-
 // recordOpenCommand creates a record unless one exists.
 type recordOpenCommand struct {
 	Record api.Record   `cbor:"1,keyasint"`
