Control: a voter that can't decode a command stops

Cause: a voter of an older version would skip a newer command and could later lead with an older configuration. Ruled out: a panic, which would cut the requests of an entry in the same process.

--- a/internal/control/command_test.go
+++ b/internal/control/command_test.go
@@ -30,9 +30,15 @@
 		t.Run(name, func(t *testing.T) {
 			s := NewState()
 			before := snapshot(t, s)
+			_, _, err := decodeCommand(data)
+			requireCode(t, errs.Invalid, err)
 			err, ok := s.Apply(1, data).(error)
 			require.True(t, ok)
-			requireCode(t, errs.Invalid, err)
+			require.Equal(t, err, s.Err())
+			require.Equal(t, err, s.Apply(2, good), "a failed state applies nothing more")
+			_, err = s.Snapshot()
+			require.Equal(t, s.Err(), err)
+			require.NoError(t, s.Restore(before))
 			require.Equal(t, before, snapshot(t, s))
 		})
 	}
@@ -86,3 +92,12 @@
 		require.Equal(t, snapshot(t, a), snapshot(t, b))
 	})
 }
+
+func TestFailedStateStopsTheVoter(t *testing.T) {
+	f := newFixture()
+	require.NoError(t, f.renew("e1", 1))
+	f.states[0].Apply(9, []byte("newer"))
+	requireCode(t, errs.Internal, f.renew("e1", 1))
+	err := f.services[0].Run(ctx)
+	require.ErrorContains(t, err, "apply log entry 9")
+}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -24,6 +24,10 @@
 // lead returns the present leadership. The first call of a term waits for a
 // read barrier, so that the state holds every accepted change.
 func (s *Service) lead(ctx context.Context) (*leadership, error) {
+	if err := s.state.Err(); err != nil {
+		s.stepDown()
+		return nil, errs.Wrap(err, "lead", "")
+	}
 	status := s.log.Status()
 	if !status.Leading {
 		s.stepDown()
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -64,16 +64,22 @@
 	r.Handle(api.MethodSuspect, peer.Typed(s.suspect))
 }
 
-// Run carries out the duties of the leader until ctx ends.
+// Run carries out the duties of the leader until ctx ends. It returns the error
+// of a state that can't go on.
 func (s *Service) Run(ctx context.Context) error {
 	defer s.stepDown()
 	ticker := time.NewTicker(s.cfg.TickInterval)
 	defer ticker.Stop()
 	var reconcilers sync.WaitGroup
 	defer reconcilers.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	reconcilers.Go(func() { s.runReconciler(ctx) })
 	for {
 		s.tick(ctx)
+		if err := s.state.Err(); err != nil {
+			return err
+		}
 		select {
 		case <-ctx.Done():
 			return nil
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -35,6 +35,9 @@
 // Snapshot implements StateMachine. Commands wait only while the rows are
 // copied, not while they are encoded.
 func (s *State) Snapshot() ([]byte, error) {
+	if err := s.Err(); err != nil {
+		return nil, err
+	}
 	img, records := s.copy()
 	img.Records = recordRows(records)
 	data, err := encMode.Marshal(img)
@@ -79,6 +82,7 @@
 	s.cut.Lock()
 	defer s.cut.Unlock()
 	s.load(img)
+	s.failure.clear()
 	s.cache.clear()
 	s.viewed.wake()
 	s.recorded.wake()
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -19,6 +19,7 @@
 	// reader of several tables sees one revision.
 	cut sync.RWMutex
 
+	failure     stateFailure
 	guards      guards
 	counters    *counters
 	config      *configuration
@@ -61,14 +62,18 @@
 }
 
 // Apply implements StateMachine. The result is a *errs.Error when the command
-// is refused.
-func (s *State) Apply(_ uint64, data []byte) any {
+// is refused. A command that can't be decoded, such as one of a newer version,
+// fails the state: going on would let it part from that of other voters.
+func (s *State) Apply(index uint64, data []byte) any {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	if err := s.Err(); err != nil {
+		return err
+	}
 	cmd, unixMillis, err := decodeCommand(data)
 	if err != nil {
-		return err
+		return s.failure.set(index, err)
 	}
-	s.applying.Lock()
-	defer s.applying.Unlock()
 	result, err := s.execute(cmd, s.counters.advance(unixMillis))
 	if err != nil {
 		return err
