--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -39,7 +39,7 @@
 func benchOpen(i int) *recordOpenCommand {
 	return &recordOpenCommand{
 		Record: api.Record{
-			Account: "account", Key: fmt.Sprintf("key-%032d", i), BodyHash: digest,
+			Account: "account", Key: fmt.Sprintf("key-%032x", uint64(i)*0x9E3779B97F4A7C15), BodyHash: digest,
 			Request: api.RequestID(fmt.Sprintf("request-%018d", i)), Entry: "e1", Incarnation: 1,
 		},
 		Limits: RecordLimits{MaxRecords: 1 << 30, MaxBytes: 1 << 50, RetentionMillis: 1},
--- a/internal/control/record_row.go
+++ b/internal/control/record_row.go
@@ -1,10 +1,6 @@
 package control
 
-import (
-	"slices"
-
-	"github.com/crocusway/crocusway/internal/api"
-)
+import "github.com/crocusway/crocusway/internal/api"
 
 // recordRow is the compact encoding of a record in a snapshot: an array instead
 // of a map with field names, because records are by far the most rows.
@@ -39,9 +35,8 @@
 	}
 }
 
-// recordRows encodes records in the order of their keys.
+// recordRows returns the encoded form of records.
 func recordRows(records []*api.Record) []recordRow {
-	slices.SortFunc(records, func(a, b *api.Record) int { return compareKeys(keyOf(*a), keyOf(*b)) })
 	out := make([]recordRow, 0, len(records))
 	for _, r := range records {
 		out = append(out, recordRow{
--- a/internal/control/record_table.go
+++ b/internal/control/record_table.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
-	"slices"
 	"sync"
 
 	"github.com/google/btree"
@@ -39,11 +37,18 @@
 	return cmp.Or(cmp.Compare(a.account, b.account), cmp.Compare(a.key, b.key))
 }
 
+func recordLess(a, b *api.Record) bool {
+	return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.Key, b.Key)) < 0
+}
+
+// pivot returns a record that compares equal to the one with a key.
+func pivot(key recordKey) *api.Record { return &api.Record{Account: key.account, Key: key.key} }
+
 // recordTable holds the idempotency records. Running records never expire;
 // they end by their entry or by its loss.
 type recordTable struct {
 	mu      sync.RWMutex
-	rows    map[recordKey]*api.Record
+	rows    *btree.BTreeG[*api.Record]
 	expiry  *btree.BTreeG[recordExpiry]
 	running map[api.EntryID]map[recordKey]struct{}
 	bytes   int64
@@ -56,7 +61,7 @@
 }
 
 func (t *recordTable) clear() {
-	t.rows = make(map[recordKey]*api.Record)
+	t.rows = btree.NewG(recordTreeDegree, recordLess)
 	t.expiry = btree.NewG(recordTreeDegree, expiryLess)
 	t.running = make(map[api.EntryID]map[recordKey]struct{})
 	t.bytes = 0
@@ -65,7 +70,7 @@
 func (t *recordTable) get(key recordKey) (api.Record, bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	r, ok := t.rows[key]
+	r, ok := t.rows.Get(pivot(key))
 	if !ok {
 		return api.Record{}, false
 	}
@@ -87,7 +92,7 @@
 func (t *recordTable) insert(r *api.Record) {
 	key := keyOf(*r)
 	t.drop(key)
-	t.rows[key] = r
+	t.rows.ReplaceOrInsert(r)
 	t.bytes += recordSize(*r)
 	if r.State != api.RecordRunning {
 		t.expiry.ReplaceOrInsert(recordExpiry{unixMillis: r.ExpiresUnixMillis, key: key})
@@ -100,11 +105,10 @@
 }
 
 func (t *recordTable) drop(key recordKey) {
-	old, ok := t.rows[key]
+	old, ok := t.rows.Delete(pivot(key))
 	if !ok {
 		return
 	}
-	delete(t.rows, key)
 	t.bytes -= recordSize(*old)
 	t.expiry.Delete(recordExpiry{unixMillis: old.ExpiresUnixMillis, key: key})
 	delete(t.running[old.Entry], key)
@@ -127,7 +131,7 @@
 	for _, keys := range t.running {
 		running += len(keys)
 	}
-	return len(t.rows), running, t.bytes
+	return t.rows.Len(), running, t.bytes
 }
 
 // expire forgets ended records whose time is over and returns their number.
@@ -158,7 +162,7 @@
 	defer t.mu.Unlock()
 	var orphans []api.Record
 	for key := range t.running[entry] {
-		if r := t.rows[key]; r.Incarnation <= upTo {
+		if r, ok := t.rows.Get(pivot(key)); ok && r.Incarnation <= upTo {
 			orphans = append(orphans, *r)
 		}
 	}
@@ -169,12 +173,17 @@
 	}
 }
 
-// list returns the records in no order. Records are immutable: a change
+// list returns the records in the order of their keys. Records are immutable: a change
 // replaces the record.
 func (t *recordTable) list() []*api.Record {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return slices.AppendSeq(make([]*api.Record, 0, len(t.rows)), maps.Values(t.rows))
+	out := make([]*api.Record, 0, t.rows.Len())
+	t.rows.Ascend(func(r *api.Record) bool {
+		out = append(out, r)
+		return true
+	})
+	return out
 }
 
 func (t *recordTable) replace(rows []recordRow) {
