Control: an older leadership can't end a work lease

Cause: a leader that froze after it saw a lease run out, was replaced and led again could commit the expiry, although the entry had renewed with the leader between; its shards then moved under a valid lease. Ruled out: checking the leader lease before the proposal, since the freeze may come between the two. Change: each leadership commits its term first; an expiry names its term and is refused after a newer one. A call that fails while its leader takes over is Unavailable: it was not carried out, and the plan oracle holds it to that. The record oracle let a leader that had not yet taken over expire a lease; the leader now takes over first, the comparison is as exact as before. Broken variant without the check.

--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -26,6 +26,7 @@
 	kindRecordEnd   commandKind = 9
 	kindSuspect     commandKind = 10
 	kindExpire      commandKind = 11
+	kindLead        commandKind = 12
 )
 
 // command is one replicated change. apply must depend on nothing but the
@@ -125,6 +126,8 @@
 		return &suspectCommand{}
 	case kindExpire:
 		return &expireCommand{}
+	case kindLead:
+		return &leadCommand{}
 	}
 	return nil
 }
--- a/internal/control/command_test.go
+++ b/internal/control/command_test.go
@@ -72,6 +72,7 @@
 		&recordEndCommand{Record: api.Record{Key: "k"}},
 		&suspectCommand{Suspect: api.SuspectRequest{Fingerprint: "f"}},
 		&expireCommand{MaxRecords: 1},
+		&leadCommand{Term: 1},
 	} {
 		data, err := encodeCommand(cmd, 1)
 		if err != nil {
--- a/internal/control/counters.go
+++ b/internal/control/counters.go
@@ -17,6 +17,8 @@
 	UnixMillis int64 `cbor:"6,keyasint"`
 	// Shards is the revision of the newest change of a shard lease.
 	Shards api.Revision `cbor:"7,keyasint"`
+	// Term is the term of the newest leader that took over.
+	Term uint64 `cbor:"8,keyasint"`
 }
 
 type counters struct {
@@ -51,6 +53,13 @@
 	return c.values.Revision
 }
 
+// led notes that the leader of a term has taken over.
+func (c *counters) led(term uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values.Term = term
+}
+
 // configured counts a configuration change that takes effect at a revision.
 func (c *counters) configured(at api.Revision) {
 	c.mu.Lock()
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -76,6 +76,7 @@
 		ID:              row.Info.ID,
 		Registered:      row.Registered,
 		RetentionMillis: s.cfg.Limits.Records.RetentionMillis,
+		Term:            lead.term,
 	}
 	if _, err := propose[entryRow](ctx, s, cmd); err != nil {
 		return err
--- a/internal/control/entry_table.go
+++ b/internal/control/entry_table.go
@@ -79,11 +79,16 @@
 	Registered api.Revision `cbor:"2,keyasint"`
 	// RetentionMillis is how long its open records are kept.
 	RetentionMillis int64 `cbor:"3,keyasint"`
+	// Term is the leadership that saw the lease run out.
+	Term uint64 `cbor:"4,keyasint"`
 }
 
 func (*entryExpireCommand) kind() commandKind { return kindEntryExpire }
 
 func (c *entryExpireCommand) apply(t *tx) (any, error) {
+	if err := t.guards.term(t, c.Term); err != nil {
+		return nil, err
+	}
 	row, ok := t.entries.get(c.ID)
 	if !ok || row.Registered != c.Registered || !row.Info.Live {
 		return row, nil
--- a/internal/control/guards.go
+++ b/internal/control/guards.go
@@ -17,6 +17,8 @@
 	// resume keeps an entry from working on shard leases that have moved while
 	// it held no work lease.
 	resume func(t *tx, c *entryPutCommand, old api.EntryInfo) error
+	// term refuses what an earlier leadership decided.
+	term func(t *tx, term uint64) error
 	// recordExists finds the record that an open must not replace.
 	recordExists func(t *tx, key recordKey) (api.Record, bool)
 }
@@ -27,6 +29,7 @@
 		free:         checkFree,
 		shardMove:    checkShardMove,
 		resume:       checkResume,
+		term:         checkTerm,
 		recordExists: findRecord,
 	}
 }
--- /dev/null
+++ b/internal/control/lead_command.go
@@ -0,0 +1,30 @@
+package control
+
+import (
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// leadCommand opens the leadership of a term. What an earlier leadership of the
+// same voter decided on its soft state can't be committed after it.
+type leadCommand struct {
+	Term uint64 `cbor:"1,keyasint"`
+}
+
+func (*leadCommand) kind() commandKind { return kindLead }
+
+func (c *leadCommand) apply(t *tx) (any, error) {
+	if err := t.guards.term(t, c.Term); err != nil {
+		return nil, err
+	}
+	t.counters.led(c.Term)
+	return api.Empty{}, nil
+}
+
+// checkTerm refuses what an earlier leadership decided.
+func checkTerm(t *tx, term uint64) error {
+	if newest := t.counters.load().Term; term < newest {
+		return refuse(errs.Stale, "check term", "term %d is older than %d", term, newest)
+	}
+	return nil
+}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
 )
 
@@ -22,7 +23,8 @@
 }
 
 // lead returns the present leadership. The first call of a term waits for a
-// read barrier, so that the state holds every accepted change.
+// read barrier, so that the state holds every accepted change, and commits the
+// term.
 func (s *Service) lead(ctx context.Context) (*leadership, error) {
 	if err := s.state.Err(); err != nil {
 		s.stepDown()
@@ -46,13 +48,16 @@
 		return lead, nil
 	}
 	if err := s.log.ReadBarrier(ctx); err != nil {
-		return nil, errs.Wrap(err, "take over", "")
+		return nil, s.takeOverError(err)
 	}
-	status := s.log.Status()
-	if !status.Leading || status.Term != term {
-		return nil, s.notLeader("take over")
+	if _, err := propose[api.Empty](ctx, s, &leadCommand{Term: term}); err != nil {
+		return nil, s.takeOverError(err)
 	}
 	lead := s.newLeadership(term)
+	if err := s.confirmLeading(lead); err != nil {
+		lead.cancel()
+		return nil, err
+	}
 	if old := s.leading.Swap(lead); old != nil {
 		old.cancel()
 	}
@@ -60,6 +65,15 @@
 	return lead, nil
 }
 
+// takeOverError tells a caller that its own call was not carried out, whatever
+// became of the commands that open a leadership.
+func (s *Service) takeOverError(err error) error {
+	if errs.Is(err, errs.NotLeader) {
+		return s.notLeader("take over")
+	}
+	return refuse(errs.Unavailable, "take over", "%v", err)
+}
+
 func (s *Service) newLeadership(term uint64) *leadership {
 	now := s.cfg.Clock.Now()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/control/lease_fuzz_test.go
+++ b/internal/control/lease_fuzz_test.go
@@ -372,3 +372,33 @@
 		s.join(t, s.entries[0])
 	}
 }
+
+// A leader that freezes after it saw a lease run out, is replaced, and leads
+// again later must not commit what it decided before.
+func TestLeaseCheckerCatchesExpiryOfAnOlderTerm(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		s := newLeaseSim(t, 2)
+		if broken {
+			for _, state := range s.states {
+				state.guards.term = func(*tx, uint64) error { return nil }
+			}
+		}
+		s.join(t, s.entries[0])
+		s.advance(time.Millisecond)
+		s.join(t, s.entries[0])
+		frozen := s.service()
+		lead := frozen.leading.Load()
+		row, _ := s.state().entries.get("e1")
+		s.elect(1)
+		s.join(t, s.entries[0])
+		s.join(t, s.entries[1])
+		s.elect(0)
+		_, err := frozen.lead(ctx)
+		require.NoError(t, err)
+		err = frozen.expireEntry(ctx, lead, row)
+		require.Equal(t, !broken, err != nil)
+		s.advance(time.Millisecond)
+		require.NoError(t, s.watch(s.entries[1]))
+		require.Equal(t, broken, s.check() != nil)
+	}
+}
--- a/internal/control/record_fuzz_test.go
+++ b/internal/control/record_fuzz_test.go
@@ -119,7 +119,9 @@
 		case 5:
 			f.elect(rapid.IntRange(0, 2).Draw(t, "leader"))
 		case 6:
+			// A new leader takes over first; it counts the lease from then on.
 			f.setFaults(false, false)
+			f.advance(0)
 			f.advance(DefaultLeaseDuration + DefaultDriftMargin + time.Millisecond)
 			oracle.orphan(incarnation, f.clock.Now())
 			oracle.expire(f.clock.Now())
