--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -1,6 +1,8 @@
 package pipeline
 
 import (
+	"time"
+
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -31,24 +33,36 @@
 }
 
 func (f admit) model(c *call) error {
-	var last error
-	for _, sg := range f.cfg.State.Snapshot().Model(c.generation.model) {
-		g, err := f.acquire(c, sg.Name)
-		if err == nil {
-			c.target = target{grant: g, granted: true, address: g.Address}
-			return nil
-		}
-		last = err
-	}
-	return admitRefusal(last)
-}
-
-func (f admit) acquire(c *call, name api.ServingGroupName) (api.Grant, error) {
 	wait := c.deadline.Sub(f.cfg.Clock.Now())
 	if !c.hasBegun() {
 		wait = min(wait, f.cfg.Settings.QueueWait)
 	}
-	return f.cfg.Grants.Acquire(c.ctx, shard.Request{
+	groups := f.cfg.State.Snapshot().Model(c.generation.model)
+	if len(groups) == 0 {
+		return unavailable("no_replica", "no serving group has the model any more", nil)
+	}
+	if len(groups) > 1 && f.acquireAny(c, groups) {
+		return nil
+	}
+	if err := f.acquire(c, groups[0].Name, wait); err != nil {
+		return admitRefusal(err)
+	}
+	return nil
+}
+
+// acquireAny tries every serving group of the model without waiting.
+func (f admit) acquireAny(c *call, groups []*api.ServingGroup) bool {
+	for _, sg := range groups {
+		if f.acquire(c, sg.Name, 0) == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// acquire puts a grant of one serving group into the call.
+func (f admit) acquire(c *call, name api.ServingGroupName, wait time.Duration) error {
+	g, err := f.cfg.Grants.Acquire(c.ctx, shard.Request{
 		ServingGroup: name,
 		ID:           c.id,
 		Account:      c.account.ID,
@@ -59,6 +73,11 @@
 		Revocable:    c.generation.stream || !c.takenBack,
 		Resumed:      c.hasBegun(),
 	})
+	if err != nil {
+		return err
+	}
+	c.target = target{grant: g, granted: true, address: g.Address}
+	return nil
 }
 
 // admitRefusal refuses a call that got no grant.
--- a/internal/shard/client.go
+++ b/internal/shard/client.go
@@ -19,8 +19,6 @@
 	callMargin = time.Second
 	// retryPause is the time before an acquire reads the view again.
 	retryPause = 20 * time.Millisecond
-	// pressureAge is how long a full shard is not tried without waiting.
-	pressureAge = 100 * time.Millisecond
 )
 
 // Client acquires grants for this entry, keeps them alive and gives them back.
@@ -34,13 +32,7 @@
 	renewing map[api.ShardID]bool
 	mu       sync.Mutex
 	holdings *Holdings
-	pressure map[api.ShardID]pressure
-}
-
-// pressure remembers a refusal of a full shard.
-type pressure struct {
-	until time.Time
-	wait  int64
+	pressure map[pressureKey]pressure
 }
 
 // Request is one wish for a grant.
@@ -81,7 +73,7 @@
 		logger:   logging.For(cfg.Logger, "grants"),
 		renewing: map[api.ShardID]bool{},
 		holdings: NewHoldings(),
-		pressure: map[api.ShardID]pressure{},
+		pressure: map[pressureKey]pressure{},
 	}
 }
 
@@ -133,13 +125,15 @@
 			return g, nil
 		}
 	}
+	// The refusals just received tell where the account waits least.
+	c.sortByPressure(leases, r.Account)
 	wait := max(0, deadline.Sub(c.cfg.Clock.Now()))
-	return c.ask(ctx, r, c.leastPressure(leases), wait)
+	return c.ask(ctx, r, leases[0], wait)
 }
 
 func (c *Client) tryAll(ctx context.Context, r Request, leases []api.ShardLease) (api.Grant, bool) {
 	for _, lease := range leases {
-		if c.isPressed(lease.Shard) {
+		if c.isPressed(pressureKey{lease.Shard, r.Account}) {
 			continue
 		}
 		if g, err := c.ask(ctx, r, lease, 0); err == nil {
@@ -164,7 +158,7 @@
 		}
 		others = append(others, lease)
 	}
-	c.sortByPressure(others)
+	c.sortByPressure(others, r.Account)
 	return append(own, others...)
 }
 
@@ -209,7 +203,7 @@
 	sent := c.cfg.Clock.Now()
 	res, err := c.callAcquire(ctx, lease, params, wait)
 	if err != nil {
-		c.notePressure(lease.Shard, err)
+		c.notePressure(pressureKey{lease.Shard, r.Account}, err)
 		return api.Grant{}, err
 	}
 	return c.hold(res.Grant, sent)
@@ -248,7 +242,7 @@
 	c.mu.Lock()
 	ok := c.holdings.Add(c.cfg.Clock.Now(), sent, g)
 	if ok {
-		delete(c.pressure, g.Shard)
+		delete(c.pressure, pressureKey{g.Shard, g.Account})
 	}
 	c.mu.Unlock()
 	if !ok {
--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -161,10 +161,14 @@
 	return last
 }
 
-// full returns the refusal of a ticket that found no slot.
+// full returns the refusal of a ticket that found no slot. An account within its
+// share waits for a slot to be given back, whatever the queue.
 func (c *Core) full(t *Ticket, reason string) *errs.Error {
 	err := errs.New(errs.Full, "acquire grant", "", "%s", reason)
-	err.RetryAfterMillis = max(1, c.estimate(t).Milliseconds())
+	err.RetryAfterMillis = 1
+	if c.ledger.accounts[t.Request.Account] >= t.Share {
+		err.RetryAfterMillis = max(1, c.estimate(t).Milliseconds())
+	}
 	return err
 }
 
--- a/internal/shard/core_test.go
+++ b/internal/shard/core_test.go
@@ -149,3 +149,29 @@
 	require.Len(t, got, 1)
 	require.True(t, got[0].Grant.Alone)
 }
+
+func TestHopelessWaitIsRefusedEarly(t *testing.T) {
+	c := openCore(warmGroup("g1", 1))
+	c.service = 10 * time.Second
+	submit(c, ticket(1, "a", 0, 0, time.Minute))
+	require.Empty(t, submit(c, ticket(2, "a", 0, 0, time.Minute)))
+	got := submit(c, ticket(3, "a", 0, 0, 15*time.Second))
+	require.Len(t, got, 1)
+	require.Equal(t, errs.Full, got[0].Err.Code)
+	require.Equal(t, int64(5000), got[0].Err.RetryAfterMillis, "two go first, for 20 s")
+	require.Empty(t, submit(c, ticket(4, "quiet", 0, 1, time.Second)), "an account within its share is not refused")
+	now := submit(c, ticket(5, "quiet", 0, 1, 0))
+	require.Equal(t, int64(1), now[0].Err.RetryAfterMillis, "it is told to come back at once")
+}
+
+func TestFullQueueGivesWayToTheShare(t *testing.T) {
+	c := openCore(warmGroup("g1", 1))
+	c.settings.QueueLimit = 2
+	for id := range uint64(3) {
+		require.LessOrEqual(t, len(submit(c, ticket(id+1, "a", 0, 0, time.Minute))), 1)
+	}
+	got := submit(c, ticket(4, "quiet", 0, 1, time.Minute))
+	require.Len(t, got, 1)
+	require.Equal(t, uint64(3), got[0].Ticket, "the last one makes room")
+	require.Equal(t, errs.Full, got[0].Err.Code)
+}
--- a/internal/shard/limit.go
+++ b/internal/shard/limit.go
@@ -10,7 +10,7 @@
 	coldFactor = 4
 	// coldSamples is the number of consecutive slow first tokens that lower
 	// the limit.
-	coldSamples = 2
+	coldSamples = 3
 	// baselineSamples is the number of first tokens before the baseline counts.
 	baselineSamples = 8
 	// baselineWeight is the weight of a new sample in the baseline.
