A request that arrives too slowly gets 408

Cause: the timeout of the connection is not a net.Error of the old kind, so a slow request was told 400. Ruled out: the type of the in-memory connection alone; the test is of the kind.

--- a/internal/pipeline/broken.go
+++ b/internal/pipeline/broken.go
@@ -1,7 +1,7 @@
 package pipeline
 
 import (
-	"net"
+	"context"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -13,7 +13,6 @@
 func (s *Server) refuseBroken(ctx *fasthttp.RequestCtx, err error) {
 	r := &refusal{status: fasthttp.StatusBadRequest, code: "malformed_request", message: "the request could not be read"}
 	var small *fasthttp.ErrSmallBuffer
-	var timeout net.Error
 	switch {
 	case errors.As(err, &small):
 		r.status = fasthttp.StatusRequestHeaderFieldsTooLarge
@@ -23,7 +22,7 @@
 		r.status = fasthttp.StatusRequestEntityTooLarge
 		r.code = "body_too_large"
 		r.message = "the body exceeds the limit"
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case isTimeout(err):
 		r.status = fasthttp.StatusRequestTimeout
 		r.code = "receive_timeout"
 		r.message = "the request took too long to arrive"
@@ -31,3 +30,9 @@
 	s.writeRefusal(ctx, r, newRequestID(), api.OutcomeNotRun)
 	ctx.SetConnectionClose()
 }
+
+// isTimeout reports whether an error is a timeout of any kind.
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.Is(err, context.DeadlineExceeded) || (errors.As(err, &timeout) && timeout.Timeout())
+}
--- a/internal/pipeline/dispatch.go
+++ b/internal/pipeline/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -162,11 +161,6 @@
 	return stopResult{}
 }
 
-func isTimeout(err error) bool {
-	var e net.Error
-	return errors.Is(err, context.DeadlineExceeded) || (errors.As(err, &e) && e.Timeout())
-}
-
 // isServing reports whether the newest view still has the granted replica.
 func (s *Server) isServing(g api.Grant) bool {
 	group := s.cfg.State.Snapshot().Group(g.Group)
--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -107,10 +107,9 @@
 	}
 	lifetime := c.settings.GrantLifetime
 	g := api.Grant{
-		ID:    c.grantID(),
-		Shard: c.id,
-		Epoch: c.term.epoch,
-
+		ID:               c.grantID(),
+		Shard:            c.id,
+		Epoch:            c.term.epoch,
 		OwnerIncarnation: c.term.incarnation,
 		Request:          t.Request.Request,
 		Account:          t.Request.Account,
@@ -131,7 +130,7 @@
 		blocks:  t.Request.PrefixHashes,
 		class:   t.Class,
 		share:   t.Share,
-
+		// Taking the grant back needs an engine that cancels and resumes.
 		revocable: t.Request.Revocable && r.group.Capabilities.Cancel && r.group.Capabilities.Resume,
 	})
 	r.prefix.add(now, t.Request.PrefixHashes)
