Graceful wait, panics and late record ends

Cause: a WaitGroup panics when a call begins while Wait returns, as in a graceful stop; a record whose end was lost stayed open for ever; a panic ended the process. Ruled out: blocking the answer until control is back.

--- a/internal/pipeline/deduplicate.go
+++ b/internal/pipeline/deduplicate.go
@@ -7,8 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -36,7 +34,7 @@
 	}
 	res, err := f.open(c, record)
 	if err != nil {
-		return f.openFailure(c, record, err)
+		return f.openFailure(record, err)
 	}
 	// The open call may have been repeated on its way to the leader: a running
 	// record with the id of this call is its own.
@@ -90,12 +88,12 @@
 
 // openFailure refuses a call whose record was not seen to be created. Nothing
 // was dispatched, so the record, if there is one, ends as not-run.
-func (f deduplicate) openFailure(c *call, record api.Record, err error) error {
+func (f deduplicate) openFailure(record api.Record, err error) error {
 	if errs.Is(err, errs.Full) {
 		return unavailable("record_store_full", "the store of idempotency records is full", err)
 	}
 	record.State = api.RecordNotRun
-	f.endRecord(c, record)
+	f.endRecord(record)
 	return unavailable("control_unavailable", "the idempotency record could not be created", err)
 }
 
@@ -190,64 +188,5 @@
 	f.end(c)
 }
 
-// recordAttempts bounds the tries to store the end of a record.
-const recordAttempts = 3
-
-// endRecord stores the end of a record. If control can't be reached the record
-// stays open, and a resend is told that the outcome is unknown.
-func (s *Server) endRecord(c *call, record api.Record) {
-	var err error
-	for range recordAttempts {
-		err = s.tryEndRecord(record)
-		if err == nil || !isTransient(err) {
-			break
-		}
-	}
-	if err != nil {
-		level.Warn(s.logger).Log("msg", "record not ended", "request", c.id, "err", err)
-	}
-}
-
-func (s *Server) tryEndRecord(record api.Record) error {
-	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.Settings.ControlTimeout)
-	defer cancel()
-	return s.cfg.Control.Call(ctx, api.MethodRecordEnd, api.RecordEndRequest{Record: record}, &api.Empty{})
-}
-
-func isTransient(err error) bool {
-	return errs.Is(err, errs.Timeout) || errs.Is(err, errs.Unavailable) || errs.Is(err, errs.NotLeader) ||
-		errors.Is(err, context.DeadlineExceeded)
-}
-
-// closeRecord ends the record of a call by its outcome.
-func (s *Server) closeRecord(c *call) {
-	if c.record == nil {
-		return
-	}
-	record := *c.record
-	c.record = nil
-	switch c.outcome {
-	case api.OutcomeNotRun:
-		record.State = api.RecordNotRun
-	case api.OutcomeComplete:
-		s.storeAnswer(c, &record)
-	default:
-		record.State = api.RecordUnknown
-	}
-	s.endRecord(c, record)
-}
-
-// storeAnswer puts the answer into the record, unless it is too large to keep.
-func (s *Server) storeAnswer(c *call, record *api.Record) {
-	record.State = api.RecordComplete
-	record.Status = c.response.Status
-	record.ContentType = c.response.ContentType
-	record.Body = c.response.Body
-	if len(record.Body) > s.cfg.Settings.MaxStoredAnswer {
-		record.State = api.RecordUnknown
-		record.Body = nil
-	}
-}
-
 // unixMillis returns the wall clock of a moment in milliseconds.
 func unixMillis(t time.Time) int64 { return t.UnixMilli() }
--- a/internal/pipeline/fakes_test.go
+++ b/internal/pipeline/fakes_test.go
@@ -183,6 +183,13 @@
 	return nil
 }
 
+// set makes a method fail, or pass again with a nil error.
+func (f *fakeControl) set(method api.Method, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fail[method] = err
+}
+
 func recordKey(account api.AccountID, key string) string { return string(account) + "/" + key }
 
 func (f *fakeControl) open(r api.Record) api.RecordOpenResponse {
--- a/internal/pipeline/fuzz_test.go
+++ b/internal/pipeline/fuzz_test.go
@@ -52,6 +52,7 @@
 		"read":    w.read,
 		"control": w.breakControl,
 		"record":  w.expireRecords,
+		"late":    w.endLate,
 	}
 }
 
@@ -134,6 +135,15 @@
 	w.control.fail[method] = errBroken
 }
 
+// endLate sends the ends of records again.
+func (w *pathWorld) endLate() {
+	late := w.late
+	w.late = nil
+	for _, r := range late {
+		w.entries[0].server.endRecord(r)
+	}
+}
+
 // expireRecords ends the running records of calls that are gone, as control
 // does when it learns that their entry died.
 func (w *pathWorld) expireRecords() {
@@ -170,7 +180,7 @@
 // explore runs random steps on servers changed by mutate, and returns the
 // first violation that the checker reports.
 func explore(mutate func(*Server), runs, steps int) error {
-	names := []string{"stream", "whole", "deposit", "deposit", "deposit", "read", "control"}
+	names := []string{"stream", "whole", "deposit", "deposit", "deposit", "read", "control", "late"}
 	for seed := range runs {
 		rng := rand.New(rand.NewPCG(uint64(seed), 11))
 		w := newPathWorld(rng.IntN, mutate).freezing()
--- a/internal/pipeline/fuzz_world_test.go
+++ b/internal/pipeline/fuzz_world_test.go
@@ -59,8 +59,10 @@
 	ranByKey map[string]int
 	// stopped holds the entries whose lease ran out during the present call.
 	stopped map[*harness]bool
-	dead    bool
-	err     error
+	// late holds ends of records that control did not take yet.
+	late []api.Record
+	dead bool
+	err  error
 }
 
 func newPathWorld(p pick, mutate func(*Server)) *pathWorld {
@@ -73,6 +75,7 @@
 		h.server.cfg.Control = w.control
 		h.server.cfg.Backends = &pathBackend{w: w, entry: h}
 		h.control = w.control
+		h.server.endLater = func(r api.Record) { w.late = append(w.late, r) }
 		if mutate != nil {
 			mutate(h.server)
 		}
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -1,7 +1,7 @@
 package pipeline
 
 import (
-	"sync"
+	"runtime/debug"
 	"sync/atomic"
 
 	"github.com/fasthttp/router"
@@ -27,7 +27,11 @@
 	// next rotates between the servers of plain services.
 	next atomic.Uint64
 	// active counts the calls that have not ended.
-	active sync.WaitGroup
+	active *activeCalls
+	// endLater sends the end of a record again after a failure.
+	endLater func(api.Record)
+	// openEnds holds a place for each record whose end is sent again.
+	openEnds chan struct{}
 }
 
 // New returns a server for cfg. To wire it: mount further routes on Router
@@ -51,11 +55,15 @@
 		logger: logging.For(cfg.Logger, "pipeline"),
 		budget: newRetryBudget(cfg.Settings.RetryRatio, cfg.Settings.RetryBurst),
 		limits: newServiceLimits(cfg.Settings.ServiceLimit),
+		active: newActiveCalls(),
+
+		openEnds: make(chan struct{}, maxOpenEnds),
 	}
 	var err error
 	if s.metrics, err = newMetrics(cfg.Meter); err != nil {
 		level.Warn(s.logger).Log("msg", "metrics incomplete", "err", err)
 	}
+	s.endLater = s.endInBackground
 	s.order = newOrder(s)
 	s.router = s.routes()
 	return s
@@ -105,14 +113,32 @@
 }
 
 // Wait returns once every call that was taken has ended.
-func (s *Server) Wait() { s.active.Wait() }
+func (s *Server) Wait() { s.active.wait() }
 
 // handle returns the handler of one kind of call.
 func (s *Server) handle(kind callKind) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		s.active.Add(1)
-		s.serve(&call{http: ctx, kind: kind, id: newRequestID()})
+		s.active.begin()
+		c := &call{http: ctx, kind: kind, id: newRequestID()}
+		defer s.recoverCall(c)
+		s.serve(c)
+	}
+}
+
+// recoverCall ends a call whose filter panicked. What it sent is not known.
+func (s *Server) recoverCall(c *call) {
+	cause := recover()
+	if cause == nil {
+		return
 	}
+	level.Error(s.logger).Log("msg", "filter panicked", "request", c.id, "cause", cause, "stack", string(debug.Stack()))
+	s.refuse(c, &refusal{
+		status:  fasthttp.StatusInternalServerError,
+		code:    "internal",
+		message: "the entry failed",
+		unknown: true,
+	})
+	s.end(c)
 }
 
 // refuseRoute returns the handler of requests that no route takes.
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -342,3 +342,30 @@
 	_ = r.fakeControl.Call(ctx, method, params, result)
 	return r.fakeControl.Call(ctx, method, params, result)
 }
+
+func TestEndOfARecordIsSentAgain(t *testing.T) {
+	h := newHarness(Settings{})
+	h.backends.do = func(context.Context, backend.Request) (*backend.Response, error) {
+		return &backend.Response{Status: 200, Body: []byte("ok")}, nil
+	}
+	h.control.set(api.MethodRecordEnd, errBroken)
+	a := send(t, h.listen(t), "POST", "/services/ledger/d", testKey, `{}`, api.HeaderIdempotencyKey, "k")
+	require.Equal(t, api.OutcomeComplete, a.outcome())
+	r, _ := h.control.record("k")
+	require.Equal(t, api.RecordRunning, r.State)
+	h.control.set(api.MethodRecordEnd, nil)
+	require.Eventually(t, func() bool {
+		r, _ := h.control.record("k")
+		return r.State == api.RecordComplete
+	}, 30*time.Second, 10*time.Millisecond)
+}
+
+func TestPanicOfAFilterEndsTheCall(t *testing.T) {
+	h := newHarness(Settings{})
+	h.backends.do = func(context.Context, backend.Request) (*backend.Response, error) { panic("bad engine") }
+	a := send(t, h.listen(t), "POST", "/v1/chat/completions", testKey, chatBody)
+	require.Equal(t, 500, a.status)
+	require.Equal(t, api.OutcomeUnknown, a.outcome())
+	h.server.Wait()
+	require.Zero(t, h.grants.outstanding())
+}
--- a/internal/pipeline/settle.go
+++ b/internal/pipeline/settle.go
@@ -33,5 +33,5 @@
 		c.cancel()
 	}
 	s.metrics.ended(c, s.cfg.Clock.Now())
-	s.active.Done()
+	s.active.done()
 }
--- a/internal/pipeline/tokens.go
+++ b/internal/pipeline/tokens.go
@@ -78,9 +78,11 @@
 	return nil
 }
 
-// noteFirstToken measures the first token of an attempt.
+// noteFirstToken measures the first token of an attempt. An attempt that made
+// progress does not count against the limit of attempts.
 func (t *tokenReader) noteFirstToken() {
 	c := t.call
+	c.attempts = 1
 	now := t.cfg.Clock.Now()
 	c.firstToken = now.Sub(c.started)
 	if c.firstTokenAt.IsZero() {
--- a/internal/shard/client.go
+++ b/internal/shard/client.go
@@ -17,8 +17,10 @@
 const (
 	// callMargin is added to the wait of an acquire call for its transport.
 	callMargin = time.Second
-	// retryPause is the time before an acquire reads the view again.
-	retryPause = 20 * time.Millisecond
+	// retryPause is the time before an acquire reads the view again; it doubles
+	// up to maxRetryPause.
+	retryPause    = 20 * time.Millisecond
+	maxRetryPause = 160 * time.Millisecond
 )
 
 // Client acquires grants for this entry, keeps them alive and gives them back.
@@ -82,15 +84,15 @@
 // errs.Unavailable when no replica may serve; both carry RetryAfterMillis.
 func (c *Client) Acquire(ctx context.Context, r Request) (api.Grant, error) {
 	deadline := c.cfg.Clock.Now().Add(r.Wait)
-	for {
+	for wait := retryPause; ; wait = min(2*wait, maxRetryPause) {
 		g, err := c.round(ctx, r, deadline)
 		if err == nil || !retryable(err) || ctx.Err() != nil {
 			return g, err
 		}
-		if !c.cfg.Clock.Now().Add(retryPause).Before(deadline) {
+		if !c.cfg.Clock.Now().Add(wait).Before(deadline) {
 			return api.Grant{}, err
 		}
-		if err := pause(ctx, retryPause); err != nil {
+		if err := pause(ctx, wait); err != nil {
 			return api.Grant{}, errs.Wrap(err, "acquire grant", "")
 		}
 	}
--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -38,9 +38,11 @@
 	queue    *queue
 	chooser  *chooser
 	handover handover
-	drained  bool
-	rand     *rand.Rand
-	grants   uint64
+	// certain is set once the end of the handover was applied.
+	certain bool
+	drained bool
+	rand    *rand.Rand
+	grants  uint64
 	// service is the mean time from grant to settlement, 0 if unknown.
 	service   time.Duration
 	evaluated time.Time
@@ -302,9 +304,10 @@
 }
 
 func (c *Core) endHandover(now time.Time) {
-	if !c.handover.ended(now) {
+	if c.certain || !c.handover.ended(now) {
 		return
 	}
+	c.certain = true
 	clear(c.ledger.settled)
 	for _, r := range c.ledger.order {
 		r.uncertain = false
@@ -354,14 +357,3 @@
 	}
 	return false
 }
-
-// NextDeadline returns the earliest deadline of a waiting ticket, or zero.
-func (c *Core) NextDeadline() time.Time {
-	var next time.Time
-	c.queue.each(func(t *Ticket) {
-		if next.IsZero() || t.Deadline.Before(next) {
-			next = t.Deadline
-		}
-	})
-	return next
-}
