Owner and serving entry lost under streams and deposits

Cause: the request path had not been tested with separate processes that die. Change: kill and freeze of a shard's owner under six streams, and of the entry that takes 24 calls which may not be repeated. Conclusion: streams end whole, no engine above what it bears, no call ran twice.

--- /dev/null
+++ b/internal/e2e/request_test.go
@@ -0,0 +1,151 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/caller"
+)
+
+// shardOwner returns an owner of a shard other than the leader if there is one,
+// and an entry that owns nothing or another shard.
+func (c *cluster) shardOwner() (owner, other *process) {
+	c.t.Helper()
+	status := c.await("shards", func(s api.StatusResponse) bool { return len(s.View.Shards) > 0 })
+	owner = c.process(string(status.View.Shards[0].Owner))
+	for _, lease := range status.View.Shards {
+		if lease.Owner != api.EntryID(status.Leader) {
+			owner = c.process(string(lease.Owner))
+		}
+	}
+	for _, p := range c.processes {
+		if p != owner {
+			other = p
+		}
+	}
+	return owner, other
+}
+
+// chats sends n streamed requests to one entry at the same time.
+func (c *cluster) chats(entry *process, n, tokens int) func() ([]caller.Answer, []error) {
+	client := caller.Pinned(apiKey, entry.callers)
+	answers, failures := make([]caller.Answer, n), make([]error, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			answers[i], failures[i] = client.Chat(context.Background(), model, fmt.Sprintf("prompt %d", i), tokens)
+		})
+	}
+	return func() ([]caller.Answer, []error) {
+		wg.Wait()
+		return answers, failures
+	}
+}
+
+// requireBorne requires that no engine was given more than it bore.
+func (c *cluster) requireBorne() {
+	c.t.Helper()
+	for _, run := range c.fleet.Runs() {
+		if run.Group != "" {
+			require.LessOrEqual(c.t, run.Concurrent, run.Borne, "run of %s on %s", run.Request, run.Host)
+		}
+	}
+	require.Zero(c.t, c.fleet.Falls())
+}
+
+// TestLostOwnerCutsNoStream kills or freezes the owner of a shard while
+// another entry streams. Every stream ends whole, later requests are served,
+// and no engine gets more than it bears.
+func TestLostOwnerCutsNoStream(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		signal syscall.Signal
+	}{
+		{"killed", syscall.SIGKILL},
+		{"frozen", syscall.SIGSTOP},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			const tokens = 2500
+			c := startCluster(t)
+			c.serve(6)
+			owner, other := c.shardOwner()
+			before := len(c.fleet.Runs())
+			wait := c.chats(other, 6, tokens)
+			require.Eventually(t, func() bool { return len(c.fleet.Runs()) >= before+6 }, patience, poll)
+			owner.signal(tc.signal)
+			c.await("another owner", func(s api.StatusResponse) bool {
+				for _, lease := range s.View.Shards {
+					if string(lease.Owner) == owner.name {
+						return false
+					}
+				}
+				return true
+			})
+			answers, failures := wait()
+			for i, a := range answers {
+				require.NoError(t, failures[i])
+				require.True(t, a.Whole(), "answer %d: %d tokens, outcome %q", i, len(a.Tokens), a.Outcome)
+				require.Len(t, a.Tokens, tokens)
+			}
+			c.rejoin(owner, tc.signal)
+			c.await("4 live entries", func(s api.StatusResponse) bool { return liveEntries(s) == 4 })
+			c.awaitAnswer()
+			c.requireBorne()
+		})
+	}
+}
+
+// TestLostEntryRunsNoCallTwice kills or freezes the entry that takes calls
+// which may not be repeated. Their resends elsewhere never run them again.
+func TestLostEntryRunsNoCallTwice(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		signal syscall.Signal
+	}{
+		{"killed", syscall.SIGKILL},
+		{"frozen", syscall.SIGSTOP},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			const calls = 24
+			c := startCluster(t)
+			c.serve(4)
+			lost := c.processes[3]
+			deposit := func(ctx context.Context, client *caller.Client, i int) (caller.Answer, error) {
+				body := fmt.Appendf(nil, `{"deposit":%d}`, i)
+				return client.Service(ctx, http.MethodPost, service, "/deposits", fmt.Sprintf("d%d", i), body)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			var first sync.WaitGroup
+			for i := range calls {
+				first.Go(func() { _, _ = deposit(ctx, caller.Pinned(apiKey, lost.callers), i) })
+			}
+			require.Eventually(t, func() bool { return c.fleet.RunsOfKey(service, "d0") > 0 || len(c.fleet.Runs()) > calls/2 }, patience, poll)
+			lost.signal(tc.signal)
+			other := caller.Pinned(apiKey, c.processes[0].callers)
+			for i := range calls {
+				a, err := deposit(context.Background(), other, i)
+				require.NoError(t, err)
+				runs := c.fleet.RunsOfKey(service, fmt.Sprintf("d%d", i))
+				require.LessOrEqual(t, runs, 1)
+				if a.Whole() {
+					require.Equal(t, 1, runs)
+				}
+			}
+			c.rejoin(lost, tc.signal)
+			cancel()
+			first.Wait()
+			c.await("4 live entries", func(s api.StatusResponse) bool { return liveEntries(s) == 4 })
+			for i := range calls {
+				require.LessOrEqual(t, c.fleet.RunsOfKey(service, fmt.Sprintf("d%d", i)), 1)
+			}
+		})
+	}
+}
