A silent shard owner holds no request back

Cause: a request waited up to its whole time in the queue of a frozen owner, which ranked before full shards because it had never refused. Ruled out: shorter waits in queues. Change: owners that do not answer are tried last for half a second, a waiting call ends when the shard passes to another owner, a call that does not wait gets 300 ms.

--- a/internal/shard/client.go
+++ b/internal/shard/client.go
@@ -15,8 +15,13 @@
 )
 
 const (
-	// callMargin is added to the wait of an acquire call for its transport.
+	// callMargin is added to the wait of an acquire call for its transport, and
+	// tryMargin to a call that does not wait.
 	callMargin = time.Second
+	tryMargin  = 300 * time.Millisecond
+	// leasePeriod is the time between two looks at the lease of a shard in whose
+	// queue a request waits.
+	leasePeriod = 100 * time.Millisecond
 	// retryPause is the time before an acquire reads the view again; it doubles
 	// up to maxRetryPause.
 	retryPause    = 20 * time.Millisecond
@@ -219,13 +224,47 @@
 	if err != nil {
 		return api.AcquireResponse{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+callMargin)
+	limit := tryMargin
+	if wait > 0 {
+		limit = wait + callMargin
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	if wait > 0 {
+		go c.endWithLease(ctx, cancel, lease)
+	}
 	var res api.AcquireResponse
 	err = c.cfg.Peers.Call(ctx, address, api.MethodAcquire, params, &res)
+	if err != nil && !c.isCurrent(lease) {
+		err = staleError(lease.Shard)
+	}
 	return res, err
 }
 
+// endWithLease ends a waiting call when the shard passes to another owner,
+// because the old one may never answer.
+func (c *Client) endWithLease(ctx context.Context, end context.CancelFunc, lease api.ShardLease) {
+	ticker := time.NewTicker(leasePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !c.isCurrent(lease) {
+			end()
+			return
+		}
+	}
+}
+
+// isCurrent reports whether the newest view still has the lease.
+func (c *Client) isCurrent(lease api.ShardLease) bool {
+	now := c.cfg.View.Snapshot().Shard(lease.Shard)
+	return now != nil && *now == lease
+}
+
 func (c *Client) isLocal(lease api.ShardLease) bool {
 	return lease.Owner == c.cfg.Self.ID
 }
--- a/internal/shard/manager_test.go
+++ b/internal/shard/manager_test.go
@@ -258,3 +258,30 @@
 		require.True(t, errs.Is(err, tc.code), tc.reason)
 	}
 }
+
+// silent never answers acquire calls.
+func silent(ctx context.Context, _ json.RawMessage) (any, error) {
+	<-ctx.Done()
+	return nil, errs.New(errs.Timeout, "call", "", "no answer")
+}
+
+func TestSilentOwnerHoldsNoRequestBack(t *testing.T) {
+	n, nodes := cluster(t)
+	west := *warmGroup("g2", 1)
+	west.Domain = "west"
+	v := viewOwnedBy("e1", 2, *warmGroup("g1", 1), west)
+	v.Shards = append(v.Shards, api.ShardLease{Shard: api.ShardID{ServingGroup: "scribe", Domain: "west"}, Owner: "e2", Epoch: 2})
+	apply(nodes, v)
+	at{n, "e1"}.Handle(api.MethodAcquire, silent)
+	g, err := nodes["e2"].entry.Acquire(context.Background(), ask("r1", "a", time.Hour))
+	require.NoError(t, err)
+	require.Equal(t, api.GroupID("g2"), g.Group, "the other shard serves")
+
+	waiting := make(chan error, 1)
+	go func() {
+		_, err := nodes["e2"].entry.Acquire(context.Background(), Request{ServingGroup: "scribe", ID: "r2", Account: "a", Wait: time.Hour, Exclude: []api.GroupID{"g2"}})
+		waiting <- err
+	}()
+	apply(nodes, viewOwnedBy("e2", 3, *warmGroup("g1", 1)))
+	require.NoError(t, <-waiting, "the new owner grants what the silent one did not")
+}
--- a/internal/shard/pressure.go
+++ b/internal/shard/pressure.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,8 +11,14 @@
 	"github.com/crocusway/crocusway/internal/errs"
 )
 
-// pressureAge is how long a full shard is not tried again without waiting.
-const pressureAge = 100 * time.Millisecond
+const (
+	// pressureAge is how long a full shard is not tried again without waiting.
+	pressureAge = 100 * time.Millisecond
+	// silenceAge is how long a shard whose owner did not answer is tried last.
+	silenceAge = 500 * time.Millisecond
+	// silenceWait ranks such a shard behind those that are full, in milliseconds.
+	silenceWait = 1 << 40
+)
 
 // pressureKey tells accounts apart, because a shard that is full for one may
 // still owe another its share.
@@ -27,28 +34,47 @@
 	wait int64
 }
 
-// notePressure remembers that a shard was full for an account.
+// anyAccount is the account of a pressure that holds for all.
+const anyAccount api.AccountID = ""
+
+// notePressure remembers that a shard was full for an account, or that its
+// owner did not answer.
 func (c *Client) notePressure(key pressureKey, err error) {
 	var e *errs.Error
-	if !errors.As(err, &e) || e.Code != errs.Full {
+	if !errors.As(err, &e) {
 		return
 	}
+	now := c.cfg.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pressure[key] = pressure{until: c.cfg.Clock.Now().Add(pressureAge), wait: e.RetryAfterMillis}
+	switch e.Code {
+	case errs.Full:
+		c.pressure[key] = pressure{until: now.Add(pressureAge), wait: e.RetryAfterMillis}
+	case errs.Timeout, errs.Unavailable:
+		c.pressure[pressureKey{key.shard, anyAccount}] = pressure{until: now.Add(silenceAge), wait: silenceWait}
+	}
 }
 
-// isPressed reports whether the shard was full for the account a moment ago.
+// isPressed reports whether the shard was full for the account, or silent, a
+// moment ago.
 func (c *Client) isPressed(key pressureKey) bool {
+	now := c.cfg.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.cfg.Clock.Now().Before(c.pressure[key].until)
+	return now.Before(c.pressure[key].until) || now.Before(c.pressure[pressureKey{key.shard, anyAccount}].until)
 }
 
-// sortByPressure orders shards by the wait that they last asked for.
+// sortByPressure orders shards by the wait that they last asked for, and those
+// of silent owners last.
 func (c *Client) sortByPressure(leases []api.ShardLease, account api.AccountID) {
+	now := c.cfg.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	wait := func(lease api.ShardLease) int64 { return c.pressure[pressureKey{lease.Shard, account}].wait }
-	slices.SortStableFunc(leases, func(a, b api.ShardLease) int { return int(wait(a) - wait(b)) })
+	wait := func(lease api.ShardLease) int64 {
+		if p := c.pressure[pressureKey{lease.Shard, anyAccount}]; now.Before(p.until) {
+			return p.wait
+		}
+		return c.pressure[pressureKey{lease.Shard, account}].wait
+	}
+	slices.SortStableFunc(leases, func(a, b api.ShardLease) int { return cmp.Compare(wait(a), wait(b)) })
 }
