Poison requests and cold starts with separate processes

Cause: two guarantees of the request path were only tested on models. Ruled out: nothing failed. Change: a request that crashes its engine is sent 9 times beside 8 streams; 128 streams are offered to 6 cold replicas that bear 2 each. Conclusion: innocent streams end whole and no engine gets more than it bears.

--- a/internal/e2e/request_test.go
+++ b/internal/e2e/request_test.go
@@ -149,3 +149,52 @@
 		})
 	}
 }
+
+// TestCrashingRequestIsQuarantined sends a request that crashes its engine
+// again and again, beside innocent streams.
+func TestCrashingRequestIsQuarantined(t *testing.T) {
+	const tokens, poison, tries = 600, "crash this engine", 8
+	c := startCluster(t)
+	c.serve(6)
+	c.fleet.CrashOn(poison)
+	before := len(c.fleet.Runs())
+	wait := c.chats(c.processes[0], 8, tokens)
+	require.Eventually(t, func() bool { return len(c.fleet.Runs()) >= before+8 }, patience, poll)
+	for i := range tries {
+		a, err := caller.Pinned(apiKey, c.processes[i%4].callers).Chat(context.Background(), model, poison, 16)
+		require.NoError(t, err)
+		require.False(t, a.Whole())
+	}
+	answers, failures := wait()
+	for i, a := range answers {
+		require.NoError(t, failures[i])
+		require.True(t, a.Whole(), "innocent answer %d: %d tokens, outcome %q", i, len(a.Tokens), a.Outcome)
+		require.Len(t, a.Tokens, tokens)
+	}
+	require.LessOrEqual(t, c.fleet.Falls(), 2, "two replicas are the price of knowing")
+	a, err := c.caller.Chat(context.Background(), model, poison, 16)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusUnprocessableEntity, a.Status)
+	require.Equal(t, api.OutcomeNotRun, a.Outcome)
+	c.awaitAnswer()
+}
+
+// TestColdStartBearsItsLoad offers far more than cold replicas bear, through
+// all entries at once, right after they became ready.
+func TestColdStartBearsItsLoad(t *testing.T) {
+	c := startCluster(t)
+	c.confirm(intent(6))
+	c.await("ready replicas", func(s api.StatusResponse) bool { return readyGroups(s) == 6 })
+	waits := make([]func() ([]caller.Answer, []error), 0, len(c.processes))
+	for _, p := range c.processes {
+		waits = append(waits, c.chats(p, 32, 40))
+	}
+	for _, wait := range waits {
+		answers, failures := wait()
+		for i, a := range answers {
+			require.NoError(t, failures[i])
+			require.True(t, a.Whole() || a.Outcome == api.OutcomeNotRun, "answer %d: status %d, outcome %q", i, a.Status, a.Outcome)
+		}
+	}
+	c.requireBorne()
+}
