The shard model checks cold limits against the owner's view

Cause: the checker compared a grant with the core's own limit, so a wrong limit would have passed. Ruled out: a fault of the limiter; the first violation was the model's, which forgot completed work at a second cold announcement. Change: the bound comes from the announced state and completed requests; a seventh broken variant takes cold replicas for warm. Conclusion: the variant is caught.

--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -40,19 +40,35 @@
 			w.fail("grant without a lease")
 			continue
 		}
-		w.checkGrant(c, d.Grant)
+		w.checkGrant(o, d.Grant)
 		w.answer(d.Grant, t)
 	}
 }
 
 // checkGrant compares a new grant with what truly runs on the replica.
-func (w *world) checkGrant(c *Core, g api.Grant) {
-	limit := c.ledger.replicas[g.Group].limit.value
+func (w *world) checkGrant(o *fuzzEntry, g api.Grant) {
+	limit := w.bearable(o, g.Group)
 	if n := w.used(g.Group, g.Fencing) + 1; n > limit {
-		w.fail("grant %s makes %d requests on %s, limit %d", g.ID, n, g.Group, limit)
+		w.fail("grant %s makes %d requests on %s, which bears %d", g.ID, n, g.Group, limit)
 	}
 }
 
+// bearable returns the largest number of requests that the view of an owner
+// allows on a replica: what it announced, or one and one more for each
+// completed request.
+func (w *world) bearable(o *fuzzEntry, id api.GroupID) int {
+	for _, g := range o.view.Groups {
+		switch {
+		case g.ID != id || g.Warm:
+		case g.BearableLoad > 0:
+			return g.BearableLoad
+		default:
+			return min(fuzzWarmLoad, 1+w.completed[id])
+		}
+	}
+	return fuzzWarmLoad
+}
+
 // checkOrder reports a grant that passed over a ticket that goes first: one
 // within its share before one that is not, then the higher class.
 func (w *world) checkOrder(out []Decision, waiting map[uint64]*Ticket, held map[api.AccountID]int) {
@@ -219,6 +235,9 @@
 	g := &w.view.Groups[p(len(w.view.Groups))]
 	switch p(4) {
 	case 0:
+		if g.Warm {
+			w.completed[g.ID] = 0
+		}
 		g.Warm, g.BearableLoad = false, p(2)
 	case 1:
 		g.Warm, g.BearableLoad = true, fuzzWarmLoad
@@ -319,6 +338,7 @@
 		{"grant is not rechecked before the write", faultNoRecheck},
 		{"order of arrival", faultArrivalOrder},
 		{"decision is lost", faultLostTicket},
+		{"cold replica is taken for warm", faultIgnoreCold},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			require.Error(t, explore(tc.fault, 300, 1000))
--- a/internal/shard/fuzz_world_test.go
+++ b/internal/shard/fuzz_world_test.go
@@ -27,6 +27,8 @@
 	faultArrivalOrder
 	// faultLostTicket drops a decision.
 	faultLostTicket
+	// faultIgnoreCold takes every replica for warm.
+	faultIgnoreCold
 )
 
 // pick returns a number from 0 to n-1.
@@ -73,6 +75,8 @@
 	user     map[string]*fuzzEntry
 	flight   []message
 	requests uint64
+	// completed counts the settled requests since a replica last turned cold.
+	completed map[api.GroupID]int
 	// open counts the undecided tickets of each core.
 	open map[*Core]map[uint64]*Ticket
 	err  error
@@ -81,7 +85,7 @@
 func newWorld(f fault) *world {
 	w := &world{
 		fault: f, now: testStart, settings: Settings{}.withDefaults(),
-		using: map[string]api.Grant{}, user: map[string]*fuzzEntry{}, open: map[*Core]map[uint64]*Ticket{},
+		using: map[string]api.Grant{}, user: map[string]*fuzzEntry{}, open: map[*Core]map[uint64]*Ticket{}, completed: map[api.GroupID]int{},
 	}
 	for i := range fuzzEntries {
 		info := api.EntryInfo{ID: api.EntryID(fmt.Sprintf("e%d", i)), Incarnation: 1, Live: true}
@@ -138,7 +142,11 @@
 	}
 	facts := World{Entries: e.view.Entries}
 	for i := range e.view.Groups {
-		facts.Groups = append(facts.Groups, &e.view.Groups[i])
+		g := e.view.Groups[i]
+		if w.fault == faultIgnoreCold {
+			g.Warm, g.BearableLoad = true, fuzzWarmLoad
+		}
+		facts.Groups = append(facts.Groups, &g)
 	}
 	if e.core == nil || e.core.term.epoch != lease.Epoch {
 		e.core = NewCore(testShard, term{lease.Epoch, e.info.Incarnation}, w.settings, facts, w.now)
@@ -285,6 +293,9 @@
 			return
 		}
 		ok := o.core.Settle(w.now, api.SettleRequest{Grant: g, Outcome: api.OutcomeComplete})
+		if ok {
+			w.completed[g.Group]++
+		}
 		if r := o.core.ledger.replicas[g.Group]; !ok && w.fault == faultDoubleSettle && r != nil {
 			r.held--
 		}
