A restarted entry gives up the grants of its former process

Cause: the slots of a killed entry stayed counted for the whole grant lifetime even when the entry was back after a second. Ruled out: counting them out at once, because an engine may still run the work.

--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -38,6 +38,8 @@
 	queue    *queue
 	chooser  *chooser
 	handover handover
+	// processes holds the newest incarnation of each entry that reported.
+	processes map[api.EntryID]api.Incarnation
 	// certain is set once the end of the handover was applied.
 	certain bool
 	drained bool
@@ -56,14 +58,15 @@
 func NewCore(id api.ShardID, t term, s Settings, w World, now time.Time) *Core {
 	s = s.withDefaults()
 	c := &Core{
-		id:       id,
-		term:     t,
-		settings: s,
-		ledger:   newLedger(s),
-		queue:    newQueue(),
-		chooser:  newChooser(),
-		handover: newHandover(w.Entries, now.Add(s.handoverHold())),
-		rand:     rand.New(rand.NewPCG(uint64(t.epoch), uint64(t.incarnation))),
+		id:        id,
+		term:      t,
+		settings:  s,
+		ledger:    newLedger(s),
+		queue:     newQueue(),
+		chooser:   newChooser(),
+		handover:  newHandover(w.Entries, now.Add(s.handoverHold())),
+		processes: map[api.EntryID]api.Incarnation{},
+		rand:      rand.New(rand.NewPCG(uint64(t.epoch), uint64(t.incarnation))),
 	}
 	c.drained = w.Drained
 	c.ledger.update(w.Groups, true)
@@ -241,10 +244,11 @@
 // during a handover also tells this owner which grants of earlier epochs to
 // count. It returns the ids that this owner does not count.
 func (c *Core) Report(now time.Time, r api.ReportRequest) []string {
+	c.noteProcess(now, r.Entry, r.Incarnation)
 	var refused []string
 	adopt := !c.handover.ended(now)
 	for _, g := range r.Grants {
-		if !c.renew(now, g, r.Entry, adopt) {
+		if !c.renew(now, g, r, adopt) {
 			refused = append(refused, g.ID)
 		}
 	}
@@ -252,8 +256,21 @@
 	return refused
 }
 
+// noteProcess ends the grants of an entry's former process once a later one
+// shows itself.
+func (c *Core) noteProcess(now time.Time, id api.EntryID, incarnation api.Incarnation) {
+	known := c.processes[id]
+	if incarnation <= known {
+		return
+	}
+	c.processes[id] = incarnation
+	if known > 0 {
+		c.ledger.lapseOlder(now, id, incarnation)
+	}
+}
+
 // renew extends a known grant, or counts one of an earlier epoch.
-func (c *Core) renew(now time.Time, g api.Grant, entry api.EntryID, adopt bool) bool {
+func (c *Core) renew(now time.Time, g api.Grant, from api.ReportRequest, adopt bool) bool {
 	expires := now.Add(c.settings.GrantLifetime)
 	if h, ok := c.ledger.holds[g.ID]; ok {
 		if h.lapsed || now.After(h.expires) {
@@ -268,12 +285,14 @@
 		return false
 	}
 	c.ledger.add(&hold{
-		grant:   g,
-		entry:   entry,
-		replica: r,
-		granted: now,
-		expires: expires,
-		stopBy:  now.Add(c.settings.RequestTimeout),
+		grant: g,
+		entry: from.Entry,
+
+		incarnation: from.Incarnation,
+		replica:     r,
+		granted:     now,
+		expires:     expires,
+		stopBy:      now.Add(c.settings.RequestTimeout),
 	})
 	return true
 }
--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -121,15 +121,16 @@
 		Alone:            t.Request.Alone,
 	}
 	c.ledger.add(&hold{
-		grant:   g,
-		entry:   t.Request.Entry,
-		replica: r,
-		granted: now,
-		expires: now.Add(lifetime),
-		stopBy:  now.Add(c.settings.RequestTimeout),
-		blocks:  t.Request.PrefixHashes,
-		class:   t.Class,
-		share:   t.Share,
+		grant:       g,
+		entry:       t.Request.Entry,
+		incarnation: t.Request.Incarnation,
+		replica:     r,
+		granted:     now,
+		expires:     now.Add(lifetime),
+		stopBy:      now.Add(c.settings.RequestTimeout),
+		blocks:      t.Request.PrefixHashes,
+		class:       t.Class,
+		share:       t.Share,
 		// Taking the grant back needs an engine that cancels and resumes.
 		revocable: t.Request.Revocable && r.group.Capabilities.Cancel && r.group.Capabilities.Resume,
 	})
--- a/internal/shard/ledger.go
+++ b/internal/shard/ledger.go
@@ -36,10 +36,12 @@
 
 // hold is one grant outstanding.
 type hold struct {
-	grant   api.Grant
-	entry   api.EntryID
-	replica *replica
-	granted time.Time
+	grant api.Grant
+	entry api.EntryID
+	// incarnation is that of the entry process.
+	incarnation api.Incarnation
+	replica     *replica
+	granted     time.Time
 	// expires is when the lifetime runs out, or, once it has, when the work is
 	// stopped again.
 	expires time.Time
@@ -178,6 +180,17 @@
 	return out
 }
 
+// lapseOlder ends the lifetime of grants that earlier processes of an entry
+// held.
+func (l *ledger) lapseOlder(now time.Time, id api.EntryID, incarnation api.Incarnation) {
+	for _, h := range l.holds {
+		if h.entry == id && h.incarnation < incarnation && !h.lapsed {
+			h.expires = now.Add(-time.Nanosecond)
+			l.nextExpiry = h.expires
+		}
+	}
+}
+
 // sortGrants orders grants by id, so that the core is deterministic.
 func sortGrants(grants []api.Grant) {
 	slices.SortFunc(grants, func(a, b api.Grant) int { return strings.Compare(a.ID, b.ID) })
--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -203,7 +203,8 @@
 // submit enters a request and moves the shard forward.
 func (m *Manager) submit(o *owned, r api.AcquireRequest) (*Ticket, chan Decision, error) {
 	now := m.cfg.Clock.Now()
-	t := &Ticket{Request: r, Received: now, Deadline: now.Add(time.Duration(r.WaitMillis) * time.Millisecond)}
+	wait := min(time.Duration(r.WaitMillis)*time.Millisecond, m.cfg.Settings.RequestTimeout)
+	t := &Ticket{Request: r, Received: now, Deadline: now.Add(wait)}
 	account := m.cfg.View.Snapshot().Account(r.Account)
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/shard/revoke_test.go
+++ b/internal/shard/revoke_test.go
@@ -89,3 +89,16 @@
 	end := testStart.Add(c.settings.RequestTimeout)
 	require.Len(t, c.Advance(end, true), 1, "no engine works on it any more")
 }
+
+func TestRestartedEntryGivesUpItsGrants(t *testing.T) {
+	c := openCore(warmGroup("g1", 1))
+	first := ticket(1, "a", 0, 0, time.Minute)
+	first.Request.Incarnation = 1
+	held := submit(c, first)[0].Grant
+	require.Empty(t, submit(c, ticket(2, "a", 0, 0, time.Minute)))
+	c.Report(testStart, api.ReportRequest{Entry: "e1", Incarnation: 2})
+	require.Empty(t, c.Advance(testStart, true))
+	require.Equal(t, []api.Grant{held}, c.Lapsed(), "its work is stopped first")
+	c.Settle(testStart, api.SettleRequest{Grant: held, Outcome: api.OutcomeUnknown})
+	require.Len(t, c.Advance(testStart, true), 1)
+}
