Retries that repeat no work cost no budget

Cause: a domain that goes dark cuts more streams of one entry than the retry budget of 10 allows to go on. Ruled out: a larger budget alone, which would also admit repeated work. Change: unsent requests and cut streams that go on at their offset are free, bounded by the attempts of a request; the burst is 32. Conclusion: a table test shows which retries are paid for.

--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -111,12 +111,21 @@
 		refuse.status = fasthttp.StatusServiceUnavailable
 		refuse.retryAfter = time.Second
 	}
-	if c.attempts >= s.cfg.Settings.MaxAttempts || !s.budget.take() {
+	if c.attempts >= s.cfg.Settings.MaxAttempts || !s.affords(c, failed) {
 		return refuse
 	}
 	return nil
 }
 
+// affords spends the retry budget, unless the retry repeats no work: nothing
+// was sent, or a stream goes on where it was cut.
+func (s *Server) affords(c *call, failed *attemptError) bool {
+	if !failed.sent || c.hasBegun() {
+		return true
+	}
+	return s.budget.take()
+}
+
 // exclude keeps a replica out of further attempts.
 func (c *call) exclude(id api.GroupID) {
 	if !slices.Contains(c.excluded, id) {
--- a/internal/pipeline/config.go
+++ b/internal/pipeline/config.go
@@ -110,7 +110,7 @@
 		MaxStoredAnswer: 64 << 10,
 		MaxAttempts:     3,
 		RetryRatio:      0.1,
-		RetryBurst:      10,
+		RetryBurst:      32,
 		ServiceLimit:    256,
 	}
 }
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -369,3 +369,30 @@
 	h.server.Wait()
 	require.Zero(t, h.grants.outstanding())
 }
+
+func TestRetryBudgetBoundsRepeatedWork(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		first   func() (*backend.Response, error)
+		retried bool
+	}{
+		{"nothing was sent", func() (*backend.Response, error) { return nil, backend.ErrNotSent }, true},
+		{"stream was cut", func() (*backend.Response, error) {
+			return streamOf(&fakeStream{events: tokens(0, 1), err: io.ErrUnexpectedEOF}), nil
+		}, true},
+		{"work is repeated", func() (*backend.Response, error) { return nil, errBroken }, false},
+		{"engine is overloaded", func() (*backend.Response, error) { return &backend.Response{Status: 503}, nil }, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(Settings{RetryRatio: 0.1, RetryBurst: 0.5})
+			h.backends.do = func(_ context.Context, r backend.Request) (*backend.Response, error) {
+				if h.backends.runCount() == 1 {
+					return tc.first()
+				}
+				return streamOf(&fakeStream{events: tokens(r.Offset, 2)}), nil
+			}
+			a := send(t, h.listen(t), "POST", "/v1/chat/completions", testKey, chatBody)
+			require.Equal(t, tc.retried, a.outcome() == api.OutcomeComplete, a.body)
+		})
+	}
+}
--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -285,9 +285,8 @@
 		return false
 	}
 	c.ledger.add(&hold{
-		grant: g,
-		entry: from.Entry,
-
+		grant:       g,
+		entry:       from.Entry,
 		incarnation: from.Incarnation,
 		replica:     r,
 		granted:     now,
