Only a refused connection makes a suspect

Cause: an unreachable host counted as a crashed one, so a dark fabric domain would have made all its requests suspects that run alone. Ruled out: guessing from several deaths at a time, which two poison requests sent together would evade. Change: suspicion needs ECONNREFUSED: the host lives and its process is gone.

--- a/internal/pipeline/dispatch.go
+++ b/internal/pipeline/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -143,7 +144,8 @@
 type stopResult struct {
 	// stopped is set when the request no longer runs.
 	stopped bool
-	// dead is set when the replica refuses connections.
+	// dead is set when the replica's host refuses connections: its process is
+	// gone, as after a crash. A host that is silent or unreachable tells nothing.
 	dead bool
 }
 
@@ -155,7 +157,7 @@
 	switch {
 	case err == nil, errs.Is(err, errs.NotFound), !s.isServing(t.grant):
 		return stopResult{stopped: true}
-	case errors.Is(err, backend.ErrNotSent) && !isTimeout(err):
+	case errors.Is(err, syscall.ECONNREFUSED):
 		return stopResult{dead: true}
 	}
 	return stopResult{}
