Requests that wait follow free slots between shards

Cause: 16 streams on 6 cold replicas that bear 2 each ran 6 at a time and one was refused after 10 s: requests waited in one queue while other shards were idle, and a replica that first said nothing kept a limit of 1 after it said 2. Ruled out: too small limits in the engine; the estimate of the wait alone. Change: a wait in one of several queues lasts 500 ms and keeps its place by the time waited; the first announced load counts at once; estimates grow with the queue.

--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -243,6 +243,12 @@
 	PrefixHashes []uint64 `json:"prefix_hashes,omitempty"`
 	// WaitMillis bounds the wait in the queue.
 	WaitMillis int64 `json:"wait_millis"`
+	// WaitedMillis is the time that the request waited before, in this queue or
+	// another. It keeps its place by it.
+	WaitedMillis int64 `json:"waited_millis,omitempty"`
+	// PatienceMillis is the time that the request may still wait, in this queue
+	// or another; 0 stands for WaitMillis.
+	PatienceMillis int64 `json:"patience_millis,omitempty"`
 	// Exclude lists replicas already tried for this request.
 	Exclude []GroupID `json:"exclude,omitempty"`
 	// Alone asks for a replica that runs nothing else.
--- a/internal/shard/client.go
+++ b/internal/shard/client.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -19,6 +20,9 @@
 	// tryMargin to a call that does not wait.
 	callMargin = time.Second
 	tryMargin  = 300 * time.Millisecond
+	// waitSlice is the longest wait in one of several queues before the others
+	// are tried again.
+	waitSlice = 500 * time.Millisecond
 	// leasePeriod is the time between two looks at the lease of a shard in whose
 	// queue a request waits.
 	leasePeriod = 100 * time.Millisecond
@@ -59,6 +63,10 @@
 	Revocable bool
 	// Resumed is set for a request that has begun.
 	Resumed bool
+
+	// began is when the wait began, and left what remains of it.
+	began time.Time
+	left  time.Duration
 }
 
 // Result tells how the work of a grant ended.
@@ -88,7 +96,8 @@
 // with errs.Full when no slot became free within the wait, and with
 // errs.Unavailable when no replica may serve; both carry RetryAfterMillis.
 func (c *Client) Acquire(ctx context.Context, r Request) (api.Grant, error) {
-	deadline := c.cfg.Clock.Now().Add(r.Wait)
+	r.began = c.cfg.Clock.Now()
+	deadline := r.began.Add(r.Wait)
 	for wait := retryPause; ; wait = min(2*wait, maxRetryPause) {
 		g, err := c.round(ctx, r, deadline)
 		if err == nil || !retryable(err) || ctx.Err() != nil {
@@ -97,14 +106,22 @@
 		if !c.cfg.Clock.Now().Add(wait).Before(deadline) {
 			return api.Grant{}, err
 		}
+		if errs.Is(err, errs.Full) {
+			wait = retryPause
+		}
 		if err := pause(ctx, wait); err != nil {
 			return api.Grant{}, errs.Wrap(err, "acquire grant", "")
 		}
 	}
 }
 
-// retryable reports whether a newer view may change the answer.
+// retryable reports whether a newer view or another queue may change the
+// answer.
 func retryable(err error) bool {
+	var e *errs.Error
+	if errors.As(err, &e) && e.Code == errs.Full {
+		return e.Detail != detailFinal
+	}
 	return errs.Is(err, errs.Stale) || errs.Is(err, errs.Unavailable) || errs.Is(err, errs.Timeout)
 }
 
@@ -134,7 +151,11 @@
 	}
 	// The refusals just received tell where the account waits least.
 	c.sortByPressure(leases, r.Account)
-	wait := max(0, deadline.Sub(c.cfg.Clock.Now()))
+	r.left = max(0, deadline.Sub(c.cfg.Clock.Now()))
+	wait := r.left
+	if len(leases) > 1 {
+		wait = min(wait, waitSlice)
+	}
 	return c.ask(ctx, r, leases[0], wait)
 }
 
@@ -194,18 +215,20 @@
 // ask sends one acquire call to the owner of a shard.
 func (c *Client) ask(ctx context.Context, r Request, lease api.ShardLease, wait time.Duration) (api.Grant, error) {
 	params := api.AcquireRequest{
-		Shard:        lease.Shard,
-		Epoch:        lease.Epoch,
-		Entry:        c.cfg.Self.ID,
-		Incarnation:  c.cfg.Self.Incarnation,
-		Request:      r.ID,
-		Account:      r.Account,
-		PrefixHashes: r.PrefixHashes,
-		WaitMillis:   wait.Milliseconds(),
-		Exclude:      r.Exclude,
-		Alone:        r.Alone,
-		Revocable:    r.Revocable,
-		Resumed:      r.Resumed,
+		Shard:          lease.Shard,
+		Epoch:          lease.Epoch,
+		Entry:          c.cfg.Self.ID,
+		Incarnation:    c.cfg.Self.Incarnation,
+		Request:        r.ID,
+		Account:        r.Account,
+		PrefixHashes:   r.PrefixHashes,
+		WaitMillis:     wait.Milliseconds(),
+		WaitedMillis:   c.cfg.Clock.Now().Sub(r.began).Milliseconds(),
+		PatienceMillis: r.left.Milliseconds(),
+		Exclude:        r.Exclude,
+		Alone:          r.Alone,
+		Revocable:      r.Revocable,
+		Resumed:        r.Resumed,
 	}
 	sent := c.cfg.Clock.Now()
 	res, err := c.callAcquire(ctx, lease, params, wait)
--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -11,6 +11,11 @@
 const (
 	// serviceWeight is the weight of a new sample in the mean service time.
 	serviceWeight = 0.1
+	// minService is the least service time in estimates, so that a longer queue
+	// always means a longer wait.
+	minService = 50 * time.Millisecond
+	// detailFinal marks refusals that waiting elsewhere would not change.
+	detailFinal = "final"
 )
 
 // World is what the rules of one shard read of a view.
@@ -96,7 +101,7 @@
 		return nil
 	}
 	if c.queue.length(t.Request.Account) >= c.settings.AccountQueueLimit {
-		return c.full(t, "queue of the account is full")
+		return c.final(t, "queue of the account is full")
 	}
 	if err := c.lateRefusal(t); err != nil {
 		return err
@@ -106,17 +111,17 @@
 	}
 	last := c.last()
 	if !precedes(t, last, c.ledger.accounts) {
-		return c.full(t, "queue is full")
+		return c.final(t, "queue is full")
 	}
 	c.drop(last)
-	c.refuse(last, c.full(last, "queue is full"))
+	c.refuse(last, c.final(last, "queue is full"))
 	return nil
 }
 
 // lateRefusal refuses a ticket that can't be served before its deadline, by
 // the present estimate. A ticket within its share is never refused so.
 func (c *Core) lateRefusal(t *Ticket) *errs.Error {
-	wait := t.Deadline.Sub(t.Received)
+	wait := max(t.Patience, t.Deadline.Sub(t.Received))
 	if wait <= 0 || c.queue.size == 0 || c.ledger.accounts[t.Request.Account] < t.Share {
 		return nil
 	}
@@ -126,10 +131,11 @@
 	}
 	err := errs.New(errs.Full, "acquire grant", "", "estimated wait of %s exceeds the limit of %s", estimate.Round(time.Millisecond), wait)
 	err.RetryAfterMillis = max(1, (estimate - wait).Milliseconds())
+	err.Detail = detailFinal
 	return err
 }
 
-// estimate returns the likely wait of a ticket, 0 if nothing is known.
+// estimate returns the likely wait of a ticket, 0 without capacity.
 func (c *Core) estimate(t *Ticket) time.Duration {
 	capacity := 0
 	for _, r := range c.ledger.order {
@@ -140,7 +146,7 @@
 	if capacity == 0 {
 		return 0
 	}
-	return c.service * time.Duration(c.ahead(t)+1) / time.Duration(capacity)
+	return max(c.service, minService) * time.Duration(c.ahead(t)+1) / time.Duration(capacity)
 }
 
 // ahead returns about how many tickets go before t.
@@ -170,13 +176,20 @@
 // share waits for a slot to be given back, whatever the queue.
 func (c *Core) full(t *Ticket, reason string) *errs.Error {
 	err := errs.New(errs.Full, "acquire grant", "", "%s", reason)
-	err.RetryAfterMillis = 1
+	err.RetryAfterMillis = int64(1 + c.queue.length(t.Request.Account))
 	if c.ledger.accounts[t.Request.Account] >= t.Share {
 		err.RetryAfterMillis = max(1, c.estimate(t).Milliseconds())
 	}
 	return err
 }
 
+// final returns a refusal that waiting elsewhere would not change.
+func (c *Core) final(t *Ticket, reason string) *errs.Error {
+	err := c.full(t, reason)
+	err.Detail = detailFinal
+	return err
+}
+
 func (c *Core) refuse(t *Ticket, err *errs.Error) {
 	c.out = append(c.out, Decision{Ticket: t.ID, Err: err})
 }
--- a/internal/shard/limit.go
+++ b/internal/shard/limit.go
@@ -44,10 +44,12 @@
 	return l
 }
 
-// announce applies the announced state. A drop takes effect at once.
+// announce applies the announced state. A drop takes effect at once, and so
+// does the first statement of what the replica bears.
 func (l *limiter) announce(g *api.Group, defaultWarm int) {
 	cold := l.warm && !g.Warm
 	dropped := l.bearable > 0 && g.BearableLoad > 0 && g.BearableLoad < l.bearable
+	first := l.bearable == 0 && g.BearableLoad > 0
 	l.warm = g.Warm
 	l.bearable = g.BearableLoad
 	l.floor = max(1, g.BearableLoad)
@@ -60,6 +62,9 @@
 		l.value = l.floor
 		l.samples = 0
 	}
+	if first {
+		l.value = max(l.value, l.floor)
+	}
 	l.value = min(l.value, l.ceiling)
 }
 
--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -204,7 +204,13 @@
 func (m *Manager) submit(o *owned, r api.AcquireRequest) (*Ticket, chan Decision, error) {
 	now := m.cfg.Clock.Now()
 	wait := min(time.Duration(r.WaitMillis)*time.Millisecond, m.cfg.Settings.RequestTimeout)
-	t := &Ticket{Request: r, Received: now, Deadline: now.Add(wait)}
+	t := &Ticket{
+		Request:  r,
+		Received: now,
+		Since:    now.Add(-time.Duration(r.WaitedMillis) * time.Millisecond),
+		Deadline: now.Add(wait),
+		Patience: time.Duration(r.PatienceMillis) * time.Millisecond,
+	}
 	account := m.cfg.View.Snapshot().Account(r.Account)
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/shard/queue.go
+++ b/internal/shard/queue.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -13,8 +14,12 @@
 	Request api.AcquireRequest
 	// Received is when the owner received the request.
 	Received time.Time
-	// Deadline is when the request gives up.
+	// Since is when the request began to wait, in this queue or another.
+	Since time.Time
+	// Deadline is when the request leaves this queue.
 	Deadline time.Time
+	// Patience is how long the request may wait from now on in any queue.
+	Patience time.Duration
 	// Class orders accounts; a higher class goes first.
 	Class int
 	// Share is the account's bought part of this shard, in requests in
@@ -22,8 +27,8 @@
 	Share int
 }
 
-// queue holds the waiting tickets of one shard, in order of arrival for each
-// account.
+// queue holds the waiting tickets of one shard, the longest waiting first for
+// each account.
 type queue struct {
 	accounts map[api.AccountID]*accountQueue
 	// order lists the accounts with waiting tickets by first arrival.
@@ -50,9 +55,17 @@
 		a.tickets = append([]*Ticket{t}, a.tickets...)
 		return
 	}
-	a.tickets = append(a.tickets, t)
+	at := len(a.tickets)
+	for at > 0 && isOlder(t, a.tickets[at-1]) {
+		at--
+	}
+	a.tickets = slices.Insert(a.tickets, at, t)
 }
 
+// isOlder reports whether a waits for longer than b. A resumed request keeps
+// its place before the others.
+func isOlder(a, b *Ticket) bool { return !b.Request.Resumed && a.Since.Before(b.Since) }
+
 // length returns the number of waiting tickets of an account.
 func (q *queue) length(id api.AccountID) int {
 	if a := q.accounts[id]; a != nil {
@@ -119,6 +132,9 @@
 	if useA != useB {
 		return useA < useB
 	}
+	if !a.Since.Equal(b.Since) {
+		return a.Since.Before(b.Since)
+	}
 	return a.ID < b.ID
 }
 
