A dark failure domain cuts no stream

Cause: the loss of a whole domain under streams had not been tested. Change: a test that kills every host of a domain under 16 streams. Conclusion: streams go on in the other domains at their offset.

--- a/internal/e2e/request_test.go
+++ b/internal/e2e/request_test.go
@@ -198,3 +198,26 @@
 	}
 	c.requireBorne()
 }
+
+// TestDarkDomainCutsNoStream kills every host of a failure domain while two
+// entries stream.
+func TestDarkDomainCutsNoStream(t *testing.T) {
+	const tokens = 600
+	c := startCluster(t)
+	c.serve(6)
+	before := len(c.fleet.Runs())
+	waits := []func() ([]caller.Answer, []error){c.chats(c.processes[1], 8, tokens), c.chats(c.processes[3], 8, tokens)}
+	require.Eventually(t, func() bool { return len(c.fleet.Runs()) >= before+16 }, patience, poll)
+	for _, h := range c.fleet.InDomain(domains[0]) {
+		h.Kill()
+	}
+	for _, wait := range waits {
+		answers, failures := wait()
+		for i, a := range answers {
+			require.NoError(t, failures[i])
+			require.True(t, a.Whole(), "answer %d: %d tokens, outcome %q", i, len(a.Tokens), a.Outcome)
+			require.Len(t, a.Tokens, tokens)
+		}
+	}
+	c.awaitAnswer()
+}
