--- a/internal/shard/client.go
+++ b/internal/shard/client.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -15,12 +16,20 @@
 )
 
 const (
-	// callMargin is added to the wait of an acquire call for its transport.
+	// callMargin is added to the wait of an acquire call for its transport, and
+	// tryMargin to a call that does not wait.
 	callMargin = time.Second
-	// retryPause is the time before an acquire reads the view again.
-	retryPause = 20 * time.Millisecond
-	// pressureAge is how long a full shard is not tried without waiting.
-	pressureAge = 100 * time.Millisecond
+	tryMargin  = 300 * time.Millisecond
+	// waitSlice is the longest wait in one of several queues before the others
+	// are tried again.
+	waitSlice = 500 * time.Millisecond
+	// leasePeriod is the time between two looks at the lease of a shard in whose
+	// queue a request waits.
+	leasePeriod = 100 * time.Millisecond
+	// retryPause is the time before an acquire reads the view again; it doubles
+	// up to maxRetryPause.
+	retryPause    = 20 * time.Millisecond
+	maxRetryPause = 160 * time.Millisecond
 )
 
 // Client acquires grants for this entry, keeps them alive and gives them back.
@@ -34,13 +43,7 @@
 	renewing map[api.ShardID]bool
 	mu       sync.Mutex
 	holdings *Holdings
-	pressure map[api.ShardID]pressure
-}
-
-// pressure remembers a refusal of a full shard.
-type pressure struct {
-	until time.Time
-	wait  int64
+	pressure map[pressureKey]pressure
 }
 
 // Request is one wish for a grant.
@@ -60,6 +63,10 @@
 	Revocable bool
 	// Resumed is set for a request that has begun.
 	Resumed bool
+
+	// began is when the wait began, and left what remains of it.
+	began time.Time
+	left  time.Duration
 }
 
 // Result tells how the work of a grant ended.
@@ -81,7 +88,7 @@
 		logger:   logging.For(cfg.Logger, "grants"),
 		renewing: map[api.ShardID]bool{},
 		holdings: NewHoldings(),
-		pressure: map[api.ShardID]pressure{},
+		pressure: map[pressureKey]pressure{},
 	}
 }
 
@@ -89,23 +96,32 @@
 // with errs.Full when no slot became free within the wait, and with
 // errs.Unavailable when no replica may serve; both carry RetryAfterMillis.
 func (c *Client) Acquire(ctx context.Context, r Request) (api.Grant, error) {
-	deadline := c.cfg.Clock.Now().Add(r.Wait)
-	for {
+	r.began = c.cfg.Clock.Now()
+	deadline := r.began.Add(r.Wait)
+	for wait := retryPause; ; wait = min(2*wait, maxRetryPause) {
 		g, err := c.round(ctx, r, deadline)
 		if err == nil || !retryable(err) || ctx.Err() != nil {
 			return g, err
 		}
-		if !c.cfg.Clock.Now().Add(retryPause).Before(deadline) {
+		if !c.cfg.Clock.Now().Add(wait).Before(deadline) {
 			return api.Grant{}, err
 		}
-		if err := pause(ctx, retryPause); err != nil {
+		if errs.Is(err, errs.Full) {
+			wait = retryPause
+		}
+		if err := pause(ctx, wait); err != nil {
 			return api.Grant{}, errs.Wrap(err, "acquire grant", "")
 		}
 	}
 }
 
-// retryable reports whether a newer view may change the answer.
+// retryable reports whether a newer view or another queue may change the
+// answer.
 func retryable(err error) bool {
+	var e *errs.Error
+	if errors.As(err, &e) && e.Code == errs.Full {
+		return e.Detail != detailFinal
+	}
 	return errs.Is(err, errs.Stale) || errs.Is(err, errs.Unavailable) || errs.Is(err, errs.Timeout)
 }
 
@@ -133,13 +149,19 @@
 			return g, nil
 		}
 	}
-	wait := max(0, deadline.Sub(c.cfg.Clock.Now()))
-	return c.ask(ctx, r, c.leastPressure(leases), wait)
+	// The refusals just received tell where the account waits least.
+	c.sortByPressure(leases, r.Account)
+	r.left = max(0, deadline.Sub(c.cfg.Clock.Now()))
+	wait := r.left
+	if len(leases) > 1 {
+		wait = min(wait, waitSlice)
+	}
+	return c.ask(ctx, r, leases[0], wait)
 }
 
 func (c *Client) tryAll(ctx context.Context, r Request, leases []api.ShardLease) (api.Grant, bool) {
 	for _, lease := range leases {
-		if c.isPressed(lease.Shard) {
+		if c.isPressed(pressureKey{lease.Shard, r.Account}) {
 			continue
 		}
 		if g, err := c.ask(ctx, r, lease, 0); err == nil {
@@ -164,7 +186,7 @@
 		}
 		others = append(others, lease)
 	}
-	c.sortByPressure(others)
+	c.sortByPressure(others, r.Account)
 	return append(own, others...)
 }
 
@@ -193,23 +215,25 @@
 // ask sends one acquire call to the owner of a shard.
 func (c *Client) ask(ctx context.Context, r Request, lease api.ShardLease, wait time.Duration) (api.Grant, error) {
 	params := api.AcquireRequest{
-		Shard:        lease.Shard,
-		Epoch:        lease.Epoch,
-		Entry:        c.cfg.Self.ID,
-		Incarnation:  c.cfg.Self.Incarnation,
-		Request:      r.ID,
-		Account:      r.Account,
-		PrefixHashes: r.PrefixHashes,
-		WaitMillis:   wait.Milliseconds(),
-		Exclude:      r.Exclude,
-		Alone:        r.Alone,
-		Revocable:    r.Revocable,
-		Resumed:      r.Resumed,
+		Shard:          lease.Shard,
+		Epoch:          lease.Epoch,
+		Entry:          c.cfg.Self.ID,
+		Incarnation:    c.cfg.Self.Incarnation,
+		Request:        r.ID,
+		Account:        r.Account,
+		PrefixHashes:   r.PrefixHashes,
+		WaitMillis:     wait.Milliseconds(),
+		WaitedMillis:   c.cfg.Clock.Now().Sub(r.began).Milliseconds(),
+		PatienceMillis: r.left.Milliseconds(),
+		Exclude:        r.Exclude,
+		Alone:          r.Alone,
+		Revocable:      r.Revocable,
+		Resumed:        r.Resumed,
 	}
 	sent := c.cfg.Clock.Now()
 	res, err := c.callAcquire(ctx, lease, params, wait)
 	if err != nil {
-		c.notePressure(lease.Shard, err)
+		c.notePressure(pressureKey{lease.Shard, r.Account}, err)
 		return api.Grant{}, err
 	}
 	return c.hold(res.Grant, sent)
@@ -223,13 +247,47 @@
 	if err != nil {
 		return api.AcquireResponse{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+callMargin)
+	limit := tryMargin
+	if wait > 0 {
+		limit = wait + callMargin
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	if wait > 0 {
+		go c.endWithLease(ctx, cancel, lease)
+	}
 	var res api.AcquireResponse
 	err = c.cfg.Peers.Call(ctx, address, api.MethodAcquire, params, &res)
+	if err != nil && !c.isCurrent(lease) {
+		err = staleError(lease.Shard)
+	}
 	return res, err
 }
 
+// endWithLease ends a waiting call when the shard passes to another owner,
+// because the old one may never answer.
+func (c *Client) endWithLease(ctx context.Context, end context.CancelFunc, lease api.ShardLease) {
+	ticker := time.NewTicker(leasePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !c.isCurrent(lease) {
+			end()
+			return
+		}
+	}
+}
+
+// isCurrent reports whether the newest view still has the lease.
+func (c *Client) isCurrent(lease api.ShardLease) bool {
+	now := c.cfg.View.Snapshot().Shard(lease.Shard)
+	return now != nil && *now == lease
+}
+
 func (c *Client) isLocal(lease api.ShardLease) bool {
 	return lease.Owner == c.cfg.Self.ID
 }
@@ -248,7 +306,7 @@
 	c.mu.Lock()
 	ok := c.holdings.Add(c.cfg.Clock.Now(), sent, g)
 	if ok {
-		delete(c.pressure, g.Shard)
+		delete(c.pressure, pressureKey{g.Shard, g.Account})
 	}
 	c.mu.Unlock()
 	if !ok {
--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -11,6 +11,11 @@
 const (
 	// serviceWeight is the weight of a new sample in the mean service time.
 	serviceWeight = 0.1
+	// minService is the least service time in estimates, so that a longer queue
+	// always means a longer wait.
+	minService = 50 * time.Millisecond
+	// detailFinal marks refusals that waiting elsewhere would not change.
+	detailFinal = "final"
 )
 
 // World is what the rules of one shard read of a view.
@@ -38,9 +43,13 @@
 	queue    *queue
 	chooser  *chooser
 	handover handover
-	drained  bool
-	rand     *rand.Rand
-	grants   uint64
+	// processes holds the newest incarnation of each entry that reported.
+	processes map[api.EntryID]api.Incarnation
+	// certain is set once the end of the handover was applied.
+	certain bool
+	drained bool
+	rand    *rand.Rand
+	grants  uint64
 	// service is the mean time from grant to settlement, 0 if unknown.
 	service   time.Duration
 	evaluated time.Time
@@ -54,14 +63,15 @@
 func NewCore(id api.ShardID, t term, s Settings, w World, now time.Time) *Core {
 	s = s.withDefaults()
 	c := &Core{
-		id:       id,
-		term:     t,
-		settings: s,
-		ledger:   newLedger(s),
-		queue:    newQueue(),
-		chooser:  newChooser(),
-		handover: newHandover(w.Entries, now.Add(s.handoverHold())),
-		rand:     rand.New(rand.NewPCG(uint64(t.epoch), uint64(t.incarnation))),
+		id:        id,
+		term:      t,
+		settings:  s,
+		ledger:    newLedger(s),
+		queue:     newQueue(),
+		chooser:   newChooser(),
+		handover:  newHandover(w.Entries, now.Add(s.handoverHold())),
+		processes: map[api.EntryID]api.Incarnation{},
+		rand:      rand.New(rand.NewPCG(uint64(t.epoch), uint64(t.incarnation))),
 	}
 	c.drained = w.Drained
 	c.ledger.update(w.Groups, true)
@@ -91,7 +101,7 @@
 		return nil
 	}
 	if c.queue.length(t.Request.Account) >= c.settings.AccountQueueLimit {
-		return c.full(t, "queue of the account is full")
+		return c.final(t, "queue of the account is full")
 	}
 	if err := c.lateRefusal(t); err != nil {
 		return err
@@ -101,17 +111,17 @@
 	}
 	last := c.last()
 	if !precedes(t, last, c.ledger.accounts) {
-		return c.full(t, "queue is full")
+		return c.final(t, "queue is full")
 	}
 	c.drop(last)
-	c.refuse(last, c.full(last, "queue is full"))
+	c.refuse(last, c.final(last, "queue is full"))
 	return nil
 }
 
 // lateRefusal refuses a ticket that can't be served before its deadline, by
 // the present estimate. A ticket within its share is never refused so.
 func (c *Core) lateRefusal(t *Ticket) *errs.Error {
-	wait := t.Deadline.Sub(t.Received)
+	wait := max(t.Patience, t.Deadline.Sub(t.Received))
 	if wait <= 0 || c.queue.size == 0 || c.ledger.accounts[t.Request.Account] < t.Share {
 		return nil
 	}
@@ -121,10 +131,11 @@
 	}
 	err := errs.New(errs.Full, "acquire grant", "", "estimated wait of %s exceeds the limit of %s", estimate.Round(time.Millisecond), wait)
 	err.RetryAfterMillis = max(1, (estimate - wait).Milliseconds())
+	err.Detail = detailFinal
 	return err
 }
 
-// estimate returns the likely wait of a ticket, 0 if nothing is known.
+// estimate returns the likely wait of a ticket, 0 without capacity.
 func (c *Core) estimate(t *Ticket) time.Duration {
 	capacity := 0
 	for _, r := range c.ledger.order {
@@ -135,7 +146,7 @@
 	if capacity == 0 {
 		return 0
 	}
-	return c.service * time.Duration(c.ahead(t)+1) / time.Duration(capacity)
+	return max(c.service, minService) * time.Duration(c.ahead(t)+1) / time.Duration(capacity)
 }
 
 // ahead returns about how many tickets go before t.
@@ -161,10 +172,21 @@
 	return last
 }
 
-// full returns the refusal of a ticket that found no slot.
+// full returns the refusal of a ticket that found no slot. An account within its
+// share waits for a slot to be given back, whatever the queue.
 func (c *Core) full(t *Ticket, reason string) *errs.Error {
 	err := errs.New(errs.Full, "acquire grant", "", "%s", reason)
-	err.RetryAfterMillis = max(1, c.estimate(t).Milliseconds())
+	err.RetryAfterMillis = int64(1 + c.queue.length(t.Request.Account))
+	if c.ledger.accounts[t.Request.Account] >= t.Share {
+		err.RetryAfterMillis = max(1, c.estimate(t).Milliseconds())
+	}
+	return err
+}
+
+// final returns a refusal that waiting elsewhere would not change.
+func (c *Core) final(t *Ticket, reason string) *errs.Error {
+	err := c.full(t, reason)
+	err.Detail = detailFinal
 	return err
 }
 
@@ -235,10 +257,11 @@
 // during a handover also tells this owner which grants of earlier epochs to
 // count. It returns the ids that this owner does not count.
 func (c *Core) Report(now time.Time, r api.ReportRequest) []string {
+	c.noteProcess(now, r.Entry, r.Incarnation)
 	var refused []string
 	adopt := !c.handover.ended(now)
 	for _, g := range r.Grants {
-		if !c.renew(now, g, r.Entry, adopt) {
+		if !c.renew(now, g, r, adopt) {
 			refused = append(refused, g.ID)
 		}
 	}
@@ -246,8 +269,21 @@
 	return refused
 }
 
+// noteProcess ends the grants of an entry's former process once a later one
+// shows itself.
+func (c *Core) noteProcess(now time.Time, id api.EntryID, incarnation api.Incarnation) {
+	known := c.processes[id]
+	if incarnation <= known {
+		return
+	}
+	c.processes[id] = incarnation
+	if known > 0 {
+		c.ledger.lapseOlder(now, id, incarnation)
+	}
+}
+
 // renew extends a known grant, or counts one of an earlier epoch.
-func (c *Core) renew(now time.Time, g api.Grant, entry api.EntryID, adopt bool) bool {
+func (c *Core) renew(now time.Time, g api.Grant, from api.ReportRequest, adopt bool) bool {
 	expires := now.Add(c.settings.GrantLifetime)
 	if h, ok := c.ledger.holds[g.ID]; ok {
 		if h.lapsed || now.After(h.expires) {
@@ -262,12 +298,13 @@
 		return false
 	}
 	c.ledger.add(&hold{
-		grant:   g,
-		entry:   entry,
-		replica: r,
-		granted: now,
-		expires: expires,
-		stopBy:  now.Add(c.settings.RequestTimeout),
+		grant:       g,
+		entry:       from.Entry,
+		incarnation: from.Incarnation,
+		replica:     r,
+		granted:     now,
+		expires:     expires,
+		stopBy:      now.Add(c.settings.RequestTimeout),
 	})
 	return true
 }
@@ -298,9 +335,10 @@
 }
 
 func (c *Core) endHandover(now time.Time) {
-	if !c.handover.ended(now) {
+	if c.certain || !c.handover.ended(now) {
 		return
 	}
+	c.certain = true
 	clear(c.ledger.settled)
 	for _, r := range c.ledger.order {
 		r.uncertain = false
@@ -350,14 +388,3 @@
 	}
 	return false
 }
-
-// NextDeadline returns the earliest deadline of a waiting ticket, or zero.
-func (c *Core) NextDeadline() time.Time {
-	var next time.Time
-	c.queue.each(func(t *Ticket) {
-		if next.IsZero() || t.Deadline.Before(next) {
-			next = t.Deadline
-		}
-	})
-	return next
-}
--- a/internal/shard/pressure.go
+++ b/internal/shard/pressure.go
@@ -1,49 +1,80 @@
 package shard
 
 import (
+	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
 )
 
-// notePressure remembers that a shard was full.
-func (c *Client) notePressure(id api.ShardID, err error) {
+const (
+	// pressureAge is how long a full shard is not tried again without waiting.
+	pressureAge = 100 * time.Millisecond
+	// silenceAge is how long a shard whose owner did not answer is tried last.
+	silenceAge = 500 * time.Millisecond
+	// silenceWait ranks such a shard behind those that are full, in milliseconds.
+	silenceWait = 1 << 40
+)
+
+// pressureKey tells accounts apart, because a shard that is full for one may
+// still owe another its share.
+type pressureKey struct {
+	shard   api.ShardID
+	account api.AccountID
+}
+
+// pressure remembers a refusal of a full shard.
+type pressure struct {
+	until time.Time
+	// wait is the wait that the owner expected, in milliseconds.
+	wait int64
+}
+
+// anyAccount is the account of a pressure that holds for all.
+const anyAccount api.AccountID = ""
+
+// notePressure remembers that a shard was full for an account, or that its
+// owner did not answer.
+func (c *Client) notePressure(key pressureKey, err error) {
 	var e *errs.Error
-	if !errors.As(err, &e) || e.Code != errs.Full {
+	if !errors.As(err, &e) {
 		return
 	}
+	now := c.cfg.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pressure[id] = pressure{until: c.cfg.Clock.Now().Add(pressureAge), wait: e.RetryAfterMillis}
-}
-
-// isPressed reports whether the shard was full a moment ago.
-func (c *Client) isPressed(id api.ShardID) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.cfg.Clock.Now().Before(c.pressure[id].until)
+	switch e.Code {
+	case errs.Full:
+		c.pressure[key] = pressure{until: now.Add(pressureAge), wait: e.RetryAfterMillis}
+	case errs.Timeout, errs.Unavailable:
+		c.pressure[pressureKey{key.shard, anyAccount}] = pressure{until: now.Add(silenceAge), wait: silenceWait}
+	}
 }
 
-// sortByPressure orders shards by the wait that they last asked for.
-func (c *Client) sortByPressure(leases []api.ShardLease) {
+// isPressed reports whether the shard was full for the account, or silent, a
+// moment ago.
+func (c *Client) isPressed(key pressureKey) bool {
+	now := c.cfg.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	slices.SortStableFunc(leases, func(a, b api.ShardLease) int {
-		return int(c.pressure[a.Shard].wait - c.pressure[b.Shard].wait)
-	})
+	return now.Before(c.pressure[key].until) || now.Before(c.pressure[pressureKey{key.shard, anyAccount}].until)
 }
 
-// leastPressure returns the shard with the shortest last wait.
-func (c *Client) leastPressure(leases []api.ShardLease) api.ShardLease {
+// sortByPressure orders shards by the wait that they last asked for, and those
+// of silent owners last.
+func (c *Client) sortByPressure(leases []api.ShardLease, account api.AccountID) {
+	now := c.cfg.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	best := leases[0]
-	for _, lease := range leases[1:] {
-		if c.pressure[lease.Shard].wait < c.pressure[best.Shard].wait {
-			best = lease
+	wait := func(lease api.ShardLease) int64 {
+		if p := c.pressure[pressureKey{lease.Shard, anyAccount}]; now.Before(p.until) {
+			return p.wait
 		}
+		return c.pressure[pressureKey{lease.Shard, account}].wait
 	}
-	return best
+	slices.SortStableFunc(leases, func(a, b api.ShardLease) int { return cmp.Compare(wait(a), wait(b)) })
 }
