Consensus: bounded batches, message checks, stop on a broken disk

Cause: a batch could exceed the frame of the peer links; a panic on a contradicting entry would have taken the entry role of the same process with it; a call after the end of the server could be queued and reported as unknown; a split election waited for a whole election timeout. Ruled out: timing the replacement of a leader on servers with real files; the logical clock outruns their syncs (3.15 s seen once). The same bound is checked on the cores. Conclusion: a failing sync stops the voter with the file's name; another one leads.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -102,17 +102,26 @@
 	nodes     map[api.VoterID]*node
 	members   consensus.Membership
 	snapshots uint64
+	// disks overrides the file system of a member.
+	disks map[api.VoterID]storage.FS
 	// disturbances counts cuts, heals and restarts.
 	disturbances int
 }
 
 func newCluster(t testing.TB, size int) *cluster {
+	return newClusterOn(t, size, nil)
+}
+
+// newClusterOn starts a cluster some of whose members have their own file
+// system.
+func newClusterOn(t testing.TB, size int, disks map[api.VoterID]storage.FS) *cluster {
 	c := &cluster{
 		t:         t,
 		clock:     clock.NewManual(time.Unix(0, 0)),
 		net:       &network{servers: map[api.VoterID]*consensus.Server{}, cut: map[api.VoterID]bool{}},
 		nodes:     map[api.VoterID]*node{},
 		snapshots: 50,
+		disks:     disks,
 	}
 	for i := range size {
 		id := api.VoterID(fmt.Sprintf("v%d", i+1))
@@ -131,8 +140,17 @@
 	return c
 }
 
+func (c *cluster) disk(id api.VoterID) storage.FS {
+	if disk, ok := c.disks[id]; ok {
+		return disk
+	}
+	return storage.OS{}
+}
+
 func (c *cluster) start(id api.VoterID, dir string, bootstrap bool) *node {
-	store, err := storage.Open(dir, storage.Options{Voter: id, Bootstrap: bootstrap, SegmentBytes: 4096})
+	store, err := storage.Open(dir, storage.Options{
+		Voter: id, Bootstrap: bootstrap, SegmentBytes: 4096, FS: c.disk(id),
+	})
 	require.NoError(c.t, err)
 	n := &node{id: id, dir: dir, store: store, sm: &register{}, ticks: make(chan time.Time)}
 	cfg := consensus.ServerConfig{
--- a/internal/consensus/codec.go
+++ b/internal/consensus/codec.go
@@ -16,8 +16,9 @@
 
 // Bounds of an encoded batch.
 const (
-	// MaxPayloadBytes bounds one encoded batch.
-	MaxPayloadBytes = 8 << 20
+	// MaxPayloadBytes bounds one encoded batch. In base64 it fits into a frame of
+	// the peer links.
+	MaxPayloadBytes = 2 << 20
 	// MaxBatchMessages bounds the messages of one batch.
 	MaxBatchMessages = 4096
 	// maxNameBytes bounds identifiers and addresses.
@@ -74,6 +75,22 @@
 	return msgs, nil
 }
 
+// messageOverhead is the encoded size of a message without entries and chunk,
+// in bytes.
+const messageOverhead = 128
+
+// size estimates the encoded size in bytes.
+func (m *Message) size() int {
+	size := messageOverhead
+	for i := range m.Entries {
+		size += len(m.Entries[i].Data) + entryOverhead
+	}
+	if m.Chunk != nil {
+		size += len(m.Chunk.Snapshot.Data)
+	}
+	return size
+}
+
 // check refuses what no correct member sends.
 func (m *Message) check() error {
 	const step = "check message"
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -31,9 +31,9 @@
 
 // Default limits of a Core.
 const (
-	defaultMaxAppendBytes  = 256 << 10
+	defaultMaxAppendBytes  = 128 << 10
 	defaultMaxInflight     = 64
-	defaultChunkBytes      = 256 << 10
+	defaultChunkBytes      = 128 << 10
 	defaultTrailingEntries = 1024
 )
 
@@ -99,6 +99,10 @@
 	// termStart is the index of the no-op entry of this leader.
 	termStart uint64
 
+	// fault is a contradiction that only a broken member can cause. It stops
+	// the core.
+	fault error
+
 	saved     HardState
 	messages  []Message
 	responses []Message
@@ -141,9 +145,15 @@
 	return c
 }
 
+// Err returns the contradiction that stopped the core, or nil.
+func (c *Core) Err() error { return c.fault }
+
 // Tick moves the clock and runs what is due.
 func (c *Core) Tick(now time.Duration) {
 	c.setNow(now)
+	if c.fault != nil {
+		return
+	}
 	if c.role == leader {
 		c.tickLeader()
 		return
@@ -156,7 +166,7 @@
 // Step processes one message of another member.
 func (c *Core) Step(now time.Duration, m Message) {
 	c.setNow(now)
-	if m.To != c.cfg.ID || m.From == c.cfg.ID {
+	if c.fault != nil || m.To != c.cfg.ID || m.From == c.cfg.ID {
 		return
 	}
 	if !c.stepTerm(m) {
@@ -284,6 +294,9 @@
 
 // HasReady reports whether Ready would return anything.
 func (c *Core) HasReady() bool {
+	if c.fault != nil {
+		return false
+	}
 	c.flush()
 	return len(c.messages)+len(c.responses)+len(c.reads) > 0 ||
 		c.install != nil || c.mustSync() || c.log.applied < c.log.committed
@@ -329,6 +342,15 @@
 	}
 }
 
+// uncommitted returns the number of entries that a leader has appended ahead
+// of a quorum.
+func (c *Core) uncommitted() uint64 {
+	if c.role != leader {
+		return 0
+	}
+	return c.log.last() - c.log.committed
+}
+
 // Applied returns the index handed out for application.
 func (c *Core) Applied() uint64 { return c.log.applied }
 
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -11,6 +11,12 @@
 	c.deadline = c.now + c.randomTimeout(c.cfg.ElectionMin, c.cfg.ElectionMax)
 }
 
+// resetRetryTimer draws the time after which a split election is repeated. It
+// may be shorter than ElectionMin, because it promises nothing to a leader.
+func (c *Core) resetRetryTimer() {
+	c.deadline = c.now + c.randomTimeout(c.cfg.ElectionMin/4, c.cfg.ElectionMin)
+}
+
 func (c *Core) randomTimeout(low, high time.Duration) time.Duration {
 	return low + time.Duration(c.rand.Int64N(int64(high-low)+1))
 }
@@ -29,8 +35,7 @@
 	}
 	c.role = preCandidate
 	c.leader = ""
-	// A failed pre-vote is retried sooner than a failed election.
-	c.deadline = c.now + c.randomTimeout(c.cfg.ElectionMin/2, c.cfg.ElectionMin)
+	c.resetRetryTimer()
 	c.requestVotes(MsgPreVote, c.term+1)
 }
 
@@ -46,7 +51,7 @@
 	c.role = candidate
 	c.term++
 	c.vote = c.cfg.ID
-	c.resetElectionTimer()
+	c.resetRetryTimer()
 	c.requestVotes(MsgVote, c.term)
 }
 
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -110,7 +110,8 @@
 		}
 		m, err := decodeMembership(e.Data)
 		if err != nil {
-			panic("consensus: malformed membership entry: " + err.Error())
+			c.fault = errs.Wrap(err, "read membership entry", "")
+			return
 		}
 		c.configs = append(c.configs, configAt{e.Index, m})
 	}
--- a/internal/consensus/proposal.go
+++ b/internal/consensus/proposal.go
@@ -34,6 +34,9 @@
 		return nil, errs.New(errs.Invalid, stepPropose, "", "%d bytes exceed %d", len(command), s.cfg.MaxCommandBytes)
 	}
 	return s.propose(ctx, stepPropose, func() (uint64, uint64, error) {
+		if s.core.uncommitted() >= maxUncommitted {
+			return 0, 0, errs.New(errs.Full, stepPropose, "", "%d entries wait for a quorum", maxUncommitted)
+		}
 		index, term, ok := s.core.Propose(command)
 		if !ok {
 			return 0, 0, s.notLeader(stepPropose)
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -1,9 +1,8 @@
 package consensus
 
 import (
-	"fmt"
-
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
 )
 
 type progressState uint8
@@ -118,29 +117,35 @@
 		c.respond(Message{Kind: MsgAppendResponse, To: m.From, Reject: true, Index: m.Index, Hint: hint})
 		return
 	}
-	c.appendReceived(m.Entries)
+	if !c.appendReceived(m) {
+		return
+	}
 	last := m.Index + uint64(len(m.Entries))
 	c.log.commitTo(min(m.Commit, last))
 	c.respond(Message{Kind: MsgAppendResponse, To: m.From, Index: last})
 }
 
-// appendReceived appends entries, replacing a suffix that conflicts.
-func (c *Core) appendReceived(entries []Entry) {
-	for i, e := range entries {
+// appendReceived appends entries, replacing a suffix that conflicts. It returns
+// false, and the core stops, when a committed entry would be replaced.
+func (c *Core) appendReceived(m Message) bool {
+	for i, e := range m.Entries {
 		if c.log.matches(e.Index, e.Term) {
 			continue
 		}
 		if e.Index <= c.log.committed {
-			panic(fmt.Sprintf("consensus: entry %d conflicts with a committed entry", e.Index))
+			c.fault = errs.New(errs.Internal, "append entries", string(m.From),
+				"entry %d of term %d conflicts with a committed entry", e.Index, e.Term)
+			return false
 		}
 		if e.Index <= c.log.last() {
 			c.log.truncate(e.Index)
 			c.truncateConfigs(e.Index)
 		}
-		c.log.append(entries[i:]...)
-		c.recordConfigs(entries[i:])
-		return
+		c.log.append(m.Entries[i:]...)
+		c.recordConfigs(m.Entries[i:])
+		return true
 	}
+	return true
 }
 
 // handleResponse processes the answers of members to the leader.
--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -1,7 +1,9 @@
 package consensus
 
 import (
+	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -114,3 +116,38 @@
 	require.Nil(t, n.core.install)
 	require.Equal(t, last-2, n.core.log.committed)
 }
+
+// TestLostLeaderIsReplacedInTime bounds the time without a leader by the 3 s of
+// a work lease, at every phase of the heartbeat and with clocks that drift.
+func TestLostLeaderIsReplacedInTime(t *testing.T) {
+	const bound = 3 * time.Second
+	var longest time.Duration
+	for seed := range uint64(500) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		s := newSim(faultNone, 3, r.IntN)
+		for _, n := range s.nodes {
+			n.seed += seed * 1000
+			s.start(n)
+		}
+		require.NoError(t, s.run(200+r.IntN(10)))
+		require.Len(t, s.leaders(), 1)
+		s.leaders()[0].up = false
+		start := s.now
+		for s.leased() == nil {
+			require.NoError(t, s.run(1))
+			require.Less(t, s.now-start, bound, "seed %d", seed)
+		}
+		longest = max(longest, s.now-start)
+	}
+	t.Log("longest time without a leader:", longest)
+}
+
+// leased returns the member that holds a leader lease.
+func (s *sim) leased() *simNode {
+	for _, n := range s.leaders() {
+		if n.core.HasLease(s.local(n)) {
+			return n
+		}
+	}
+	return nil
+}
--- a/internal/consensus/server.go
+++ b/internal/consensus/server.go
@@ -66,8 +66,15 @@
 	heartbeatTicks   = 2
 	electionMinTicks = 12
 	electionMaxTicks = 24
-	// queueLength bounds each queue of the server.
+	// queueLength bounds the calls that wait for the run goroutine.
 	queueLength = 4096
+	// inboxLength bounds the received batches that wait.
+	inboxLength = 256
+	// batchBytes is the size at which a batch of messages is sent; a single
+	// larger message travels alone.
+	batchBytes = 256 << 10
+	// maxUncommitted bounds the entries that a leader appends ahead of a quorum.
+	maxUncommitted = 8192
 	// maxBatch bounds the events taken before one sync.
 	maxBatch = 1024
 )
@@ -138,7 +145,7 @@
 		cfg:       cfg,
 		origin:    cfg.Clock.Now(),
 		logger:    logging.For(cfg.Logger, "consensus"),
-		inbox:     make(chan []Message, queueLength),
+		inbox:     make(chan []Message, inboxLength),
 		queue:     make(chan func(), queueLength),
 		stop:      make(chan struct{}),
 		done:      make(chan struct{}),
@@ -151,6 +158,9 @@
 		return nil, err
 	}
 	s.core = NewCore(cfg.Core, state, s.now())
+	if err := s.core.Err(); err != nil {
+		return nil, err
+	}
 	s.publish()
 	return s, nil
 }
@@ -289,6 +299,10 @@
 			return
 		}
 	}
+	if err := s.core.Err(); err != nil {
+		s.fail(err)
+		return
+	}
 	s.publish()
 }
 
@@ -304,7 +318,7 @@
 	return errs.Wrap(s.cfg.Store.Save(rd.HardState, rd.Entries), "sync log", "")
 }
 
-// send groups messages by receiver.
+// send groups messages by receiver into batches of bounded size.
 func (s *Server) send(msgs []Message) {
 	groups := map[api.VoterID][]Message{}
 	for _, m := range msgs {
@@ -312,8 +326,25 @@
 		groups[m.To] = append(groups[m.To], m)
 	}
 	for id, group := range groups {
-		s.cfg.Transport.Send(s.route(id), group)
+		to := s.route(id)
+		for len(group) > 0 {
+			n := batchLength(group)
+			s.cfg.Transport.Send(to, group[:n:n])
+			group = group[n:]
+		}
+	}
+}
+
+// batchLength returns how many leading messages fit into one batch.
+func batchLength(msgs []Message) int {
+	size := 0
+	for i := range msgs {
+		size += msgs[i].size()
+		if i > 0 && (size > batchBytes || i == MaxBatchMessages) {
+			return i
+		}
 	}
+	return len(msgs)
 }
 
 // route returns where to reach a member. A leader that is not yet in our
@@ -329,13 +360,13 @@
 	return member
 }
 
-// fail stops the server after a failure of its store.
+// fail stops the server after a failure of its store or its core.
 func (s *Server) fail(err error) {
 	s.mu.Lock()
 	s.err = err
 	s.status.leased = false
 	s.mu.Unlock()
-	level.Error(s.logger).Log("msg", "Store failed, voter stops.", "err", err)
+	level.Error(s.logger).Log("msg", "Voter stops.", "err", err)
 }
 
 // publish copies what other goroutines read of the core.
@@ -410,10 +441,13 @@
 // submit queues f for the run goroutine.
 func (s *Server) submit(ctx context.Context, step string, f func()) error {
 	select {
-	case s.queue <- f:
-		return nil
 	case <-s.done:
 		return s.stopped(step)
+	default:
+	}
+	select {
+	case s.queue <- f:
+		return nil
 	case <-ctx.Done():
 		return errs.New(errs.Unavailable, step, "", "not sent: %w", ctx.Err())
 	default:
--- a/internal/consensus/server_test.go
+++ b/internal/consensus/server_test.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/consensus"
 	"github.com/crocusway/crocusway/internal/control"
 	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/storage"
 )
 
 var _ control.Log = (*consensus.Server)(nil)
@@ -138,3 +142,51 @@
 		require.True(t, errs.Is(err, errs.NotLeader), "%v", err)
 	}
 }
+
+// failingDisk fails every sync once it is broken.
+type failingDisk struct {
+	storage.OS
+	broken atomic.Bool
+}
+
+type failingFile struct {
+	storage.File
+	disk *failingDisk
+}
+
+func (d *failingDisk) Create(name string) (storage.File, error) {
+	f, err := d.OS.Create(name)
+	return failingFile{f, d}, err
+}
+
+func (f failingFile) Sync() error {
+	if f.disk.broken.Load() {
+		return syscall.EIO
+	}
+	return f.File.Sync()
+}
+
+func TestServerStopsWhenItsDiskFails(t *testing.T) {
+	disks := map[api.VoterID]storage.FS{}
+	broken := map[api.VoterID]*failingDisk{}
+	for i := range 3 {
+		id := api.VoterID(fmt.Sprintf("v%d", i+1))
+		broken[id] = &failingDisk{}
+		disks[id] = broken[id]
+	}
+	c := newClusterOn(t, 3, disks)
+	c.propose("c0")
+	bad := c.leader()
+	broken[bad.id].broken.Store(true)
+	_, err := bad.server.Propose(context.Background(), []byte("doubtful"))
+	require.True(t, errs.Is(err, errs.Timeout), "%v", err)
+	<-bad.server.Done()
+	require.ErrorIs(t, bad.server.Err(), syscall.EIO)
+	require.ErrorContains(t, bad.server.Err(), bad.dir)
+	require.False(t, bad.server.Status().Leading)
+	_, err = bad.server.Propose(context.Background(), []byte("late"))
+	require.True(t, errs.Is(err, errs.Unavailable), "%v", err)
+	require.Error(t, bad.server.ReadBarrier(context.Background()))
+	c.until("another leader", func() bool { return c.leader().id != bad.id })
+	c.propose("c1")
+}
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -171,6 +171,9 @@
 			return err
 		}
 	}
+	if err := n.core.Err(); err != nil {
+		return fmt.Errorf("committed entry lost: %w", err)
+	}
 	return s.oracle.observe(s)
 }
 
