Consensus: a bootstrap into an existing cluster is refused

Cause: the bootstrap option stays in the settings after the first start. A voter that then lost its disk came back under its old incarnation and voted on old promises. Ruled out: relying on operators to remove the option; a timestamp in the option. Change: a bootstrapped, empty member takes part only after every other member has answered this process that it is empty. One that hears of a term renews its incarnation and rejoins as a learner. The first start needs all voters up once.

--- a/internal/consensus/codec.go
+++ b/internal/consensus/codec.go
@@ -101,7 +101,7 @@
 		return errs.New(errs.Invalid, step, "", "bad sender or receiver")
 	case len(m.Address) > maxNameBytes:
 		return errs.New(errs.Invalid, step, string(m.From), "address of %d bytes", len(m.Address))
-	case m.Term == 0 && !m.Reject:
+	case m.Term == 0 && !m.Reject && m.Kind != MsgHello && m.Kind != MsgHelloResponse:
 		return errs.New(errs.Invalid, step, string(m.From), "no term")
 	case len(m.Entries) > 0 && m.Kind != MsgAppend:
 		return errs.New(errs.Invalid, step, string(m.From), "entries in a message of kind %d", m.Kind)
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -27,6 +27,8 @@
 	TrailingEntries uint64
 	// Seed seeds the election timeouts.
 	Seed uint64
+	// Nonce differs between any two processes of one member.
+	Nonce uint64
 }
 
 // Default limits of a Core.
@@ -90,6 +92,9 @@
 	// forced is set while a candidate acts for a leader that gave up.
 	forced bool
 
+	// admission is set while a bootstrapped member may not yet take part.
+	admission *admission
+
 	configs  []configAt
 	snapshot Snapshot
 	incoming *incomingSnapshot
@@ -140,6 +145,7 @@
 		saved:    state.HardState,
 		rejoin:   map[api.VoterID]Member{},
 	}
+	c.admission = newAdmission(cfg, state)
 	c.mayCommit = func(term uint64) bool { return term == c.term }
 	c.leaseFrom = func(sent, _ time.Duration) time.Duration { return sent }
 	c.loadConfigs(state)
@@ -156,7 +162,11 @@
 	if c.fault != nil {
 		return
 	}
-	if c.role == leader {
+	switch {
+	case c.admission != nil:
+		c.tickAdmission()
+		return
+	case c.role == leader:
 		c.tickLeader()
 		return
 	}
@@ -171,7 +181,14 @@
 	if c.fault != nil || m.To != c.cfg.ID || m.From == c.cfg.ID {
 		return
 	}
-	if !c.stepTerm(m) {
+	switch {
+	case m.Kind == MsgHello:
+		c.handleHello(m)
+		return
+	case m.Kind == MsgHelloResponse:
+		c.handleHelloResponse(m)
+		return
+	case c.admission != nil || !c.stepTerm(m):
 		return
 	}
 	switch m.Kind {
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -58,7 +58,7 @@
 		}
 	}
 	for _, what := range []string{
-		"elected", "acknowledged", "read served", "read failed", "disk lost", "snapshot installed", "transfer",
+		"elected", "acknowledged", "read served", "read failed", "disk lost", "snapshot installed", "transfer", "bootstrap refused",
 		"2 voters of 3 members", "3 voters of 4 members", "5 voters of 5 members",
 	} {
 		require.Positive(t, total[what], "%s: %v", what, total)
--- a/internal/consensus/server.go
+++ b/internal/consensus/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,7 +26,9 @@
 	Address string
 	// Bootstrap are the members of a first start, all of BootstrapIncarnation.
 	// It is used only when the Store is empty and must be the same on each
-	// member. A member that starts empty without it waits for a leader.
+	// member. The first start needs all of them once: until each has answered
+	// that it is empty, none votes. A member that starts empty without it waits
+	// for a leader.
 	Bootstrap Membership
 	// Store persists the state.
 	Store Store
@@ -93,6 +96,7 @@
 	c.Core.ID = c.ID
 	c.Core.Incarnation = c.Incarnation
 	c.Core.Seed = c.Seed
+	c.Core.Nonce = rand.Uint64()
 	c.Core.Heartbeat = heartbeatTicks * c.TickInterval
 	c.Core.ElectionMin = electionMinTicks * c.TickInterval
 	c.Core.ElectionMax = electionMaxTicks * c.TickInterval
@@ -299,6 +303,9 @@
 			return
 		}
 	}
+	if s.core.Obsolete() {
+		s.renew()
+	}
 	if err := s.core.Err(); err != nil {
 		s.fail(err)
 		return
@@ -306,6 +313,20 @@
 	s.publish()
 }
 
+// renew gives up a bootstrap into a cluster that already existed. The member
+// waits for the leader under a new incarnation.
+func (s *Server) renew() {
+	incarnation, err := s.cfg.Store.Renew()
+	if err != nil {
+		s.fail(errs.Wrap(err, "renew incarnation", ""))
+		return
+	}
+	level.Warn(s.logger).Log("msg", "Cluster already exists, voter rejoins as learner.", "incarnation", incarnation)
+	s.cfg.Core.Incarnation = incarnation
+	state := State{Snapshot: Snapshot{Membership: s.core.Membership()}}
+	s.core = NewCore(s.cfg.Core, state, s.now())
+}
+
 func (s *Server) persist(rd Ready) error {
 	if rd.Snapshot != nil {
 		if err := s.install(*rd.Snapshot); err != nil {
--- a/internal/consensus/server_test.go
+++ b/internal/consensus/server_test.go
@@ -78,21 +78,28 @@
 }
 
 func TestServerLostDiskRejoins(t *testing.T) {
-	c := newCluster(t, 3)
-	want := c.proposeMany(0, 120)
-	lost := c.leader().id
-	c.stop(lost)
-	n := c.start(lost, t.TempDir(), false)
-	incarnation := n.store.Identity().Incarnation
-	c.until("the member votes again", func() bool {
-		for _, m := range c.leader().server.Membership().Members {
-			if m.ID == lost && !m.Learner && m.Incarnation == incarnation {
-				return true
-			}
-		}
-		return false
-	})
-	c.converged(want)
+	for name, bootstrap := range map[string]bool{"plain": false, "bootstrap option left on": true} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 3)
+			want := c.proposeMany(0, 120)
+			lost := c.leader().id
+			c.stop(lost)
+			n := c.start(lost, t.TempDir(), bootstrap)
+			c.until("the member votes again", func() bool {
+				incarnation := n.store.Identity().Incarnation
+				for _, m := range c.leader().server.Membership().Members {
+					if m.ID == lost && !m.Learner && m.Incarnation == incarnation {
+						return incarnation > consensus.BootstrapIncarnation
+					}
+				}
+				return false
+			})
+			c.converged(want)
+			c.restart(lost)
+			c.propose("last")
+			c.converged(append(want, "last"))
+		})
+	}
 }
 
 func TestServerAddsAndRemovesMembers(t *testing.T) {
--- a/internal/consensus/sim_actions_test.go
+++ b/internal/consensus/sim_actions_test.go
@@ -178,10 +178,16 @@
 func (s *sim) loseDisk(n *simNode) error {
 	s.oracle.seen["disk lost"]++
 	n.disk = State{}
-	if s.fault == faultDiskLossIgnored {
+	switch {
+	case s.fault == faultDiskLossIgnored:
 		n.disk.Snapshot.Membership = s.oracle.config
-	} else {
-		n.incarnation++
+	case s.choose(2) == 0:
+		// The bootstrap option was left on.
+		n.incarnation = BootstrapIncarnation
+		n.disk.Snapshot.Membership = s.boot
+	default:
+		n.newest++
+		n.incarnation = n.newest
 	}
 	s.start(n)
 	return s.carryOut(n, noCrash)
@@ -194,7 +200,7 @@
 	}
 	for _, m := range s.oracle.config.Members {
 		n := s.node(m.ID)
-		if m.Rejoining || m.Incarnation != n.incarnation {
+		if m.Rejoining || m.Incarnation != n.incarnation || n.disk.HardState.Term == 0 {
 			return false
 		}
 		if n != lost && n.disk.pendingConfig(s.oracle.last) {
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -32,8 +32,10 @@
 	disk        State
 	up, frozen  bool
 	// drift is the deviation of the clock rate in percent.
-	drift   int64
-	seed    uint64
+	drift int64
+	seed  uint64
+	// newest is the highest incarnation that the member ever had.
+	newest  api.Incarnation
 	applied uint64
 	hash    uint64
 	// proposed maps the index of own proposals to their term.
@@ -50,7 +52,9 @@
 	network []Message
 	cut     map[[2]api.VoterID]bool
 	oracle  *oracle
-	nextOp  uint64
+	// boot is the bootstrap membership.
+	boot   Membership
+	nextOp uint64
 }
 
 const (
@@ -67,9 +71,9 @@
 	for i := range voters {
 		boot.Members = append(boot.Members, Member{ID: simID(i), Incarnation: BootstrapIncarnation})
 	}
-	s.oracle.config = boot
+	s.oracle.config, s.boot = boot, boot
 	for i := range simMembers {
-		n := &simNode{id: simID(i), incarnation: BootstrapIncarnation, seed: uint64(i + 1)}
+		n := &simNode{id: simID(i), incarnation: BootstrapIncarnation, newest: BootstrapIncarnation, seed: uint64(i + 1)}
 		n.drift = int64(choose(2*MaxClockDriftPercent+1)) - MaxClockDriftPercent
 		if i < voters {
 			n.disk.Snapshot.Membership = boot
@@ -102,11 +106,13 @@
 	state := n.disk
 	state.Entries = slices.Clone(state.Entries)
 	cfg := CoreConfig{
-		ID: n.id, Incarnation: n.incarnation, Seed: n.seed,
+		ID: n.id, Incarnation: n.incarnation, Seed: n.seed, Nonce: n.seed,
 		MaxAppendBytes: 64, MaxInflight: 4, ChunkBytes: 8, TrailingEntries: 4,
 	}
 	n.core = NewCore(cfg, state, s.local(n))
 	switch s.fault {
+	case faultDiskLossIgnored:
+		n.core.admission = nil
 	case faultOldTermCommit:
 		n.core.mayCommit = func(uint64) bool { return true }
 	case faultLeaseOfResponse:
@@ -172,6 +178,12 @@
 			return err
 		}
 	}
+	if n.up && n.core.Obsolete() {
+		s.oracle.seen["bootstrap refused"]++
+		n.newest++
+		n.incarnation = n.newest
+		s.start(n)
+	}
 	if err := n.core.Err(); err != nil {
 		return fmt.Errorf("committed entry lost: %w", err)
 	}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -87,8 +87,12 @@
 	MsgSnapshotResponse
 	// MsgTransfer asks a follower to take over from a leader that gave up.
 	MsgTransfer
+	// MsgHello asks whether a member is empty.
+	MsgHello
+	// MsgHelloResponse answers with the term and the last index.
+	MsgHelloResponse
 
-	lastMessageKind = MsgTransfer
+	lastMessageKind = MsgHelloResponse
 )
 
 // Message is one message between two members.
@@ -103,7 +107,8 @@
 	Index   uint64 `cbor:"6,keyasint,omitempty"`
 	LogTerm uint64 `cbor:"7,keyasint,omitempty"`
 	Commit  uint64 `cbor:"8,keyasint,omitempty"`
-	// Round numbers the heartbeat rounds of one leader.
+	// Round numbers the heartbeat rounds of one leader, or is the nonce of a
+	// hello.
 	Round   uint64         `cbor:"9,keyasint,omitempty"`
 	Reject  bool           `cbor:"10,keyasint,omitempty"`
 	Hint    uint64         `cbor:"11,keyasint,omitempty"`
@@ -170,6 +175,8 @@
 	// SaveSnapshot makes a snapshot durable and drops the log up to its index;
 	// it drops the whole log when that does not contain the snapshot's entry.
 	SaveSnapshot(s Snapshot) error
+	// Renew gives the member a new incarnation, above every earlier one.
+	Renew() (api.Incarnation, error)
 }
 
 // Transport sends messages to other members. Send never blocks; messages may
--- a/internal/consensus/variants_test.go
+++ b/internal/consensus/variants_test.go
@@ -40,6 +40,9 @@
 
 // lead makes the first member the leader of a healthy cluster.
 func (s *sim) lead() error {
+	if err := s.run(8); err != nil {
+		return err
+	}
 	s.now += 2 * DefaultElectionMax
 	if err := s.electAt(0, s.nodes[0].core.campaign); err != nil {
 		return err
@@ -121,7 +124,10 @@
 
 // playVoteForgotten restarts a voter between two candidates of one term.
 func playVoteForgotten(s *sim) error {
-	s.now = DefaultElectionMin
+	if err := s.run(8); err != nil {
+		return err
+	}
+	s.now += DefaultElectionMin
 	for _, i := range []int{0, 2} {
 		n := s.nodes[i]
 		n.core.setNow(s.local(n))
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cockroachdb/errors"
 
+	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/consensus"
 )
 
@@ -28,6 +29,22 @@
 	return s.restartLog(snap)
 }
 
+// Renew implements consensus.Store.
+func (s *Store) Renew() (api.Incarnation, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed != nil {
+		return 0, s.failed
+	}
+	next := s.identity
+	next.Incarnation = max(s.opts.NewIncarnation(), next.Incarnation+1)
+	if err := s.replaceFile(identityName, record{Identity: &next}); err != nil {
+		return 0, err
+	}
+	s.identity = next
+	return next.Incarnation, nil
+}
+
 // restartLog starts a new segment after a snapshot. A log that does not contain
 // the snapshot's entry is void.
 func (s *Store) restartLog(snap consensus.Snapshot) error {
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -108,7 +108,11 @@
 func (s *Store) path(name string) string { return filepath.Join(s.dir, name) }
 
 // Identity returns the owner of the folder.
-func (s *Store) Identity() Identity { return s.identity }
+func (s *Store) Identity() Identity {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.identity
+}
 
 // Fresh reports whether Open found the folder empty.
 func (s *Store) Fresh() bool { return s.fresh }
--- a/internal/storage/store_test.go
+++ b/internal/storage/store_test.go
@@ -342,6 +342,17 @@
 	require.EqualValues(t, 77, s.Identity().Incarnation)
 	require.NoError(t, s.Close())
 
+	s, err = Open(testDir, opts)
+	require.NoError(t, err)
+	renewed, err := s.Renew()
+	require.NoError(t, err)
+	require.EqualValues(t, 78, renewed)
+	require.NoError(t, s.Close())
+	s, err = Open(testDir, opts)
+	require.NoError(t, err)
+	require.EqualValues(t, 78, s.Identity().Incarnation)
+	require.NoError(t, s.Close())
+
 	opts.Voter = "v2"
 	_, err = Open(testDir, opts)
 	require.ErrorContains(t, err, `belongs to voter "v1"`)
