Consensus: bound the log by bytes

Cause: 8192 entries with stored answers could hold hundreds of megabytes. Conclusion: the log in memory is bounded by bytes and by number.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -96,12 +96,13 @@
 
 // cluster runs members on one logical clock.
 type cluster struct {
-	t         testing.TB
-	clock     *clock.Manual
-	net       *network
-	nodes     map[api.VoterID]*node
-	members   consensus.Membership
-	snapshots uint64
+	t             testing.TB
+	clock         *clock.Manual
+	net           *network
+	nodes         map[api.VoterID]*node
+	members       consensus.Membership
+	snapshots     uint64
+	snapshotBytes int
 	// disks overrides the file system of a member.
 	disks map[api.VoterID]storage.FS
 	// disturbances counts cuts, heals and restarts.
@@ -156,7 +157,7 @@
 	cfg := consensus.ServerConfig{
 		ID: id, Incarnation: store.Identity().Incarnation, Address: "addr-" + string(id),
 		Store: store, Transport: port{c.net, id}, StateMachine: n.sm, Clock: c.clock, Ticks: n.ticks,
-		Seed: uint64(len(c.nodes) + 1), SnapshotEntries: c.snapshots,
+		Seed: uint64(len(c.nodes) + 1), SnapshotEntries: c.snapshots, SnapshotBytes: c.snapshotBytes,
 	}
 	cfg.Core.TrailingEntries = 10
 	cfg.Core.ChunkBytes = 100
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -23,8 +23,10 @@
 	MaxInflight int
 	// ChunkBytes is the size of a snapshot chunk.
 	ChunkBytes int
-	// TrailingEntries stay in memory after a snapshot for slow members.
+	// TrailingEntries and TrailingBytes bound what stays in memory after a
+	// snapshot for slow members.
 	TrailingEntries uint64
+	TrailingBytes   int
 	// Seed seeds the election timeouts.
 	Seed uint64
 	// Nonce differs between any two processes of one member.
@@ -37,6 +39,7 @@
 	defaultMaxInflight     = 64
 	defaultChunkBytes      = 128 << 10
 	defaultTrailingEntries = 1024
+	defaultTrailingBytes   = 4 << 20
 )
 
 func (c *CoreConfig) setDefaults() {
@@ -47,6 +50,7 @@
 	setDefault(&c.MaxInflight, defaultMaxInflight)
 	setDefault(&c.ChunkBytes, defaultChunkBytes)
 	setDefault(&c.TrailingEntries, defaultTrailingEntries)
+	setDefault(&c.TrailingBytes, defaultTrailingBytes)
 }
 
 func setDefault[T comparable](field *T, value T) {
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -113,6 +113,20 @@
 	return index
 }
 
+// trailing returns the index before the entries that fit into both bounds and
+// end at index.
+func (l *entryLog) trailing(index, maxEntries uint64, maxBytes int) uint64 {
+	from, size := index, 0
+	for from > l.offset && index-from < maxEntries {
+		size += len(l.entries[from-l.offset-1].Data) + entryOverhead
+		if size > maxBytes {
+			break
+		}
+		from--
+	}
+	return from
+}
+
 // compact drops the entries up to index.
 func (l *entryLog) compact(index uint64) {
 	term, ok := l.term(index)
--- a/internal/consensus/proposal.go
+++ b/internal/consensus/proposal.go
@@ -12,6 +12,8 @@
 // proposal waits for the local application of one entry.
 type proposal struct {
 	term uint64
+	// size is the length of the command in bytes.
+	size int
 	done chan proposalResult
 }
 
@@ -33,9 +35,9 @@
 	if len(command) > s.cfg.MaxCommandBytes {
 		return nil, errs.New(errs.Invalid, stepPropose, "", "%d bytes exceed %d", len(command), s.cfg.MaxCommandBytes)
 	}
-	return s.propose(ctx, stepPropose, func() (uint64, uint64, error) {
-		if s.core.uncommitted() >= maxUncommitted {
-			return 0, 0, errs.New(errs.Full, stepPropose, "", "%d entries wait for a quorum", maxUncommitted)
+	return s.propose(ctx, stepPropose, len(command), func() (uint64, uint64, error) {
+		if s.core.uncommitted() >= maxUncommitted || s.pendingBytes+len(command) > maxPendingBytes {
+			return 0, 0, errs.New(errs.Full, stepPropose, "", "too many commands wait for a quorum")
 		}
 		index, term, ok := s.core.Propose(command)
 		if !ok {
@@ -48,7 +50,7 @@
 // ChangeMembers commits one membership change. It fails with errs.Unavailable
 // while another change is running or the learner to promote lags behind.
 func (s *Server) ChangeMembers(ctx context.Context, change Change) error {
-	_, err := s.propose(ctx, stepMember, func() (uint64, uint64, error) {
+	_, err := s.propose(ctx, stepMember, 0, func() (uint64, uint64, error) {
 		if s.core.role != leader {
 			return 0, 0, s.notLeader(stepMember)
 		}
@@ -73,10 +75,12 @@
 }
 
 // propose runs start on the run goroutine and waits for the entry it appended.
-func (s *Server) propose(ctx context.Context, step string, start func() (index, term uint64, err error)) (any, error) {
+func (s *Server) propose(
+	ctx context.Context, step string, size int, start func() (index, term uint64, err error),
+) (any, error) {
 	ctx, cancel := s.bound(ctx)
 	defer cancel()
-	p := &proposal{done: make(chan proposalResult, 1)}
+	p := &proposal{size: size, done: make(chan proposalResult, 1)}
 	err := s.submit(ctx, step, func() {
 		index, term, err := start()
 		if err != nil {
@@ -84,7 +88,11 @@
 			return
 		}
 		p.term = term
+		// The entry of an earlier term at this index is gone from the log of a
+		// later leader, so it was not committed.
+		s.finish(index, proposalResult{err: s.notLeader(step)})
 		s.proposals[index] = p
+		s.pendingBytes += size
 	})
 	if err != nil {
 		return nil, err
@@ -125,6 +133,7 @@
 			value = s.cfg.StateMachine.Apply(e.Index, e.Data)
 		}
 		s.applied = e.Index
+		s.appliedBytes += len(e.Data)
 		s.answer(e, value)
 	}
 }
@@ -134,13 +143,23 @@
 	if !ok {
 		return
 	}
-	delete(s.proposals, e.Index)
 	if p.term != e.Term {
 		// Another entry was committed in its place.
-		p.done <- proposalResult{err: s.notLeader(stepPropose)}
+		s.finish(e.Index, proposalResult{err: s.notLeader(stepPropose)})
 		return
 	}
-	p.done <- proposalResult{value: value}
+	s.finish(e.Index, proposalResult{value: value})
+}
+
+// finish answers the proposal at an index, if there is one.
+func (s *Server) finish(index uint64, r proposalResult) {
+	p, ok := s.proposals[index]
+	if !ok {
+		return
+	}
+	delete(s.proposals, index)
+	s.pendingBytes -= p.size
+	p.done <- r
 }
 
 // abandon answers everything that still waits when the server ends.
@@ -212,11 +231,10 @@
 	if err := s.cfg.StateMachine.Restore(snap.Data); err != nil {
 		return errs.Wrap(err, "restore snapshot", "")
 	}
-	s.applied, s.snapshot = snap.Index, snap.Index
-	for index, p := range s.proposals {
+	s.applied, s.snapshot, s.appliedBytes = snap.Index, snap.Index, 0
+	for index := range s.proposals {
 		if index <= snap.Index {
-			delete(s.proposals, index)
-			p.done <- proposalResult{err: errs.New(errs.Timeout, stepPropose, "", "outcome unknown: replaced by a snapshot")}
+			s.finish(index, proposalResult{err: errs.New(errs.Timeout, stepPropose, "", "outcome unknown: replaced by a snapshot")})
 		}
 	}
 	level.Info(s.logger).Log("msg", "Snapshot installed.", "index", snap.Index)
@@ -225,7 +243,7 @@
 
 // compact takes a snapshot once enough entries were applied.
 func (s *Server) compact() error {
-	if s.applied < s.snapshot+s.cfg.SnapshotEntries {
+	if s.applied < s.snapshot+s.cfg.SnapshotEntries && s.appliedBytes < s.cfg.SnapshotBytes {
 		return nil
 	}
 	return s.takeSnapshot()
@@ -245,6 +263,7 @@
 	}
 	s.core.Compact(snap)
 	s.snapshot = snap.Index
+	s.appliedBytes = 0
 	return nil
 }
 
--- a/internal/consensus/server.go
+++ b/internal/consensus/server.go
@@ -50,6 +50,9 @@
 	// SnapshotEntries is the number of applied entries after which a snapshot is
 	// taken; 0 stands for DefaultSnapshotEntries.
 	SnapshotEntries uint64
+	// SnapshotBytes is the size of applied commands after which a snapshot is
+	// taken; 0 stands for DefaultSnapshotBytes.
+	SnapshotBytes int
 	// ProposalTimeout bounds the wait of a proposal whose context has no
 	// deadline; 0 stands for DefaultProposalTimeout.
 	ProposalTimeout time.Duration
@@ -63,6 +66,7 @@
 // Defaults of a Server.
 const (
 	DefaultSnapshotEntries = 8192
+	DefaultSnapshotBytes   = 16 << 20
 	DefaultProposalTimeout = 5 * time.Second
 	DefaultMaxCommandBytes = 1 << 20
 
@@ -78,6 +82,8 @@
 	batchBytes = 256 << 10
 	// maxUncommitted bounds the entries that a leader appends ahead of a quorum.
 	maxUncommitted = 8192
+	// maxPendingBytes bounds the commands that wait for their application.
+	maxPendingBytes = 16 << 20
 	// maxBatch bounds the events taken before one sync.
 	maxBatch = 1024
 )
@@ -91,6 +97,7 @@
 	}
 	setDefault(&c.TickInterval, DefaultTick)
 	setDefault(&c.SnapshotEntries, DefaultSnapshotEntries)
+	setDefault(&c.SnapshotBytes, DefaultSnapshotBytes)
 	setDefault(&c.ProposalTimeout, DefaultProposalTimeout)
 	setDefault(&c.MaxCommandBytes, DefaultMaxCommandBytes)
 	c.Core.ID = c.ID
@@ -128,8 +135,12 @@
 	nextRead  uint64
 	applied   uint64
 	snapshot  uint64
-	routes    map[api.VoterID]string
-	lastRole  role
+	// appliedBytes counts the commands applied since the newest snapshot.
+	appliedBytes int
+	// pendingBytes counts the commands of proposals.
+	pendingBytes int
+	routes       map[api.VoterID]string
+	lastRole     role
 }
 
 // publishedStatus is what other goroutines may read of the core.
--- a/internal/consensus/server_test.go
+++ b/internal/consensus/server_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -208,3 +211,29 @@
 	c.propose("c1")
 	c.converged([]string{"c0", "c1"})
 }
+
+// TestLargeCommandsAreCompacted bounds the memory of the log by the size of its
+// commands, not only by their number.
+func TestLargeCommandsAreCompacted(t *testing.T) {
+	c := newCluster(t, 3)
+	c.snapshots, c.snapshotBytes = 1<<20, 4000
+	for _, m := range c.members.Members {
+		c.restart(m.ID)
+	}
+	large := strings.Repeat("x", 500)
+	for range 20 {
+		c.propose(large)
+	}
+	c.until("every member has taken snapshots", func() bool {
+		for _, n := range c.nodes {
+			names, err := os.ReadDir(n.dir)
+			require.NoError(t, err)
+			if !slices.ContainsFunc(names, func(e os.DirEntry) bool {
+				return strings.HasPrefix(e.Name(), "snapshot-") && e.Name() > "snapshot-0000000000000000.snap"
+			}) {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -22,10 +22,9 @@
 // trailing entries.
 func (c *Core) Compact(s Snapshot) {
 	c.snapshot = s
-	if s.Index > c.cfg.TrailingEntries {
-		c.log.compact(s.Index - c.cfg.TrailingEntries)
-		c.compactConfigs(s.Index - c.cfg.TrailingEntries)
-	}
+	from := c.log.trailing(s.Index, c.cfg.TrailingEntries, c.cfg.TrailingBytes)
+	c.log.compact(from)
+	c.compactConfigs(from)
 }
 
 // startSnapshot begins to send the newest snapshot to a member whose next
