--- /dev/null
+++ b/internal/consensus/call.go
@@ -0,0 +1,58 @@
+package consensus
+
+import (
+	"context"
+
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// submit queues f for the run goroutine.
+func (s *Server) submit(ctx context.Context, step string, f func()) error {
+	select {
+	case <-s.done:
+		return s.stopped(step)
+	default:
+	}
+	select {
+	case s.queue <- f:
+		return nil
+	case <-ctx.Done():
+		return errs.New(errs.Unavailable, step, "", "not sent: %w", ctx.Err())
+	default:
+		return errs.New(errs.Full, step, "", "the queue of the voter is full")
+	}
+}
+
+func (s *Server) stopped(step string) error {
+	if err := s.Err(); err != nil {
+		return errs.New(errs.Unavailable, step, "", "the voter has stopped: %w", err)
+	}
+	return errs.New(errs.Unavailable, step, "", "the voter has stopped")
+}
+
+// bound adds a deadline to a context that has none.
+func (s *Server) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, bounded := ctx.Deadline(); bounded {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, s.cfg.ProposalTimeout)
+}
+
+// call runs f on the run goroutine and waits until f, or a later event, sends
+// the outcome. The channel takes one value without blocking.
+func (s *Server) call(ctx context.Context, step string, f func(done chan<- error)) error {
+	ctx, cancel := s.bound(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	if err := s.submit(ctx, step, func() { f(done) }); err != nil {
+		return err
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return errs.New(errs.Timeout, step, "", "not finished: %w", ctx.Err())
+	case <-s.done:
+		return s.stopped(step)
+	}
+}
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -16,6 +16,8 @@
 	roundDue bool
 	sent     []sentRound
 	reads    []pendingRead
+	// early are reads that wait for the first commit of the term.
+	early []uint64
 }
 
 type sentRound struct {
@@ -121,12 +123,17 @@
 
 // ReadIndex registers a read. Its ReadState comes with a later Ready: at once
 // under the lease, else after a quorum has answered a round sent after the
-// call. ok is false on another member or before the first commit of the term.
+// call. A new leader first commits an entry of its term. ReadIndex returns false
+// on another member.
 func (c *Core) ReadIndex(now time.Duration, id uint64) bool {
 	c.setNow(now)
-	if c.role != leader || c.log.committed < c.termStart {
+	if c.role != leader {
 		return false
 	}
+	if c.log.committed < c.termStart {
+		c.lease.early = append(c.lease.early, id)
+		return true
+	}
 	if c.HasLease(c.now) {
 		c.reads = append(c.reads, ReadState{ID: id, Index: c.log.committed})
 		return true
@@ -148,7 +155,23 @@
 	c.lease.reads = kept
 }
 
+// startReads registers the reads that waited for the first commit of the term.
+func (c *Core) startReads() {
+	if len(c.lease.early) == 0 || c.log.committed < c.termStart {
+		return
+	}
+	early := c.lease.early
+	c.lease.early = nil
+	for _, id := range early {
+		c.ReadIndex(c.now, id)
+	}
+}
+
 func (c *Core) failReads() {
+	for _, id := range c.lease.early {
+		c.reads = append(c.reads, ReadState{ID: id, Failed: true})
+	}
+	c.lease.early = nil
 	for _, r := range c.lease.reads {
 		c.reads = append(c.reads, ReadState{ID: r.id, Failed: true})
 	}
--- a/internal/consensus/proposal.go
+++ b/internal/consensus/proposal.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"slices"
-
-	"github.com/go-kit/log/level"
 
 	"github.com/crocusway/crocusway/internal/errs"
 )
@@ -107,14 +104,6 @@
 	}
 }
 
-// bound adds a deadline to a context that has none.
-func (s *Server) bound(ctx context.Context) (context.Context, context.CancelFunc) {
-	if _, bounded := ctx.Deadline(); bounded {
-		return ctx, func() {}
-	}
-	return context.WithTimeout(ctx, s.cfg.ProposalTimeout)
-}
-
 // afterStop prefers a result that was delivered before the server ended.
 func (s *Server) afterStop(p *proposal, step string) (any, error) {
 	select {
@@ -125,30 +114,33 @@
 	}
 }
 
-// apply executes committed entries and answers their proposers.
-func (s *Server) apply(entries []Entry) {
-	for _, e := range entries {
-		var value any
+// apply executes committed entries and returns the values of Apply.
+func (s *Server) apply(entries []Entry) []any {
+	values := make([]any, len(entries))
+	for i, e := range entries {
 		if e.Kind == EntryNormal {
-			value = s.cfg.StateMachine.Apply(e.Index, e.Data)
+			values[i] = s.cfg.StateMachine.Apply(e.Index, e.Data)
 		}
 		s.applied = e.Index
 		s.appliedBytes += len(e.Data)
-		s.answer(e, value)
 	}
+	return values
 }
 
-func (s *Server) answer(e Entry, value any) {
-	p, ok := s.proposals[e.Index]
-	if !ok {
-		return
-	}
-	if p.term != e.Term {
-		// Another entry was committed in its place.
-		s.finish(e.Index, proposalResult{err: s.notLeader(stepPropose)})
-		return
+// answer delivers the values of applied entries to their proposers.
+func (s *Server) answer(entries []Entry, values []any) {
+	for i, e := range entries {
+		p, ok := s.proposals[e.Index]
+		if !ok {
+			continue
+		}
+		r := proposalResult{value: values[i]}
+		if p.term != e.Term {
+			// Another entry was committed in its place.
+			r = proposalResult{err: s.notLeader(stepPropose)}
+		}
+		s.finish(e.Index, r)
 	}
-	s.finish(e.Index, proposalResult{value: value})
 }
 
 // finish answers the proposal at an index, if there is one.
@@ -167,127 +159,8 @@
 	for _, p := range s.proposals {
 		p.done <- proposalResult{err: errs.New(errs.Timeout, stepPropose, "", "outcome unknown: %w", s.stopped(stepPropose))}
 	}
-	for _, r := range s.reads {
-		r.done <- s.stopped(stepRead)
+	for _, done := range s.reads {
+		done <- s.stopped(stepRead)
 	}
 	s.proposals, s.reads = nil, nil
 }
-
-// read waits for a confirmed read index.
-type read struct {
-	done chan error
-}
-
-// ReadBarrier returns once this member, as leader, knows that no newer leader
-// existed at the call and has applied every entry committed before the call.
-func (s *Server) ReadBarrier(ctx context.Context) error {
-	ctx, cancel := s.bound(ctx)
-	defer cancel()
-	r := &read{done: make(chan error, 1)}
-	err := s.submit(ctx, stepRead, func() {
-		id := s.nextRead
-		s.nextRead++
-		if !s.core.ReadIndex(s.now(), id) {
-			r.done <- s.notLeader(stepRead)
-			return
-		}
-		s.reads[id] = r
-	})
-	if err != nil {
-		return err
-	}
-	select {
-	case err := <-r.done:
-		return err
-	case <-ctx.Done():
-		return errs.New(errs.Timeout, stepRead, "", "not confirmed: %w", ctx.Err())
-	case <-s.done:
-		return s.stopped(stepRead)
-	}
-}
-
-// confirmReads answers reads. Every entry up to the read index has been applied
-// by now, because committed entries are applied before.
-func (s *Server) confirmReads(states []ReadState) {
-	for _, state := range states {
-		r, ok := s.reads[state.ID]
-		if !ok {
-			continue
-		}
-		delete(s.reads, state.ID)
-		if state.Failed {
-			r.done <- s.notLeader(stepRead)
-			continue
-		}
-		r.done <- nil
-	}
-}
-
-// install makes a received snapshot durable and restores it.
-func (s *Server) install(snap Snapshot) error {
-	if err := s.cfg.Store.SaveSnapshot(snap); err != nil {
-		return errs.Wrap(err, "save snapshot", "")
-	}
-	if err := s.cfg.StateMachine.Restore(snap.Data); err != nil {
-		return errs.Wrap(err, "restore snapshot", "")
-	}
-	s.applied, s.snapshot, s.appliedBytes = snap.Index, snap.Index, 0
-	for index := range s.proposals {
-		if index <= snap.Index {
-			s.finish(index, proposalResult{err: errs.New(errs.Timeout, stepPropose, "", "outcome unknown: replaced by a snapshot")})
-		}
-	}
-	level.Info(s.logger).Log("msg", "Snapshot installed.", "index", snap.Index)
-	return nil
-}
-
-// compact takes a snapshot once enough entries were applied.
-func (s *Server) compact() error {
-	if s.applied < s.snapshot+s.cfg.SnapshotEntries && s.appliedBytes < s.cfg.SnapshotBytes {
-		return nil
-	}
-	return s.takeSnapshot()
-}
-
-func (s *Server) takeSnapshot() error {
-	if s.applied == s.snapshot {
-		return nil
-	}
-	data, err := s.cfg.StateMachine.Snapshot()
-	if err != nil {
-		return errs.Wrap(err, "encode snapshot", "")
-	}
-	snap := s.core.NewSnapshot(slices.Clip(data))
-	if err := s.cfg.Store.SaveSnapshot(snap); err != nil {
-		return errs.Wrap(err, "save snapshot", "")
-	}
-	s.core.Compact(snap)
-	s.snapshot = snap.Index
-	s.appliedBytes = 0
-	return nil
-}
-
-// TakeSnapshot compacts the log now.
-func (s *Server) TakeSnapshot(ctx context.Context) error {
-	ctx, cancel := s.bound(ctx)
-	defer cancel()
-	done := make(chan error, 1)
-	err := s.submit(ctx, "take snapshot", func() {
-		err := s.takeSnapshot()
-		if err != nil {
-			s.fail(err)
-		}
-		done <- err
-	})
-	if err != nil {
-		return err
-	}
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-		return errs.New(errs.Timeout, "take snapshot", "", "not finished: %w", ctx.Err())
-	case <-s.done:
-		return s.stopped("take snapshot")
-	}
-}
--- /dev/null
+++ b/internal/consensus/read.go
@@ -0,0 +1,34 @@
+package consensus
+
+import "context"
+
+// ReadBarrier returns once this member, as leader, knows that no newer leader
+// existed at the call and has applied every entry committed before the call.
+func (s *Server) ReadBarrier(ctx context.Context) error {
+	return s.call(ctx, stepRead, func(done chan<- error) {
+		id := s.nextRead
+		s.nextRead++
+		if !s.core.ReadIndex(s.now(), id) {
+			done <- s.notLeader(stepRead)
+			return
+		}
+		s.reads[id] = done
+	})
+}
+
+// confirmReads answers reads. Every entry up to the read index has been applied
+// by now, because committed entries are applied before.
+func (s *Server) confirmReads(states []ReadState) {
+	for _, state := range states {
+		done, ok := s.reads[state.ID]
+		if !ok {
+			continue
+		}
+		delete(s.reads, state.ID)
+		if state.Failed {
+			done <- s.notLeader(stepRead)
+			continue
+		}
+		done <- nil
+	}
+}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -246,5 +246,6 @@
 		return
 	}
 	c.log.commitTo(index)
+	c.startReads()
 	c.leaveIfRemoved()
 }
--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -151,3 +151,20 @@
 	}
 	return nil
 }
+
+// TestReadOfNewLeaderWaits: a leader that has committed nothing in its term
+// answers a read once it has.
+func TestReadOfNewLeaderWaits(t *testing.T) {
+	s := newSim(faultNone, 3, func(n int) int { return n / 2 })
+	require.NoError(t, s.run(8))
+	n := s.nodes[0]
+	s.now += 2 * DefaultElectionMax
+	require.NoError(t, s.electAlone(0, 1, 2))
+	require.Less(t, n.core.log.committed, n.core.termStart)
+	require.True(t, n.core.ReadIndex(s.local(n), 7))
+	require.NoError(t, s.carryOut(n, noCrash))
+	require.Zero(t, s.oracle.seen["read served"])
+	require.NoError(t, s.run(10))
+	require.Equal(t, 1, s.oracle.seen["read served"])
+	require.False(t, s.nodes[1].core.ReadIndex(s.local(s.nodes[1]), 8))
+}
--- a/internal/consensus/server.go
+++ b/internal/consensus/server.go
@@ -1,8 +1,6 @@
 package consensus
 
 import (
-	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,104 +9,10 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/crocusway/crocusway/internal/api"
-	"github.com/crocusway/crocusway/internal/clock"
 	"github.com/crocusway/crocusway/internal/errs"
 	"github.com/crocusway/crocusway/internal/logging"
 )
 
-// ServerConfig configures a Server. ID, Store, Transport and StateMachine are
-// required.
-type ServerConfig struct {
-	// ID and Incarnation name this member; they come from storage.Store.Identity.
-	ID          api.VoterID
-	Incarnation api.Incarnation
-	// Address is the peer address that other members reach this one at.
-	Address string
-	// Bootstrap are the members of a first start, all of BootstrapIncarnation.
-	// It is used only when the Store is empty and must be the same on each
-	// member. The first start needs all of them once: until each has answered
-	// that it is empty, none votes. A member that starts empty without it waits
-	// for a leader.
-	Bootstrap Membership
-	// Store persists the state.
-	Store Store
-	// Transport sends messages to other members.
-	Transport Transport
-	// StateMachine is called by one goroutine at a time.
-	StateMachine StateMachine
-	// Clock is the monotonic clock; nil stands for clock.System.
-	Clock clock.Clock
-	// Logger receives the log of the server; nil discards it.
-	Logger log.Logger
-	// TickInterval is the interval of the timer; 0 stands for DefaultTick. The
-	// heartbeat and the election timeouts are multiples of it.
-	TickInterval time.Duration
-	// Ticks replaces the timer of TickInterval, so that tests drive the server.
-	Ticks <-chan time.Time
-	// Seed seeds the randomised election timeout.
-	Seed uint64
-	// SnapshotEntries is the number of applied entries after which a snapshot is
-	// taken; 0 stands for DefaultSnapshotEntries.
-	SnapshotEntries uint64
-	// SnapshotBytes is the size of applied commands after which a snapshot is
-	// taken; 0 stands for DefaultSnapshotBytes.
-	SnapshotBytes int
-	// ProposalTimeout bounds the wait of a proposal whose context has no
-	// deadline; 0 stands for DefaultProposalTimeout.
-	ProposalTimeout time.Duration
-	// MaxCommandBytes bounds one command; 0 stands for DefaultMaxCommandBytes.
-	MaxCommandBytes int
-	// Core overrides limits of the core; its timing and identity are set from
-	// the fields above.
-	Core CoreConfig
-}
-
-// Defaults of a Server.
-const (
-	DefaultSnapshotEntries = 8192
-	DefaultSnapshotBytes   = 16 << 20
-	DefaultProposalTimeout = 5 * time.Second
-	DefaultMaxCommandBytes = 1 << 20
-
-	heartbeatTicks   = 2
-	electionMinTicks = 12
-	electionMaxTicks = 24
-	// queueLength bounds the calls that wait for the run goroutine.
-	queueLength = 4096
-	// inboxLength bounds the received batches that wait.
-	inboxLength = 256
-	// batchBytes is the size at which a batch of messages is sent; a single
-	// larger message travels alone.
-	batchBytes = 256 << 10
-	// maxUncommitted bounds the entries that a leader appends ahead of a quorum.
-	maxUncommitted = 8192
-	// maxPendingBytes bounds the commands that wait for their application.
-	maxPendingBytes = 16 << 20
-	// maxBatch bounds the events taken before one sync.
-	maxBatch = 1024
-)
-
-func (c *ServerConfig) setDefaults() {
-	if c.Clock == nil {
-		c.Clock = clock.System{}
-	}
-	if c.Logger == nil {
-		c.Logger = logging.Discard()
-	}
-	setDefault(&c.TickInterval, DefaultTick)
-	setDefault(&c.SnapshotEntries, DefaultSnapshotEntries)
-	setDefault(&c.SnapshotBytes, DefaultSnapshotBytes)
-	setDefault(&c.ProposalTimeout, DefaultProposalTimeout)
-	setDefault(&c.MaxCommandBytes, DefaultMaxCommandBytes)
-	c.Core.ID = c.ID
-	c.Core.Incarnation = c.Incarnation
-	c.Core.Seed = c.Seed
-	c.Core.Nonce = rand.Uint64()
-	c.Core.Heartbeat = heartbeatTicks * c.TickInterval
-	c.Core.ElectionMin = electionMinTicks * c.TickInterval
-	c.Core.ElectionMax = electionMaxTicks * c.TickInterval
-}
-
 // Server runs a Core: one goroutine steps it, syncs its log, sends its messages
 // and applies committed entries. Proposals that arrive during a sync share the
 // next one.
@@ -131,7 +35,7 @@
 
 	// The fields below belong to the run goroutine.
 	proposals map[uint64]*proposal
-	reads     map[uint64]*read
+	reads     map[uint64]chan<- error
 	nextRead  uint64
 	applied   uint64
 	snapshot  uint64
@@ -143,15 +47,6 @@
 	lastRole     role
 }
 
-// publishedStatus is what other goroutines may read of the core.
-type publishedStatus struct {
-	status     Status
-	leaseEnd   time.Duration
-	leased     bool
-	leaderAddr string
-	membership Membership
-}
-
 // NewServer recovers the state from the Store and returns a server that Run
 // starts.
 func NewServer(cfg ServerConfig) (*Server, error) {
@@ -165,7 +60,7 @@
 		stop:      make(chan struct{}),
 		done:      make(chan struct{}),
 		proposals: map[uint64]*proposal{},
-		reads:     map[uint64]*read{},
+		reads:     map[uint64]chan<- error{},
 		routes:    map[api.VoterID]string{},
 	}
 	state, err := s.load()
@@ -307,7 +202,10 @@
 		}
 		s.core.Advance()
 		s.send(rd.Responses)
-		s.apply(rd.Committed)
+		values := s.apply(rd.Committed)
+		// A caller that has its answer finds it in the status, too.
+		s.publish()
+		s.answer(rd.Committed, values)
 		s.confirmReads(rd.Reads)
 		if err := s.compact(); err != nil {
 			s.fail(err)
@@ -400,96 +298,3 @@
 	s.mu.Unlock()
 	level.Error(s.logger).Log("msg", "Voter stops.", "err", err)
 }
-
-// publish copies what other goroutines read of the core.
-func (s *Server) publish() {
-	p := publishedStatus{
-		status: Status{
-			ID:      s.cfg.ID,
-			Leader:  s.core.leader,
-			Term:    s.core.term,
-			Applied: s.applied,
-			Voters:  s.voters(),
-		},
-		leaderAddr: s.route(s.core.leader).Address,
-		membership: s.core.Membership(),
-	}
-	p.leaseEnd, p.leased = s.core.LeaseEnd()
-	if s.core.role != s.lastRole {
-		s.lastRole = s.core.role
-		level.Info(s.logger).Log("msg", "Role changed.", "role", s.lastRole, "term", s.core.term)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.status = p
-}
-
-func (s *Server) voters() []api.VoterStatus {
-	members := s.core.Membership().Members
-	out := make([]api.VoterStatus, 0, len(members))
-	for _, m := range members {
-		out = append(out, api.VoterStatus{ID: m.ID, Address: m.Address, Role: s.roleOf(m), Match: s.core.match(m.ID)})
-	}
-	return out
-}
-
-func (s *Server) roleOf(m Member) string {
-	switch {
-	case m.Learner:
-		return "learner"
-	case m.ID == s.core.leader:
-		return "leader"
-	}
-	return "follower"
-}
-
-// Status returns the state of this voter. Leading is computed at the call.
-func (s *Server) Status() Status {
-	s.mu.Lock()
-	p := s.status
-	s.mu.Unlock()
-	p.status.Leading = p.leased && s.now() < p.leaseEnd
-	return p.status
-}
-
-// Membership returns the newest membership in the log of this member.
-func (s *Server) Membership() Membership {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.status.membership
-}
-
-// notLeader returns the error of a member that does not lead, with the address
-// of the leader where one is known.
-func (s *Server) notLeader(step string) error {
-	s.mu.Lock()
-	address := s.status.leaderAddr
-	s.mu.Unlock()
-	err := errs.New(errs.NotLeader, step, string(s.cfg.ID), "not the leader")
-	err.Detail = address
-	return err
-}
-
-// submit queues f for the run goroutine.
-func (s *Server) submit(ctx context.Context, step string, f func()) error {
-	select {
-	case <-s.done:
-		return s.stopped(step)
-	default:
-	}
-	select {
-	case s.queue <- f:
-		return nil
-	case <-ctx.Done():
-		return errs.New(errs.Unavailable, step, "", "not sent: %w", ctx.Err())
-	default:
-		return errs.New(errs.Full, step, "", "the queue of the voter is full")
-	}
-}
-
-func (s *Server) stopped(step string) error {
-	if err := s.Err(); err != nil {
-		return errs.New(errs.Unavailable, step, "", "the voter has stopped: %w", err)
-	}
-	return errs.New(errs.Unavailable, step, "", "the voter has stopped")
-}
--- /dev/null
+++ b/internal/consensus/status.go
@@ -0,0 +1,88 @@
+package consensus
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// publishedStatus is what other goroutines may read of the core.
+type publishedStatus struct {
+	status     Status
+	leaseEnd   time.Duration
+	leased     bool
+	leaderAddr string
+	membership Membership
+}
+
+// publish copies what other goroutines read of the core.
+func (s *Server) publish() {
+	p := publishedStatus{
+		status: Status{
+			ID:      s.cfg.ID,
+			Leader:  s.core.leader,
+			Term:    s.core.term,
+			Applied: s.applied,
+			Voters:  s.voters(),
+		},
+		leaderAddr: s.route(s.core.leader).Address,
+		membership: s.core.Membership(),
+	}
+	p.leaseEnd, p.leased = s.core.LeaseEnd()
+	if s.core.role != s.lastRole {
+		s.lastRole = s.core.role
+		level.Info(s.logger).Log("msg", "Role changed.", "role", s.lastRole, "term", s.core.term)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status = p
+}
+
+func (s *Server) voters() []api.VoterStatus {
+	members := s.core.Membership().Members
+	out := make([]api.VoterStatus, 0, len(members))
+	for _, m := range members {
+		out = append(out, api.VoterStatus{ID: m.ID, Address: m.Address, Role: s.roleOf(m), Match: s.core.match(m.ID)})
+	}
+	return out
+}
+
+func (s *Server) roleOf(m Member) string {
+	switch {
+	case m.Learner:
+		return "learner"
+	case m.ID == s.core.leader:
+		return "leader"
+	}
+	return "follower"
+}
+
+// Status returns the state of this voter. Leading is computed at the call.
+func (s *Server) Status() Status {
+	s.mu.Lock()
+	p := s.status
+	s.mu.Unlock()
+	p.status.Leading = p.leased && s.now() < p.leaseEnd
+	return p.status
+}
+
+// Membership returns the newest membership in the log of this member.
+func (s *Server) Membership() Membership {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.status.membership
+}
+
+// notLeader returns the error of a member that does not lead, with the address
+// of the leader where one is known.
+func (s *Server) notLeader(step string) error {
+	s.mu.Lock()
+	address := s.status.leaderAddr
+	s.mu.Unlock()
+	err := errs.New(errs.NotLeader, step, string(s.cfg.ID), "not the leader")
+	err.Detail = address
+	return err
+}
--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -39,10 +39,7 @@
 // caught up; the member may stop all the same.
 func (s *Server) Resign(ctx context.Context) error {
 	const step = "resign"
-	ctx, cancel := s.bound(ctx)
-	defer cancel()
-	done := make(chan error, 1)
-	err := s.submit(ctx, step, func() {
+	return s.call(ctx, step, func(done chan<- error) {
 		switch {
 		case s.core.role != leader:
 			done <- s.notLeader(step)
@@ -53,15 +50,4 @@
 			done <- nil
 		}
 	})
-	if err != nil {
-		return err
-	}
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-		return errs.New(errs.Timeout, step, "", "not finished: %w", ctx.Err())
-	case <-s.done:
-		return s.stopped(step)
-	}
 }
