--- a/internal/consensus/sim_actions_test.go
+++ b/internal/consensus/sim_actions_test.go
@@ -181,7 +181,7 @@
 	switch {
 	case s.fault == faultDiskLossIgnored:
 		n.disk.Snapshot.Membership = s.oracle.config
-	case s.choose(2) == 0:
+	case s.fault == faultBootTrusted || s.choose(2) == 0:
 		// The bootstrap option was left on.
 		n.incarnation = BootstrapIncarnation
 		n.disk.Snapshot.Membership = s.boot
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -21,6 +21,8 @@
 	faultOldTermCommit   fault = "commit an older term by counting replicas"
 	faultLeaseOfResponse fault = "lease counted from the response"
 	faultTransferLeased  fault = "transfer keeps the lease"
+	faultEarlyChange     fault = "membership change before the first commit of the term"
+	faultBootTrusted     fault = "bootstrap of an empty folder is trusted"
 	faultRestartForgets  fault = "restart forgets the promise to a leader"
 )
 
@@ -111,7 +113,7 @@
 	}
 	n.core = NewCore(cfg, state, s.local(n))
 	switch s.fault {
-	case faultDiskLossIgnored:
+	case faultDiskLossIgnored, faultBootTrusted:
 		n.core.admission = nil
 	case faultOldTermCommit:
 		n.core.mayCommit = func(uint64) bool { return true }
--- a/internal/consensus/variants_test.go
+++ b/internal/consensus/variants_test.go
@@ -24,6 +24,8 @@
 		{faultDiskLossIgnored, 3, playDiskLoss, "leader completeness"},
 		{faultOldTermCommit, 5, playOldTermCommit, "leader completeness"},
 		{faultLeaseOfResponse, 3, playLateResponse, "lease exclusivity"},
+		{faultBootTrusted, 3, playDiskLoss, "leader completeness"},
+		{faultEarlyChange, 4, playEarlyChange, "leader completeness"},
 		{faultTransferLeased, 3, playTransfer, "lease exclusivity"},
 		{faultRestartForgets, 3, playQuickRestart, "lease exclusivity"},
 	}
@@ -347,3 +349,54 @@
 	}
 	return nil
 }
+
+// playEarlyChange lets two leaders change the membership away from the same
+// one: the first promotes a learner, the second removes the first.
+func playEarlyChange(s *sim) error {
+	if err := s.lead(); err != nil {
+		return err
+	}
+	first, second := s.nodes[0], s.nodes[1]
+	if err := s.changeAt(first, ChangeAddLearner, 4); err != nil {
+		return err
+	}
+	if err := s.run(40); err != nil {
+		return err
+	}
+	for i := 1; i < 5; i++ {
+		s.separate(0, i)
+	}
+	if err := s.changeAt(first, ChangePromote, 4); err != nil {
+		return err
+	}
+	first.up = false
+	s.now += 2 * DefaultElectionMax
+	if err := s.electAlone(1, 2, 3); err != nil {
+		return err
+	}
+	s.network = nil
+	s.separate(1, 3)
+	s.separate(1, 4)
+	if s.fault == faultEarlyChange {
+		second.core.termStart = 0
+	}
+	if err := s.changeAt(second, ChangeRemove, 0); err != nil {
+		return nil
+	}
+	if err := s.run(10); err != nil {
+		return err
+	}
+	second.up, s.nodes[2].up = false, false
+	clear(s.cut)
+	s.start(first)
+	s.now += 2 * DefaultElectionMax
+	return s.electAlone(0, 3, 4)
+}
+
+func (s *sim) changeAt(n *simNode, kind ChangeKind, target int) error {
+	_, _, err := n.core.ProposeMembership(Change{Kind: kind, Member: Member{ID: simID(target)}})
+	if err != nil {
+		return err
+	}
+	return s.carryOut(n, noCrash)
+}
