Consensus: transfer prefers a voter that answers

Cause: a voter that died with the whole log could be asked to take over. Ruled out: none. Change: the target answered the newest heartbeat round. Conclusion: the new test fails when the first voter is taken and passes now.

--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -168,3 +168,13 @@
 	require.Equal(t, 1, s.oracle.seen["read served"])
 	require.False(t, s.nodes[1].core.ReadIndex(s.local(s.nodes[1]), 8))
 }
+
+// TestTransferPrefersLivingVoter: a dead voter may hold the whole log as well.
+func TestTransferPrefersLivingVoter(t *testing.T) {
+	s := healthy(t)
+	s.nodes[1].up = false
+	require.NoError(t, s.run(10))
+	target, ok := s.nodes[0].core.transferTarget()
+	require.True(t, ok)
+	require.Equal(t, simID(2), target)
+}
--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
 )
 
@@ -14,15 +15,29 @@
 	if c.role != leader {
 		return false
 	}
+	target, ok := c.transferTarget()
+	if !ok {
+		return false
+	}
+	c.send(Message{Kind: MsgTransfer, To: target})
+	c.becomeFollower(c.term, "")
+	return true
+}
+
+// transferTarget returns the voter that holds the whole log and answered the
+// newest heartbeat round.
+func (c *Core) transferTarget() (target api.VoterID, ok bool) {
+	newest := uint64(0)
 	for _, m := range c.membership().Members {
-		if m.Learner || m.ID == c.cfg.ID || c.peers[m.ID].match < c.log.last() {
+		if m.Learner || m.ID == c.cfg.ID {
 			continue
 		}
-		c.send(Message{Kind: MsgTransfer, To: m.ID})
-		c.becomeFollower(c.term, "")
-		return true
+		p := c.peers[m.ID]
+		if p.match == c.log.last() && p.round > newest {
+			target, ok, newest = m.ID, true, p.round
+		}
 	}
-	return false
+	return target, ok
 }
 
 // handleTransfer starts an election on behalf of the leader that gave up.
