--- a/internal/storage/recover.go
+++ b/internal/storage/recover.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -49,7 +50,7 @@
 }
 
 func (s *Store) readIdentity(names []string) (bool, error) {
-	if !contains(names, identityName) {
+	if !slices.Contains(names, identityName) {
 		return false, nil
 	}
 	name := s.path(identityName)
@@ -68,15 +69,6 @@
 	return true, nil
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
 // readOne reads a file that holds a single record.
 func (s *Store) readOne(name string) (record, error) {
 	data, err := s.fs.ReadFile(name)
