Consensus: lost disks in the linearizability test

Cause: the test on whole servers had cuts and restarts, but no lost disk. Ruled out: none. Change: a member loses its data folder while all others are intact, with the bootstrap option on or off; it has to rejoin under load. Conclusion: acknowledged writes survive a lost disk.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -107,6 +107,8 @@
 	disks map[api.VoterID]storage.FS
 	// disturbances counts cuts, heals and restarts.
 	disturbances int
+	// lost holds the incarnation that a member had when it lost its disk.
+	lost map[api.VoterID]api.Incarnation
 }
 
 func newCluster(t testing.TB, size int) *cluster {
@@ -122,6 +124,7 @@
 		net:       &network{servers: map[api.VoterID]*consensus.Server{}, cut: map[api.VoterID]bool{}},
 		nodes:     map[api.VoterID]*node{},
 		snapshots: 50,
+		lost:      map[api.VoterID]api.Incarnation{},
 		disks:     disks,
 	}
 	for i := range size {
--- a/internal/consensus/linear_test.go
+++ b/internal/consensus/linear_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/consensus"
 	"github.com/crocusway/crocusway/internal/errs"
 )
 
@@ -144,15 +146,21 @@
 	}
 }
 
-// disturb cuts, heals or restarts a member.
+// disturb cuts, heals or restarts a member, or empties its data folder.
 func (c *cluster) disturb(r *rand.Rand) {
 	c.disturbances++
 	id := c.members.Members[r.IntN(len(c.members.Members))].ID
-	switch r.IntN(4) {
+	switch r.IntN(5) {
 	case 0:
 		c.net.setCut(id, true)
 	case 1:
 		c.restart(id)
+	case 2:
+		if c.intact() {
+			c.lost[id] = c.nodes[id].store.Identity().Incarnation
+			c.stop(id)
+			c.start(id, c.t.TempDir(), r.IntN(2) == 0)
+		}
 	default:
 		for _, m := range c.members.Members {
 			c.net.setCut(m.ID, false)
@@ -160,7 +168,23 @@
 	}
 }
 
+// intact reports whether every member votes under its present incarnation, so
+// that one more disk may be lost.
+func (c *cluster) intact() bool {
+	for _, n := range c.nodes {
+		if !n.server.Status().Leading {
+			continue
+		}
+		return !slices.ContainsFunc(n.server.Membership().Members, func(m consensus.Member) bool {
+			present := c.nodes[m.ID].store.Identity().Incarnation
+			return m.Learner || m.Incarnation != present || present == c.lost[m.ID]
+		})
+	}
+	return false
+}
+
 func TestRegisterIsLinearizable(t *testing.T) {
+	lost := 0
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			c := newCluster(t, 3)
@@ -186,9 +210,11 @@
 			}
 			require.GreaterOrEqual(t, len(h.ops), 600)
 			require.Greater(t, c.disturbances, 10)
+			lost += len(c.lost)
 			require.Equal(t, porcupine.Ok, porcupine.CheckOperationsTimeout(registerModel, h.ops, time.Minute))
 		})
 	}
+	require.Positive(t, lost)
 }
 
 // TestStaleReadIsCaught shows that the check above sees a read without a
