Consensus: a late bootstrap is ignored with a warning

Cause: the option given at the second start of a folder listed the member under an incarnation that it does not have, without a word. Ruled out: an error, because it would keep a lost disk from rejoining. Change: the member warns and waits for a leader. Conclusion: the new test holds.

--- a/internal/consensus/server.go
+++ b/internal/consensus/server.go
@@ -83,13 +83,9 @@
 	}
 	empty := len(state.Snapshot.Membership.Members) == 0 && len(state.Entries) == 0 && state.HardState == HardState{}
 	if empty && len(s.cfg.Bootstrap.Members) > 0 {
-		if err := s.cfg.Bootstrap.check(); err != nil {
+		if err := s.bootstrap(&state); err != nil {
 			return State{}, err
 		}
-		state.Snapshot.Membership = s.cfg.Bootstrap
-		if err := s.cfg.Store.SaveSnapshot(state.Snapshot); err != nil {
-			return State{}, errs.Wrap(err, "save bootstrap membership", "")
-		}
 	}
 	if state.Snapshot.Index > 0 {
 		if err := s.cfg.StateMachine.Restore(state.Snapshot.Data); err != nil {
@@ -101,6 +97,19 @@
 	return state, nil
 }
 
+// bootstrap makes the membership of a first start durable.
+func (s *Server) bootstrap(state *State) error {
+	if s.cfg.Incarnation != BootstrapIncarnation {
+		level.Warn(s.logger).Log("msg", "Data folder was created without bootstrap, voter waits for a leader.")
+		return nil
+	}
+	if err := s.cfg.Bootstrap.check(); err != nil {
+		return err
+	}
+	state.Snapshot.Membership = s.cfg.Bootstrap
+	return errs.Wrap(s.cfg.Store.SaveSnapshot(state.Snapshot), "save bootstrap membership", "")
+}
+
 func (s *Server) now() time.Duration { return s.cfg.Clock.Now().Sub(s.origin) }
 
 // Start runs the server until Stop or until its store fails.
--- a/internal/consensus/server_test.go
+++ b/internal/consensus/server_test.go
@@ -237,3 +237,16 @@
 		return true
 	})
 }
+
+// TestLateBootstrapIsIgnored: a folder that was created without the bootstrap
+// option stays one of a lost disk.
+func TestLateBootstrapIsIgnored(t *testing.T) {
+	c := newCluster(t, 3)
+	c.propose("c0")
+	dir := t.TempDir()
+	c.start("v4", dir, false)
+	c.stop("v4")
+	n := c.start("v4", dir, true)
+	require.Empty(t, n.server.Membership().Members)
+	require.Greater(t, n.store.Identity().Incarnation, consensus.BootstrapIncarnation)
+}
