--- a/internal/consensus/codec.go
+++ b/internal/consensus/codec.go
@@ -16,8 +16,9 @@
 
 // Bounds of an encoded batch.
 const (
-	// MaxPayloadBytes bounds one encoded batch.
-	MaxPayloadBytes = 8 << 20
+	// MaxPayloadBytes bounds one encoded batch. In base64 it fits into a frame of
+	// the peer links.
+	MaxPayloadBytes = 2 << 20
 	// MaxBatchMessages bounds the messages of one batch.
 	MaxBatchMessages = 4096
 	// maxNameBytes bounds identifiers and addresses.
@@ -74,6 +75,22 @@
 	return msgs, nil
 }
 
+// messageOverhead is the encoded size of a message without entries and chunk,
+// in bytes.
+const messageOverhead = 128
+
+// size estimates the encoded size in bytes.
+func (m *Message) size() int {
+	size := messageOverhead
+	for i := range m.Entries {
+		size += len(m.Entries[i].Data) + entryOverhead
+	}
+	if m.Chunk != nil {
+		size += len(m.Chunk.Snapshot.Data)
+	}
+	return size
+}
+
 // check refuses what no correct member sends.
 func (m *Message) check() error {
 	const step = "check message"
@@ -84,7 +101,7 @@
 		return errs.New(errs.Invalid, step, "", "bad sender or receiver")
 	case len(m.Address) > maxNameBytes:
 		return errs.New(errs.Invalid, step, string(m.From), "address of %d bytes", len(m.Address))
-	case m.Term == 0 && !m.Reject:
+	case m.Term == 0 && !m.Reject && m.Kind != MsgHello && m.Kind != MsgHelloResponse:
 		return errs.New(errs.Invalid, step, string(m.From), "no term")
 	case len(m.Entries) > 0 && m.Kind != MsgAppend:
 		return errs.New(errs.Invalid, step, string(m.From), "entries in a message of kind %d", m.Kind)
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -23,18 +23,23 @@
 	MaxInflight int
 	// ChunkBytes is the size of a snapshot chunk.
 	ChunkBytes int
-	// TrailingEntries stay in memory after a snapshot for slow members.
+	// TrailingEntries and TrailingBytes bound what stays in memory after a
+	// snapshot for slow members.
 	TrailingEntries uint64
+	TrailingBytes   int
 	// Seed seeds the election timeouts.
 	Seed uint64
+	// Nonce differs between any two processes of one member.
+	Nonce uint64
 }
 
 // Default limits of a Core.
 const (
-	defaultMaxAppendBytes  = 256 << 10
+	defaultMaxAppendBytes  = 128 << 10
 	defaultMaxInflight     = 64
-	defaultChunkBytes      = 256 << 10
+	defaultChunkBytes      = 128 << 10
 	defaultTrailingEntries = 1024
+	defaultTrailingBytes   = 4 << 20
 )
 
 func (c *CoreConfig) setDefaults() {
@@ -45,6 +50,7 @@
 	setDefault(&c.MaxInflight, defaultMaxInflight)
 	setDefault(&c.ChunkBytes, defaultChunkBytes)
 	setDefault(&c.TrailingEntries, defaultTrailingEntries)
+	setDefault(&c.TrailingBytes, defaultTrailingBytes)
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -87,6 +93,11 @@
 	// deadline is when the next election or heartbeat round is due.
 	deadline time.Duration
 	votes    map[api.VoterID]bool
+	// forced is set while a candidate acts for a leader that gave up.
+	forced bool
+
+	// admission is set while a bootstrapped member may not yet take part.
+	admission *admission
 
 	configs  []configAt
 	snapshot Snapshot
@@ -99,6 +110,10 @@
 	// termStart is the index of the no-op entry of this leader.
 	termStart uint64
 
+	// fault is a contradiction that only a broken member can cause. It stops
+	// the core.
+	fault error
+
 	saved     HardState
 	messages  []Message
 	responses []Message
@@ -134,6 +149,7 @@
 		saved:    state.HardState,
 		rejoin:   map[api.VoterID]Member{},
 	}
+	c.admission = newAdmission(cfg, state)
 	c.mayCommit = func(term uint64) bool { return term == c.term }
 	c.leaseFrom = func(sent, _ time.Duration) time.Duration { return sent }
 	c.loadConfigs(state)
@@ -141,10 +157,20 @@
 	return c
 }
 
+// Err returns the contradiction that stopped the core, or nil.
+func (c *Core) Err() error { return c.fault }
+
 // Tick moves the clock and runs what is due.
 func (c *Core) Tick(now time.Duration) {
 	c.setNow(now)
-	if c.role == leader {
+	if c.fault != nil {
+		return
+	}
+	switch {
+	case c.admission != nil:
+		c.tickAdmission()
+		return
+	case c.role == leader:
 		c.tickLeader()
 		return
 	}
@@ -156,10 +182,17 @@
 // Step processes one message of another member.
 func (c *Core) Step(now time.Duration, m Message) {
 	c.setNow(now)
-	if m.To != c.cfg.ID || m.From == c.cfg.ID {
+	if c.fault != nil || m.To != c.cfg.ID || m.From == c.cfg.ID {
 		return
 	}
-	if !c.stepTerm(m) {
+	switch {
+	case m.Kind == MsgHello:
+		c.handleHello(m)
+		return
+	case m.Kind == MsgHelloResponse:
+		c.handleHelloResponse(m)
+		return
+	case c.admission != nil || !c.stepTerm(m):
 		return
 	}
 	switch m.Kind {
@@ -175,6 +208,8 @@
 		c.handleHeartbeat(m)
 	case MsgSnapshot:
 		c.handleSnapshot(m)
+	case MsgTransfer:
+		c.handleTransfer(m)
 	case MsgAppendResponse, MsgHeartbeatResponse, MsgSnapshotResponse:
 		c.handleResponse(m)
 	}
@@ -195,7 +230,7 @@
 	}
 	switch m.Kind {
 	case MsgVote:
-		if c.leaderHeard() {
+		if c.leaderHeard() && !m.Forced {
 			return false
 		}
 		c.becomeFollower(m.Term, "")
@@ -204,7 +239,7 @@
 			c.becomeFollower(m.Term, "")
 			return false
 		}
-	case MsgAppend, MsgHeartbeat, MsgSnapshot:
+	case MsgAppend, MsgHeartbeat, MsgSnapshot, MsgTransfer:
 		c.becomeFollower(m.Term, m.From)
 	default:
 		if _, known := c.membership().find(m.From); !known {
@@ -284,6 +319,9 @@
 
 // HasReady reports whether Ready would return anything.
 func (c *Core) HasReady() bool {
+	if c.fault != nil {
+		return false
+	}
 	c.flush()
 	return len(c.messages)+len(c.responses)+len(c.reads) > 0 ||
 		c.install != nil || c.mustSync() || c.log.applied < c.log.committed
@@ -329,6 +367,15 @@
 	}
 }
 
+// uncommitted returns the number of entries that a leader has appended ahead
+// of a quorum.
+func (c *Core) uncommitted() uint64 {
+	if c.role != leader {
+		return 0
+	}
+	return c.log.last() - c.log.committed
+}
+
 // Applied returns the index handed out for application.
 func (c *Core) Applied() uint64 { return c.log.applied }
 
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -11,6 +11,12 @@
 	c.deadline = c.now + c.randomTimeout(c.cfg.ElectionMin, c.cfg.ElectionMax)
 }
 
+// resetRetryTimer draws the time after which a split election is repeated. It
+// may be shorter than ElectionMin, because it promises nothing to a leader.
+func (c *Core) resetRetryTimer() {
+	c.deadline = c.now + c.randomTimeout(c.cfg.ElectionMin/4, c.cfg.ElectionMin)
+}
+
 func (c *Core) randomTimeout(low, high time.Duration) time.Duration {
 	return low + time.Duration(c.rand.Int64N(int64(high-low)+1))
 }
@@ -29,8 +35,8 @@
 	}
 	c.role = preCandidate
 	c.leader = ""
-	// A failed pre-vote is retried sooner than a failed election.
-	c.deadline = c.now + c.randomTimeout(c.cfg.ElectionMin/2, c.cfg.ElectionMin)
+	c.forced = false
+	c.resetRetryTimer()
 	c.requestVotes(MsgPreVote, c.term+1)
 }
 
@@ -44,9 +50,10 @@
 // elect starts an election in a new term.
 func (c *Core) elect() {
 	c.role = candidate
+	c.leader = ""
 	c.term++
 	c.vote = c.cfg.ID
-	c.resetElectionTimer()
+	c.resetRetryTimer()
 	c.requestVotes(MsgVote, c.term)
 }
 
@@ -57,7 +64,9 @@
 			continue
 		}
 		// A vote request promises our own vote, which has to be synced first.
-		c.respond(Message{Kind: kind, To: m.ID, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm()})
+		c.respond(Message{
+			Kind: kind, To: m.ID, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(), Forced: c.forced,
+		})
 	}
 	c.countVotes()
 }
@@ -73,7 +82,7 @@
 
 func (c *Core) handleVote(m Message) {
 	free := c.vote == m.From || (c.vote == "" && c.leader == "")
-	if !free || c.leaderHeard() || !c.log.upToDate(m.Index, m.LogTerm) {
+	if !free || (c.leaderHeard() && !m.Forced) || !c.log.upToDate(m.Index, m.LogTerm) {
 		c.respond(Message{Kind: MsgVoteResponse, To: m.From, Reject: true})
 		return
 	}
--- a/internal/consensus/proposal.go
+++ b/internal/consensus/proposal.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"slices"
-
-	"github.com/go-kit/log/level"
 
 	"github.com/crocusway/crocusway/internal/errs"
 )
@@ -12,6 +9,8 @@
 // proposal waits for the local application of one entry.
 type proposal struct {
 	term uint64
+	// size is the length of the command in bytes.
+	size int
 	done chan proposalResult
 }
 
@@ -33,7 +32,10 @@
 	if len(command) > s.cfg.MaxCommandBytes {
 		return nil, errs.New(errs.Invalid, stepPropose, "", "%d bytes exceed %d", len(command), s.cfg.MaxCommandBytes)
 	}
-	return s.propose(ctx, stepPropose, func() (uint64, uint64, error) {
+	return s.propose(ctx, stepPropose, len(command), func() (uint64, uint64, error) {
+		if s.core.uncommitted() >= maxUncommitted || s.pendingBytes+len(command) > maxPendingBytes {
+			return 0, 0, errs.New(errs.Full, stepPropose, "", "too many commands wait for a quorum")
+		}
 		index, term, ok := s.core.Propose(command)
 		if !ok {
 			return 0, 0, s.notLeader(stepPropose)
@@ -45,7 +47,7 @@
 // ChangeMembers commits one membership change. It fails with errs.Unavailable
 // while another change is running or the learner to promote lags behind.
 func (s *Server) ChangeMembers(ctx context.Context, change Change) error {
-	_, err := s.propose(ctx, stepMember, func() (uint64, uint64, error) {
+	_, err := s.propose(ctx, stepMember, 0, func() (uint64, uint64, error) {
 		if s.core.role != leader {
 			return 0, 0, s.notLeader(stepMember)
 		}
@@ -70,10 +72,12 @@
 }
 
 // propose runs start on the run goroutine and waits for the entry it appended.
-func (s *Server) propose(ctx context.Context, step string, start func() (index, term uint64, err error)) (any, error) {
+func (s *Server) propose(
+	ctx context.Context, step string, size int, start func() (index, term uint64, err error),
+) (any, error) {
 	ctx, cancel := s.bound(ctx)
 	defer cancel()
-	p := &proposal{done: make(chan proposalResult, 1)}
+	p := &proposal{size: size, done: make(chan proposalResult, 1)}
 	err := s.submit(ctx, step, func() {
 		index, term, err := start()
 		if err != nil {
@@ -81,7 +85,11 @@
 			return
 		}
 		p.term = term
+		// The entry of an earlier term at this index is gone from the log of a
+		// later leader, so it was not committed.
+		s.finish(index, proposalResult{err: s.notLeader(step)})
 		s.proposals[index] = p
+		s.pendingBytes += size
 	})
 	if err != nil {
 		return nil, err
@@ -96,14 +104,6 @@
 	}
 }
 
-// bound adds a deadline to a context that has none.
-func (s *Server) bound(ctx context.Context) (context.Context, context.CancelFunc) {
-	if _, bounded := ctx.Deadline(); bounded {
-		return ctx, func() {}
-	}
-	return context.WithTimeout(ctx, s.cfg.ProposalTimeout)
-}
-
 // afterStop prefers a result that was delivered before the server ended.
 func (s *Server) afterStop(p *proposal, step string) (any, error) {
 	select {
@@ -114,158 +114,53 @@
 	}
 }
 
-// apply executes committed entries and answers their proposers.
-func (s *Server) apply(entries []Entry) {
-	for _, e := range entries {
-		var value any
+// apply executes committed entries and returns the values of Apply.
+func (s *Server) apply(entries []Entry) []any {
+	values := make([]any, len(entries))
+	for i, e := range entries {
 		if e.Kind == EntryNormal {
-			value = s.cfg.StateMachine.Apply(e.Index, e.Data)
+			values[i] = s.cfg.StateMachine.Apply(e.Index, e.Data)
 		}
 		s.applied = e.Index
-		s.answer(e, value)
+		s.appliedBytes += len(e.Data)
 	}
+	return values
 }
 
-func (s *Server) answer(e Entry, value any) {
-	p, ok := s.proposals[e.Index]
-	if !ok {
-		return
-	}
-	delete(s.proposals, e.Index)
-	if p.term != e.Term {
-		// Another entry was committed in its place.
-		p.done <- proposalResult{err: s.notLeader(stepPropose)}
-		return
-	}
-	p.done <- proposalResult{value: value}
-}
-
-// abandon answers everything that still waits when the server ends.
-func (s *Server) abandon() {
-	for _, p := range s.proposals {
-		p.done <- proposalResult{err: errs.New(errs.Timeout, stepPropose, "", "outcome unknown: %w", s.stopped(stepPropose))}
-	}
-	for _, r := range s.reads {
-		r.done <- s.stopped(stepRead)
-	}
-	s.proposals, s.reads = nil, nil
-}
-
-// read waits for a confirmed read index.
-type read struct {
-	done chan error
-}
-
-// ReadBarrier returns once this member, as leader, knows that no newer leader
-// existed at the call and has applied every entry committed before the call.
-func (s *Server) ReadBarrier(ctx context.Context) error {
-	ctx, cancel := s.bound(ctx)
-	defer cancel()
-	r := &read{done: make(chan error, 1)}
-	err := s.submit(ctx, stepRead, func() {
-		id := s.nextRead
-		s.nextRead++
-		if !s.core.ReadIndex(s.now(), id) {
-			r.done <- s.notLeader(stepRead)
-			return
-		}
-		s.reads[id] = r
-	})
-	if err != nil {
-		return err
-	}
-	select {
-	case err := <-r.done:
-		return err
-	case <-ctx.Done():
-		return errs.New(errs.Timeout, stepRead, "", "not confirmed: %w", ctx.Err())
-	case <-s.done:
-		return s.stopped(stepRead)
-	}
-}
-
-// confirmReads answers reads. Every entry up to the read index has been applied
-// by now, because committed entries are applied before.
-func (s *Server) confirmReads(states []ReadState) {
-	for _, state := range states {
-		r, ok := s.reads[state.ID]
+// answer delivers the values of applied entries to their proposers.
+func (s *Server) answer(entries []Entry, values []any) {
+	for i, e := range entries {
+		p, ok := s.proposals[e.Index]
 		if !ok {
 			continue
 		}
-		delete(s.reads, state.ID)
-		if state.Failed {
-			r.done <- s.notLeader(stepRead)
-			continue
-		}
-		r.done <- nil
-	}
-}
-
-// install makes a received snapshot durable and restores it.
-func (s *Server) install(snap Snapshot) error {
-	if err := s.cfg.Store.SaveSnapshot(snap); err != nil {
-		return errs.Wrap(err, "save snapshot", "")
-	}
-	if err := s.cfg.StateMachine.Restore(snap.Data); err != nil {
-		return errs.Wrap(err, "restore snapshot", "")
-	}
-	s.applied, s.snapshot = snap.Index, snap.Index
-	for index, p := range s.proposals {
-		if index <= snap.Index {
-			delete(s.proposals, index)
-			p.done <- proposalResult{err: errs.New(errs.Timeout, stepPropose, "", "outcome unknown: replaced by a snapshot")}
+		r := proposalResult{value: values[i]}
+		if p.term != e.Term {
+			// Another entry was committed in its place.
+			r = proposalResult{err: s.notLeader(stepPropose)}
 		}
+		s.finish(e.Index, r)
 	}
-	level.Info(s.logger).Log("msg", "Snapshot installed.", "index", snap.Index)
-	return nil
-}
-
-// compact takes a snapshot once enough entries were applied.
-func (s *Server) compact() error {
-	if s.applied < s.snapshot+s.cfg.SnapshotEntries {
-		return nil
-	}
-	return s.takeSnapshot()
 }
 
-func (s *Server) takeSnapshot() error {
-	if s.applied == s.snapshot {
-		return nil
-	}
-	data, err := s.cfg.StateMachine.Snapshot()
-	if err != nil {
-		return errs.Wrap(err, "encode snapshot", "")
-	}
-	snap := s.core.NewSnapshot(slices.Clip(data))
-	if err := s.cfg.Store.SaveSnapshot(snap); err != nil {
-		return errs.Wrap(err, "save snapshot", "")
+// finish answers the proposal at an index, if there is one.
+func (s *Server) finish(index uint64, r proposalResult) {
+	p, ok := s.proposals[index]
+	if !ok {
+		return
 	}
-	s.core.Compact(snap)
-	s.snapshot = snap.Index
-	return nil
+	delete(s.proposals, index)
+	s.pendingBytes -= p.size
+	p.done <- r
 }
 
-// TakeSnapshot compacts the log now.
-func (s *Server) TakeSnapshot(ctx context.Context) error {
-	ctx, cancel := s.bound(ctx)
-	defer cancel()
-	done := make(chan error, 1)
-	err := s.submit(ctx, "take snapshot", func() {
-		err := s.takeSnapshot()
-		if err != nil {
-			s.fail(err)
-		}
-		done <- err
-	})
-	if err != nil {
-		return err
+// abandon answers everything that still waits when the server ends.
+func (s *Server) abandon() {
+	for _, p := range s.proposals {
+		p.done <- proposalResult{err: errs.New(errs.Timeout, stepPropose, "", "outcome unknown: %w", s.stopped(stepPropose))}
 	}
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-		return errs.New(errs.Timeout, "take snapshot", "", "not finished: %w", ctx.Err())
-	case <-s.done:
-		return s.stopped("take snapshot")
+	for _, done := range s.reads {
+		done <- s.stopped(stepRead)
 	}
+	s.proposals, s.reads = nil, nil
 }
--- a/internal/consensus/server.go
+++ b/internal/consensus/server.go
@@ -1,7 +1,6 @@
 package consensus
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,87 +9,10 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/crocusway/crocusway/internal/api"
-	"github.com/crocusway/crocusway/internal/clock"
 	"github.com/crocusway/crocusway/internal/errs"
 	"github.com/crocusway/crocusway/internal/logging"
 )
 
-// ServerConfig configures a Server. ID, Store, Transport and StateMachine are
-// required.
-type ServerConfig struct {
-	// ID and Incarnation name this member; they come from storage.Store.Identity.
-	ID          api.VoterID
-	Incarnation api.Incarnation
-	// Address is the peer address that other members reach this one at.
-	Address string
-	// Bootstrap are the members of a first start, all of BootstrapIncarnation.
-	// It is used only when the Store is empty and must be the same on each
-	// member. A member that starts empty without it waits for a leader.
-	Bootstrap Membership
-	// Store persists the state.
-	Store Store
-	// Transport sends messages to other members.
-	Transport Transport
-	// StateMachine is called by one goroutine at a time.
-	StateMachine StateMachine
-	// Clock is the monotonic clock; nil stands for clock.System.
-	Clock clock.Clock
-	// Logger receives the log of the server; nil discards it.
-	Logger log.Logger
-	// TickInterval is the interval of the timer; 0 stands for DefaultTick. The
-	// heartbeat and the election timeouts are multiples of it.
-	TickInterval time.Duration
-	// Ticks replaces the timer of TickInterval, so that tests drive the server.
-	Ticks <-chan time.Time
-	// Seed seeds the randomised election timeout.
-	Seed uint64
-	// SnapshotEntries is the number of applied entries after which a snapshot is
-	// taken; 0 stands for DefaultSnapshotEntries.
-	SnapshotEntries uint64
-	// ProposalTimeout bounds the wait of a proposal whose context has no
-	// deadline; 0 stands for DefaultProposalTimeout.
-	ProposalTimeout time.Duration
-	// MaxCommandBytes bounds one command; 0 stands for DefaultMaxCommandBytes.
-	MaxCommandBytes int
-	// Core overrides limits of the core; its timing and identity are set from
-	// the fields above.
-	Core CoreConfig
-}
-
-// Defaults of a Server.
-const (
-	DefaultSnapshotEntries = 8192
-	DefaultProposalTimeout = 5 * time.Second
-	DefaultMaxCommandBytes = 1 << 20
-
-	heartbeatTicks   = 2
-	electionMinTicks = 12
-	electionMaxTicks = 24
-	// queueLength bounds each queue of the server.
-	queueLength = 4096
-	// maxBatch bounds the events taken before one sync.
-	maxBatch = 1024
-)
-
-func (c *ServerConfig) setDefaults() {
-	if c.Clock == nil {
-		c.Clock = clock.System{}
-	}
-	if c.Logger == nil {
-		c.Logger = logging.Discard()
-	}
-	setDefault(&c.TickInterval, DefaultTick)
-	setDefault(&c.SnapshotEntries, DefaultSnapshotEntries)
-	setDefault(&c.ProposalTimeout, DefaultProposalTimeout)
-	setDefault(&c.MaxCommandBytes, DefaultMaxCommandBytes)
-	c.Core.ID = c.ID
-	c.Core.Incarnation = c.Incarnation
-	c.Core.Seed = c.Seed
-	c.Core.Heartbeat = heartbeatTicks * c.TickInterval
-	c.Core.ElectionMin = electionMinTicks * c.TickInterval
-	c.Core.ElectionMax = electionMaxTicks * c.TickInterval
-}
-
 // Server runs a Core: one goroutine steps it, syncs its log, sends its messages
 // and applies committed entries. Proposals that arrive during a sync share the
 // next one.
@@ -113,21 +35,16 @@
 
 	// The fields below belong to the run goroutine.
 	proposals map[uint64]*proposal
-	reads     map[uint64]*read
+	reads     map[uint64]chan<- error
 	nextRead  uint64
 	applied   uint64
 	snapshot  uint64
-	routes    map[api.VoterID]string
-	lastRole  role
-}
-
-// publishedStatus is what other goroutines may read of the core.
-type publishedStatus struct {
-	status     Status
-	leaseEnd   time.Duration
-	leased     bool
-	leaderAddr string
-	membership Membership
+	// appliedBytes counts the commands applied since the newest snapshot.
+	appliedBytes int
+	// pendingBytes counts the commands of proposals.
+	pendingBytes int
+	routes       map[api.VoterID]string
+	lastRole     role
 }
 
 // NewServer recovers the state from the Store and returns a server that Run
@@ -138,12 +55,12 @@
 		cfg:       cfg,
 		origin:    cfg.Clock.Now(),
 		logger:    logging.For(cfg.Logger, "consensus"),
-		inbox:     make(chan []Message, queueLength),
+		inbox:     make(chan []Message, inboxLength),
 		queue:     make(chan func(), queueLength),
 		stop:      make(chan struct{}),
 		done:      make(chan struct{}),
 		proposals: map[uint64]*proposal{},
-		reads:     map[uint64]*read{},
+		reads:     map[uint64]chan<- error{},
 		routes:    map[api.VoterID]string{},
 	}
 	state, err := s.load()
@@ -151,6 +68,9 @@
 		return nil, err
 	}
 	s.core = NewCore(cfg.Core, state, s.now())
+	if err := s.core.Err(); err != nil {
+		return nil, err
+	}
 	s.publish()
 	return s, nil
 }
@@ -163,13 +83,9 @@
 	}
 	empty := len(state.Snapshot.Membership.Members) == 0 && len(state.Entries) == 0 && state.HardState == HardState{}
 	if empty && len(s.cfg.Bootstrap.Members) > 0 {
-		if err := s.cfg.Bootstrap.check(); err != nil {
+		if err := s.bootstrap(&state); err != nil {
 			return State{}, err
 		}
-		state.Snapshot.Membership = s.cfg.Bootstrap
-		if err := s.cfg.Store.SaveSnapshot(state.Snapshot); err != nil {
-			return State{}, errs.Wrap(err, "save bootstrap membership", "")
-		}
 	}
 	if state.Snapshot.Index > 0 {
 		if err := s.cfg.StateMachine.Restore(state.Snapshot.Data); err != nil {
@@ -181,6 +97,19 @@
 	return state, nil
 }
 
+// bootstrap makes the membership of a first start durable.
+func (s *Server) bootstrap(state *State) error {
+	if s.cfg.Incarnation != BootstrapIncarnation {
+		level.Warn(s.logger).Log("msg", "Data folder was created without bootstrap, voter waits for a leader.")
+		return nil
+	}
+	if err := s.cfg.Bootstrap.check(); err != nil {
+		return err
+	}
+	state.Snapshot.Membership = s.cfg.Bootstrap
+	return errs.Wrap(s.cfg.Store.SaveSnapshot(state.Snapshot), "save bootstrap membership", "")
+}
+
 func (s *Server) now() time.Duration { return s.cfg.Clock.Now().Sub(s.origin) }
 
 // Start runs the server until Stop or until its store fails.
@@ -282,16 +211,40 @@
 		}
 		s.core.Advance()
 		s.send(rd.Responses)
-		s.apply(rd.Committed)
+		values := s.apply(rd.Committed)
+		// A caller that has its answer finds it in the status, too.
+		s.publish()
+		s.answer(rd.Committed, values)
 		s.confirmReads(rd.Reads)
 		if err := s.compact(); err != nil {
 			s.fail(err)
 			return
 		}
 	}
+	if s.core.Obsolete() {
+		s.renew()
+	}
+	if err := s.core.Err(); err != nil {
+		s.fail(err)
+		return
+	}
 	s.publish()
 }
 
+// renew gives up a bootstrap into a cluster that already existed. The member
+// waits for the leader under a new incarnation.
+func (s *Server) renew() {
+	incarnation, err := s.cfg.Store.Renew()
+	if err != nil {
+		s.fail(errs.Wrap(err, "renew incarnation", ""))
+		return
+	}
+	level.Warn(s.logger).Log("msg", "Cluster already exists, voter rejoins as learner.", "incarnation", incarnation)
+	s.cfg.Core.Incarnation = incarnation
+	state := State{Snapshot: Snapshot{Membership: s.core.Membership()}}
+	s.core = NewCore(s.cfg.Core, state, s.now())
+}
+
 func (s *Server) persist(rd Ready) error {
 	if rd.Snapshot != nil {
 		if err := s.install(*rd.Snapshot); err != nil {
@@ -304,7 +257,7 @@
 	return errs.Wrap(s.cfg.Store.Save(rd.HardState, rd.Entries), "sync log", "")
 }
 
-// send groups messages by receiver.
+// send groups messages by receiver into batches of bounded size.
 func (s *Server) send(msgs []Message) {
 	groups := map[api.VoterID][]Message{}
 	for _, m := range msgs {
@@ -312,8 +265,25 @@
 		groups[m.To] = append(groups[m.To], m)
 	}
 	for id, group := range groups {
-		s.cfg.Transport.Send(s.route(id), group)
+		to := s.route(id)
+		for len(group) > 0 {
+			n := batchLength(group)
+			s.cfg.Transport.Send(to, group[:n:n])
+			group = group[n:]
+		}
+	}
+}
+
+// batchLength returns how many leading messages fit into one batch.
+func batchLength(msgs []Message) int {
+	size := 0
+	for i := range msgs {
+		size += msgs[i].size()
+		if i > 0 && (size > batchBytes || i == MaxBatchMessages) {
+			return i
+		}
 	}
+	return len(msgs)
 }
 
 // route returns where to reach a member. A leader that is not yet in our
@@ -329,101 +299,11 @@
 	return member
 }
 
-// fail stops the server after a failure of its store.
+// fail stops the server after a failure of its store or its core.
 func (s *Server) fail(err error) {
 	s.mu.Lock()
 	s.err = err
 	s.status.leased = false
 	s.mu.Unlock()
-	level.Error(s.logger).Log("msg", "Store failed, voter stops.", "err", err)
-}
-
-// publish copies what other goroutines read of the core.
-func (s *Server) publish() {
-	p := publishedStatus{
-		status: Status{
-			ID:      s.cfg.ID,
-			Leader:  s.core.leader,
-			Term:    s.core.term,
-			Applied: s.applied,
-			Voters:  s.voters(),
-		},
-		leaderAddr: s.route(s.core.leader).Address,
-		membership: s.core.Membership(),
-	}
-	p.leaseEnd, p.leased = s.core.LeaseEnd()
-	if s.core.role != s.lastRole {
-		s.lastRole = s.core.role
-		level.Info(s.logger).Log("msg", "Role changed.", "role", s.lastRole, "term", s.core.term)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.status = p
-}
-
-func (s *Server) voters() []api.VoterStatus {
-	members := s.core.Membership().Members
-	out := make([]api.VoterStatus, 0, len(members))
-	for _, m := range members {
-		out = append(out, api.VoterStatus{ID: m.ID, Address: m.Address, Role: s.roleOf(m), Match: s.core.match(m.ID)})
-	}
-	return out
-}
-
-func (s *Server) roleOf(m Member) string {
-	switch {
-	case m.Learner:
-		return "learner"
-	case m.ID == s.core.leader:
-		return "leader"
-	}
-	return "follower"
-}
-
-// Status returns the state of this voter. Leading is computed at the call.
-func (s *Server) Status() Status {
-	s.mu.Lock()
-	p := s.status
-	s.mu.Unlock()
-	p.status.Leading = p.leased && s.now() < p.leaseEnd
-	return p.status
-}
-
-// Membership returns the newest membership in the log of this member.
-func (s *Server) Membership() Membership {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.status.membership
-}
-
-// notLeader returns the error of a member that does not lead, with the address
-// of the leader where one is known.
-func (s *Server) notLeader(step string) error {
-	s.mu.Lock()
-	address := s.status.leaderAddr
-	s.mu.Unlock()
-	err := errs.New(errs.NotLeader, step, string(s.cfg.ID), "not the leader")
-	err.Detail = address
-	return err
-}
-
-// submit queues f for the run goroutine.
-func (s *Server) submit(ctx context.Context, step string, f func()) error {
-	select {
-	case s.queue <- f:
-		return nil
-	case <-s.done:
-		return s.stopped(step)
-	case <-ctx.Done():
-		return errs.New(errs.Unavailable, step, "", "not sent: %w", ctx.Err())
-	default:
-		return errs.New(errs.Full, step, "", "the queue of the voter is full")
-	}
-}
-
-func (s *Server) stopped(step string) error {
-	if err := s.Err(); err != nil {
-		return errs.New(errs.Unavailable, step, "", "the voter has stopped: %w", err)
-	}
-	return errs.New(errs.Unavailable, step, "", "the voter has stopped")
+	level.Error(s.logger).Log("msg", "Voter stops.", "err", err)
 }
--- a/internal/consensus/server_test.go
+++ b/internal/consensus/server_test.go
@@ -3,14 +3,21 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/consensus"
 	"github.com/crocusway/crocusway/internal/control"
 	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/storage"
 )
 
 var _ control.Log = (*consensus.Server)(nil)
@@ -74,21 +81,28 @@
 }
 
 func TestServerLostDiskRejoins(t *testing.T) {
-	c := newCluster(t, 3)
-	want := c.proposeMany(0, 120)
-	lost := c.leader().id
-	c.stop(lost)
-	n := c.start(lost, t.TempDir(), false)
-	incarnation := n.store.Identity().Incarnation
-	c.until("the member votes again", func() bool {
-		for _, m := range c.leader().server.Membership().Members {
-			if m.ID == lost && !m.Learner && m.Incarnation == incarnation {
-				return true
-			}
-		}
-		return false
-	})
-	c.converged(want)
+	for name, bootstrap := range map[string]bool{"plain": false, "bootstrap option left on": true} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 3)
+			want := c.proposeMany(0, 120)
+			lost := c.leader().id
+			c.stop(lost)
+			n := c.start(lost, t.TempDir(), bootstrap)
+			c.until("the member votes again", func() bool {
+				incarnation := n.store.Identity().Incarnation
+				for _, m := range c.leader().server.Membership().Members {
+					if m.ID == lost && !m.Learner && m.Incarnation == incarnation {
+						return incarnation > consensus.BootstrapIncarnation
+					}
+				}
+				return false
+			})
+			c.converged(want)
+			c.restart(lost)
+			c.propose("last")
+			c.converged(append(want, "last"))
+		})
+	}
 }
 
 func TestServerAddsAndRemovesMembers(t *testing.T) {
@@ -138,3 +152,101 @@
 		require.True(t, errs.Is(err, errs.NotLeader), "%v", err)
 	}
 }
+
+// failingDisk fails every sync once it is broken.
+type failingDisk struct {
+	storage.OS
+	broken atomic.Bool
+}
+
+type failingFile struct {
+	storage.File
+	disk *failingDisk
+}
+
+func (d *failingDisk) Create(name string) (storage.File, error) {
+	f, err := d.OS.Create(name)
+	return failingFile{f, d}, err
+}
+
+func (f failingFile) Sync() error {
+	if f.disk.broken.Load() {
+		return syscall.EIO
+	}
+	return f.File.Sync()
+}
+
+func TestServerStopsWhenItsDiskFails(t *testing.T) {
+	disks := map[api.VoterID]storage.FS{}
+	broken := map[api.VoterID]*failingDisk{}
+	for i := range 3 {
+		id := api.VoterID(fmt.Sprintf("v%d", i+1))
+		broken[id] = &failingDisk{}
+		disks[id] = broken[id]
+	}
+	c := newClusterOn(t, 3, disks)
+	c.propose("c0")
+	bad := c.leader()
+	broken[bad.id].broken.Store(true)
+	_, err := bad.server.Propose(context.Background(), []byte("doubtful"))
+	require.True(t, errs.Is(err, errs.Timeout), "%v", err)
+	<-bad.server.Done()
+	require.ErrorIs(t, bad.server.Err(), syscall.EIO)
+	require.ErrorContains(t, bad.server.Err(), bad.dir)
+	require.False(t, bad.server.Status().Leading)
+	_, err = bad.server.Propose(context.Background(), []byte("late"))
+	require.True(t, errs.Is(err, errs.Unavailable), "%v", err)
+	require.Error(t, bad.server.ReadBarrier(context.Background()))
+	c.until("another leader", func() bool { return c.leader().id != bad.id })
+	c.propose("c1")
+}
+
+func TestServerResigns(t *testing.T) {
+	c := newCluster(t, 3)
+	c.propose("c0")
+	old := c.leader()
+	c.until("the leader resigns", func() bool { return old.server.Resign(context.Background()) == nil })
+	require.False(t, old.server.Status().Leading)
+	c.until("another leader", func() bool { return c.leader().id != old.id })
+	c.propose("c1")
+	c.converged([]string{"c0", "c1"})
+}
+
+// TestLargeCommandsAreCompacted bounds the memory of the log by the size of its
+// commands, not only by their number.
+func TestLargeCommandsAreCompacted(t *testing.T) {
+	c := newCluster(t, 3)
+	c.snapshots, c.snapshotBytes = 1<<20, 4000
+	for _, m := range c.members.Members {
+		c.restart(m.ID)
+	}
+	large := strings.Repeat("x", 500)
+	for range 20 {
+		c.propose(large)
+	}
+	c.until("every member has taken snapshots", func() bool {
+		for _, n := range c.nodes {
+			names, err := os.ReadDir(n.dir)
+			require.NoError(t, err)
+			if !slices.ContainsFunc(names, func(e os.DirEntry) bool {
+				return strings.HasPrefix(e.Name(), "snapshot-") && e.Name() > "snapshot-0000000000000000.snap"
+			}) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestLateBootstrapIsIgnored: a folder that was created without the bootstrap
+// option stays one of a lost disk.
+func TestLateBootstrapIsIgnored(t *testing.T) {
+	c := newCluster(t, 3)
+	c.propose("c0")
+	dir := t.TempDir()
+	c.start("v4", dir, false)
+	c.stop("v4")
+	n := c.start("v4", dir, true)
+	require.Empty(t, n.server.Membership().Members)
+	require.Greater(t, n.store.Identity().Incarnation, consensus.BootstrapIncarnation)
+}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -85,8 +85,14 @@
 	MsgSnapshot
 	// MsgSnapshotResponse tells how many bytes of the snapshot have arrived.
 	MsgSnapshotResponse
-
-	lastMessageKind = MsgSnapshotResponse
+	// MsgTransfer asks a follower to take over from a leader that gave up.
+	MsgTransfer
+	// MsgHello asks whether a member is empty.
+	MsgHello
+	// MsgHelloResponse answers with the term and the last index.
+	MsgHelloResponse
+
+	lastMessageKind = MsgHelloResponse
 )
 
 // Message is one message between two members.
@@ -101,7 +107,8 @@
 	Index   uint64 `cbor:"6,keyasint,omitempty"`
 	LogTerm uint64 `cbor:"7,keyasint,omitempty"`
 	Commit  uint64 `cbor:"8,keyasint,omitempty"`
-	// Round numbers the heartbeat rounds of one leader.
+	// Round numbers the heartbeat rounds of one leader, or is the nonce of a
+	// hello.
 	Round   uint64         `cbor:"9,keyasint,omitempty"`
 	Reject  bool           `cbor:"10,keyasint,omitempty"`
 	Hint    uint64         `cbor:"11,keyasint,omitempty"`
@@ -109,6 +116,8 @@
 	Chunk   *SnapshotChunk `cbor:"13,keyasint,omitempty"`
 	// Address is the peer address of the sender.
 	Address string `cbor:"14,keyasint,omitempty"`
+	// Forced marks a vote request on behalf of a leader that gave up its lease.
+	Forced bool `cbor:"15,keyasint,omitempty"`
 }
 
 // SnapshotChunk is a part of an encoded snapshot. Snapshot.Data holds the bytes
@@ -166,6 +175,8 @@
 	// SaveSnapshot makes a snapshot durable and drops the log up to its index;
 	// it drops the whole log when that does not contain the snapshot's entry.
 	SaveSnapshot(s Snapshot) error
+	// Renew gives the member a new incarnation, above every earlier one.
+	Renew() (api.Incarnation, error)
 }
 
 // Transport sends messages to other members. Send never blocks; messages may
--- a/internal/consensus/variants_test.go
+++ b/internal/consensus/variants_test.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"errors"
 	"strings"
 	"testing"
 
@@ -23,6 +24,9 @@
 		{faultDiskLossIgnored, 3, playDiskLoss, "leader completeness"},
 		{faultOldTermCommit, 5, playOldTermCommit, "leader completeness"},
 		{faultLeaseOfResponse, 3, playLateResponse, "lease exclusivity"},
+		{faultBootTrusted, 3, playDiskLoss, "leader completeness"},
+		{faultEarlyChange, 4, playEarlyChange, "leader completeness"},
+		{faultTransferLeased, 3, playTransfer, "lease exclusivity"},
 		{faultRestartForgets, 3, playQuickRestart, "lease exclusivity"},
 	}
 	for _, tc := range cases {
@@ -38,6 +42,9 @@
 
 // lead makes the first member the leader of a healthy cluster.
 func (s *sim) lead() error {
+	if err := s.run(8); err != nil {
+		return err
+	}
 	s.now += 2 * DefaultElectionMax
 	if err := s.electAt(0, s.nodes[0].core.campaign); err != nil {
 		return err
@@ -119,7 +126,10 @@
 
 // playVoteForgotten restarts a voter between two candidates of one term.
 func playVoteForgotten(s *sim) error {
-	s.now = DefaultElectionMin
+	if err := s.run(8); err != nil {
+		return err
+	}
+	s.now += DefaultElectionMin
 	for _, i := range []int{0, 2} {
 		n := s.nodes[i]
 		n.core.setNow(s.local(n))
@@ -303,3 +313,90 @@
 	s.start(s.nodes[1])
 	return s.electAt(2, s.nodes[2].core.campaign)
 }
+
+// playTransfer cuts a leader off right after it has asked another member to
+// take over.
+func playTransfer(s *sim) error {
+	if err := s.lead(); err != nil {
+		return err
+	}
+	n := s.nodes[0]
+	if s.fault == faultTransferLeased {
+		n.core.send(Message{Kind: MsgTransfer, To: simID(1)})
+	} else {
+		n.core.Transfer()
+	}
+	if err := s.carryOut(n, noCrash); err != nil {
+		return err
+	}
+	if err := s.deliverOne(MsgTransfer, 0, 1); err != nil {
+		return err
+	}
+	s.separate(0, 1)
+	s.separate(0, 2)
+	if err := s.drain(); err != nil {
+		return err
+	}
+	s.nodes[1].core.lease.roundDue = true
+	if err := s.carryOut(s.nodes[1], noCrash); err != nil {
+		return err
+	}
+	if err := s.drain(); err != nil {
+		return err
+	}
+	if !s.nodes[1].core.HasLease(s.local(s.nodes[1])) {
+		return errors.New("the transfer failed")
+	}
+	return nil
+}
+
+// playEarlyChange lets two leaders change the membership away from the same
+// one: the first promotes a learner, the second removes the first.
+func playEarlyChange(s *sim) error {
+	if err := s.lead(); err != nil {
+		return err
+	}
+	first, second := s.nodes[0], s.nodes[1]
+	if err := s.changeAt(first, ChangeAddLearner, 4); err != nil {
+		return err
+	}
+	if err := s.run(40); err != nil {
+		return err
+	}
+	for i := 1; i < 5; i++ {
+		s.separate(0, i)
+	}
+	if err := s.changeAt(first, ChangePromote, 4); err != nil {
+		return err
+	}
+	first.up = false
+	s.now += 2 * DefaultElectionMax
+	if err := s.electAlone(1, 2, 3); err != nil {
+		return err
+	}
+	s.network = nil
+	s.separate(1, 3)
+	s.separate(1, 4)
+	if s.fault == faultEarlyChange {
+		second.core.termStart = 0
+	}
+	if err := s.changeAt(second, ChangeRemove, 0); err != nil {
+		return nil
+	}
+	if err := s.run(10); err != nil {
+		return err
+	}
+	second.up, s.nodes[2].up = false, false
+	clear(s.cut)
+	s.start(first)
+	s.now += 2 * DefaultElectionMax
+	return s.electAlone(0, 3, 4)
+}
+
+func (s *sim) changeAt(n *simNode, kind ChangeKind, target int) error {
+	_, _, err := n.core.ProposeMembership(Change{Kind: kind, Member: Member{ID: simID(target)}})
+	if err != nil {
+		return err
+	}
+	return s.carryOut(n, noCrash)
+}
