--- a/internal/bench/fleet_store.go
+++ b/internal/bench/fleet_store.go
@@ -20,6 +20,9 @@
 	assignments   map[api.HostID]*api.Assignment
 	// Check, when set, is called with each change before it is applied.
 	Check func(c api.GroupChange)
+	// sortedGroups and sortedHosts are valid until the next change.
+	sortedGroups []api.Group
+	sortedHosts  []api.Assignment
 }
 
 // NewFleetStore returns a store without groups.
@@ -31,23 +34,33 @@
 	}
 }
 
-// Groups returns the groups, sorted by identifier.
+// Groups returns the groups, sorted by identifier. The caller must not change
+// them.
 func (s *FleetStore) Groups() []api.Group {
+	if s.sortedGroups != nil {
+		return s.sortedGroups
+	}
 	out := make([]api.Group, 0, len(s.groups))
 	for _, g := range s.groups {
 		out = append(out, *g)
 	}
 	slices.SortFunc(out, func(a, b api.Group) int { return cmp.Compare(a.ID, b.ID) })
+	s.sortedGroups = out
 	return out
 }
 
-// Assignments returns the assignments, sorted by host.
+// Assignments returns the assignments, sorted by host. The caller must not
+// change them.
 func (s *FleetStore) Assignments() []api.Assignment {
+	if s.sortedHosts != nil {
+		return s.sortedHosts
+	}
 	out := make([]api.Assignment, 0, len(s.assignments))
 	for _, a := range s.assignments {
 		out = append(out, *a)
 	}
 	slices.SortFunc(out, func(a, b api.Assignment) int { return cmp.Compare(a.Host, b.Host) })
+	s.sortedHosts = out
 	return out
 }
 
@@ -117,6 +130,7 @@
 		s.Check(*c)
 	}
 	s.Revision++
+	s.sortedGroups, s.sortedHosts = nil, nil
 }
 
 // fencing returns the number of the change being applied.
--- a/internal/group/form.go
+++ b/internal/group/form.go
@@ -24,7 +24,7 @@
 }
 
 func (pl *planner) formMissing(sg *servingGroup) {
-	missing := sg.Replicas - pl.standing(sg)
+	missing := sg.Replicas - pl.counted[sg]
 	moved := pl.displaced(sg)
 	for n := missing; n > 0; n-- {
 		weight := pl.weights.Downtime
@@ -32,35 +32,73 @@
 			weight = pl.weights.DomainChange
 		}
 		if !pl.form(sg, pl.score(sg, weight)) {
+			pl.dissolve(sg)
 			return
 		}
 	}
 }
 
-// standing is the number of replicas that need no replacement.
-func (pl *planner) standing(sg *servingGroup) int {
-	n := pl.counted[sg]
-	for _, r := range sg.replicas {
-		if r.retired {
+// dissolve releases groups that cannot be repaired, in one fabric domain where
+// their survivors suffice for a replica of the serving group. Elsewhere they
+// stay together: a silent member that returns makes them whole at once.
+func (pl *planner) dissolve(sg *servingGroup) {
+	for _, f := range pl.fabrics {
+		if pl.drained[f.domain] || !sg.allows(f.domain) {
 			continue
 		}
-		switch r.Phase {
-		case api.GroupLoading:
-			n++
-		case api.GroupReady:
-			if r.leaving == 0 {
-				n++
-			}
-		case api.GroupBroken:
-			if pl.touched[r.ID] && r.count[memberDead]+r.count[memberBehind] == 0 {
-				n++
-			} else if r.count[memberUnknown] > 0 {
-				n++
+		missing := sg.HostsPerReplica - pl.surplus(f, sg)
+		if f.pending >= missing {
+			f.pending -= missing
+			return
+		}
+		if pl.dissolveIn(f, missing-f.pending) {
+			return
+		}
+	}
+}
+
+func (pl *planner) dissolveIn(f *fabric, missing int) bool {
+	var donors []*repair
+	for i := len(pl.repairs) - 1; i >= 0 && missing > 0; i-- {
+		rep := pl.repairs[i]
+		if rep.Fabric == f.name && pl.hopeless(rep) {
+			donors = append(donors, rep)
+			missing -= pl.survivors(rep.replica)
+		}
+	}
+	if missing > 0 {
+		return false
+	}
+	for _, rep := range donors {
+		rep.donor = true
+		pl.release(rep.replica, ReasonHopeless)
+	}
+	return len(donors) > 0
+}
+
+// countSound counts the replicas that need no repair and no replacement.
+func (pl *planner) countSound() {
+	for _, sg := range pl.sgs {
+		for _, r := range sg.replicas {
+			if !r.retired && pl.sound(r) {
+				pl.counted[sg]++
 			}
-		case api.GroupReleasing:
 		}
 	}
-	return n
+}
+
+func (pl *planner) sound(r *replica) bool {
+	switch r.Phase {
+	case api.GroupLoading:
+		return true
+	case api.GroupReady:
+		return r.leaving == 0
+	case api.GroupBroken:
+		returned := pl.touched[r.ID] && r.count[memberDead]+r.count[memberBehind] == 0
+		return returned || r.count[memberUnknown] > 0
+	default:
+		return false
+	}
 }
 
 // displaced is the number of whole replicas in domains that operators took out.
@@ -115,7 +153,8 @@
 }
 
 // place picks the fabric domain of a new replica: in the failure domain with
-// the fewest replicas of the serving group, the one with most hosts to spare.
+// the fewest replicas of the serving group, one that keeps room for the largest
+// replicas, and among those the one with most hosts to spare.
 func (pl *planner) place(sg *servingGroup) *fabric {
 	var best *fabric
 	for _, f := range pl.fabrics {
@@ -132,10 +171,19 @@
 func (pl *planner) better(sg *servingGroup, f, best *fabric) bool {
 	return cmp.Or(
 		cmp.Compare(sg.byDomain[f.domain], sg.byDomain[best.domain]),
+		cmp.Compare(pl.displaces(f, sg), pl.displaces(best, sg)),
 		cmp.Compare(pl.surplus(best, sg), pl.surplus(f, sg)),
 	) < 0
 }
 
+// displaces is the number of the largest replicas for which a fabric domain has
+// no room any more once the serving group places one there.
+func (pl *planner) displaces(f *fabric, sg *servingGroup) int {
+	size := pl.largest
+	left := pl.surplus(f, sg)
+	return left/size - (left-sg.HostsPerReplica)/size
+}
+
 // surplus is the number of free hosts beyond the spares.
 func (pl *planner) surplus(f *fabric, sg *servingGroup) int {
 	reserve := f.reserve
--- a/internal/group/index.go
+++ b/internal/group/index.go
@@ -89,6 +89,8 @@
 	byID     map[api.GroupID]*replica
 	sgs      []*servingGroup
 	sgByName map[api.ServingGroupName]*servingGroup
+	// largest is the greatest number of hosts that a replica takes.
+	largest  int
 	fabrics  []*fabric
 	byFabric map[api.FabricDomain]*fabric
 	drained  map[api.FailureDomain]bool
@@ -146,6 +148,7 @@
 		sg.byFabric = make(map[api.FabricDomain]int)
 		x.sgs = append(x.sgs, sg)
 		x.sgByName[sg.Name] = sg
+		x.largest = max(x.largest, sg.HostsPerReplica)
 	}
 	slices.SortFunc(x.sgs, func(a, b *servingGroup) int {
 		return strings.Compare(string(a.Name), string(b.Name))
--- a/internal/group/policy.go
+++ b/internal/group/policy.go
@@ -13,9 +13,13 @@
 	// DetectionBound is the age of the last announcement above which a host
 	// counts as dead.
 	DetectionBound time.Duration
-	// Grace is how long a broken group waits for a silent member that may only
-	// be paused, before its membership is given up.
+	// Grace is the least time that a broken group waits for a silent member that
+	// may only be paused, before its membership is given up.
 	Grace time.Duration
+	// GraceShare times the usual load time of the serving group replaces Grace
+	// when it is longer, up to MaxGrace.
+	GraceShare float64
+	MaxGrace   time.Duration
 	// Hold is how long the survivors of a group that cannot be repaired stay
 	// together after Grace. It is scaled by Weights.Downtime over
 	// Weights.Stranded.
@@ -63,6 +67,8 @@
 		Weights:          api.Weights{Downtime: 1, Stranded: 1, DomainChange: 1},
 		DetectionBound:   3 * time.Second,
 		Grace:            8 * time.Second,
+		GraceShare:       0.15,
+		MaxGrace:         30 * time.Second,
 		Hold:             30 * time.Second,
 		DrainHold:        60 * time.Second,
 		LeaveDrain:       10 * time.Second,
--- a/internal/group/repair.go
+++ b/internal/group/repair.go
@@ -36,6 +36,7 @@
 		pl.considerRepair(r)
 	}
 	slices.SortStableFunc(pl.repairs, compareRepairs)
+	pl.countSound()
 	for _, rep := range pl.repairs {
 		pl.claimFree(rep)
 	}
@@ -45,9 +46,6 @@
 	for _, rep := range pl.repairs {
 		pl.claimDonors(rep)
 	}
-	for _, rep := range pl.repairs {
-		pl.giveUp(rep)
-	}
 }
 
 // compareRepairs puts the most downtime ended per byte first, then the groups
@@ -129,7 +127,7 @@
 	}
 	switch r.states[rank] {
 	case memberDead:
-		if pl.now.Sub(pl.lostSince(r, h)) < pl.policy.Grace {
+		if pl.now.Sub(pl.lostSince(r, h)) < pl.grace(r) {
 			return needWait
 		}
 		return needReplacement
@@ -176,6 +174,14 @@
 	pl.repairs = append(pl.repairs, rep)
 }
 
+// grace is how long the group waits for a silent member. Waiting costs at most
+// the grace, a needless reload its whole length: the grace is a share of the
+// usual load time, so that a slow load is risked later than a fast one.
+func (pl *planner) grace(r *replica) time.Duration {
+	share := time.Duration(float64(pl.mem.loadTime[r.ServingGroup]) * pl.policy.GraceShare)
+	return min(max(share, pl.policy.Grace), max(pl.policy.MaxGrace, pl.policy.Grace))
+}
+
 // lostSince is when a silent member was last known to be alive.
 func (pl *planner) lostSince(r *replica, h *host) time.Time {
 	if h.mem.deadSince.IsZero() {
@@ -189,9 +195,15 @@
 	return sg.importance() * weight / float64(max(sg.loadBytes(), 1))
 }
 
+// wanted reports whether the serving group lacks a replica that this repair
+// brings back. Broken groups beyond that wait as they are.
+func (pl *planner) wanted(rep *repair) bool {
+	return rep.Phase == api.GroupReady || pl.counted[rep.sg] < rep.sg.Replicas
+}
+
 func (pl *planner) claimFree(rep *repair) {
 	f := pl.byFabric[rep.Fabric]
-	if f == nil || len(f.free) < len(rep.replace) {
+	if f == nil || len(f.free) < len(rep.replace) || !pl.wanted(rep) {
 		return
 	}
 	members := slices.Clone(rep.Members)
@@ -220,7 +232,7 @@
 // claimPending lets a group wait for hosts whose release is under way.
 func (pl *planner) claimPending(rep *repair) {
 	f := pl.byFabric[rep.Fabric]
-	if rep.satisfied || rep.donor || f == nil {
+	if rep.satisfied || rep.donor || f == nil || !pl.wanted(rep) {
 		return
 	}
 	missing := len(rep.replace) - rep.soon
@@ -237,7 +249,7 @@
 // their survivors make this one whole.
 func (pl *planner) claimDonors(rep *repair) {
 	f := pl.byFabric[rep.Fabric]
-	if rep.satisfied || rep.donor || f == nil || rep.Phase != api.GroupBroken {
+	if rep.satisfied || rep.donor || f == nil || rep.Phase != api.GroupBroken || !pl.wanted(rep) {
 		return
 	}
 	missing := len(rep.replace) - rep.soon - len(f.free) - f.pending
@@ -273,13 +285,12 @@
 	return donors, gained
 }
 
-// giveUp releases a group that cannot be repaired once its hold is over.
-func (pl *planner) giveUp(rep *repair) {
+// hopeless reports whether the hosts of a group may go to new groups: it cannot
+// be repaired and its hold is over.
+func (pl *planner) hopeless(rep *repair) bool {
 	if rep.satisfied || rep.donor || rep.Phase != api.GroupBroken {
-		return
+		return false
 	}
 	hold := scaleHold(pl.policy.Hold, pl.weights.Downtime, pl.weights.Stranded)
-	if pl.now.Sub(rep.mem.phaseSince) >= pl.policy.Grace+hold {
-		pl.release(rep.replica, ReasonHopeless)
-	}
+	return pl.now.Sub(rep.mem.phaseSince) >= pl.grace(rep.replica)+hold
 }
