--- a/internal/bench/fleet_host.go
+++ b/internal/bench/fleet_host.go
@@ -28,6 +28,8 @@
 	readyAt     time.Time
 	warmAt      time.Time
 	sequence    uint64
+	// extraLoad is added to each load.
+	extraLoad time.Duration
 	// waiting are orders that arrived during a pause.
 	waiting []api.Order
 
@@ -64,7 +66,7 @@
 		return res, false
 	}
 	h.Group, h.Fencing, h.Rank, h.Members = o.Group, o.Fencing, o.Rank, o.Members
-	h.readyAt = now.Add(t.Load)
+	h.readyAt = now.Add(t.Load + h.extraLoad)
 	h.warmAt = h.readyAt.Add(t.Cold)
 	return res, true
 }
--- a/internal/bench/fleet_model.go
+++ b/internal/bench/fleet_model.go
@@ -169,3 +169,6 @@
 
 // Chill makes a loaded host cold again for a while, without a reload.
 func (m *FleetModel) Chill(h *FleetHost, d time.Duration) { h.warmAt = m.Clock.Now().Add(d) }
+
+// Slow makes the loads of a host take longer than those of others.
+func (m *FleetModel) Slow(h *FleetHost, extra time.Duration) { h.extraLoad = extra }
--- a/internal/group/form.go
+++ b/internal/group/form.go
@@ -51,17 +51,17 @@
 			f.pending -= missing
 			return
 		}
-		if pl.dissolveIn(f, missing-f.pending) {
+		if pl.dissolveIn(f, sg, missing-f.pending) {
 			return
 		}
 	}
 }
 
-func (pl *planner) dissolveIn(f *fabric, missing int) bool {
+func (pl *planner) dissolveIn(f *fabric, sg *servingGroup, missing int) bool {
 	var donors []*repair
 	for i := len(pl.repairs) - 1; i >= 0 && missing > 0; i-- {
 		rep := pl.repairs[i]
-		if rep.Fabric == f.name && pl.hopeless(rep) {
+		if rep.Fabric == f.name && pl.hopeless(rep) && mayTake(sg, rep.sg) {
 			donors = append(donors, rep)
 			missing -= pl.survivors(rep.replica)
 		}
--- a/internal/group/repair.go
+++ b/internal/group/repair.go
@@ -277,6 +277,9 @@
 		if d.Fabric != rep.Fabric || d.satisfied || d.donor || d.Phase != api.GroupBroken {
 			continue
 		}
+		if !mayTake(rep.sg, d.sg) {
+			continue
+		}
 		if n := pl.survivors(d.replica); n > 0 {
 			donors = append(donors, d)
 			gained += n
@@ -285,6 +288,13 @@
 	return donors, gained
 }
 
+// mayTake reports whether hosts of a broken group may go to a replica of the
+// taker. A smaller replica would leave the fabric domain without room for the
+// larger one when its hosts return, so that takes a higher importance.
+func mayTake(taker, donor *servingGroup) bool {
+	return taker.HostsPerReplica >= donor.HostsPerReplica || taker.importance() > donor.importance()
+}
+
 // hopeless reports whether the hosts of a group may go to new groups: it cannot
 // be repaired and its hold is over.
 func (pl *planner) hopeless(rep *repair) bool {
