--- a/internal/bench/fleet_layout.go
+++ b/internal/bench/fleet_layout.go
@@ -53,6 +53,10 @@
 	// once every replica is ready.
 	allowance map[api.FabricDomain]int
 	events    []fleetEvent
+	// reformed holds the groups that were repaired during the run.
+	reformed map[api.GroupID]bool
+	// onMeasure, when set, is called for each tick.
+	onMeasure func(d time.Duration)
 	// changed is when the store last changed, and revision what it was then.
 	changed  time.Duration
 	revision api.Revision
@@ -144,6 +148,7 @@
 	}
 	r.allowance, _ = r.unused()
 	r.meter = fleetMeter{loads: -r.model.Loads}
+	r.reformed = make(map[api.GroupID]bool)
 	r.store.Check = r.countMoves
 	return nil
 }
--- a/internal/bench/fleet_meter.go
+++ b/internal/bench/fleet_meter.go
@@ -121,6 +121,9 @@
 // at most the hosts of the missing replicas. Not serving are those and the hosts
 // that load.
 func (r *fleetRun) measure(d time.Duration) {
+	if r.onMeasure != nil {
+		r.onMeasure(d)
+	}
 	replicas, hosts := r.short()
 	seconds := d.Seconds()
 	if replicas == 0 {
@@ -148,6 +151,9 @@
 	if c.Kind != api.GroupForm && c.Kind != api.GroupReform {
 		return
 	}
+	if c.Kind == api.GroupReform {
+		r.reformed[c.Group.ID] = true
+	}
 	var old []api.HostID
 	if g := r.store.Group(c.Group.ID); g != nil {
 		old = g.Members
--- a/internal/group/broken_test.go
+++ b/internal/group/broken_test.go
@@ -88,7 +88,7 @@
 
 func phaseChange(g api.Group, phase api.GroupPhase) group.Change {
 	c := group.Change{GroupChange: api.GroupChange{Kind: api.GroupSetPhase, Fencing: g.Fencing, Group: g}}
-	c.GroupChange.Group.Phase = phase
+	c.Group.Phase = phase
 	return c
 }
 
--- a/internal/group/index.go
+++ b/internal/group/index.go
@@ -98,7 +98,7 @@
 
 func newIndex(v *api.FleetView, m *Memory, p *Policy, now time.Time) *index {
 	x := &index{view: v, mem: m, policy: p, weights: p.weights(v), now: now}
-	x.indexDomains()
+	x.drained = drainedDomains(v.Domains)
 	x.indexHosts()
 	x.indexServingGroups()
 	x.indexReplicas()
@@ -106,13 +106,6 @@
 	return x
 }
 
-func (x *index) indexDomains() {
-	x.drained = make(map[api.FailureDomain]bool, len(x.view.Domains))
-	for _, d := range x.view.Domains {
-		x.drained[d.Name] = d.State == api.DomainDrained
-	}
-}
-
 func (x *index) indexHosts() {
 	x.hosts = make(map[api.HostID]*host, len(x.view.Hosts))
 	all := make([]host, len(x.view.Hosts), len(x.view.Hosts)+len(x.view.Assignments))
