--- a/internal/group/decide_bench_test.go
+++ b/internal/group/decide_bench_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/bench"
 	"github.com/crocusway/crocusway/internal/group"
@@ -21,7 +23,8 @@
 	for b.Loop() {
 		now = now.Add(tick)
 		mem.Observe(&v, &p, now)
-		group.Decide(v, mem, p, now)
+		plan := group.Decide(v, mem, p, now)
+		require.Empty(b, plan.Changes)
 	}
 }
 
@@ -52,5 +55,9 @@
 		v.Groups = append(v.Groups, g)
 	}
 	v.Hosts = model.View().Hosts
+	for i := range v.Groups {
+		g, a := &v.Groups[i], &v.Hosts[i*size].Announcement
+		g.Address, g.Warm, g.BearableLoad, g.WarmLoad = a.Address, a.Warm, a.BearableLoad, a.WarmLoad
+	}
 	return v
 }
