Planner looks hosts up once; absent hosts get time; reforms clear attributes

Cause: maps rebuilt at each evaluation; a host that a view skips for a moment counted as dead; a reformed group kept the address and leaving mark of the old members. Ruled out: evaluating less often. Change: the memory keeps hosts in view order, groups keep their members.

--- a/internal/bench/fleet_store.go
+++ b/internal/bench/fleet_store.go
@@ -111,9 +111,7 @@
 	case api.GroupSetPhase:
 		g.Phase = c.Group.Phase
 	case api.GroupUpdate:
-		g.Address, g.Warm, g.Leaving = c.Group.Address, c.Group.Warm, c.Group.Leaving
-		g.BearableLoad, g.WarmLoad = c.Group.BearableLoad, c.Group.WarmLoad
-		g.Capabilities = c.Group.Capabilities
+		setAttributes(g, &c.Group)
 	case api.GroupRelease:
 		g.Phase, g.Fencing = api.GroupReleasing, s.fencing()
 		for _, id := range g.Members {
@@ -124,6 +122,12 @@
 	return nil
 }
 
+func setAttributes(g, to *api.Group) {
+	g.Address, g.Warm, g.Leaving = to.Address, to.Warm, to.Leaving
+	g.BearableLoad, g.WarmLoad = to.BearableLoad, to.WarmLoad
+	g.Capabilities = to.Capabilities
+}
+
 // commit counts a change as accepted.
 func (s *FleetStore) commit(c *api.GroupChange) {
 	if s.Check != nil {
@@ -181,6 +185,7 @@
 	s.commit(c)
 	old := g.Members
 	g.Members = slices.Clone(c.Group.Members)
+	setAttributes(g, &c.Group)
 	g.Phase, g.Fencing = api.GroupLoading, s.fencing()
 	for _, id := range old {
 		if !slices.Contains(g.Members, id) {
--- a/internal/group/index.go
+++ b/internal/group/index.go
@@ -8,13 +8,6 @@
 	"github.com/crocusway/crocusway/internal/api"
 )
 
-// host is one host of the view, joined with its assignment and memory.
-type host struct {
-	status *api.HostStatus
-	assign *api.Assignment
-	mem    *hostMemory
-}
-
 // fabric collects the free hosts of one fabric domain.
 type fabric struct {
 	name   api.FabricDomain
@@ -84,7 +77,6 @@
 	weights api.Weights
 	now     time.Time
 
-	hosts    map[api.HostID]*host
 	replicas []*replica
 	byID     map[api.GroupID]*replica
 	sgs      []*servingGroup
@@ -99,40 +91,12 @@
 func newIndex(v *api.FleetView, m *Memory, p *Policy, now time.Time) *index {
 	x := &index{view: v, mem: m, policy: p, weights: p.weights(v), now: now}
 	x.drained = drainedDomains(v.Domains)
-	x.indexHosts()
 	x.indexServingGroups()
 	x.indexReplicas()
 	x.indexFabrics()
 	return x
 }
 
-func (x *index) indexHosts() {
-	x.hosts = make(map[api.HostID]*host, len(x.view.Hosts))
-	all := make([]host, len(x.view.Hosts), len(x.view.Hosts)+len(x.view.Assignments))
-	for i := range x.view.Hosts {
-		s := &x.view.Hosts[i]
-		all[i] = host{status: s, mem: x.memory(s.Announcement.Host)}
-		x.hosts[s.Announcement.Host] = &all[i]
-	}
-	for i := range x.view.Assignments {
-		a := &x.view.Assignments[i]
-		h, ok := x.hosts[a.Host]
-		if !ok {
-			all = append(all, host{mem: x.memory(a.Host)})
-			h = &all[len(all)-1]
-			x.hosts[a.Host] = h
-		}
-		h.assign = a
-	}
-}
-
-func (x *index) memory(id api.HostID) *hostMemory {
-	if h, ok := x.mem.hosts[id]; ok {
-		return h
-	}
-	return &hostMemory{}
-}
-
 func (x *index) indexServingGroups() {
 	x.sgByName = make(map[api.ServingGroupName]*servingGroup, len(x.view.ServingGroups))
 	for i := range x.view.ServingGroups {
@@ -178,12 +142,11 @@
 func (x *index) newReplica(g *api.Group) *replica {
 	r := &replica{Group: g, sg: x.sgByName[g.ServingGroup], mem: x.mem.groups[g.ID]}
 	r.states = make([]memberState, len(g.Members))
-	for rank, id := range g.Members {
-		state := x.memberState(g, id)
+	for rank, h := range r.mem.members {
+		state := x.memberState(g, h)
 		r.states[rank] = state
 		r.count[state]++
-		h := x.hosts[id]
-		if h != nil && h.status != nil && h.status.Announcement.Leaving {
+		if h.status != nil && h.status.Announcement.Leaving {
 			r.leaving++
 		}
 	}
@@ -192,15 +155,11 @@
 	return r
 }
 
-func (x *index) memberState(g *api.Group, id api.HostID) memberState {
-	h := x.hosts[id]
-	if h == nil || h.status == nil {
-		if x.now.Sub(x.mem.started) <= 2*x.policy.DetectionBound {
-			return memberUnknown
-		}
-		return memberDead
+func (x *index) memberState(g *api.Group, h *host) memberState {
+	if h.status == nil {
+		return x.absentState(h)
 	}
-	if h.mem.stale {
+	if h.stale {
 		return memberUnknown
 	}
 	if !isAlive(h.status, x.policy) {
@@ -216,21 +175,33 @@
 	return memberLoading
 }
 
+// absentState is the state of a member that the view does not show: a new leader
+// hears of the hosts one by one.
+func (x *index) absentState(h *host) memberState {
+	heard := x.mem.started
+	if h.seen.After(heard) {
+		heard = h.seen
+	}
+	if x.now.Sub(heard) <= 2*x.policy.DetectionBound {
+		return memberUnknown
+	}
+	return memberDead
+}
+
 func (x *index) indexFabrics() {
 	x.byFabric = make(map[api.FabricDomain]*fabric)
-	for i := range x.view.Hosts {
-		s := &x.view.Hosts[i]
-		a := &s.Announcement
+	for _, h := range x.mem.shown {
+		a := &h.status.Announcement
 		if a.Kind != api.BackendEngine {
 			continue
 		}
 		f := x.fabric(a.Fabric, a.Domain)
-		h := x.hosts[a.Host]
 		switch {
+		case h.assign != nil && !h.assign.Releasing:
 		case !x.usable(h):
 		case h.assign == nil:
 			f.free = append(f.free, a.Host)
-		case h.assign.Releasing:
+		default:
 			f.pending++
 		}
 	}
@@ -268,7 +239,7 @@
 // usable reports whether a host could join a group now if it were free. A host
 // that does not check fencing must also announce that it holds no membership.
 func (x *index) usable(h *host) bool {
-	if h.status == nil || h.mem.stale || !isAlive(h.status, x.policy) {
+	if h.status == nil || h.stale || !isAlive(h.status, x.policy) {
 		return false
 	}
 	a := &h.status.Announcement
@@ -278,5 +249,5 @@
 	if h.assign == nil && a.Group != "" && !a.ChecksFencing {
 		return false
 	}
-	return !x.now.Before(h.mem.backoffUntil(x.policy))
+	return !x.now.Before(h.backoffUntil(x.policy))
 }
--- a/internal/group/memory.go
+++ b/internal/group/memory.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"slices"
 	"time"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -10,17 +11,29 @@
 // memory of a new leader; every decision stays safe with it. It is not safe for
 // concurrent use.
 type Memory struct {
-	started  time.Time
-	hosts    map[api.HostID]*hostMemory
+	started time.Time
+	hosts   map[api.HostID]*host
+	// shown and assigned are the hosts of the last view, in its order of hosts
+	// and of assignments: most views repeat it, which saves looking names up.
+	shown    []*host
+	assigned []*host
 	groups   map[api.GroupID]*groupMemory
 	drained  map[api.FailureDomain]time.Time
 	loadTime map[api.ServingGroupName]time.Duration
 	budget   budget
 }
 
-type hostMemory struct {
+// host is one host: what the last view shows and what is remembered of it.
+type host struct {
+	id api.HostID
+	// status and assign point into the last view; nil when it has none.
+	status *api.HostStatus
+	assign *api.Assignment
+
 	incarnation api.Incarnation
 	sequence    uint64
+	// seen is when a view last showed the host.
+	seen time.Time
 	// stale is set while the view shows an older announcement than before.
 	stale     bool
 	alive     bool
@@ -66,6 +79,7 @@
 	phase       api.GroupPhase
 	phaseSince  time.Time
 	loadSince   time.Time
+	members     []*host
 	incarnation []api.Incarnation
 }
 
@@ -76,10 +90,8 @@
 // before Decide with the same view.
 func (m *Memory) Observe(v *api.FleetView, p *Policy, now time.Time) {
 	m.init(v, now)
-	for i := range v.Hosts {
-		m.observeHost(&v.Hosts[i], p, now)
-	}
-	m.observeReleases(v, now)
+	m.observeHosts(v, p, now)
+	m.observeAssignments(v, now)
 	m.observeGroups(v, now)
 	m.observeDomains(v, now)
 	m.budget.refill(p, now)
@@ -90,25 +102,51 @@
 		return
 	}
 	m.started = now
-	m.hosts = make(map[api.HostID]*hostMemory, len(v.Hosts))
+	m.hosts = make(map[api.HostID]*host, len(v.Hosts))
 	m.groups = make(map[api.GroupID]*groupMemory, len(v.Groups))
 	m.drained = make(map[api.FailureDomain]time.Time)
 	m.loadTime = make(map[api.ServingGroupName]time.Duration)
 	m.budget.start(v, now)
 }
 
-func (m *Memory) host(id api.HostID) *hostMemory {
+func (m *Memory) host(id api.HostID) *host {
 	h, ok := m.hosts[id]
 	if !ok {
-		h = &hostMemory{}
+		h = &host{id: id}
 		m.hosts[id] = h
 	}
 	return h
 }
 
-func (m *Memory) observeHost(s *api.HostStatus, p *Policy, now time.Time) {
+// at returns the host at a position of a list, which the list of the last view
+// most often has at the same place.
+func (m *Memory) at(list []*host, i int, id api.HostID) *host {
+	if i < len(list) && list[i].id == id {
+		return list[i]
+	}
+	return m.host(id)
+}
+
+func (m *Memory) observeHosts(v *api.FleetView, p *Policy, now time.Time) {
+	for _, h := range m.shown {
+		h.status = nil
+	}
+	shown := slices.Grow(m.shown[:0:0], len(v.Hosts))
+	if len(m.shown) == len(v.Hosts) {
+		shown = m.shown[:0]
+	}
+	for i := range v.Hosts {
+		s := &v.Hosts[i]
+		h := m.at(m.shown, i, s.Announcement.Host)
+		shown = append(shown, h)
+		h.status, h.seen = s, now
+		h.observe(s, p, now)
+	}
+	m.shown = shown
+}
+
+func (h *host) observe(s *api.HostStatus, p *Policy, now time.Time) {
 	a := &s.Announcement
-	h := m.host(a.Host)
 	h.stale = a.Incarnation < h.incarnation ||
 		(a.Incarnation == h.incarnation && a.Sequence < h.sequence)
 	if h.stale {
@@ -128,7 +166,7 @@
 
 // observeLife counts a failure when a live host falls silent or restarts. The
 // back-off of a host that was silent counts from its return.
-func (h *hostMemory) observeLife(alive, restarted bool, p *Policy, now time.Time) {
+func (h *host) observeLife(alive, restarted bool, p *Policy, now time.Time) {
 	switch {
 	case h.alive && (restarted || !alive):
 		h.fail(p, now)
@@ -147,7 +185,7 @@
 	h.alive = alive
 }
 
-func (h *hostMemory) fail(p *Policy, now time.Time) {
+func (h *host) fail(p *Policy, now time.Time) {
 	if now.Sub(h.lastFailure) > p.FailureMemory {
 		h.failures = 0
 	}
@@ -156,7 +194,7 @@
 }
 
 // backoffUntil is when the host may be used again.
-func (h *hostMemory) backoffUntil(p *Policy) time.Time {
+func (h *host) backoffUntil(p *Policy) time.Time {
 	if h.failures == 0 {
 		return time.Time{}
 	}
@@ -167,17 +205,24 @@
 	return h.lastFailure.Add(min(backoff, p.BackoffMax))
 }
 
-func (m *Memory) observeReleases(v *api.FleetView, now time.Time) {
+func (m *Memory) observeAssignments(v *api.FleetView, now time.Time) {
+	for _, h := range m.assigned {
+		h.assign = nil
+	}
+	assigned := slices.Grow(m.assigned[:0:0], len(v.Assignments))
+	if len(m.assigned) == len(v.Assignments) {
+		assigned = m.assigned[:0]
+	}
 	for i := range v.Assignments {
 		a := &v.Assignments[i]
-		if !a.Releasing {
-			continue
-		}
-		r := &m.host(a.Host).release
-		if r.fencing != a.Fencing {
-			*r = releaseMemory{fencing: a.Fencing, seen: now}
+		h := m.at(m.assigned, i, a.Host)
+		assigned = append(assigned, h)
+		h.assign = a
+		if a.Releasing && h.release.fencing != a.Fencing {
+			h.release = releaseMemory{fencing: a.Fencing, seen: now}
 		}
 	}
+	m.assigned = assigned
 }
 
 func (m *Memory) observeGroups(v *api.FleetView, now time.Time) {
@@ -187,6 +232,10 @@
 		if !ok || gm.fencing != g.Fencing {
 			gm = &groupMemory{fencing: g.Fencing, phase: g.Phase, phaseSince: now, loadSince: now}
 			gm.incarnation = make([]api.Incarnation, len(g.Members))
+			gm.members = make([]*host, len(g.Members))
+			for rank, id := range g.Members {
+				gm.members[rank] = m.host(id)
+			}
 			m.groups[g.ID] = gm
 		}
 		if gm.phase != g.Phase {
@@ -203,9 +252,8 @@
 // observeMembers remembers under which incarnation each member held the
 // group's generation.
 func (m *Memory) observeMembers(g *api.Group, gm *groupMemory) {
-	for rank, id := range g.Members {
-		h, ok := m.hosts[id]
-		if ok && h.group == g.ID && h.fencing == g.Fencing {
+	for rank, h := range gm.members {
+		if h.group == g.ID && h.fencing == g.Fencing {
 			gm.incarnation[rank] = h.incarnation
 		}
 	}
--- a/internal/group/orders.go
+++ b/internal/group/orders.go
@@ -30,7 +30,7 @@
 }
 
 func (pl *planner) orderAssign(r *replica, rank int) {
-	h := pl.hosts[r.Members[rank]]
+	h := r.mem.members[rank]
 	if h.assign == nil || h.assign.Releasing || h.assign.Group != r.ID {
 		return
 	}
@@ -48,11 +48,11 @@
 }
 
 func (pl *planner) orderRelease(a *api.Assignment) {
-	h := pl.hosts[a.Host]
-	if h.status == nil || h.mem.stale || !isAlive(h.status, pl.policy) {
+	h := pl.mem.hosts[a.Host]
+	if h.status == nil || h.stale || !isAlive(h.status, pl.policy) {
 		return
 	}
-	early := h.mem.release.acked && !pl.checks(h) && pl.now.Before(pl.horizon(h))
+	early := h.release.acked && !pl.checks(h) && pl.now.Before(pl.horizon(h))
 	if early || !pl.orderDue(h, api.OrderRelease, a.Fencing) {
 		return
 	}
@@ -67,7 +67,7 @@
 
 // orderDue reports whether an order was not sent yet or is to be repeated.
 func (pl *planner) orderDue(h *host, kind api.OrderKind, f api.Fencing) bool {
-	o := &h.mem.order
+	o := &h.order
 	if o.kind != kind || o.fencing != f {
 		return true
 	}
@@ -83,11 +83,11 @@
 // the release was sent after the order horizon, by the incarnation that
 // announces itself now.
 func (pl *planner) released(a *api.Assignment) bool {
-	h := pl.hosts[a.Host]
-	if h.status == nil || h.mem.stale {
+	h := pl.mem.hosts[a.Host]
+	if h.status == nil || h.stale {
 		return false
 	}
-	r := &h.mem.release
+	r := &h.release
 	if pl.checks(h) {
 		s := &h.status.Announcement
 		announced := s.Fencing >= a.Fencing && s.Group != a.Group
@@ -95,7 +95,7 @@
 	}
 	return r.acked && r.fencing == a.Fencing &&
 		!r.ackSent.Before(pl.horizon(h)) &&
-		r.ackIncarnation == h.mem.incarnation
+		r.ackIncarnation == h.incarnation
 }
 
 // checks reports whether a releasing host refuses old fencing numbers. Both the
@@ -112,8 +112,8 @@
 // any more. Orders of this leader count like those of an older one, and a host
 // that was silent may have found one waiting when it came back.
 func (pl *planner) horizon(h *host) time.Time {
-	from := h.mem.release.seen
-	for _, t := range []time.Time{h.mem.order.lastAssign, h.mem.aliveSince} {
+	from := h.release.seen
+	for _, t := range []time.Time{h.order.lastAssign, h.aliveSince} {
 		if t.After(from) {
 			from = t
 		}
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -172,8 +172,8 @@
 
 // update records what rank 0 announces of the whole group.
 func (pl *planner) update(r *replica) {
-	h := pl.hosts[r.Members[0]]
-	if h == nil || h.status == nil || r.states[0] != memberReady {
+	h := r.mem.members[0]
+	if h.status == nil || r.states[0] != memberReady {
 		return
 	}
 	a := &h.status.Announcement
@@ -198,7 +198,7 @@
 
 // overdue reports whether members load for longer than the limit.
 func (pl *planner) overdue(r *replica) bool {
-	if r.mem == nil || r.count[memberReady] == len(r.Members) {
+	if r.count[memberReady] == len(r.Members) {
 		return false
 	}
 	limit := pl.policy.LoadTimeout
@@ -222,15 +222,12 @@
 }
 
 func (pl *planner) lostMembership(r *replica, rank int) bool {
-	h := pl.hosts[r.Members[rank]]
-	if h == nil || r.mem == nil {
-		return false
-	}
+	h := r.mem.members[rank]
 	held := r.mem.incarnation[rank]
-	if o := &h.mem.order; o.kind == api.OrderAssign && o.fencing == r.Fencing {
+	if o := &h.order; o.kind == api.OrderAssign && o.fencing == r.Fencing {
 		held = max(held, o.incarnation)
 	}
-	return held != 0 && h.mem.incarnation > held
+	return held != 0 && h.incarnation > held
 }
 
 // freeHosts ends the assignments whose release is proven.
@@ -252,8 +249,8 @@
 // survivors is the number of members that another group could use.
 func (pl *planner) survivors(r *replica) int {
 	n := 0
-	for _, id := range r.Members {
-		if h := pl.hosts[id]; h != nil && pl.usable(h) {
+	for _, h := range r.mem.members {
+		if pl.usable(h) {
 			n++
 		}
 	}
--- a/internal/group/repair.go
+++ b/internal/group/repair.go
@@ -59,7 +59,7 @@
 }
 
 func (pl *planner) considerRepair(r *replica) {
-	if r.sg == nil || r.retired || pl.touched[r.ID] || r.mem == nil {
+	if r.sg == nil || r.retired || pl.touched[r.ID] {
 		return
 	}
 	if r.Phase == api.GroupReady {
@@ -118,8 +118,8 @@
 )
 
 func (pl *planner) memberNeed(r *replica, rank int) need {
-	h := pl.hosts[r.Members[rank]]
-	if h == nil || h.status == nil {
+	h := r.mem.members[rank]
+	if h.status == nil {
 		return needReplacement
 	}
 	if h.status.Announcement.Leaving {
@@ -146,7 +146,7 @@
 	switch {
 	case pl.usable(h):
 		return needOrder
-	case pl.now.Before(h.mem.backoffUntil(pl.policy)):
+	case pl.now.Before(h.backoffUntil(pl.policy)):
 		return needBackoff
 	default:
 		return needReplacement
@@ -160,12 +160,11 @@
 		return
 	}
 	rep := &repair{replica: r, score: pl.score(r.sg, pl.weights.Downtime)}
-	for rank, id := range r.Members {
-		h := pl.hosts[id]
-		if h == nil || h.mem.leavingSince.IsZero() {
+	for rank, h := range r.mem.members {
+		if h.leavingSince.IsZero() {
 			continue
 		}
-		if pl.now.Sub(h.mem.leavingSince) < pl.policy.LeaveDrain {
+		if pl.now.Sub(h.leavingSince) < pl.policy.LeaveDrain {
 			pl.counted[r.sg]++
 			return
 		}
@@ -184,10 +183,10 @@
 
 // lostSince is when a silent member was last known to be alive.
 func (pl *planner) lostSince(r *replica, h *host) time.Time {
-	if h.mem.deadSince.IsZero() {
+	if h.deadSince.IsZero() {
 		return r.mem.phaseSince
 	}
-	return h.mem.deadSince
+	return h.deadSince
 }
 
 // score is the downtime that a load ends per byte, weighted.
@@ -213,6 +212,8 @@
 	pl.satisfy(rep)
 	g := *rep.Group
 	g.Members, g.Phase = members, api.GroupLoading
+	g.Address, g.Warm, g.Leaving = "", false, false
+	g.BearableLoad, g.WarmLoad = 0, 0
 	pl.jobs = append(pl.jobs, job{
 		score:  rep.score,
 		domain: rep.Domain,
