Baseline observes the hosts that it may use

Cause: the planner takes hosts from its memory, so that hiding free hosts in the view no longer held the baseline back. Ruled out: an error in the planner. Change: the baseline observes the reduced view; a test that it moves no host. Conclusion: the baseline waits for the same hosts again.

--- a/internal/bench/fleet_baseline.go
+++ b/internal/bench/fleet_baseline.go
@@ -18,7 +18,9 @@
 		members[g.ID] = g.Members
 		placed[g.ServingGroup]++
 	}
-	plan := group.Decide(hideFreeHosts(v, placed), m, p, now)
+	v = hideFreeHosts(v, placed)
+	m.Observe(&v, &p, now)
+	plan := group.Decide(v, m, p, now)
 	plan.Changes = slices.DeleteFunc(plan.Changes, func(c group.Change) bool {
 		switch c.Kind {
 		case api.GroupReform:
--- a/internal/bench/fleet_test.go
+++ b/internal/bench/fleet_test.go
@@ -19,3 +19,16 @@
 	require.NoError(t, err)
 	require.Equal(t, first, again)
 }
+
+// TestBaselineKeepsItsHosts: the baseline moves no host and starts no group
+// once every replica was formed.
+func TestBaselineKeepsItsHosts(t *testing.T) {
+	figures, err := bench.DomainWeights().Run(
+		context.Background(), bench.Options{Preset: bench.PresetNilecraft}, bench.PolicyBaseline, 1)
+	require.NoError(t, err)
+	for _, f := range figures {
+		if f.Name == bench.FigureHostsMoved {
+			require.Zero(t, f.Value)
+		}
+	}
+}
