Hosts that refuse orders are replaced; tests of sizes, leader changes and the horizon

Cause: a host that refused its assign order kept its group loading until the load timeout. Ruled out: repeating the order without end. Change: three refusals break the generation and back the host off. Conclusion: TestRefusingHostIsReplaced; orders survive a change of leader at each of 20 moments.

--- a/internal/group/dispatch.go
+++ b/internal/group/dispatch.go
@@ -101,19 +101,17 @@
 			level.Debug(r.logger).Log("msg", "Order failed.", "host", a.order.Host, "group", a.order.Group, "err", a.err)
 			continue
 		}
-		r.mem.learn(&a)
+		r.mem.learn(&a, &r.cfg.Policy)
 	}
 }
 
-func (m *Memory) learn(a *answer) {
+func (m *Memory) learn(a *answer, p *Policy) {
 	h, ok := m.hosts[a.order.Host]
 	if !ok || a.result.Host != a.order.Host {
 		return
 	}
 	if !a.result.Accepted {
-		if h.order.fencing == a.order.Fencing {
-			h.order.refused++
-		}
+		h.refuse(a, p)
 		return
 	}
 	rel := &h.release
@@ -122,3 +120,15 @@
 	}
 	rel.acked, rel.ackSent, rel.ackIncarnation = true, a.sent, a.result.Incarnation
 }
+
+// refuse counts a refusal of the newest order; a host that goes on refusing is
+// backed off like one that fails.
+func (h *host) refuse(a *answer, p *Policy) {
+	if h.order.fencing != a.order.Fencing || h.order.kind != a.order.Kind {
+		return
+	}
+	h.order.refused++
+	if a.order.Kind == api.OrderAssign && h.order.refused == maxRefusals {
+		h.fail(p, a.sent)
+	}
+}
--- /dev/null
+++ b/internal/group/orders_test.go
@@ -0,0 +1,89 @@
+package group_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/group"
+)
+
+// TestEverySizeOfReplica: replicas of 1 to 16 hosts become whole.
+func TestEverySizeOfReplica(t *testing.T) {
+	for n := 1; n <= 16; n++ {
+		t.Run(fmt.Sprintf("%d hosts", n), func(t *testing.T) {
+			r := newRig(t, testPolicy(), scribe(2, n))
+			r.add("f1", "d1", n, true)
+			r.add("f2", "d2", n, true)
+			r.step(30 * time.Second)
+			require.Equal(t, 1, r.readyIn("d1"))
+			require.Equal(t, 1, r.readyIn("d2"))
+		})
+	}
+}
+
+// TestNewLeaderTakesUpOrders: a leader with an empty memory finishes what an
+// earlier one began, at each moment of the change.
+func TestNewLeaderTakesUpOrders(t *testing.T) {
+	for ticks := 1; ticks <= 60; ticks += 3 {
+		t.Run(fmt.Sprintf("after %d ticks", ticks), func(t *testing.T) {
+			r := newRig(t, testPolicy(), scribe(1, 3))
+			r.add("f1", "d1", 4, true)
+			r.step(20 * time.Second)
+			r.model.Start(r.host("f1-00"))
+			r.step(time.Duration(ticks) * tick)
+			r.model.TakeQueue()
+			r.rec = r.leader(testPolicy(), nil)
+			r.step(40 * time.Second)
+			require.Equal(t, 1, r.ready())
+		})
+	}
+}
+
+// refusing is an order sender whose chosen host refuses every assign order.
+type refusing struct {
+	*rig
+	host api.HostID
+}
+
+func (s refusing) Send(ctx context.Context, address string, o api.Order) (api.OrderResult, error) {
+	if o.Host == s.host && o.Kind == api.OrderAssign {
+		return api.OrderResult{Host: o.Host, Incarnation: 1, Reason: "busy"}, nil
+	}
+	return s.model.Send(ctx, address, o)
+}
+
+// TestRefusingHostIsReplaced: a host that refuses its orders gives its place to
+// a spare.
+func TestRefusingHostIsReplaced(t *testing.T) {
+	r := newRig(t, testPolicy(), scribe(1, 2))
+	r.add("f1", "d1", 3, true)
+	r.rec = group.New(group.Config{
+		Policy: testPolicy(), Sender: refusing{rig: r, host: "f1-00"}, Clock: r.model.Clock, Go: r.model.Go,
+	})
+	r.step(2 * time.Minute)
+	require.Equal(t, 1, r.ready())
+	require.NotContains(t, r.only().Members, api.HostID("f1-00"))
+}
+
+// TestRestartedHostWithoutFencingWaitsForHorizon: its new incarnation holds no
+// membership, but a late order could still bring the old one back.
+func TestRestartedHostWithoutFencingWaitsForHorizon(t *testing.T) {
+	p := testPolicy()
+	sg := scribe(1, 2)
+	sg.ChecksFencing = false
+	r := newRig(t, p, sg)
+	r.add("f1", "d1", 2, false)
+	r.step(30 * time.Second)
+	r.store.ServingGroups = nil
+	r.step(tick)
+	r.model.Start(r.host("f1-00"))
+	r.step(p.OrderHorizon - 2*tick)
+	require.NotNil(t, r.store.Assignment("f1-00"))
+	r.step(3 * time.Second)
+	require.Nil(t, r.store.Assignment("f1-00"))
+}
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -210,8 +210,12 @@
 	return limit > 0 && pl.now.Sub(r.mem.loadSince) > limit
 }
 
+// maxRefusals is the number of refusals of one assign order after which the
+// group needs a new generation.
+const maxRefusals = 3
+
 // restarted reports whether a member that held this generation, or may have
-// accepted it, started anew since then.
+// accepted it, started anew since then, or refuses it.
 func (pl *planner) restarted(r *replica) bool {
 	for rank, state := range r.states {
 		if state == memberBehind && pl.lostMembership(r, rank) {
@@ -225,6 +229,9 @@
 	h := r.mem.members[rank]
 	held := r.mem.incarnation[rank]
 	if o := &h.order; o.kind == api.OrderAssign && o.fencing == r.Fencing {
+		if o.refused >= maxRefusals {
+			return true
+		}
 		held = max(held, o.incarnation)
 	}
 	return held != 0 && h.incarnation > held
