A member that no longer holds its generation breaks a load; budget follows the load rate

Change: such a group breaks and is paid for anew; an unset burst is eight seconds of the rate. Conclusion: TestLateOrderDuringLoad.

--- a/internal/group/budget.go
+++ b/internal/group/budget.go
@@ -34,7 +34,7 @@
 
 func (b *budget) refill(p *Policy, now time.Time) {
 	b.tokens += float64(p.LoadRate) * now.Sub(b.refilled).Seconds()
-	b.tokens = min(b.tokens, float64(p.LoadBurst))
+	b.tokens = min(b.tokens, p.burst())
 	b.refilled = now
 }
 
@@ -42,7 +42,7 @@
 	if p.LoadRate <= 0 || bytes <= 0 {
 		return true
 	}
-	return tokens >= min(float64(bytes), float64(p.LoadBurst))
+	return tokens >= min(float64(bytes), p.burst())
 }
 
 func (b *budget) spend(bytes int64) { b.tokens -= float64(bytes) }
--- a/internal/group/memory.go
+++ b/internal/group/memory.go
@@ -75,12 +75,13 @@
 }
 
 type groupMemory struct {
-	fencing     api.Fencing
-	phase       api.GroupPhase
-	phaseSince  time.Time
-	loadSince   time.Time
-	members     []*host
-	incarnation []api.Incarnation
+	fencing    api.Fencing
+	phase      api.GroupPhase
+	phaseSince time.Time
+	loadSince  time.Time
+	members    []*host
+	// held marks the members that announced this generation.
+	held []bool
 }
 
 // NewMemory returns an empty memory.
@@ -231,7 +232,7 @@
 		gm, ok := m.groups[g.ID]
 		if !ok || gm.fencing != g.Fencing {
 			gm = &groupMemory{fencing: g.Fencing, phase: g.Phase, phaseSince: now, loadSince: now}
-			gm.incarnation = make([]api.Incarnation, len(g.Members))
+			gm.held = make([]bool, len(g.Members))
 			gm.members = make([]*host, len(g.Members))
 			for rank, id := range g.Members {
 				gm.members[rank] = m.host(id)
@@ -249,12 +250,11 @@
 	}
 }
 
-// observeMembers remembers under which incarnation each member held the
-// group's generation.
+// observeMembers remembers which members held the group's generation.
 func (m *Memory) observeMembers(g *api.Group, gm *groupMemory) {
 	for rank, h := range gm.members {
 		if h.group == g.ID && h.fencing == g.Fencing {
-			gm.incarnation[rank] = h.incarnation
+			gm.held[rank] = true
 		}
 	}
 }
--- a/internal/group/orders_test.go
+++ b/internal/group/orders_test.go
@@ -87,3 +87,24 @@
 	r.step(3 * time.Second)
 	require.Nil(t, r.store.Assignment("f1-00"))
 }
+
+// TestLateOrderDuringLoad: a late order takes a member that does not check
+// fencing back to an older generation; the load that follows is a new one.
+func TestLateOrderDuringLoad(t *testing.T) {
+	sg := scribe(1, 2)
+	sg.ChecksFencing = false
+	r := newRig(t, testPolicy(), sg)
+	r.add("f1", "d1", 2, false)
+	r.step(30 * time.Second)
+	old := r.only()
+	r.model.Start(r.host("f1-01"))
+	r.step(8 * time.Second)
+	loading := r.only()
+	require.Equal(t, api.GroupLoading, loading.Phase)
+	r.model.Deliver(r.host("f1-00"), api.Order{
+		Version: 1, Kind: api.OrderAssign, Group: old.ID, Fencing: old.Fencing, Members: old.Members,
+	})
+	r.step(time.Minute)
+	require.Equal(t, 1, r.ready())
+	require.Greater(t, r.only().Fencing, loading.Fencing)
+}
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -214,8 +214,8 @@
 // group needs a new generation.
 const maxRefusals = 3
 
-// restarted reports whether a member that held this generation, or may have
-// accepted it, started anew since then, or refuses it.
+// restarted reports whether a member no longer holds this generation, started
+// anew since it may have accepted it, or refuses it.
 func (pl *planner) restarted(r *replica) bool {
 	for rank, state := range r.states {
 		if state == memberBehind && pl.lostMembership(r, rank) {
@@ -226,15 +226,15 @@
 }
 
 func (pl *planner) lostMembership(r *replica, rank int) bool {
+	if r.mem.held[rank] {
+		return true
+	}
 	h := r.mem.members[rank]
-	held := r.mem.incarnation[rank]
-	if o := &h.order; o.kind == api.OrderAssign && o.fencing == r.Fencing {
-		if o.refused >= maxRefusals {
-			return true
-		}
-		held = max(held, o.incarnation)
+	o := &h.order
+	if o.kind != api.OrderAssign || o.fencing != r.Fencing {
+		return false
 	}
-	return held != 0 && h.incarnation > held
+	return o.refused >= maxRefusals || o.incarnation != 0 && h.incarnation > o.incarnation
 }
 
 // freeHosts ends the assignments whose release is proven.
--- a/internal/group/policy.go
+++ b/internal/group/policy.go
@@ -47,7 +47,8 @@
 	// LoadRate is the budget of the weight store, in bytes per second; 0 is
 	// unlimited.
 	LoadRate int64
-	// LoadBurst is the number of bytes that may be started at once.
+	// LoadBurst is the number of bytes that may be started at once; 0 stands for
+	// what LoadRate gives in eight seconds.
 	LoadBurst int64
 	// MaxLoads is the number of groups that load at once; 0 is unlimited.
 	MaxLoads int
@@ -80,7 +81,6 @@
 		OrderConcurrency: 64,
 		OrderHorizon:     8 * time.Second,
 		LoadRate:         64 << 30,
-		LoadBurst:        512 << 30,
 		MaxLoads:         64,
 		MaxDomainLoads:   24,
 		LoadTimeout:      20 * time.Minute,
@@ -118,6 +118,17 @@
 	return api.Weights{Downtime: 1, Stranded: 1, DomainChange: 1}
 }
 
+// defaultBurst is the time for which an unused budget adds up.
+const defaultBurst = 8 * time.Second
+
+// burst is the capacity of the token bucket, in bytes.
+func (p *Policy) burst() float64 {
+	if p.LoadBurst > 0 {
+		return float64(p.LoadBurst)
+	}
+	return float64(p.LoadRate) * defaultBurst.Seconds()
+}
+
 func scaleHold(d time.Duration, gain, cost float64) time.Duration {
 	factor := maxHoldFactor
 	if cost > 0 {
