Members that pause again and again are replaced

Cause: each pause within the grace breaks the group anew, without end. Ruled out: a shorter grace for all. Change: a silent member with five failures in the failure memory is not waited for; hosts that announce another failure domain than their fabric domain are not used. Conclusion: TestMemberThatPausesAgainAndAgainIsReplaced.

--- a/internal/group/index.go
+++ b/internal/group/index.go
@@ -197,7 +197,7 @@
 		}
 		f := x.fabric(a.Fabric, a.Domain)
 		switch {
-		case h.assign != nil && !h.assign.Releasing:
+		case a.Domain != f.domain, h.assign != nil && !h.assign.Releasing:
 		case !x.usable(h):
 		case h.assign == nil:
 			f.free = append(f.free, a.Host)
--- a/internal/group/policy_test.go
+++ b/internal/group/policy_test.go
@@ -170,6 +170,23 @@
 	require.NotContains(t, r.only().Members, api.HostID("f1-00"))
 }
 
+// TestMemberThatPausesAgainAndAgainIsReplaced: each pause is within the grace,
+// but together they cost more than a reload.
+func TestMemberThatPausesAgainAndAgainIsReplaced(t *testing.T) {
+	r := newRig(t, testPolicy(), scribe(1, 2))
+	r.add("f1", "d1", 3, true)
+	r.step(30 * time.Second)
+	for range 5 {
+		require.Contains(t, r.only().Members, api.HostID("f1-00"))
+		r.model.Pause(r.host("f1-00"))
+		r.step(6 * time.Second)
+		r.model.Resume(r.host("f1-00"))
+		r.step(20 * time.Second)
+	}
+	require.Equal(t, 1, r.ready())
+	require.NotContains(t, r.only().Members, api.HostID("f1-00"))
+}
+
 // TestStragglerIsReplaced: a member that loads far longer than usual gives its
 // place to a spare.
 func TestStragglerIsReplaced(t *testing.T) {
--- a/internal/group/repair.go
+++ b/internal/group/repair.go
@@ -103,6 +103,10 @@
 	return !certain || f == nil || len(f.free) < len(rep.replace)
 }
 
+// maxPauses is the number of failures within Policy.FailureMemory after which a
+// silent member is not waited for any more.
+const maxPauses = 5
+
 // need tells what a member's rank needs for the group to be whole again.
 type need uint8
 
@@ -127,6 +131,9 @@
 	}
 	switch r.states[rank] {
 	case memberDead:
+		if h.failures >= maxPauses {
+			return needReplacement
+		}
 		if pl.now.Sub(pl.lostSince(r, h)) < pl.grace(r) {
 			return needWait
 		}
