--- a/internal/group/policy.go
+++ b/internal/group/policy.go
@@ -13,9 +13,13 @@
 	// DetectionBound is the age of the last announcement above which a host
 	// counts as dead.
 	DetectionBound time.Duration
-	// Grace is how long a broken group waits for a silent member that may only
-	// be paused, before its membership is given up.
+	// Grace is the least time that a broken group waits for a silent member that
+	// may only be paused, before its membership is given up.
 	Grace time.Duration
+	// GraceShare times the usual load time of the serving group replaces Grace
+	// when it is longer, up to MaxGrace.
+	GraceShare float64
+	MaxGrace   time.Duration
 	// Hold is how long the survivors of a group that cannot be repaired stay
 	// together after Grace. It is scaled by Weights.Downtime over
 	// Weights.Stranded.
@@ -43,7 +47,8 @@
 	// LoadRate is the budget of the weight store, in bytes per second; 0 is
 	// unlimited.
 	LoadRate int64
-	// LoadBurst is the number of bytes that may be started at once.
+	// LoadBurst is the number of bytes that may be started at once; 0 stands for
+	// what LoadRate gives in eight seconds.
 	LoadBurst int64
 	// MaxLoads is the number of groups that load at once; 0 is unlimited.
 	MaxLoads int
@@ -63,6 +68,8 @@
 		Weights:          api.Weights{Downtime: 1, Stranded: 1, DomainChange: 1},
 		DetectionBound:   3 * time.Second,
 		Grace:            8 * time.Second,
+		GraceShare:       0.15,
+		MaxGrace:         30 * time.Second,
 		Hold:             30 * time.Second,
 		DrainHold:        60 * time.Second,
 		LeaveDrain:       10 * time.Second,
@@ -74,7 +81,6 @@
 		OrderConcurrency: 64,
 		OrderHorizon:     8 * time.Second,
 		LoadRate:         64 << 30,
-		LoadBurst:        512 << 30,
 		MaxLoads:         64,
 		MaxDomainLoads:   24,
 		LoadTimeout:      20 * time.Minute,
@@ -112,6 +118,17 @@
 	return api.Weights{Downtime: 1, Stranded: 1, DomainChange: 1}
 }
 
+// defaultBurst is the time for which an unused budget adds up.
+const defaultBurst = 8 * time.Second
+
+// burst is the capacity of the token bucket, in bytes.
+func (p *Policy) burst() float64 {
+	if p.LoadBurst > 0 {
+		return float64(p.LoadBurst)
+	}
+	return float64(p.LoadRate) * defaultBurst.Seconds()
+}
+
 func scaleHold(d time.Duration, gain, cost float64) time.Duration {
 	factor := maxHoldFactor
 	if cost > 0 {
--- a/internal/group/repair.go
+++ b/internal/group/repair.go
@@ -36,6 +36,7 @@
 		pl.considerRepair(r)
 	}
 	slices.SortStableFunc(pl.repairs, compareRepairs)
+	pl.countSound()
 	for _, rep := range pl.repairs {
 		pl.claimFree(rep)
 	}
@@ -45,9 +46,6 @@
 	for _, rep := range pl.repairs {
 		pl.claimDonors(rep)
 	}
-	for _, rep := range pl.repairs {
-		pl.giveUp(rep)
-	}
 }
 
 // compareRepairs puts the most downtime ended per byte first, then the groups
@@ -61,7 +59,7 @@
 }
 
 func (pl *planner) considerRepair(r *replica) {
-	if r.sg == nil || r.retired || pl.touched[r.ID] || r.mem == nil {
+	if r.sg == nil || r.retired || pl.touched[r.ID] {
 		return
 	}
 	if r.Phase == api.GroupReady {
@@ -105,6 +103,10 @@
 	return !certain || f == nil || len(f.free) < len(rep.replace)
 }
 
+// maxPauses is the number of failures within Policy.FailureMemory after which a
+// silent member is not waited for any more.
+const maxPauses = 5
+
 // need tells what a member's rank needs for the group to be whole again.
 type need uint8
 
@@ -120,8 +122,8 @@
 )
 
 func (pl *planner) memberNeed(r *replica, rank int) need {
-	h := pl.hosts[r.Members[rank]]
-	if h == nil || h.status == nil {
+	h := r.mem.members[rank]
+	if h.status == nil {
 		return needReplacement
 	}
 	if h.status.Announcement.Leaving {
@@ -129,7 +131,10 @@
 	}
 	switch r.states[rank] {
 	case memberDead:
-		if pl.now.Sub(pl.lostSince(r, h)) < pl.policy.Grace {
+		if h.failures >= maxPauses {
+			return needReplacement
+		}
+		if pl.now.Sub(pl.lostSince(r, h)) < pl.grace(r) {
 			return needWait
 		}
 		return needReplacement
@@ -148,7 +153,7 @@
 	switch {
 	case pl.usable(h):
 		return needOrder
-	case pl.now.Before(h.mem.backoffUntil(pl.policy)):
+	case pl.now.Before(h.backoffUntil(pl.policy)):
 		return needBackoff
 	default:
 		return needReplacement
@@ -162,12 +167,11 @@
 		return
 	}
 	rep := &repair{replica: r, score: pl.score(r.sg, pl.weights.Downtime)}
-	for rank, id := range r.Members {
-		h := pl.hosts[id]
-		if h == nil || h.mem.leavingSince.IsZero() {
+	for rank, h := range r.mem.members {
+		if h.leavingSince.IsZero() {
 			continue
 		}
-		if pl.now.Sub(h.mem.leavingSince) < pl.policy.LeaveDrain {
+		if pl.now.Sub(h.leavingSince) < pl.policy.LeaveDrain {
 			pl.counted[r.sg]++
 			return
 		}
@@ -176,12 +180,20 @@
 	pl.repairs = append(pl.repairs, rep)
 }
 
+// grace is how long the group waits for a silent member. Waiting costs at most
+// the grace, a needless reload its whole length: the grace is a share of the
+// usual load time, so that a slow load is risked later than a fast one.
+func (pl *planner) grace(r *replica) time.Duration {
+	share := time.Duration(float64(pl.mem.loadTime[r.ServingGroup]) * pl.policy.GraceShare)
+	return min(max(share, pl.policy.Grace), max(pl.policy.MaxGrace, pl.policy.Grace))
+}
+
 // lostSince is when a silent member was last known to be alive.
 func (pl *planner) lostSince(r *replica, h *host) time.Time {
-	if h.mem.deadSince.IsZero() {
+	if h.deadSince.IsZero() {
 		return r.mem.phaseSince
 	}
-	return h.mem.deadSince
+	return h.deadSince
 }
 
 // score is the downtime that a load ends per byte, weighted.
@@ -189,9 +201,15 @@
 	return sg.importance() * weight / float64(max(sg.loadBytes(), 1))
 }
 
+// wanted reports whether the serving group lacks a replica that this repair
+// brings back. Broken groups beyond that wait as they are.
+func (pl *planner) wanted(rep *repair) bool {
+	return rep.Phase == api.GroupReady || pl.counted[rep.sg] < rep.sg.Replicas
+}
+
 func (pl *planner) claimFree(rep *repair) {
 	f := pl.byFabric[rep.Fabric]
-	if f == nil || len(f.free) < len(rep.replace) {
+	if f == nil || len(f.free) < len(rep.replace) || !pl.wanted(rep) {
 		return
 	}
 	members := slices.Clone(rep.Members)
@@ -201,6 +219,8 @@
 	pl.satisfy(rep)
 	g := *rep.Group
 	g.Members, g.Phase = members, api.GroupLoading
+	g.Address, g.Warm, g.Leaving = "", false, false
+	g.BearableLoad, g.WarmLoad = 0, 0
 	pl.jobs = append(pl.jobs, job{
 		score:  rep.score,
 		domain: rep.Domain,
@@ -220,7 +240,7 @@
 // claimPending lets a group wait for hosts whose release is under way.
 func (pl *planner) claimPending(rep *repair) {
 	f := pl.byFabric[rep.Fabric]
-	if rep.satisfied || rep.donor || f == nil {
+	if rep.satisfied || rep.donor || f == nil || !pl.wanted(rep) {
 		return
 	}
 	missing := len(rep.replace) - rep.soon
@@ -237,7 +257,7 @@
 // their survivors make this one whole.
 func (pl *planner) claimDonors(rep *repair) {
 	f := pl.byFabric[rep.Fabric]
-	if rep.satisfied || rep.donor || f == nil || rep.Phase != api.GroupBroken {
+	if rep.satisfied || rep.donor || f == nil || rep.Phase != api.GroupBroken || !pl.wanted(rep) {
 		return
 	}
 	missing := len(rep.replace) - rep.soon - len(f.free) - f.pending
@@ -265,6 +285,9 @@
 		if d.Fabric != rep.Fabric || d.satisfied || d.donor || d.Phase != api.GroupBroken {
 			continue
 		}
+		if !mayTake(rep.sg, d.sg) {
+			continue
+		}
 		if n := pl.survivors(d.replica); n > 0 {
 			donors = append(donors, d)
 			gained += n
@@ -273,13 +296,19 @@
 	return donors, gained
 }
 
-// giveUp releases a group that cannot be repaired once its hold is over.
-func (pl *planner) giveUp(rep *repair) {
+// mayTake reports whether hosts of a broken group may go to a replica of the
+// taker. A smaller replica would leave the fabric domain without room for the
+// larger one when its hosts return, so that takes a higher importance.
+func mayTake(taker, donor *servingGroup) bool {
+	return taker.HostsPerReplica >= donor.HostsPerReplica || taker.importance() > donor.importance()
+}
+
+// hopeless reports whether the hosts of a group may go to new groups: it cannot
+// be repaired and its hold is over.
+func (pl *planner) hopeless(rep *repair) bool {
 	if rep.satisfied || rep.donor || rep.Phase != api.GroupBroken {
-		return
+		return false
 	}
 	hold := scaleHold(pl.policy.Hold, pl.weights.Downtime, pl.weights.Stranded)
-	if pl.now.Sub(rep.mem.phaseSince) >= pl.policy.Grace+hold {
-		pl.release(rep.replica, ReasonHopeless)
-	}
+	return pl.now.Sub(rep.mem.phaseSince) >= pl.grace(rep.replica)+hold
 }
