Experiments of the request path

Ruled out: closed-loop callers, which hide a stall; a simulator. Change: seven experiments on the daemons in process, open-loop arrivals, and the baseline round robin, no shared limits, blind retry, first come first served.

--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -2,7 +2,15 @@
 
 // Experiments returns every experiment in the order of the help text.
 func Experiments() []Experiment {
-	return []Experiment{}
+	return []Experiment{
+		pathLatency(),
+		priorityClaim(),
+		coldStart(),
+		domainCycle(),
+		atMostOnce(),
+		poison(),
+		overload(),
+	}
 }
 
 // Find returns the experiment with a name.
--- /dev/null
+++ b/internal/bench/path_cold.go
@@ -0,0 +1,107 @@
+package bench
+
+import (
+	"context"
+	"time"
+
+	"github.com/crocusway/crocusway/internal/standin"
+)
+
+// Settings of cold-start.
+const (
+	// coldLoadPart is the load, as a part of the capacity of warm replicas.
+	coldLoadPart = 0.3
+	coldBears    = 1
+	coldWarms    = 4
+	// turnColdAt is when a third of the replicas turn cold, as a part of the
+	// duration.
+	turnColdAt = 0.6
+)
+
+// coldStart offers load at once to replicas that have just loaded, then turns a
+// third of them cold without a warning.
+func coldStart() Experiment {
+	return Experiment{
+		Name:    "cold-start",
+		Summary: "Load meets cold replicas, which fall over above what they bear.",
+		Run:     runColdStart,
+		Targets: []Target{
+			{Figure: "start_overloads", Relation: "<=", Bound: 0},
+			{Figure: "start_falls", Relation: "<=", Bound: 0},
+			{Figure: "wrong", Relation: "<=", Bound: 0},
+		},
+	}
+}
+
+func runColdStart(ctx context.Context, o Options, policy Policy, seed int64) ([]Figure, error) {
+	spec := newPathSpec(o.Preset)
+	spec.engine.ColdLoad = coldBears
+	spec.engine.WarmAfter = coldWarms
+	rig, err := startRig(ctx, policy, spec)
+	if err != nil {
+		return nil, err
+	}
+	defer rig.close()
+	began := time.Now()
+	turn := began.Add(time.Duration(turnColdAt * float64(o.Duration)))
+	watch := watchWarm(ctx, rig.fleet, began, turn, spec.replicas)
+	startFalls := make(chan int, 1)
+	go func() {
+		sleepUntil(ctx, turn)
+		startFalls <- rig.fleet.Falls()
+		turnCold(rig.fleet, spec.replicas/3)
+	}()
+	tally := newPathTally()
+	offer(ctx, rig.target, pathStream{
+		rate: spec.rate() * coldLoadPart, end: o.Duration, next: prompts("counter", pathTokens), tally: tally,
+	}, seed)
+	before, after := splitRuns(rig.fleet.Runs(), turn)
+	startOver, _ := overloads(before)
+	turnOver, _ := overloads(after)
+	falls := <-startFalls
+	figures := []Figure{
+		{Name: "start_overloads", Unit: "requests", Value: float64(startOver)},
+		{Name: "start_falls", Unit: "replicas", Value: float64(falls)},
+		{Name: "time_until_all_warm", Unit: "s", Value: (<-watch).Seconds()},
+		{Name: "turn_overloads", Unit: "requests", Value: float64(turnOver)},
+		{Name: "turn_falls", Unit: "replicas", Value: float64(rig.fleet.Falls() - falls)},
+	}
+	figures = append(figures, tally.latencyFigures("")...)
+	return append(figures, tally.endingFigures("")...), nil
+}
+
+// watchWarm sends the time until all replicas were warm, or the time until the
+// end of the watch.
+func watchWarm(ctx context.Context, f *standin.Fleet, began, end time.Time, replicas int) <-chan time.Duration {
+	const look = 10 * time.Millisecond
+	out := make(chan time.Duration, 1)
+	go func() {
+		for time.Now().Before(end) && f.WarmReplicas() < replicas {
+			if !sleepUntil(ctx, time.Now().Add(look)) {
+				break
+			}
+		}
+		out <- time.Since(began)
+	}()
+	return out
+}
+
+// turnCold turns n serving replicas cold.
+func turnCold(f *standin.Fleet, n int) {
+	for _, h := range f.Hosts() {
+		if n > 0 && h.Serving() {
+			h.TurnCold()
+			n--
+		}
+	}
+}
+
+// splitRuns parts the runs at a moment.
+func splitRuns(runs []standin.Run, at time.Time) (before, after []standin.Run) {
+	for i, run := range runs {
+		if run.Start.After(at) {
+			return runs[:i], runs[i:]
+		}
+	}
+	return runs, nil
+}
--- /dev/null
+++ b/internal/bench/path_load.go
@@ -0,0 +1,263 @@
+package bench
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/caller"
+	"github.com/crocusway/crocusway/internal/standin"
+)
+
+// pathEnding tells how one request ended for its caller.
+type pathEnding int
+
+const (
+	// endComplete is a whole answer, endRefused a refusal that claims not-run.
+	endComplete pathEnding = iota
+	endRefused
+	// endCut is an answer that began and did not end as a whole one.
+	endCut
+	// endFailed is any other failure.
+	endFailed
+	// endWrong is a whole answer with tokens that are not the request's own.
+	endWrong
+	endings
+)
+
+// pathCall is one request of an experiment.
+type pathCall struct {
+	account string
+	prompt  string
+	tokens  int
+}
+
+// pathResult is what its caller saw.
+type pathResult struct {
+	ending pathEnding
+	status int
+	// firstToken counts from the arrival; 0 without a token.
+	firstToken time.Duration
+	gaps       []time.Duration
+}
+
+// onTime reports whether the answer is whole and began within the letter's
+// bound.
+func (r pathResult) onTime() bool {
+	return r.ending == endComplete && r.firstToken <= firstTokenBound*time.Millisecond
+}
+
+// classifyAnswer sorts an answer. Whole answers are compared with the tokens that
+// a stand-in generates for the request's id.
+func classifyAnswer(a caller.Answer, err error, tokens int, whole bool) pathEnding {
+	switch {
+	case err == nil && whole && a.Text() == standin.AnswerText(a.Request, tokens):
+		return endComplete
+	case err == nil && whole:
+		return endWrong
+	case a.Status != http.StatusOK && a.Outcome == api.OutcomeNotRun:
+		return endRefused
+	case len(a.Tokens) > 0:
+		return endCut
+	default:
+		return endFailed
+	}
+}
+
+// Histogram bounds of latencies, in microseconds, and their precision.
+const (
+	histogramMax    = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits = 3
+)
+
+// pathTally sums the results of one kind of caller. It is safe for concurrent
+// use.
+type pathTally struct {
+	mu       sync.Mutex
+	endings  [endings]int
+	byStatus map[int]int
+	onTime   int
+	// inWindow counts whole answers that ended before the arrivals did.
+	inWindow   int
+	firstToken *hdrhistogram.Histogram
+	gaps       *hdrhistogram.Histogram
+}
+
+func newPathTally() *pathTally {
+	return &pathTally{
+		byStatus:   make(map[int]int),
+		firstToken: hdrhistogram.New(1, histogramMax, histogramDigits),
+		gaps:       hdrhistogram.New(1, histogramMax, histogramDigits),
+	}
+}
+
+// add counts one result; inWindow tells that it ended before the arrivals did.
+func (t *pathTally) add(r pathResult, inWindow bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.endings[r.ending]++
+	t.byStatus[r.status]++
+	if r.onTime() {
+		t.onTime++
+	}
+	if inWindow && r.ending == endComplete {
+		t.inWindow++
+	}
+	if r.firstToken > 0 {
+		record(t.firstToken, r.firstToken)
+	}
+	for _, gap := range r.gaps {
+		record(t.gaps, gap)
+	}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), histogramMax))
+}
+
+// offered is the number of requests.
+func (t *pathTally) offered() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, count := range t.endings {
+		n += count
+	}
+	return n
+}
+
+func (t *pathTally) count(e pathEnding) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.endings[e]
+}
+
+// share is the part of the offered requests with an ending, 0 to 1.
+func (t *pathTally) share(e pathEnding) float64 {
+	offered := t.offered()
+	if offered == 0 {
+		return 0
+	}
+	return float64(t.count(e)) / float64(offered)
+}
+
+// withStatus counts the answers with an HTTP status.
+func (t *pathTally) withStatus(status int) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.byStatus[status]
+}
+
+// goodput is the rate of whole answers within a window, in answers a second.
+func (t *pathTally) goodput(window time.Duration) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return float64(t.inWindow) / window.Seconds()
+}
+
+// onTimeShare is the part of the offered requests that were answered whole and
+// began within the letter's bound, 0 to 1.
+func (t *pathTally) onTimeShare() float64 {
+	offered := t.offered()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return float64(t.onTime) / float64(max(offered, 1))
+}
+
+// millis is a quantile of a histogram, in milliseconds.
+func millis(h *hdrhistogram.Histogram, quantile float64) float64 {
+	return float64(h.ValueAtQuantile(quantile)) / 1000
+}
+
+// latencyFigures returns the first-token and gap quantiles under a prefix.
+func (t *pathTally) latencyFigures(prefix string) []Figure {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return []Figure{
+		{Name: prefix + "first_token_p50", Unit: "ms", Value: millis(t.firstToken, 50)},
+		{Name: prefix + "first_token_p95", Unit: "ms", Value: millis(t.firstToken, 95)},
+		{Name: prefix + "first_token_p99", Unit: "ms", Value: millis(t.firstToken, 99)},
+		{Name: prefix + "token_gap_p95", Unit: "ms", Value: millis(t.gaps, 95)},
+	}
+}
+
+// endingFigures returns how the requests ended under a prefix.
+func (t *pathTally) endingFigures(prefix string) []Figure {
+	return []Figure{
+		{Name: prefix + "offered", Unit: "requests", Value: float64(t.offered())},
+		{Name: prefix + "complete", Unit: "ratio", Value: t.share(endComplete)},
+		{Name: prefix + "on_time", Unit: "ratio", Value: t.onTimeShare()},
+		{Name: prefix + "refused", Unit: "ratio", Value: t.share(endRefused)},
+		{Name: prefix + "cut", Unit: "requests", Value: float64(t.count(endCut))},
+		{Name: prefix + "failed", Unit: "requests", Value: float64(t.count(endFailed))},
+		{Name: prefix + "wrong", Unit: "requests", Value: float64(t.count(endWrong))},
+	}
+}
+
+// pathTarget serves requests: a whole system, or the baseline.
+type pathTarget interface {
+	call(ctx context.Context, c pathCall) pathResult
+}
+
+// pathStream is one open-loop stream of arrivals.
+type pathStream struct {
+	// rate is the mean number of arrivals a second.
+	rate  float64
+	start time.Duration
+	end   time.Duration
+	// next builds the request of an arrival.
+	next  func(r *rand.Rand) pathCall
+	tally *pathTally
+}
+
+// offer sends a stream's requests when they arrive, whether earlier ones were
+// answered or not, and waits for the answers.
+func offer(ctx context.Context, target pathTarget, s pathStream, seed int64) {
+	rng := rand.New(rand.NewPCG(uint64(seed), uint64(s.rate*1000)))
+	began := time.Now()
+	at := s.start
+	var wg sync.WaitGroup
+	for {
+		at += time.Duration(rng.ExpFloat64() / s.rate * float64(time.Second))
+		if at >= s.end || !sleepUntil(ctx, began.Add(at)) {
+			break
+		}
+		c := s.next(rng)
+		arrival := began.Add(at)
+		wg.Go(func() {
+			late := time.Since(arrival)
+			r := target.call(ctx, c)
+			if r.firstToken > 0 {
+				r.firstToken += late
+			}
+			s.tally.add(r, time.Since(began) <= s.end)
+		})
+	}
+	wg.Wait()
+}
+
+// offerAll runs several streams at once.
+func offerAll(ctx context.Context, target pathTarget, seed int64, streams ...pathStream) {
+	var wg sync.WaitGroup
+	for i, s := range streams {
+		wg.Go(func() { offer(ctx, target, s, seed+int64(i)<<32) })
+	}
+	wg.Wait()
+}
+
+// sleepUntil reports whether ctx still goes on at the given time.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/bench/path_once.go
@@ -0,0 +1,197 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/crocusway/crocusway/internal/caller"
+	"github.com/crocusway/crocusway/internal/standin"
+)
+
+// Settings of at-most-once.
+const (
+	onceService = "ledger"
+	onceRate    = 30
+	// onceResends bounds how often a caller sends one deposit.
+	onceResends = 5
+	oncePause   = 200 * time.Millisecond
+	// onceTimeout is how long a caller waits for one answer.
+	onceTimeout  = 3 * time.Second
+	onceRunTime  = 30 * time.Millisecond
+	faultPause   = 700 * time.Millisecond
+	serviceDown  = 300 * time.Millisecond
+	onceEntryOut = 0.5
+)
+
+// atMostOnce lets callers send deposits, and again when an answer is lost,
+// while servers of the service die, cut and delay answers, and an entry stops.
+func atMostOnce() Experiment {
+	return Experiment{
+		Name:    "at-most-once",
+		Summary: "Callers resend deposits while service servers and an entry fail.",
+		Run:     runAtMostOnce,
+		Targets: []Target{{Figure: "keys_run_twice", Relation: "<=", Bound: 0}},
+	}
+}
+
+// depositor sends a deposit once and reports whether its caller got an answer.
+type depositor interface {
+	deposit(ctx context.Context, key string, body []byte) bool
+}
+
+func runAtMostOnce(ctx context.Context, o Options, policy Policy, seed int64) ([]Figure, error) {
+	spec := newPathSpec(o.Preset)
+	spec.replicas = 1
+	spec.services = []standin.Service{{Name: onceService, PerDomain: 1, Time: onceRunTime}}
+	rig, err := startRig(ctx, policy, spec)
+	if err != nil {
+		return nil, err
+	}
+	defer rig.close()
+	settle(ctx)
+	loadCtx, stop := context.WithTimeout(ctx, o.Duration)
+	defer stop()
+	var faults sync.WaitGroup
+	faults.Go(func() { breakService(loadCtx, rig.fleet, seed) })
+	faults.Go(func() { stopEntry(loadCtx, rig, o.Duration) })
+	count := depositAll(ctx, newDepositor(rig), o.Duration, seed)
+	stop()
+	faults.Wait()
+	return count.figures(rig.fleet), nil
+}
+
+// settle waits until the servers of a service are known everywhere.
+func settle(ctx context.Context) { sleepUntil(ctx, time.Now().Add(settleTime)) }
+
+// depositCount sums the deposits.
+type depositCount struct {
+	keys     int
+	answered atomic.Int64
+	sends    atomic.Int64
+}
+
+// depositAll sends deposits in an open loop and resends each until it is
+// answered.
+func depositAll(ctx context.Context, d depositor, duration time.Duration, seed int64) *depositCount {
+	rng := rand.New(rand.NewPCG(uint64(seed), onceRate))
+	count := &depositCount{}
+	began := time.Now()
+	at := time.Duration(0)
+	var wg sync.WaitGroup
+	for {
+		at += time.Duration(rng.ExpFloat64() / onceRate * float64(time.Second))
+		if at >= duration || !sleepUntil(ctx, began.Add(at)) {
+			break
+		}
+		key := depositKey(count.keys)
+		count.keys++
+		wg.Go(func() { count.send(ctx, d, key) })
+	}
+	wg.Wait()
+	return count
+}
+
+func depositKey(n int) string { return fmt.Sprintf("deposit-%05d", n) }
+
+func (c *depositCount) send(ctx context.Context, d depositor, key string) {
+	body := fmt.Appendf(nil, `{"order":%q,"amount":120}`, key)
+	for range onceResends {
+		c.sends.Add(1)
+		if d.deposit(ctx, key, body) {
+			c.answered.Add(1)
+			return
+		}
+		if !sleepUntil(ctx, time.Now().Add(oncePause)) {
+			return
+		}
+	}
+}
+
+func (c *depositCount) figures(f *standin.Fleet) []Figure {
+	twice, most, once := 0, 0, 0
+	for i := range c.keys {
+		runs := f.RunsOfKey(onceService, depositKey(i))
+		most = max(most, runs)
+		if runs > 1 {
+			twice++
+		}
+		if runs == 1 {
+			once++
+		}
+	}
+	return []Figure{
+		{Name: "keys", Unit: "deposits", Value: float64(c.keys)},
+		{Name: "sends", Unit: "requests", Value: float64(c.sends.Load())},
+		{Name: "keys_run_twice", Unit: "deposits", Value: float64(twice)},
+		{Name: "keys_run_once", Unit: "ratio", Value: float64(once) / float64(max(c.keys, 1))},
+		{Name: "keys_answered", Unit: "ratio", Value: float64(c.answered.Load()) / float64(max(c.keys, 1))},
+		{Name: "most_runs_of_a_key", Unit: "runs", Value: float64(most)},
+	}
+}
+
+func newDepositor(rig *pathRig) depositor {
+	if rig.system != nil {
+		return &systemDepositor{rig.system}
+	}
+	d := &baselineDepositor{}
+	for _, h := range rig.fleet.OfService(onceService) {
+		d.clients = append(d.clients, caller.Pinned(rig.fleet.Token(), h.Address()))
+	}
+	return d
+}
+
+// systemDepositor sends deposits to the entries.
+type systemDepositor struct{ system *pathSystem }
+
+func (d *systemDepositor) deposit(ctx context.Context, key string, body []byte) bool {
+	ctx, cancel := context.WithTimeout(ctx, onceTimeout)
+	defer cancel()
+	answer, err := d.system.client("counter").Service(ctx, http.MethodPost, onceService, "/deposits", key, body)
+	return err == nil && answer.Whole()
+}
+
+// baselineDepositor sends deposits to the servers themselves, in turn.
+type baselineDepositor struct {
+	clients []*caller.Client
+	turn    atomic.Int64
+}
+
+func (d *baselineDepositor) deposit(ctx context.Context, key string, body []byte) bool {
+	ctx, cancel := context.WithTimeout(ctx, onceTimeout)
+	defer cancel()
+	client := d.clients[int(d.turn.Add(1))%len(d.clients)]
+	answer, err := client.Service(ctx, http.MethodPost, onceService, "/deposits", key, body)
+	return err == nil && answer.Status == http.StatusOK
+}
+
+// breakService makes the servers die, cut and delay answers in turn.
+func breakService(ctx context.Context, f *standin.Fleet, seed int64) {
+	rng := rand.New(rand.NewPCG(uint64(seed), 1))
+	servers := f.OfService(onceService)
+	for n := 0; sleepUntil(ctx, time.Now().Add(faultPause)); n++ {
+		h := servers[rng.IntN(len(servers))]
+		switch n % 3 {
+		case 0:
+			h.Kill()
+			sleepUntil(ctx, time.Now().Add(serviceDown))
+			_ = h.Restart()
+		case 1:
+			h.Inject(standin.Fault{Kind: standin.FaultTruncate, Count: 2})
+		default:
+			h.Inject(standin.Fault{Kind: standin.FaultLate, Count: 2, Delay: 2 * onceTimeout})
+		}
+	}
+}
+
+// stopEntry shuts one entry down in the middle of the run.
+func stopEntry(ctx context.Context, rig *pathRig, d time.Duration) {
+	if rig.system == nil || !sleepUntil(ctx, time.Now().Add(time.Duration(onceEntryOut*float64(d)))) {
+		return
+	}
+	_ = rig.system.system.Stop(pathDaemons - 1)
+}
--- /dev/null
+++ b/internal/bench/path_overload.go
@@ -0,0 +1,49 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// overloadFactors are the loads of overload, as factors of the capacity.
+var overloadFactors = []float64{1, 2, 4}
+
+// overload offers more and more load, in equal parts of the duration.
+func overload() Experiment {
+	return Experiment{
+		Name:    "overload",
+		Summary: "Goodput, latency and refusals when the load is 1, 2 and 4 times the capacity.",
+		Run:     runOverload,
+		Targets: []Target{
+			{Figure: "x4_wrong", Relation: "<=", Bound: 0},
+			{Figure: "x4_cut", Relation: "<=", Bound: 0},
+		},
+	}
+}
+
+func runOverload(ctx context.Context, o Options, policy Policy, seed int64) ([]Figure, error) {
+	spec := newPathSpec(o.Preset)
+	rig, err := startWarmRig(ctx, policy, spec)
+	if err != nil {
+		return nil, err
+	}
+	defer rig.close()
+	part := o.Duration / time.Duration(len(overloadFactors))
+	var figures []Figure
+	for i, factor := range overloadFactors {
+		tally := newPathTally()
+		runsBefore := len(rig.fleet.Runs())
+		completed := rig.fleet.Completed()
+		s := pathStream{rate: spec.rate() * factor, end: part, next: prompts("counter", pathTokens), tally: tally}
+		offer(ctx, rig.target, s, seed+int64(i))
+		prefix := fmt.Sprintf("x%g_", factor)
+		figures = append(figures, tally.latencyFigures(prefix)...)
+		figures = append(figures, tally.endingFigures(prefix)...)
+		wasted := len(rig.fleet.Runs()) - runsBefore - (rig.fleet.Completed() - completed)
+		figures = append(figures,
+			Figure{Name: prefix + "goodput", Unit: "ratio", Value: tally.goodput(part) / spec.rate()},
+			Figure{Name: prefix + "wasted_runs", Unit: "requests", Value: float64(wasted)})
+	}
+	return figures, nil
+}
--- /dev/null
+++ b/internal/bench/path_system.go
@@ -0,0 +1,209 @@
+package bench
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/caller"
+	"github.com/crocusway/crocusway/internal/config"
+	"github.com/crocusway/crocusway/internal/local"
+	"github.com/crocusway/crocusway/internal/standin"
+)
+
+const (
+	pathModel   = "scribe"
+	pathDaemons = 4
+	pathVoters  = 3
+	// pathStart bounds the time until a system is ready.
+	pathStart = 60 * time.Second
+	// pathTimeout bounds one request.
+	pathTimeout = 30 * time.Second
+)
+
+var pathDomains = []api.FailureDomain{"domain-a", "domain-b", "domain-c"}
+
+// pathSpec describes the replicas, accounts and services of an experiment.
+type pathSpec struct {
+	preset          Preset
+	replicas        int
+	hostsPerReplica int
+	// spares is the number of idle hosts in each fabric domain.
+	spares   int
+	engine   standin.Engine
+	accounts []api.Account
+	services []standin.Service
+}
+
+// Sizes of the request path experiments. They are below those of the
+// deployments, so that one machine carries the load beside the stand-ins.
+const (
+	pathReplicas      = 9
+	nilecraftHosts    = 2
+	tabrakHosts       = 3
+	pathTokens        = 20
+	pathTokenTime     = 15 * time.Millisecond
+	pathFirstToken    = 20 * time.Millisecond
+	pathWarmLoad      = 4
+	pathPromptVariety = 1000
+)
+
+// newPathSpec returns the common spec of a preset with one account.
+func newPathSpec(p Preset) pathSpec {
+	hosts := nilecraftHosts
+	if p == PresetTabrak {
+		hosts = tabrakHosts
+	}
+	return pathSpec{
+		preset:          p,
+		replicas:        pathReplicas,
+		hostsPerReplica: hosts,
+		engine: standin.Engine{
+			ChecksFencing: true,
+			Capabilities:  standin.AllCapabilities,
+			LoadTime:      200 * time.Millisecond,
+			RestartTime:   500 * time.Millisecond,
+			WarmLoad:      pathWarmLoad,
+			TokenTime:     pathTokenTime,
+			FirstToken:    pathFirstToken,
+			ColdFactor:    2,
+		},
+		accounts: []api.Account{pathAccount("counter", 5, pathReplicas*pathWarmLoad)},
+	}
+}
+
+// capacity is the number of requests that all warm replicas run at once.
+func (s pathSpec) capacity() int { return s.replicas * s.engine.WarmLoad }
+
+// requestTime is how long a full replica runs one request of pathTokens.
+func (s pathSpec) requestTime() time.Duration {
+	factor := 1 + standin.DefaultBatchFactor*float64(s.engine.WarmLoad-1)
+	alone := s.engine.FirstToken + (pathTokens-1)*s.engine.TokenTime
+	return time.Duration(factor * float64(alone))
+}
+
+// rate is the number of requests a second that all warm replicas complete.
+func (s pathSpec) rate() float64 { return float64(s.capacity()) / s.requestTime().Seconds() }
+
+// pathAccount returns an account whose API key is its name.
+func pathAccount(name string, class, share int) api.Account {
+	sum := sha256.Sum256([]byte(name))
+	return api.Account{ID: api.AccountID(name), KeyHashes: []string{hex.EncodeToString(sum[:])}, Class: class, Share: share}
+}
+
+// fleet returns the settings of the backend servers: one fabric domain in each
+// failure domain.
+func (s pathSpec) fleet() standin.Config {
+	perDomain := (s.replicas + len(pathDomains) - 1) / len(pathDomains)
+	return standin.Config{
+		Fabrics:        len(pathDomains),
+		HostsPerFabric: perDomain*s.hostsPerReplica + s.spares,
+		Engine:         s.engine,
+		Services:       s.services,
+	}
+}
+
+// placement deals the hosts of each fabric domain to replicas.
+func (s pathSpec) placement(f *standin.Fleet) [][]*standin.Host {
+	out := make([][]*standin.Host, 0, s.replicas)
+	for i := range s.replicas {
+		hosts := f.InDomain(pathDomains[i%len(pathDomains)])
+		first := i / len(pathDomains) * s.hostsPerReplica
+		out = append(out, hosts[first:first+s.hostsPerReplica])
+	}
+	return out
+}
+
+func (s pathSpec) intent() api.Intent {
+	intent := api.Intent{
+		ServingGroups: []api.ServingGroup{{
+			Name:            pathModel,
+			Model:           pathModel,
+			Replicas:        s.replicas,
+			HostsPerReplica: s.hostsPerReplica,
+			ChecksFencing:   s.engine.ChecksFencing,
+		}},
+		Accounts: s.accounts,
+	}
+	for _, name := range pathDomains {
+		intent.Domains = append(intent.Domains, api.Domain{Name: name, State: api.DomainActive})
+	}
+	for _, service := range s.services {
+		intent.Services = append(intent.Services, api.Service{Name: service.Name})
+	}
+	return intent
+}
+
+// pathSystem is a whole system with its callers.
+type pathSystem struct {
+	spec   pathSpec
+	system *local.System
+
+	mu      sync.Mutex
+	clients map[string]*caller.Client
+}
+
+// startPathSystem starts the daemons and the fleet, confirms the intent and
+// waits until every replica is ready.
+func startPathSystem(ctx context.Context, spec pathSpec) (*pathSystem, error) {
+	system, err := local.Start(local.Config{
+		Daemons: pathDaemons,
+		Voters:  pathVoters,
+		Domains: pathDomains,
+		Fleet:   spec.fleet(),
+		Adjust:  func(s *config.Serve) { s.Preset = string(spec.preset) },
+	})
+	if err != nil {
+		return nil, err
+	}
+	p := &pathSystem{spec: spec, system: system, clients: make(map[string]*caller.Client)}
+	if err = p.await(ctx); err != nil {
+		p.close()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *pathSystem) await(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, pathStart)
+	defer cancel()
+	if _, _, err := p.system.Confirm(ctx, p.spec.intent()); err != nil {
+		return errors.Wrap(err, "confirm the intent")
+	}
+	_, err := p.system.Await(ctx, "all replicas", func(s api.StatusResponse) bool {
+		return local.ReadyGroups(s, pathModel) == p.spec.replicas && local.LiveEntries(s) == pathDaemons
+	})
+	return err
+}
+
+func (p *pathSystem) close() { p.system.Close() }
+
+// client returns the caller of an account.
+func (p *pathSystem) client(account string) *caller.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.clients[account]
+	if !ok {
+		c = caller.New(account, p.system.Entries())
+		p.clients[account] = c
+	}
+	return c
+}
+
+// call implements pathTarget.
+func (p *pathSystem) call(ctx context.Context, c pathCall) pathResult {
+	ctx, cancel := context.WithTimeout(ctx, pathTimeout)
+	defer cancel()
+	answer, err := p.client(c.account).Chat(ctx, pathModel, c.prompt, c.tokens)
+	return pathResult{
+		ending:     classifyAnswer(answer, err, c.tokens, answer.Whole()),
+		status:     answer.Status,
+		firstToken: answer.FirstToken,
+		gaps:       answer.Gaps,
+	}
+}
--- /dev/null
+++ b/internal/bench/path_test.go
@@ -0,0 +1,150 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/caller"
+	"github.com/crocusway/crocusway/internal/standin"
+)
+
+func TestAnswersAreSorted(t *testing.T) {
+	own := []string{standin.TokenText("r1", 1), standin.TokenText("r1", 2)}
+	repeated := []string{own[0], own[1], own[1]}
+	cases := map[string]struct {
+		answer caller.Answer
+		err    error
+		whole  bool
+		want   pathEnding
+	}{
+		"whole":          {caller.Answer{Status: 200, Request: "r1", Tokens: own}, nil, true, endComplete},
+		"of another":     {caller.Answer{Status: 200, Request: "r2", Tokens: own}, nil, true, endWrong},
+		"token missing":  {caller.Answer{Status: 200, Request: "r1", Tokens: own[:1]}, nil, true, endWrong},
+		"token repeated": {caller.Answer{Status: 200, Request: "r1", Tokens: repeated}, nil, true, endWrong},
+		"refused":        {caller.Answer{Status: 503, Outcome: api.OutcomeNotRun}, nil, false, endRefused},
+		"cut":            {caller.Answer{Status: 200, Request: "r1", Tokens: own}, nil, false, endCut},
+		"broken":         {caller.Answer{Status: 200, Request: "r1", Tokens: own}, errors.New("reset"), false, endCut},
+		"failed":         {caller.Answer{Status: 502, Outcome: api.OutcomeUnknown}, nil, false, endFailed},
+		"no answer":      {caller.Answer{}, errors.New("reset"), false, endFailed},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, c.want, classifyAnswer(c.answer, c.err, 2, c.whole))
+		})
+	}
+}
+
+// stuckTarget answers no request before the last has arrived.
+type stuckTarget struct {
+	mu      sync.Mutex
+	arrived int
+	want    int
+	all     chan struct{}
+}
+
+func (s *stuckTarget) call(context.Context, pathCall) pathResult {
+	s.mu.Lock()
+	s.arrived++
+	if s.arrived == s.want {
+		close(s.all)
+	}
+	s.mu.Unlock()
+	<-s.all
+	return pathResult{ending: endComplete, firstToken: time.Millisecond, status: 200}
+}
+
+// TestArrivalsDoNotWaitForAnswers would not end in a closed loop.
+func TestArrivalsDoNotWaitForAnswers(t *testing.T) {
+	const seed = 7
+	s := pathStream{rate: 1000, end: 50 * time.Millisecond, next: prompts("a", 1), tally: newPathTally()}
+	target := &stuckTarget{want: countArrivals(s, seed), all: make(chan struct{})}
+	offer(t.Context(), target, s, seed)
+	require.Equal(t, target.want, s.tally.offered())
+	require.Equal(t, target.want, s.tally.count(endComplete))
+	require.InDelta(t, 1, s.tally.share(endComplete), 0)
+}
+
+// countArrivals repeats the draws of offer.
+func countArrivals(s pathStream, seed int64) int {
+	rng := rand.New(rand.NewPCG(uint64(seed), uint64(s.rate*1000)))
+	n := 0
+	for at := s.start; ; n++ {
+		at += time.Duration(rng.ExpFloat64() / s.rate * float64(time.Second))
+		if at >= s.end {
+			return n
+		}
+		s.next(rng)
+	}
+}
+
+func TestTallyKnowsWhatIsOnTime(t *testing.T) {
+	tally := newPathTally()
+	tally.add(pathResult{ending: endComplete, firstToken: firstTokenBound * time.Millisecond}, true)
+	tally.add(pathResult{ending: endComplete, firstToken: time.Second}, false)
+	tally.add(pathResult{ending: endCut, firstToken: time.Millisecond}, true)
+	tally.add(pathResult{ending: endRefused, status: 503}, true)
+	require.InDelta(t, 0.25, tally.onTimeShare(), 0)
+	require.InDelta(t, 1, tally.goodput(time.Second), 0)
+	require.Equal(t, 1, tally.withStatus(503))
+}
+
+func TestPlacementUsesEachHostOnce(t *testing.T) {
+	for _, preset := range []Preset{PresetNilecraft, PresetTabrak} {
+		spec := newPathSpec(preset)
+		cfg := spec.fleet()
+		cfg.Domains = pathDomains
+		fleet, err := standin.Start(cfg)
+		require.NoError(t, err)
+		defer fleet.Close()
+		seen := map[api.HostID]bool{}
+		for _, hosts := range spec.placement(fleet) {
+			require.Len(t, hosts, spec.hostsPerReplica)
+			for _, h := range hosts {
+				require.False(t, seen[h.ID()])
+				require.Equal(t, hosts[0].Fabric(), h.Fabric())
+				seen[h.ID()] = true
+			}
+		}
+		require.Len(t, seen, spec.replicas*spec.hostsPerReplica)
+	}
+}
+
+// TestBaselineServes shows that the baseline is a working system, and that it
+// does what its policy says: it sends a request again.
+func TestBaselineServes(t *testing.T) {
+	spec := newPathSpec(PresetNilecraft)
+	spec.engine.TokenTime, spec.engine.FirstToken = time.Microsecond, time.Microsecond
+	b, err := startBaseline(spec)
+	require.NoError(t, err)
+	defer b.close()
+	require.Eventually(t, func() bool {
+		return b.call(t.Context(), pathCall{prompt: "hello", tokens: 3}).ending == endComplete
+	}, 10*time.Second, 10*time.Millisecond)
+	before := len(b.fleet.Runs())
+	b.fleet.CrashOn("crash")
+	require.Equal(t, endFailed, b.call(t.Context(), pathCall{prompt: "crash", tokens: 3}).ending)
+	require.Greater(t, len(b.fleet.Runs()), before)
+	require.Positive(t, b.fleet.Falls())
+}
+
+func TestRunsAreSplitAndCounted(t *testing.T) {
+	start := time.Unix(100, 0)
+	runs := []standin.Run{
+		{Start: start, Concurrent: 1, Borne: 1},
+		{Start: start.Add(time.Second), Concurrent: 3, Borne: 1},
+		{Start: start.Add(2 * time.Second), Concurrent: 2, Borne: 4},
+	}
+	before, after := splitRuns(runs, start.Add(time.Second))
+	require.Len(t, before, 2)
+	require.Len(t, after, 1)
+	count, excess := overloads(runs)
+	require.Equal(t, 1, count)
+	require.Equal(t, 2, excess)
+}
