Impatient callers and prefix hits in the experiments

Cause: overload let callers wait without end, which hides what a queue costs; prefix hits were not measured. Ruled out: nothing. Change: callers tell the entry their deadline; overload callers wait 2 s, and count as gave up then; experiment prefix.

--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -10,6 +10,7 @@
 		atMostOnce(),
 		poison(),
 		overload(),
+		prefix(),
 	}
 }
 
--- a/internal/bench/path_baseline.go
+++ b/internal/bench/path_baseline.go
@@ -19,7 +19,7 @@
 	baselineAttempts = 3
 	// baselineRepair is the time between two looks at the replicas.
 	baselineRepair = 100 * time.Millisecond
-	// baselineTimeout bounds one attempt.
+	// baselineTimeout bounds one attempt of a caller without a deadline.
 	baselineTimeout = 10 * time.Second
 )
 
@@ -121,7 +121,7 @@
 }
 
 func (b *baseline) send(ctx context.Context, client *caller.Client, c pathCall) (caller.Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, baselineTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout(baselineTimeout))
 	defer cancel()
 	return client.Chat(ctx, b.model, c.prompt, c.tokens)
 }
--- a/internal/bench/path_load.go
+++ b/internal/bench/path_load.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/caller"
@@ -25,6 +26,8 @@
 	endCut
 	// endFailed is any other failure.
 	endFailed
+	// endGaveUp is a request whose caller lost patience before its whole answer.
+	endGaveUp
 	// endWrong is a whole answer with tokens that are not the request's own.
 	endWrong
 	endings
@@ -35,6 +38,27 @@
 	account string
 	prompt  string
 	tokens  int
+	// patience is how long the caller waits for the whole answer, 0 for a
+	// default.
+	patience time.Duration
+}
+
+// patienceMargin is the time before the end of a caller's patience in which an
+// entry, which learned the deadline in whole milliseconds, may end the request.
+const patienceMargin = 50 * time.Millisecond
+
+// ranOut reports whether a request that began at a time ended with its
+// caller's patience.
+func (c pathCall) ranOut(began time.Time) bool {
+	return c.patience > 0 && time.Since(began) >= c.patience-patienceMargin
+}
+
+// timeout returns the patience, or a default.
+func (c pathCall) timeout(byDefault time.Duration) time.Duration {
+	if c.patience > 0 {
+		return c.patience
+	}
+	return byDefault
 }
 
 // pathResult is what its caller saw.
@@ -56,6 +80,8 @@
 // a stand-in generates for the request's id.
 func classifyAnswer(a caller.Answer, err error, tokens int, whole bool) pathEnding {
 	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return endGaveUp
 	case err == nil && whole && a.Text() == standin.AnswerText(a.Request, tokens):
 		return endComplete
 	case err == nil && whole:
@@ -195,6 +221,7 @@
 		{Name: prefix + "refused", Unit: "ratio", Value: t.share(endRefused)},
 		{Name: prefix + "cut", Unit: "requests", Value: float64(t.count(endCut))},
 		{Name: prefix + "failed", Unit: "requests", Value: float64(t.count(endFailed))},
+		{Name: prefix + "gave_up", Unit: "requests", Value: float64(t.count(endGaveUp))},
 		{Name: prefix + "wrong", Unit: "requests", Value: float64(t.count(endWrong))},
 	}
 }
--- a/internal/bench/path_overload.go
+++ b/internal/bench/path_overload.go
@@ -3,17 +3,29 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 )
 
 // overloadFactors are the loads of overload, as factors of the capacity.
 var overloadFactors = []float64{1, 2, 4}
 
+// overloadPatience is how long a caller waits for the whole answer. The baseline
+// sends the request again then.
+const overloadPatience = 2 * time.Second
+
+// impatient builds requests whose callers do not wait for long.
+func impatient(r *rand.Rand) pathCall {
+	c := prompts("counter", pathTokens)(r)
+	c.patience = overloadPatience
+	return c
+}
+
 // overload offers more and more load, in equal parts of the duration.
 func overload() Experiment {
 	return Experiment{
 		Name:    "overload",
-		Summary: "Goodput, latency and refusals when the load is 1, 2 and 4 times the capacity.",
+		Summary: "Goodput, latency and refusals when callers with little patience offer 1, 2 and 4 times the capacity.",
 		Run:     runOverload,
 		Targets: []Target{
 			{Figure: "x4_wrong", Relation: "<=", Bound: 0},
@@ -35,7 +47,7 @@
 		tally := newPathTally()
 		runsBefore := len(rig.fleet.Runs())
 		completed := rig.fleet.Completed()
-		s := pathStream{rate: spec.rate() * factor, end: part, next: prompts("counter", pathTokens), tally: tally}
+		s := pathStream{rate: spec.rate() * factor, end: part, next: impatient, tally: tally}
 		offer(ctx, rig.target, s, seed+int64(i))
 		prefix := fmt.Sprintf("x%g_", factor)
 		figures = append(figures, tally.latencyFigures(prefix)...)
--- a/internal/bench/path_system.go
+++ b/internal/bench/path_system.go
@@ -197,13 +197,18 @@
 
 // call implements pathTarget.
 func (p *pathSystem) call(ctx context.Context, c pathCall) pathResult {
-	ctx, cancel := context.WithTimeout(ctx, pathTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout(pathTimeout))
 	defer cancel()
+	began := time.Now()
 	answer, err := p.client(c.account).Chat(ctx, pathModel, c.prompt, c.tokens)
-	return pathResult{
+	r := pathResult{
 		ending:     classifyAnswer(answer, err, c.tokens, answer.Whole()),
 		status:     answer.Status,
 		firstToken: answer.FirstToken,
 		gaps:       answer.Gaps,
 	}
+	if (r.ending == endCut || r.ending == endFailed) && c.ranOut(began) {
+		r.ending = endGaveUp
+	}
+	return r
 }
--- a/internal/bench/path_test.go
+++ b/internal/bench/path_test.go
@@ -31,6 +31,7 @@
 		"refused":        {caller.Answer{Status: 503, Outcome: api.OutcomeNotRun}, nil, false, endRefused},
 		"cut":            {caller.Answer{Status: 200, Request: "r1", Tokens: own}, nil, false, endCut},
 		"broken":         {caller.Answer{Status: 200, Request: "r1", Tokens: own}, errors.New("reset"), false, endCut},
+		"impatient":      {caller.Answer{Status: 200, Request: "r1", Tokens: own}, context.DeadlineExceeded, false, endGaveUp},
 		"failed":         {caller.Answer{Status: 502, Outcome: api.OutcomeUnknown}, nil, false, endFailed},
 		"no answer":      {caller.Answer{}, errors.New("reset"), false, endFailed},
 	}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -102,7 +103,8 @@
 	Messages  []message `json:"messages"`
 }
 
-// Chat asks for a streamed chat completion.
+// Chat asks for a streamed chat completion. The entry learns the deadline of
+// ctx.
 func (c *Client) Chat(ctx context.Context, model, prompt string, maxTokens int) (Answer, error) {
 	body, err := json.Marshal(chatRequest{
 		Model:     model,
@@ -150,6 +152,10 @@
 	if key != "" {
 		request.Header.Set(api.HeaderIdempotencyKey, key)
 	}
+	if deadline, ok := ctx.Deadline(); ok {
+		millis := max(time.Until(deadline).Milliseconds(), 1)
+		request.Header.Set(api.HeaderDeadlineMillis, strconv.FormatInt(millis, 10))
+	}
 	sent := time.Now()
 	response, err := c.http.Do(request)
 	if err != nil {
--- a/internal/standin/completion.go
+++ b/internal/standin/completion.go
@@ -156,6 +156,9 @@
 func (h *Host) begin(c *completion, ctx *fasthttp.RequestCtx) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	hashes := blockHashes(c.body.prompt())
+	c.blocks = len(hashes)
+	c.cached = h.engine.cache.visit(hashes)
 	run := Run{
 		Request:     c.id,
 		Host:        h.id,
@@ -167,14 +170,10 @@
 		Body:        string(ctx.PostBody()),
 		Concurrent:  len(h.engine.running) + len(h.engine.queue) + 1,
 		Borne:       h.engine.bearable(),
+		Blocks:      c.blocks,
+		Cached:      c.cached,
 		Start:       h.fleet.cfg.Clock.Now(),
 	}
 	h.fleet.record.addRun(run)
-	if !h.engine.add(c.job) {
-		return false
-	}
-	hashes := blockHashes(c.body.prompt())
-	c.blocks = len(hashes)
-	c.cached = h.engine.cache.visit(hashes)
-	return true
+	return h.engine.add(c.job)
 }
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -24,7 +24,11 @@
 	// Borne the number that it bore.
 	Concurrent int
 	Borne      int
-	Start      time.Time
+	// Blocks is the length of the prompt in whole blocks, Cached the number of
+	// leading ones that the prefix cache held.
+	Blocks int
+	Cached int
+	Start  time.Time
 }
 
 // OrderRun is one order that reached a host.
