Experiment entry-loss; an entry ends in at-most-once without a shutdown

Cause: a graceful stop does not show what the loss of an owner costs. Ruled out: child processes, which the product never starts; so open connections of the entry finish, and cut streams are not measured here. Change: entry-loss, and the same loss in at-most-once.

--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -7,6 +7,7 @@
 		priorityClaim(),
 		coldStart(),
 		domainCycle(),
+		entryLoss(),
 		atMostOnce(),
 		poison(),
 		overload(),
--- /dev/null
+++ b/internal/bench/path_entry.go
@@ -0,0 +1,79 @@
+package bench
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Settings of entry-loss.
+const (
+	entryLossLoad = 0.6
+	// entryLossAt and entryBackAt are parts of the duration.
+	entryLossAt = 0.3
+	entryBackAt = 0.7
+	// lostEntry is a daemon with the entry role alone.
+	lostEntry = pathDaemons - 1
+)
+
+// entryLoss ends an entry, which owns shards and serves streams, without a
+// graceful shutdown and starts it again, under load. Since it shares the
+// process of its callers, its open connections finish: it loses its lease, its
+// links, its queues and its grants, but cuts no stream. The baseline has no
+// entry to lose and is not run.
+func entryLoss() Experiment {
+	return Experiment{
+		Name:    "entry-loss",
+		Summary: "An entry loses its lease, links and queues under load and comes back; replicas must not be over-committed.",
+		Run:     runEntryLoss,
+		Targets: []Target{
+			{Figure: "overloads", Relation: "<=", Bound: 0},
+			{Figure: "wrong", Relation: "<=", Bound: 0},
+			{Figure: "first_token_p95", Relation: "<=", Bound: firstTokenBound},
+		},
+	}
+}
+
+func runEntryLoss(ctx context.Context, o Options, policy Policy, seed int64) ([]Figure, error) {
+	if policy == PolicyBaseline {
+		return nil, nil
+	}
+	spec := newPathSpec(o.Preset)
+	rig, err := startWarmRig(ctx, policy, spec)
+	if err != nil {
+		return nil, err
+	}
+	defer rig.close()
+	before := len(rig.fleet.Runs())
+	done := make(chan error, 1)
+	go func() { done <- crashEntry(ctx, rig, o.Duration) }()
+	tally := newPathTally()
+	offer(ctx, rig.target, pathStream{
+		rate: spec.rate() * entryLossLoad, end: o.Duration, next: prompts("counter", pathTokens), tally: tally,
+	}, seed)
+	if err = <-done; err != nil {
+		return nil, err
+	}
+	count, excess := overloads(rig.fleet.Runs()[before:])
+	figures := []Figure{
+		{Name: "overloads", Unit: "requests", Value: float64(count)},
+		{Name: "largest_excess", Unit: "requests", Value: float64(excess)},
+	}
+	figures = append(figures, tally.endingFigures("")...)
+	return append(figures, tally.latencyFigures("")...), nil
+}
+
+// crashEntry ends an entry without a graceful shutdown and starts it again.
+func crashEntry(ctx context.Context, rig *pathRig, d time.Duration) error {
+	began := time.Now()
+	at := func(part float64) time.Time { return began.Add(time.Duration(part * float64(d))) }
+	if !sleepUntil(ctx, at(entryLossAt)) {
+		return ctx.Err()
+	}
+	rig.system.system.Abort(lostEntry)
+	if !sleepUntil(ctx, at(entryBackAt)) {
+		return ctx.Err()
+	}
+	return errors.Wrap(rig.system.system.Restart(lostEntry), "restart the entry")
+}
--- a/internal/bench/path_once.go
+++ b/internal/bench/path_once.go
@@ -21,11 +21,10 @@
 	onceResends = 5
 	oncePause   = 200 * time.Millisecond
 	// onceTimeout is how long a caller waits for one answer.
-	onceTimeout  = 3 * time.Second
-	onceRunTime  = 30 * time.Millisecond
-	faultPause   = 700 * time.Millisecond
-	serviceDown  = 300 * time.Millisecond
-	onceEntryOut = 0.5
+	onceTimeout = 3 * time.Second
+	onceRunTime = 30 * time.Millisecond
+	faultPause  = 700 * time.Millisecond
+	serviceDown = 300 * time.Millisecond
 )
 
 // atMostOnce lets callers send deposits, and again when an answer is lost,
@@ -57,11 +56,15 @@
 	loadCtx, stop := context.WithTimeout(ctx, o.Duration)
 	defer stop()
 	var faults sync.WaitGroup
+	crashed := make(chan error, 1)
 	faults.Go(func() { breakService(loadCtx, rig.fleet, seed) })
-	faults.Go(func() { stopEntry(loadCtx, rig, o.Duration) })
+	faults.Go(func() { crashed <- crashEntryOf(loadCtx, rig, o.Duration) })
 	count := depositAll(ctx, newDepositor(rig), o.Duration, seed)
 	stop()
 	faults.Wait()
+	if err = <-crashed; err != nil {
+		return nil, err
+	}
 	return count.figures(rig.fleet), nil
 }
 
@@ -188,10 +191,10 @@
 	}
 }
 
-// stopEntry shuts one entry down in the middle of the run.
-func stopEntry(ctx context.Context, rig *pathRig, d time.Duration) {
-	if rig.system == nil || !sleepUntil(ctx, time.Now().Add(time.Duration(onceEntryOut*float64(d)))) {
-		return
+// crashEntryOf crashes an entry of the system; the baseline has none.
+func crashEntryOf(ctx context.Context, rig *pathRig, d time.Duration) error {
+	if rig.system == nil {
+		return nil
 	}
-	_ = rig.system.system.Stop(pathDaemons - 1)
+	return crashEntry(ctx, rig, d)
 }
