--- a/internal/bench/config_change.go
+++ b/internal/bench/config_change.go
@@ -19,10 +19,10 @@
 	configDaemons = 4
 	configVoters  = 3
 	// Changes at which an entry and then the leading voter vanish and return.
-	entryLostAt  = 100
-	entryBackAt  = 200
-	leaderLostAt = 300
-	leaderBackAt = 400
+	configEntryLostAt  = 100
+	configEntryBackAt  = 200
+	configLeaderLostAt = 300
+	configLeaderBackAt = 400
 )
 
 const (
@@ -40,9 +40,9 @@
 
 var threeDomains = []api.FailureDomain{"domain-1", "domain-2", "domain-3"}
 
-// NewConfig returns the experiment that makes a day's changes of the planned
+// configChange returns the experiment that makes a day's changes of the planned
 // size while an entry and the leading voter vanish and return.
-func NewConfig() Experiment {
+func configChange() Experiment {
 	return Experiment{
 		Name:    "config",
 		Summary: "540 changes while an entry and the leader vanish and return: time until in force",
@@ -77,6 +77,9 @@
 	r := &configRun{system: system, times: hdrhistogram.New(1, maxMillis, 3)}
 	accepted := 0
 	for i := range configChanges {
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
 		if err := r.disturb(ctx, i); err != nil {
 			return nil, err
 		}
@@ -119,13 +122,13 @@
 // disturb makes daemons vanish and return at fixed changes.
 func (r *configRun) disturb(ctx context.Context, i int) error {
 	switch i {
-	case entryLostAt:
+	case configEntryLostAt:
 		r.system.Abort(configDaemons - 1)
-	case entryBackAt:
+	case configEntryBackAt:
 		return r.system.Restart(configDaemons - 1)
-	case leaderLostAt:
+	case configLeaderLostAt:
 		return r.loseLeader(ctx)
-	case leaderBackAt:
+	case configLeaderBackAt:
 		return r.system.Restart(r.leader)
 	}
 	return nil
--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -3,7 +3,22 @@
 // Experiments returns every experiment in the order of the help text.
 func Experiments() []Experiment {
 	return []Experiment{
-		NewConfig(),
+		MemberLoss(),
+		MemberLossTight(),
+		FabricLoss(),
+		FabricLossTight(),
+		DomainWeights(),
+		PauseGrace(),
+		configChange(),
+		pathLatency(),
+		priorityClaim(),
+		coldStart(),
+		domainCycle(),
+		entryLoss(),
+		atMostOnce(),
+		poison(),
+		overload(),
+		prefix(),
 	}
 }
 
