Applied views are reported at once; a reused key is 422; leadership handed over

(2) A key sent again with another body got 503: control refuses such an open with a conflict, which the filter did not know. (3) A planned stop of the leader cost an election timeout. Change: a renewal follows an applied view after at most 20 ms; the conflict maps to 422; the leader resigns during a shutdown.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -28,6 +28,7 @@
 	log     *consensus.Server
 	state   *control.State
 	service *control.Service
+	logger  log.Logger
 }
 
 func newControlRole(d *Daemon) (*controlRole, error) {
@@ -47,7 +48,7 @@
 }
 
 func buildControl(d *Daemon, store *storage.Store) (*controlRole, error) {
-	r := &controlRole{store: store, state: control.NewState()}
+	r := &controlRole{store: store, state: control.NewState(), logger: d.logger}
 	identity := store.Identity()
 	log, err := consensus.NewServer(consensus.ServerConfig{
 		ID:           identity.Voter,
@@ -130,6 +131,14 @@
 	})
 }
 
+// leave hands the leadership over, if this voter leads, so that its stop costs
+// no election timeout.
+func (r *controlRole) leave(ctx context.Context) {
+	if err := bounded(ctx, r.log.Resign); err != nil {
+		level.Warn(r.logger).Log("msg", "leadership was not handed over", "err", err)
+	}
+}
+
 func (r *controlRole) close() {
 	r.log.Stop()
 	_ = r.store.Close()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -173,6 +173,9 @@
 	if d.entry != nil {
 		d.entry.leave(ctx)
 	}
+	if d.control != nil {
+		d.control.leave(ctx)
+	}
 }
 
 func (d *Daemon) close() {
--- a/internal/daemon/dump.go
+++ b/internal/daemon/dump.go
@@ -7,6 +7,7 @@
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/config"
 	"github.com/crocusway/crocusway/internal/consensus"
+	"github.com/crocusway/crocusway/internal/control"
 	"github.com/crocusway/crocusway/internal/peer"
 	"github.com/crocusway/crocusway/internal/shard"
 )
@@ -27,7 +28,8 @@
 
 // ControlDump is the state of a voter.
 type ControlDump struct {
-	Log consensus.Status `json:"log"`
+	Log     consensus.Status `json:"log"`
+	Service control.Dump     `json:"service"`
 }
 
 // EntryDump is the state of an entry.
@@ -53,7 +55,7 @@
 		Links:      d.node.Stats(),
 	}
 	if d.control != nil {
-		dump.Control = &ControlDump{Log: d.control.log.Status()}
+		dump.Control = &ControlDump{Log: d.control.log.Status(), Service: d.control.service.Dump()}
 	}
 	if d.entry != nil {
 		dump.Entry = d.entry.dump()
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -57,6 +57,7 @@
 		Backends: d.backends,
 		Clock:    clock.System{},
 		Logger:   d.base,
+		Meter:    d.telemetry.Meter(),
 		Settings: pipelineSettings(d),
 	})
 	r.agent = entry.NewAgent(entry.AgentConfig{
@@ -84,6 +85,7 @@
 		Engines:  d.backends,
 		Clock:    clock.System{},
 		Logger:   d.base,
+		Meter:    d.telemetry.Meter(),
 		Settings: settings,
 	})
 	r.shards.Register(d.node)
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -70,6 +70,7 @@
 // announce takes an announcement and tells the entries that take the next.
 func (r *entryRole) announce(ann api.Announcement) api.AnnounceResponse {
 	r.agent.Announce(ann)
+	r.shards.ObserveLoad(ann)
 	response := api.AnnounceResponse{NextMillis: r.announceInterval.Milliseconds()}
 	for _, e := range r.state.Snapshot().Entries {
 		if e.Live && !e.Leaving {
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -33,6 +33,10 @@
 		require.True(t, deposit.Whole(), "%+v", deposit)
 	}
 	require.Equal(t, 1, c.fleet.RunsOfKey(service, "d1"))
+	reused, err := c.caller.Service(context.Background(), http.MethodPost, service, "/deposits", "d1", []byte(`{"amount":2}`))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusUnprocessableEntity, reused.Status)
+	require.Equal(t, api.OutcomeNotRun, reused.Outcome)
 }
 
 // TestLeaderFailures kills or freezes the leader and requires that accepted
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -13,6 +13,10 @@
 	"github.com/crocusway/crocusway/internal/clock"
 )
 
+// reportDelay is the shortest time between two renewals. Changes within it are
+// reported by one renewal.
+const reportDelay = 20 * time.Millisecond
+
 // AgentConfig sets up an Agent.
 type AgentConfig struct {
 	State   *State
@@ -39,12 +43,16 @@
 	// required is the revision that must be applied before the next renewal
 	// extends the lease.
 	required api.Revision
+	// reported is the newest applied revision that control knows of.
+	reported api.Revision
 	joined   bool
+	// applied wakes the renewal loop after a new view.
+	applied chan struct{}
 }
 
 // NewAgent returns an agent that does nothing until Run.
 func NewAgent(cfg AgentConfig) *Agent {
-	return &Agent{cfg: cfg, batch: newAnnounceBatch()}
+	return &Agent{cfg: cfg, batch: newAnnounceBatch(), applied: make(chan struct{}, 1)}
 }
 
 // Run works until ctx ends.
@@ -97,6 +105,7 @@
 func (a *Agent) extend(sent time.Time, applied api.Revision, r api.RenewResponse) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.reported = max(a.reported, applied)
 	required := a.required
 	a.required = r.Revision
 	if !a.joined {
@@ -116,11 +125,36 @@
 		err := a.Renew(renewCtx)
 		cancel()
 		failing = a.logChange("lease renewal", failing, err)
-		wait(ctx, a.pause(err))
+		a.awaitRenewal(ctx, a.pause(err))
 	}
 	return nil
 }
 
+// awaitRenewal waits for the next renewal: for d, or until a new view was
+// applied, which control learns at once, so that a change is in force without
+// waiting for the next renewal.
+func (a *Agent) awaitRenewal(ctx context.Context, d time.Duration) {
+	wait(ctx, min(d, reportDelay))
+	timer := time.NewTimer(d - min(d, reportDelay))
+	defer timer.Stop()
+	for !a.reportDue() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-a.applied:
+		}
+	}
+}
+
+// reportDue reports whether a view was applied that control does not know of.
+func (a *Agent) reportDue() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.cfg.State.Snapshot().Revision > a.reported
+}
+
 // pause returns the time until the next renewal: short until the entry holds a
 // lease, so that a start or a new leader costs little time.
 func (a *Agent) pause(err error) time.Duration {
@@ -165,9 +199,16 @@
 	if err != nil {
 		return err
 	}
-	if a.cfg.State.Apply(view) && a.cfg.OnSnapshot != nil {
+	if !a.cfg.State.Apply(view) {
+		return nil
+	}
+	if a.cfg.OnSnapshot != nil {
 		a.cfg.OnSnapshot(a.cfg.State.Snapshot())
 	}
+	select {
+	case a.applied <- struct{}{}:
+	default:
+	}
 	return nil
 }
 
--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -71,6 +71,17 @@
 	require.True(t, state.MayWork())
 }
 
+func TestAppliedViewIsReportedAtOnce(t *testing.T) {
+	f := &fakeControl{clock: clock.NewManual(time.Unix(100, 0)), lease: 3 * time.Second}
+	agent, _ := newTestAgent(f)
+	require.False(t, agent.reportDue(), "nothing was applied")
+	f.update = api.ViewUpdate{To: 7, Upsert: api.View{Revision: 7}}
+	require.NoError(t, agent.Watch(context.Background()))
+	require.True(t, agent.reportDue())
+	require.NoError(t, agent.Renew(context.Background()))
+	require.False(t, agent.reportDue(), "revision 7 was reported")
+}
+
 func TestStateNeverAppliesLowerRevision(t *testing.T) {
 	state := NewState(api.EntryInfo{ID: "e1"}, clock.System{})
 	require.True(t, state.Apply(api.View{Revision: 9}))
--- a/internal/pipeline/deduplicate.go
+++ b/internal/pipeline/deduplicate.go
@@ -92,20 +92,28 @@
 	if errs.Is(err, errs.Full) {
 		return unavailable("record_store_full", "the store of idempotency records is full", err)
 	}
+	if errs.Is(err, errs.Conflict) {
+		return keyReused()
+	}
 	record.State = api.RecordNotRun
 	f.endRecord(record)
 	return unavailable("control_unavailable", "the idempotency record could not be created", err)
 }
 
+// keyReused refuses a call whose key belongs to a call with other content.
+func keyReused() *refusal {
+	return &refusal{
+		status:  fasthttp.StatusUnprocessableEntity,
+		code:    "key_reused",
+		field:   api.HeaderIdempotencyKey,
+		message: "the key was used for a call with other content",
+	}
+}
+
 // resend answers a call whose record existed before.
 func (f deduplicate) resend(c *call, own, found api.Record) error {
 	if found.BodyHash != own.BodyHash {
-		return &refusal{
-			status:  fasthttp.StatusUnprocessableEntity,
-			code:    "key_reused",
-			field:   api.HeaderIdempotencyKey,
-			message: "the key was used for a call with other content",
-		}
+		return keyReused()
 	}
 	if found.State == api.RecordRunning {
 		ended, err := f.await(c, own)
