Experiment control-cost

Ruled out: separate processes started by the tool, which starts none; the process's own figures are an upper bound. Change: the experiment, link counters of each daemon.

--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -10,6 +10,7 @@
 		DomainWeights(),
 		PauseGrace(),
 		configChange(),
+		controlCost(),
 		pathLatency(),
 		priorityClaim(),
 		coldStart(),
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -134,7 +134,7 @@
 // leave hands the leadership over, if this voter leads, so that its stop costs
 // no election timeout.
 func (r *controlRole) leave(ctx context.Context) {
-	if err := bounded(ctx, r.log.Resign); err != nil {
+	if err := bounded(ctx, r.log.Resign); err != nil && !errs.Is(err, errs.NotLeader) {
 		level.Warn(r.logger).Log("msg", "leadership was not handed over", "err", err)
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -87,6 +87,9 @@
 // operators.
 func (d *Daemon) CallerAddress() string { return d.cfg.CallerAddress }
 
+// LinkStats returns the counters of the links to other daemons.
+func (d *Daemon) LinkStats() peer.Stats { return d.node.Stats() }
+
 // Name returns the name of the daemon.
 func (d *Daemon) Name() string { return d.cfg.Name }
 
--- a/internal/local/system.go
+++ b/internal/local/system.go
@@ -22,6 +22,7 @@
 	"github.com/crocusway/crocusway/internal/daemon"
 	"github.com/crocusway/crocusway/internal/errs"
 	"github.com/crocusway/crocusway/internal/logging"
+	"github.com/crocusway/crocusway/internal/peer"
 	"github.com/crocusway/crocusway/internal/standin"
 )
 
@@ -211,6 +212,15 @@
 	return nil
 }
 
+// LinkStats returns the counters of every daemon's links.
+func (s *System) LinkStats() []peer.Stats {
+	out := make([]peer.Stats, 0, len(s.members))
+	for _, m := range s.members {
+		out = append(out, m.daemon.LinkStats())
+	}
+	return out
+}
+
 // Dump returns the state of a daemon.
 func (s *System) Dump(i int) daemon.Dump { return s.members[i].daemon.Dump() }
 
