A group with a leaving member goes once another one serves

Cause: a replaced group with a leaving member was kept, and later got a spare that no replica needed. Ruled out: releasing it at once; its member finishes its work first. Change: leaving groups are repaired only while a replica is missing and released when enough serve.

--- a/internal/group/policy_test.go
+++ b/internal/group/policy_test.go
@@ -170,6 +170,19 @@
 	require.NotContains(t, r.only().Members, api.HostID("f1-00"))
 }
 
+// TestLeavingMemberIsReplacedElsewhere: without a spare in its fabric domain the
+// group is replaced as a whole, and given up once the other one serves.
+func TestLeavingMemberIsReplacedElsewhere(t *testing.T) {
+	r := newRig(t, testPolicy(), scribe(1, 4))
+	r.add("f1", "d1", 4, true)
+	r.step(30 * time.Second)
+	r.add("f2", "d2", 4, true)
+	r.host("f1-02").Leaving = true
+	r.step(time.Minute)
+	require.Equal(t, 1, r.readyIn("d2"))
+	require.Equal(t, api.FabricDomain("f2"), r.only().Fabric)
+}
+
 // TestMemberThatPausesAgainAndAgainIsReplaced: each pause is within the grace,
 // but together they cost more than a reload.
 func TestMemberThatPausesAgainAndAgainIsReplaced(t *testing.T) {
--- a/internal/group/repair.go
+++ b/internal/group/repair.go
@@ -69,29 +69,34 @@
 	if r.Phase != api.GroupBroken || r.count[memberUnknown] > 0 {
 		return
 	}
-	rep := &repair{replica: r, score: pl.score(r.sg, pl.weights.Downtime)}
-	waiting := 0
+	if r.count[memberReady] == len(r.Members) {
+		return
+	}
+	rep, waiting := pl.assess(r)
+	if waiting > 0 && pl.keepWaiting(rep, waiting) {
+		pl.counted[r.sg]++
+		return
+	}
+	pl.repairs = append(pl.repairs, rep)
+}
+
+// assess finds the ranks of a broken group that need a host, and how many of
+// them a silent member may still fill.
+func (pl *planner) assess(r *replica) (rep *repair, waiting int) {
+	rep = &repair{replica: r, score: pl.score(r.sg, pl.weights.Downtime)}
 	for rank := range r.Members {
 		switch pl.memberNeed(r, rank) {
+		case needNothing, needOrder:
+			continue
 		case needWait:
 			waiting++
-			rep.replace = append(rep.replace, rank)
 		case needBackoff:
 			rep.soon++
-			rep.replace = append(rep.replace, rank)
 		case needReplacement:
-			rep.replace = append(rep.replace, rank)
-		case needNothing, needOrder:
 		}
+		rep.replace = append(rep.replace, rank)
 	}
-	if r.count[memberReady] == len(r.Members) {
-		return
-	}
-	if waiting > 0 && pl.keepWaiting(rep, waiting) {
-		pl.counted[r.sg]++
-		return
-	}
-	pl.repairs = append(pl.repairs, rep)
+	return rep, waiting
 }
 
 // keepWaiting reports whether a group waits out the grace of silent members. A
@@ -166,20 +171,29 @@
 	if r.leaving == 0 {
 		return
 	}
+	if !pl.leaveDrained(r) {
+		pl.counted[r.sg]++
+		return
+	}
 	rep := &repair{replica: r, score: pl.score(r.sg, pl.weights.Downtime)}
 	for rank, h := range r.mem.members {
-		if h.leavingSince.IsZero() {
-			continue
-		}
-		if pl.now.Sub(h.leavingSince) < pl.policy.LeaveDrain {
-			pl.counted[r.sg]++
-			return
+		if !h.leavingSince.IsZero() {
+			rep.replace = append(rep.replace, rank)
 		}
-		rep.replace = append(rep.replace, rank)
 	}
 	pl.repairs = append(pl.repairs, rep)
 }
 
+// leaveDrained reports whether each leaving member had time to finish its work.
+func (pl *planner) leaveDrained(r *replica) bool {
+	for _, h := range r.mem.members {
+		if !h.leavingSince.IsZero() && pl.now.Sub(h.leavingSince) < pl.policy.LeaveDrain {
+			return false
+		}
+	}
+	return true
+}
+
 // grace is how long the group waits for a silent member. Waiting costs at most
 // the grace, a needless reload its whole length: the grace is a share of the
 // usual load time, so that a slow load is risked later than a fast one.
@@ -204,7 +218,7 @@
 // wanted reports whether the serving group lacks a replica that this repair
 // brings back. Broken groups beyond that wait as they are.
 func (pl *planner) wanted(rep *repair) bool {
-	return rep.Phase == api.GroupReady || pl.counted[rep.sg] < rep.sg.Replicas
+	return pl.counted[rep.sg] < rep.sg.Replicas
 }
 
 func (pl *planner) claimFree(rep *repair) {
--- a/internal/group/trim.go
+++ b/internal/group/trim.go
@@ -40,12 +40,22 @@
 	serving := pl.ready[sg]
 	if serving >= sg.Replicas {
 		pl.releaseLast(broken, len(broken))
+		pl.releaseLeaving(ready)
 	}
 	pl.releaseLast(loading, serving+len(loading)-sg.Replicas)
 	slices.SortStableFunc(ready, pl.compareKeep(sg))
 	pl.releaseLast(ready, serving-sg.Replicas)
 }
 
+// releaseLeaving releases groups whose leaving members finished their work.
+func (pl *planner) releaseLeaving(ready []*replica) {
+	for _, r := range ready {
+		if r.leaving > 0 && pl.leaveDrained(r) {
+			pl.release(r, ReasonSurplus)
+		}
+	}
+}
+
 // releaseLast releases up to n groups from the end of a list.
 func (pl *planner) releaseLast(list []*replica, n int) {
 	for i := len(list) - 1; i >= 0 && n > 0; i-- {
