Phases of groups in a file of their own

Cause: plan.go held the plan's types and the watching of phases. Ruled out: nothing. Change: phases.go, no behaviour.

--- /dev/null
+++ b/internal/group/phases.go
@@ -0,0 +1,138 @@
+package group
+
+import (
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// setPhases brings the phase and the attributes of each group in line with
+// what its members announce.
+func (pl *planner) setPhases() {
+	for _, sg := range pl.sgs {
+		for _, r := range sg.replicas {
+			if r.Phase == api.GroupReady && !r.retired && r.leaving == 0 && pl.whole(r) {
+				pl.ready[sg]++
+			}
+		}
+	}
+	for _, r := range pl.replicas {
+		switch r.Phase {
+		case api.GroupLoading:
+			pl.watchLoad(r)
+		case api.GroupReady:
+			pl.watchReady(r)
+		case api.GroupBroken:
+			pl.watchBroken(r)
+		case api.GroupReleasing:
+		}
+	}
+}
+
+// whole reports whether nothing speaks against a ready group.
+func (pl *planner) whole(r *replica) bool {
+	return r.count[memberReady]+r.count[memberUnknown] == len(r.Members)
+}
+
+func (pl *planner) watchLoad(r *replica) {
+	switch {
+	case r.count[memberReady] == len(r.Members):
+		pl.makeReady(r, ReasonWhole)
+	case r.count[memberDead] > 0 || pl.overdue(r) || pl.restarted(r):
+		pl.setPhase(r, api.GroupBroken, ReasonLost)
+	}
+}
+
+func (pl *planner) watchReady(r *replica) {
+	if !pl.whole(r) {
+		pl.setPhase(r, api.GroupBroken, ReasonLost)
+		return
+	}
+	pl.update(r)
+}
+
+func (pl *planner) watchBroken(r *replica) {
+	switch {
+	case r.count[memberReady] == len(r.Members):
+		if r.sg != nil && (r.retired || pl.ready[r.sg] < r.sg.Replicas) {
+			pl.makeReady(r, ReasonReturned)
+		}
+	case r.count[memberReady]+r.count[memberLoading] == len(r.Members) && !pl.overdue(r):
+		pl.setPhase(r, api.GroupLoading, ReasonReturned)
+	}
+}
+
+func (pl *planner) makeReady(r *replica, reason Reason) {
+	pl.update(r)
+	pl.setPhase(r, api.GroupReady, reason)
+	if r.sg != nil && !r.retired && r.leaving == 0 {
+		pl.ready[r.sg]++
+	}
+}
+
+// update records what rank 0 announces of the whole group.
+func (pl *planner) update(r *replica) {
+	h := r.mem.members[0]
+	if h.status == nil || r.states[0] != memberReady {
+		return
+	}
+	a := &h.status.Announcement
+	g := *r.Group
+	g.Address, g.Warm = a.Address, a.Warm
+	g.BearableLoad, g.WarmLoad = a.BearableLoad, a.WarmLoad
+	g.Capabilities = a.Capabilities
+	g.Leaving = r.leaving > 0
+	if sameAttributes(&g, r.Group) {
+		return
+	}
+	pl.change(api.GroupChange{Kind: api.GroupUpdate, Fencing: r.Fencing, Group: g}, ReasonUpdate)
+}
+
+func sameAttributes(a, b *api.Group) bool {
+	return a.Address == b.Address && a.Warm == b.Warm && a.BearableLoad == b.BearableLoad &&
+		a.WarmLoad == b.WarmLoad && a.Leaving == b.Leaving && a.Capabilities == b.Capabilities
+}
+
+// minStragglerLimit is the least time that a member gets to load.
+const minStragglerLimit = 30 * time.Second
+
+// overdue reports whether members load for longer than the limit.
+func (pl *planner) overdue(r *replica) bool {
+	if r.count[memberReady] == len(r.Members) {
+		return false
+	}
+	limit := pl.policy.LoadTimeout
+	usual := pl.mem.loadTime[r.ServingGroup]
+	if usual > 0 && pl.policy.StragglerFactor > 0 {
+		straggling := time.Duration(float64(usual) * pl.policy.StragglerFactor)
+		limit = min(limit, max(straggling, minStragglerLimit))
+	}
+	return limit > 0 && pl.now.Sub(r.mem.loadSince) > limit
+}
+
+// maxRefusals is the number of refusals of one assign order after which the
+// group needs a new generation.
+const maxRefusals = 3
+
+// restarted reports whether a member no longer holds this generation, started
+// anew since it may have accepted it, or refuses it.
+func (pl *planner) restarted(r *replica) bool {
+	for rank, state := range r.states {
+		if state == memberBehind && pl.lostMembership(r, rank) {
+			return true
+		}
+	}
+	return false
+}
+
+func (pl *planner) lostMembership(r *replica, rank int) bool {
+	if r.mem.held[rank] {
+		return true
+	}
+	h := r.mem.members[rank]
+	o := &h.order
+	if o.kind != api.OrderAssign || o.fencing != r.Fencing {
+		return false
+	}
+	return o.refused >= maxRefusals || o.incarnation != 0 && h.incarnation > o.incarnation
+}
