--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,15 @@
 $(BIN)/golangci-lint: tools/go.mod tools/go.sum
 	cd tools && $(GO) build -o ../$(BIN)/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
 
+# The property tests for longer, with a seed that is printed first. Repeat a run
+# with FUZZ_SEED=N.
+FUZZ_SEED ?= $(shell date +%s)
+fuzz:
+	@echo "CROCUSWAY_FUZZ_SEED=$(FUZZ_SEED) CROCUSWAY_FUZZ_CHECKS=$(FUZZ_CHECKS)"
+	CROCUSWAY_FUZZ_SEED=$(FUZZ_SEED) CROCUSWAY_FUZZ_CHECKS=$(FUZZ_CHECKS) \
+		$(GO) test -count=1 -timeout 60m ./internal/storage ./internal/consensus ./internal/control \
+		./internal/group ./internal/shard ./internal/pipeline
+
 fmt: $(BIN)/golangci-lint
 	$(BIN)/golangci-lint fmt
 
--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -2,13 +2,7 @@
 
 // Experiments returns every experiment in the order of the help text.
 func Experiments() []Experiment {
-	return []Experiment{
-		MemberLoss(),
-		MemberLossTight(),
-		FabricLoss(),
-		FabricLossTight(),
-		DomainWeights(),
-		PauseGrace(),
+	return append(FleetExperiments(), []Experiment{
 		configChange(),
 		controlCost(),
 		pathLatency(),
@@ -20,7 +14,7 @@
 		poison(),
 		overload(),
 		prefix(),
-	}
+	}...)
 }
 
 // Find returns the experiment with a name.
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -168,12 +168,16 @@
 // reconciler adapts the executor of groups to the control service.
 type reconciler struct {
 	executor *group.Reconciler
+	log      *consensus.Server
 	logger   log.Logger
+	// term is the leadership that the memory of the executor belongs to.
+	term uint64
 }
 
 func newReconciler(d *Daemon, log *consensus.Server) *reconciler {
 	logger := logging.For(d.base, "group")
 	return &reconciler{
+		log:    log,
 		logger: logger,
 		executor: group.New(group.Config{
 			Policy:  d.policy(),
@@ -185,8 +189,13 @@
 	}
 }
 
-// Reconcile implements control.Reconciler.
+// Reconcile implements control.Reconciler. What an earlier leadership of this
+// voter remembered is forgotten: another leader may have acted in between.
 func (r *reconciler) Reconcile(ctx context.Context, fleet api.FleetView, store control.GroupStore) {
+	if term := r.log.Status().Term; term != r.term {
+		r.term = term
+		r.executor.Reset()
+	}
 	if err := r.executor.Reconcile(ctx, fleet, store); err != nil && ctx.Err() == nil {
 		level.Debug(r.logger).Log("msg", "change was not applied", "err", err)
 	}
