A node may hold calls until its handlers exist

Ruled out: answering unavailable to every unknown method, which would hide a peer of another version. Change: Config.Hold and Node.Open; held calls are refused as not run, which callers repeat; test. Conclusion: the daemon can now listen first and answer later.

--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -48,6 +48,9 @@
 	CallTimeout time.Duration
 	// DialTimeout bounds one connection attempt, handshake excluded.
 	DialTimeout time.Duration
+	// Hold refuses every call with errs.Unavailable until Open, so that a process
+	// can learn its address before its handlers exist.
+	Hold bool
 	// HandshakeTimeout bounds the handshake on either side.
 	HandshakeTimeout time.Duration
 	// IdleTimeout closes a link on which nothing was received; a third of it is
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,8 @@
 	stopped  chan struct{}
 	counters counters
 	workers  chan struct{}
+	// open is false while calls are held.
+	open atomic.Bool
 
 	handlersMu sync.RWMutex
 	handlers   map[api.Method]Handler
@@ -66,6 +69,7 @@
 		targets:  make(map[string]*target),
 		links:    make(map[*link]struct{}),
 	}
+	n.open.Store(!cfg.Hold)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	if err := n.counters.register(cfg.Meter); err != nil {
 		n.cancel()
@@ -156,6 +160,9 @@
 	n.handlers[method] = h
 }
 
+// Open accepts calls on a node that was started with Hold.
+func (n *Node) Open() { n.open.Store(true) }
+
 func (n *Node) handler(method api.Method) Handler {
 	n.handlersMu.RLock()
 	defer n.handlersMu.RUnlock()
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -89,6 +89,19 @@
 	require.Equal(t, "propose (peer "+b.Addr()+"): not the leader", err.Error())
 }
 
+// TestHeldNodeRefusesCalls covers a call that met a process between the start
+// of its node and the registration of its handlers: it was told that the method
+// is unknown, which nobody repeats.
+func TestHeldNodeRefusesCalls(t *testing.T) {
+	a := startNode(t, nil)
+	b := startNode(t, func(c *Config) { c.Hold = true })
+	err := a.Call(t.Context(), b.Addr(), "test.later", nil, nil)
+	require.Equal(t, errs.Unavailable, errs.CodeOf(err), "%v", err)
+	b.Handle("test.later", Typed(func(context.Context, api.Empty) (api.Empty, error) { return api.Empty{}, nil }))
+	b.Open()
+	require.NoError(t, a.Call(t.Context(), b.Addr(), "test.later", api.Empty{}, nil))
+}
+
 func TestUnavailableWhenNobodyListens(t *testing.T) {
 	a := startNode(t, nil)
 	b := startNode(t, nil)
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -115,6 +115,9 @@
 	if m.request.Method == string(methodPing) {
 		return api.Empty{}, nil
 	}
+	if !l.node.open.Load() {
+		return nil, errs.New(errs.Unavailable, "accept call", "", "process is starting")
+	}
 	h := l.node.handler(api.Method(m.request.Method))
 	if h == nil {
 		err := errors.Wrapf(errUnknownMethod, "%q", m.request.Method)
