Repeated announcements travel as slots

Ruled out: fewer heartbeats, since the detection bound rests on them, and the replicated log, which they do not pass. Change: an entry sends an announcement whole only when it tells something new and gives it a slot; after that the slot alone, 1 to 3 bytes, four batches a second. A new leader, a lost delivery or an unknown slot make it send whole again; a slot is never given out twice, so that a late batch revives no other host.

--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -61,15 +61,28 @@
 	Update ViewUpdate `json:"update"`
 }
 
-// AnnounceBatch carries announcements that an entry collected.
+// AnnounceBatch carries announcements that an entry collected. An announcement
+// that tells something new is sent whole and gets a slot; one that repeats the
+// last is sent as its slot alone.
 type AnnounceBatch struct {
-	Entry         EntryID        `json:"entry"`
-	Announcements []Announcement `json:"announcements"`
+	Entry       EntryID     `json:"entry"`
+	Incarnation Incarnation `json:"incarnation"`
+	// Session is that of the last answer, 0 to begin anew.
+	Session       uint64         `json:"session,omitempty"`
+	Announcements []Announcement `json:"announcements,omitempty"`
+	// Slots are those of Announcements, in the same order. An entry process
+	// never gives out a slot twice.
+	Slots []uint64 `json:"slots,omitempty"`
+	// Heartbeats are slots as EncodeSlots writes them.
+	Heartbeats []byte `json:"heartbeats,omitempty"`
 }
 
 // AnnounceBatchResponse acknowledges a batch.
 type AnnounceBatchResponse struct {
 	Accepted int `json:"accepted"`
+	// Session is to be sent with the next batch. When it differs from that of
+	// the request, the leader knows no slots and wants whole announcements.
+	Session uint64 `json:"session"`
 }
 
 // PlanRequest asks for a plan.
--- a/internal/control/entry_calls.go
+++ b/internal/control/entry_calls.go
@@ -105,15 +105,44 @@
 	if len(r.Announcements) > s.cfg.Limits.MaxBatch {
 		return none, refuse(errs.Invalid, "announce", "%d announcements, the limit is %d", len(r.Announcements), s.cfg.Limits.MaxBatch)
 	}
+	if len(r.Slots) > 0 && len(r.Slots) != len(r.Announcements) {
+		return none, refuse(errs.Invalid, "announce", "slots: %d of them, must be %d as the announcements", len(r.Slots), len(r.Announcements))
+	}
+	beats, err := api.DecodeSlots(r.Heartbeats)
+	if err != nil {
+		return none, err
+	}
 	lead, err := s.lead(ctx)
 	if err != nil {
 		return none, err
 	}
 	accepted, changed := s.noteAll(lead, r.Announcements)
-	if changed {
+	lead.slots.keep(r)
+	session, returned := s.touchAll(lead, r, beats)
+	if changed || returned {
 		s.requestReconcile()
 	}
-	return api.AnnounceBatchResponse{Accepted: accepted}, s.confirmLeading(lead)
+	return api.AnnounceBatchResponse{Accepted: accepted, Session: session}, s.confirmLeading(lead)
+}
+
+// touchAll counts the hosts of heartbeats as seen. It returns the session to go
+// on with, 0 if whole announcements are wanted, and whether a host returned.
+// Heartbeats of another session refer to slots of another leader.
+func (s *Service) touchAll(lead *leadership, r api.AnnounceBatch, beats []uint64) (session uint64, returned bool) {
+	if r.Session != lead.term {
+		return lead.term, false
+	}
+	hosts, all := lead.slots.resolve(r, beats)
+	now := s.cfg.Clock.Now()
+	for _, h := range hosts {
+		known, back := lead.hosts.touch(h, now)
+		all = all && known
+		returned = returned || back
+	}
+	if !all {
+		return 0, returned
+	}
+	return lead.term, returned
 }
 
 func (s *Service) noteAll(lead *leadership, announcements []api.Announcement) (accepted int, changed bool) {
@@ -144,7 +173,7 @@
 // by its sequence and load only needs no more than their check.
 func announcementFaults(hosts *hostTable, a *api.Announcement) Faults {
 	row, ok := hosts.get(a.Host)
-	if ok && a.Sequence > 0 && a.Running >= 0 && a.Queued >= 0 && significant(row.announcement) == significant(*a) {
+	if ok && a.Sequence > 0 && a.Running >= 0 && a.Queued >= 0 && row.announcement.Significant() == a.Significant() {
 		return nil
 	}
 	return structFaults(a)
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -68,21 +68,13 @@
 		return false, false
 	}
 	shard.rows[a.Host] = &hostRow{announcement: a, seen: now}
-	return true, !known || !t.alive(old.seen, now) || significant(old.announcement) != significant(a)
+	return true, !known || !t.alive(old.seen, now) || old.announcement.Significant() != a.Significant()
 }
 
 func newer(a, than api.Announcement) bool {
 	return cmp.Or(cmp.Compare(a.Incarnation, than.Incarnation), cmp.Compare(a.Sequence, than.Sequence)) > 0
 }
 
-// significant clears what changes with every heartbeat.
-func significant(a api.Announcement) api.Announcement {
-	a.Sequence = 0
-	a.Running = 0
-	a.Queued = 0
-	return a
-}
-
 func (t *hostTable) alive(seen, now time.Time) bool { return now.Sub(seen) <= t.bound }
 
 func (t *hostTable) get(id api.HostID) (hostRow, bool) {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -13,6 +13,7 @@
 	term     uint64
 	leases   *leaseTable
 	hosts    *hostTable
+	slots    *slotTable
 	measures *measures
 	marks    *revisionMarks
 	// slowRound is when the slow duties ran last.
@@ -81,6 +82,7 @@
 		term:     term,
 		leases:   newLeaseTable(s.leaseLength(), now, s.state.View().Entries),
 		hosts:    newHostTable(s.cfg.Limits.MaxHosts, s.cfg.DetectionBound, now),
+		slots:    newSlotTable(),
 		measures: newMeasures(now),
 		marks:    &revisionMarks{},
 		ctx:      ctx,
--- /dev/null
+++ b/internal/control/slots_test.go
@@ -0,0 +1,65 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+func slotBatch(incarnation api.Incarnation, slot uint64, host api.HostID, started api.Incarnation) api.AnnounceBatch {
+	return api.AnnounceBatch{
+		Entry:         "e1",
+		Incarnation:   incarnation,
+		Announcements: []api.Announcement{{Host: host, Incarnation: started}},
+		Slots:         []uint64{slot},
+	}
+}
+
+func TestSlotsResolve(t *testing.T) {
+	cases := []struct {
+		name    string
+		batches []api.AnnounceBatch
+		from    api.Incarnation
+		beats   []uint64
+		hosts   []slotHost
+		all     bool
+	}{
+		{"known", []api.AnnounceBatch{slotBatch(1, 1, "h1", 1)}, 1, []uint64{1}, []slotHost{{"h1", 1}}, true},
+		{"unknown", []api.AnnounceBatch{slotBatch(1, 1, "h1", 1)}, 1, []uint64{2}, nil, false},
+		{"newer slot of the host", []api.AnnounceBatch{slotBatch(1, 1, "h1", 1), slotBatch(1, 2, "h1", 2)}, 1, []uint64{2}, []slotHost{{"h1", 2}}, true},
+		{"older slot of the host", []api.AnnounceBatch{slotBatch(1, 1, "h1", 1), slotBatch(1, 2, "h1", 2)}, 1, []uint64{1}, nil, false},
+		{"late batch", []api.AnnounceBatch{slotBatch(1, 2, "h1", 2), slotBatch(1, 1, "h1", 1)}, 1, []uint64{2}, []slotHost{{"h1", 2}}, true},
+		{"restarted entry", []api.AnnounceBatch{slotBatch(1, 1, "h1", 1), slotBatch(2, 1, "h2", 1)}, 2, []uint64{1}, []slotHost{{"h2", 1}}, true},
+		{"heartbeat of the process before", []api.AnnounceBatch{slotBatch(2, 1, "h2", 1)}, 1, []uint64{1}, nil, false},
+		{"announcement of the process before", []api.AnnounceBatch{slotBatch(2, 1, "h2", 1), slotBatch(1, 1, "h1", 1)}, 2, []uint64{1}, []slotHost{{"h2", 1}}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := newSlotTable()
+			for _, b := range c.batches {
+				table.keep(b)
+			}
+			hosts, all := table.resolve(api.AnnounceBatch{Entry: "e1", Incarnation: c.from}, c.beats)
+			require.Equal(t, c.hosts, hosts)
+			require.Equal(t, c.all, all)
+		})
+	}
+}
+
+// TestHeartbeatOfOlderIncarnation requires that a heartbeat keeps no host alive
+// that has restarted since its whole announcement.
+func TestHeartbeatOfOlderIncarnation(t *testing.T) {
+	start := time.Unix(100, 0)
+	table := newHostTable(100, time.Second, start)
+	table.note(api.Announcement{Host: "h1", Incarnation: 2, Sequence: 1}, start)
+	known, _ := table.touch(slotHost{"h1", 1}, start.Add(time.Second))
+	require.False(t, known)
+	row, _ := table.get("h1")
+	require.Equal(t, start, row.seen)
+	known, returned := table.touch(slotHost{"h1", 2}, start.Add(5*time.Second))
+	require.True(t, known)
+	require.True(t, returned, "it had been silent beyond the bound")
+}
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -82,9 +83,14 @@
 	caller    *caller.Client
 }
 
+// freeAddress returns an address with a port that the kernel chose. It is free
+// until a process of the cluster binds it: nothing else uses this loopback
+// address, which only the present test process has.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	own := netip.AddrFrom4([4]byte{127, byte(64 + pid>>16&63), byte(pid >> 8), byte(pid)})
+	ln, err := net.Listen("tcp", netip.AddrPortFrom(own, 0).String())
 	require.NoError(t, err)
 	defer func() { _ = ln.Close() }()
 	return ln.Addr().String()
--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -116,11 +116,11 @@
 			for _, ann := range c.sent {
 				b.put(ann)
 			}
-			list := b.take()
+			list := b.take().Announcements
 			require.Len(t, list, 1)
 			require.Equal(t, c.sequence, list[0].Sequence)
 			require.Equal(t, c.started, list[0].Incarnation)
-			require.Empty(t, b.take())
+			require.Empty(t, b.take().Announcements)
 		})
 	}
 }
@@ -173,3 +173,29 @@
 		})
 	}
 }
+
+// TestRepeatedAnnouncementIsASlot follows one host through the leader's answers:
+// what the leader has goes as a slot, everything else whole.
+func TestRepeatedAnnouncementIsASlot(t *testing.T) {
+	b := newAnnounceBatch()
+	sequence := uint64(0)
+	send := func(running, bearable int) api.AnnounceBatch {
+		sequence++
+		b.put(api.Announcement{Host: "h", Incarnation: 1, Sequence: sequence, Running: running, BearableLoad: bearable})
+		return b.take()
+	}
+	first := send(0, 2)
+	require.Len(t, first.Announcements, 1)
+	b.acknowledge(9)
+	require.Equal(t, api.EncodeSlots([]uint64{first.Slots[0]}), send(3, 2).Heartbeats, "only the load changed")
+	b.acknowledge(9)
+	changed := send(3, 4)
+	require.Len(t, changed.Announcements, 1, "the bearable load changed")
+	require.Greater(t, changed.Slots[0], first.Slots[0], "a slot is never given out twice")
+	b.acknowledge(10)
+	require.Len(t, send(3, 4).Announcements, 1, "another leader answered")
+	b.acknowledge(10)
+	require.Empty(t, send(3, 4).Announcements)
+	b.acknowledge(0)
+	require.Len(t, send(3, 4).Announcements, 1, "the delivery failed")
+}
