--- a/internal/bench/control_cost.go
+++ b/internal/bench/control_cost.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/config"
 	"github.com/crocusway/crocusway/internal/local"
 	"github.com/crocusway/crocusway/internal/standin"
 )
@@ -20,6 +21,9 @@
 	budgetBytes       = 24 << 10
 	budgetMegabytes   = 256
 	bytesPerMegabyte  = 1 << 20
+	// plannedRenewal suits the planned size, where a change has 16 s.
+	plannedRenewal = 3 * time.Second
+	leaseRenewals  = 3
 )
 
 // costPoint is one size at which the cost of control is measured.
@@ -29,10 +33,24 @@
 	hosts int
 	// changes is the number of configuration changes a second.
 	changes float64
+	// renewal is the time between two renewals of a work lease, which lasts
+	// three times as long; 0 stands for the default.
+	renewal time.Duration
 }
 
 func (p costPoint) name(what string) string {
-	return fmt.Sprintf("%s, %d daemons, %d hosts, %g changes/s", what, p.daemons, p.hosts, p.changes)
+	name := fmt.Sprintf("%s, %d daemons, %d hosts, %g changes/s", what, p.daemons, p.hosts, p.changes)
+	if p.renewal > 0 {
+		name += fmt.Sprintf(", renewal %s", p.renewal)
+	}
+	return name
+}
+
+func (p costPoint) adjust(s *config.Serve) {
+	if p.renewal > 0 {
+		s.RenewInterval = p.renewal
+		s.WorkLease = leaseRenewals * p.renewal
+	}
 }
 
 // costPoints vary one size at a time, so that slopes can be read off.
@@ -41,6 +59,9 @@
 		{daemons: 4},
 		{daemons: 16},
 		{daemons: 32},
+		{daemons: 4, renewal: plannedRenewal},
+		{daemons: 16, renewal: plannedRenewal},
+		{daemons: 32, renewal: plannedRenewal},
 		{daemons: 4, changes: 5},
 		{daemons: 16, changes: 5},
 		{daemons: 32, changes: 5},
@@ -110,6 +131,7 @@
 		Daemons: p.daemons,
 		Voters:  3,
 		Domains: threeDomains,
+		Adjust:  p.adjust,
 		Fleet:   standin.Config{Fabrics: fabrics, HostsPerFabric: p.hosts / fabrics},
 	})
 	if err != nil {
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// watchWait is how long the leader may hold back an answer to a watch.
-	watchWait = time.Second
 	// leaveCallLimit bounds each call to control during a graceful shutdown.
 	leaveCallLimit = 2 * time.Second
 	// heartbeatsPerBound is the number of announcements that a backend server
@@ -66,9 +64,10 @@
 		Clock:         clock.System{},
 		Logger:        logging.For(d.base, "entry"),
 		RenewInterval: d.cfg.RenewInterval,
-		WatchWait:     watchWait,
-		OnSnapshot:    r.apply,
-		ApplyUpdate:   control.ApplyUpdate,
+		// A watch that hangs on a lost leader ends well within the work lease.
+		WatchWait:   d.cfg.RenewInterval,
+		OnSnapshot:  r.apply,
+		ApplyUpdate: control.ApplyUpdate,
 	})
 	return r
 }
