A panicking stream ends with an error event; drain under load with processes

Change: recovery in the stream, TestDrainUnderLoad, the check that not-run means 0 runs, backend and peer in make fuzz.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	@echo "CROCUSWAY_FUZZ_SEED=$(FUZZ_SEED) CROCUSWAY_FUZZ_CHECKS=$(FUZZ_CHECKS)"
 	CROCUSWAY_FUZZ_SEED=$(FUZZ_SEED) CROCUSWAY_FUZZ_CHECKS=$(FUZZ_CHECKS) \
 		$(GO) test -count=1 -timeout 60m ./internal/storage ./internal/consensus ./internal/control \
-		./internal/group ./internal/shard ./internal/pipeline
+		./internal/group ./internal/shard ./internal/pipeline ./internal/backend ./internal/peer
 
 fmt: $(BIN)/golangci-lint
 	$(BIN)/golangci-lint fmt
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -200,3 +200,54 @@
 		require.Len(t, a.Tokens, 200)
 	}
 }
+
+// TestDrainUnderLoad drains a failure domain while callers stream. No answer is
+// cut, and no engine of the domain gets a request once the drain is in force.
+func TestDrainUnderLoad(t *testing.T) {
+	const loads = 6
+	c := startCluster(t)
+	c.serve(6)
+	drained := domains[2]
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	var wg sync.WaitGroup
+	cut := make([]int, loads)
+	whole := make([]int, loads)
+	for i := range loads {
+		wg.Go(func() {
+			client := caller.New(apiKey, c.addresses())
+			for ctx.Err() == nil {
+				a, err := client.Chat(context.Background(), model, fmt.Sprintf("prompt %d", i), 32)
+				switch {
+				case err == nil && a.Whole():
+					whole[i]++
+				case a.Outcome != api.OutcomeNotRun:
+					cut[i]++
+				}
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return c.runsIn(drained) > loads }, patience, poll)
+	decision := c.confirm(api.Intent{Domains: []api.Domain{{Name: drained, State: api.DomainDrained}}})
+	require.True(t, decision.InForce, "held out: %v", decision.HeldOut)
+	before, all := c.runsIn(drained), len(c.fleet.Runs())
+	require.Eventually(t, func() bool { return len(c.fleet.Runs()) > all+100 }, patience, poll)
+	require.Equal(t, before, c.runsIn(drained))
+	stop()
+	wg.Wait()
+	for i := range loads {
+		require.Zero(t, cut[i])
+		require.Positive(t, whole[i])
+	}
+}
+
+// runsIn counts the requests that engines of a failure domain ran.
+func (c *cluster) runsIn(domain api.FailureDomain) int {
+	n := 0
+	for _, run := range c.fleet.Runs() {
+		if run.Group != "" && c.fleet.Host(run.Host).Domain() == domain {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/e2e/request_test.go
+++ b/internal/e2e/request_test.go
@@ -138,6 +138,9 @@
 				if a.Whole() {
 					require.Equal(t, 1, runs)
 				}
+				if a.Outcome == api.OutcomeNotRun {
+					require.Zero(t, runs, "call %d was said not to have run", i)
+				}
 			}
 			c.rejoin(lost, tc.signal)
 			cancel()
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -370,6 +370,32 @@
 	require.Zero(t, h.grants.outstanding())
 }
 
+// panickingStream panics after its events.
+type panickingStream struct{ fakeStream }
+
+func (s *panickingStream) Next() (backend.Event, error) {
+	ev, err := s.fakeStream.Next()
+	if err != nil {
+		panic("bad stream")
+	}
+	return ev, nil
+}
+
+// TestPanicOfAStreamEndsTheCall panics while the HTTP library reads the body,
+// after the handler has returned.
+func TestPanicOfAStreamEndsTheCall(t *testing.T) {
+	h := newHarness(Settings{})
+	h.backends.do = func(context.Context, backend.Request) (*backend.Response, error) {
+		return streamOf(&panickingStream{fakeStream{events: tokens(0, 2), err: io.ErrUnexpectedEOF}}), nil
+	}
+	a := send(t, h.listen(t), "POST", "/v1/chat/completions", testKey, chatBody)
+	require.Equal(t, api.OutcomeUnknown, a.outcome())
+	require.Contains(t, a.body, "event: error")
+	require.NotContains(t, a.body, "[DONE]")
+	h.server.Wait()
+	require.Zero(t, h.grants.outstanding())
+}
+
 func TestRetryBudgetBoundsRepeatedWork(t *testing.T) {
 	for _, tc := range []struct {
 		name    string
--- a/internal/pipeline/tokens.go
+++ b/internal/pipeline/tokens.go
@@ -4,9 +4,12 @@
 	"context"
 	"encoding/json"
 	"io"
+	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+	"github.com/valyala/fasthttp"
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/backend"
@@ -45,6 +48,7 @@
 
 // next encodes the next event, or the end of the stream.
 func (t *tokenReader) next() {
+	defer t.recoverStream()
 	ev, err := t.call.response.Stream.Next()
 	if err != nil {
 		t.broken(err)
@@ -59,6 +63,26 @@
 	}
 }
 
+// recoverStream ends a stream whose step panicked. The handler has returned by
+// then; without this the connection would be cut without an error event and the
+// grant would not be given back.
+func (t *tokenReader) recoverStream() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	level.Error(t.logger).Log("msg", "stream panicked", "request", t.call.id, "cause", cause, "stack", string(debug.Stack()))
+	t.buf = t.buf[:0]
+	if !t.ended {
+		t.close(api.OutcomeUnknown)
+	}
+	t.encodeError(&refusal{
+		status:  fasthttp.StatusInternalServerError,
+		code:    "internal",
+		message: "the entry failed",
+	})
+}
+
 // deliver encodes one event. An event that was already delivered is dropped.
 func (t *tokenReader) deliver(ev backend.Event) error {
 	c := t.call
