--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -35,7 +35,11 @@
 func (f admit) model(c *call) error {
 	wait := c.deadline.Sub(f.cfg.Clock.Now())
 	if !c.hasBegun() {
-		wait = min(wait, f.cfg.Settings.QueueWait)
+		// A place that is granted too late is wasted: the run itself takes time.
+		wait = min(wait-f.runTimes.estimate(c.generation.model), f.cfg.Settings.QueueWait)
+		if wait <= 0 {
+			return unmeetable()
+		}
 	}
 	groups := f.cfg.State.Snapshot().Model(c.generation.model)
 	if len(groups) == 0 {
@@ -80,6 +84,13 @@
 	return nil
 }
 
+// unmeetable refuses a call that can't end before its deadline.
+func unmeetable() *refusal {
+	r := unavailable("deadline", "the model takes longer than the time that is left", nil)
+	r.status = fasthttp.StatusTooManyRequests
+	return r
+}
+
 // admitRefusal refuses a call that got no grant.
 func admitRefusal(err error) *refusal {
 	if errs.Is(err, errs.Full) {
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -21,7 +21,9 @@
 	router *router.Router
 	order  order
 	budget *retryBudget
-	limits serviceLimits
+	// runTimes tells whether a call can end before its deadline.
+	runTimes *runTimes
+	limits   serviceLimits
 	// metrics are the instruments of the request path.
 	metrics metrics
 	// next rotates between the servers of plain services.
@@ -51,11 +53,12 @@
 func New(cfg Config) *Server {
 	cfg.Settings = cfg.Settings.withDefaults()
 	s := &Server{
-		cfg:    cfg,
-		logger: logging.For(cfg.Logger, "pipeline"),
-		budget: newRetryBudget(cfg.Settings.RetryRatio, cfg.Settings.RetryBurst),
-		limits: newServiceLimits(cfg.Settings.ServiceLimit),
-		active: newActiveCalls(),
+		cfg:      cfg,
+		logger:   logging.For(cfg.Logger, "pipeline"),
+		runTimes: newRunTimes(),
+		budget:   newRetryBudget(cfg.Settings.RetryRatio, cfg.Settings.RetryBurst),
+		limits:   newServiceLimits(cfg.Settings.ServiceLimit),
+		active:   newActiveCalls(),
 
 		openEnds: make(chan struct{}, maxOpenEnds),
 	}
--- a/internal/pipeline/settle.go
+++ b/internal/pipeline/settle.go
@@ -1,5 +1,7 @@
 package pipeline
 
+import "github.com/crocusway/crocusway/internal/api"
+
 // settle gives back what the call holds and stores its end. A stream does so
 // when it ends.
 type settle struct{ *Server }
@@ -25,6 +27,9 @@
 	if c.service.entered {
 		s.limits.leave(c.service.name)
 	}
+	if c.kind != callService && c.outcome == api.OutcomeComplete && !c.started.IsZero() {
+		s.runTimes.observe(c.generation.model, s.cfg.Clock.Now().Sub(c.started))
+	}
 	s.closeRecord(c)
 	if c.endAttempt != nil {
 		c.endAttempt()
