--- a/internal/bench/path_overload.go
+++ b/internal/bench/path_overload.go
@@ -21,6 +21,10 @@
 	return c
 }
 
+// overloadGoodput is the stated part of the capacity that is still served at 4
+// times the capacity.
+const overloadGoodput = 0.95
+
 // overload offers more and more load, in equal parts of the duration.
 func overload() Experiment {
 	return Experiment{
@@ -28,6 +32,7 @@
 		Summary: "Goodput, latency and refusals when callers with little patience offer 1, 2 and 4 times the capacity.",
 		Run:     runOverload,
 		Targets: []Target{
+			{Figure: "x4_goodput", Relation: ">=", Bound: overloadGoodput},
 			{Figure: "x4_wrong", Relation: "<=", Bound: 0},
 			{Figure: "x4_cut", Relation: "<=", Bound: 0},
 		},
