A check that could not fail

Cause: TestLostLeaderRunsNoCallTwice would have passed with no call answered. Change: at least one call must end whole.

--- a/internal/e2e/request_test.go
+++ b/internal/e2e/request_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -236,21 +237,27 @@
 	entry := c.processes[3]
 	client := caller.Pinned(apiKey, entry.callers)
 	var wg sync.WaitGroup
+	var whole atomic.Int64
 	for i := range calls {
-		wg.Go(func() { c.depositUntilDecided(client, i) })
+		wg.Go(func() {
+			if c.depositUntilDecided(client, i) {
+				whole.Add(1)
+			}
+		})
 		if i == calls/2 {
 			leader.signal(syscall.SIGKILL)
 		}
 	}
 	wg.Wait()
+	require.Positive(t, whole.Load())
 	for i := range calls {
 		require.LessOrEqual(t, c.fleet.RunsOfKey(service, fmt.Sprintf("d%d", i)), 1, "call %d", i)
 	}
 }
 
 // depositUntilDecided sends a call again while it is said not to have run. Once
-// it is whole it has run once.
-func (c *cluster) depositUntilDecided(client *caller.Client, i int) {
+// it is whole it has run once. It reports whether the call became whole.
+func (c *cluster) depositUntilDecided(client *caller.Client, i int) bool {
 	key := fmt.Sprintf("d%d", i)
 	body := fmt.Appendf(nil, `{"deposit":%d}`, i)
 	for {
@@ -259,11 +266,11 @@
 		switch {
 		case err == nil && a.Whole():
 			assert.Equal(c.t, 1, runs, "call %d", i)
-			return
+			return true
 		case err == nil && a.Outcome == api.OutcomeNotRun:
 			assert.Zero(c.t, runs, "call %d was said not to have run", i)
 		default:
-			return
+			return false
 		}
 	}
 }
