Faults of settings name their unit

Cause: a bound of a length read 'at least 16', and an empty domain read as nothing. Change: quoted values of every string type, units of lengths, a golden file. Ruled out: showing the length of a secret.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -82,6 +82,14 @@
 	require.NotContains(t, err.Error(), "short")
 }
 
+func TestFaultsNameValueAndBound(t *testing.T) {
+	setEnv(t)
+	t.Setenv(EnvName("operator-token"), "short")
+	_, err := parse(t, "--name=e1", "--max-body=7", "--log-level=loud")
+	require.Error(t, err)
+	goldie.New(t).Assert(t, "faults", []byte(err.Error()))
+}
+
 func TestUsageGolden(t *testing.T) {
 	fs := flag.NewFlagSet("serve", flag.ContinueOnError)
 	NewServeFlags(fs)
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -95,10 +95,10 @@
 }
 
 func shown(value any) string {
-	if s, ok := value.(string); ok {
-		return fmt.Sprintf("%q", s)
+	if _, secret := value.(Secret); !secret && reflect.TypeOf(value).Kind() == reflect.String {
+		return fmt.Sprintf("%q", value)
 	}
-	return fmt.Sprintf("%v", value)
+	return fmt.Sprint(value)
 }
 
 func bound(f validator.FieldError) string {
@@ -106,9 +106,9 @@
 	case "required":
 		return "set"
 	case "min":
-		return "at least " + f.Param()
+		return "at least " + f.Param() + lengthUnit(f.Kind())
 	case "max":
-		return "at most " + f.Param()
+		return "at most " + f.Param() + lengthUnit(f.Kind())
 	case "oneof":
 		return "one of " + f.Param()
 	case "hostname_port":
@@ -158,3 +158,15 @@
 	}
 	return false
 }
+
+// lengthUnit names what a bound of a length counts; it is empty for numbers.
+func lengthUnit(kind reflect.Kind) string {
+	switch kind {
+	case reflect.String:
+		return " characters"
+	case reflect.Slice:
+		return " items"
+	default:
+		return ""
+	}
+}
