The fuzz of grants checks phase, generation and leaving

Change: the checker compares each grant with the owner's view, replicas leave and stay, two broken variants that it catches. Ruled out: a check in the table alone.

--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -47,12 +47,26 @@
 
 // checkGrant compares a new grant with what truly runs on the replica.
 func (w *world) checkGrant(o *fuzzEntry, g api.Grant) {
+	if !o.allows(g) {
+		w.fail("grant %s names %s at %d, which the owner's view does not let serve", g.ID, g.Group, g.Fencing)
+	}
 	limit := w.bearable(o, g.Group)
 	if n := w.used(g.Group, g.Fencing) + 1; n > limit {
 		w.fail("grant %s makes %d requests on %s, which bears %d", g.ID, n, g.Group, limit)
 	}
 }
 
+// allows reports whether the view of an owner lets a replica take new work: it
+// is ready at the generation of the grant and does not leave.
+func (e *fuzzEntry) allows(g api.Grant) bool {
+	for _, known := range e.view.Groups {
+		if known.ID == g.Group {
+			return known.Phase == api.GroupReady && !known.Leaving && known.Fencing == g.Fencing
+		}
+	}
+	return false
+}
+
 // bearable returns the largest number of requests that the view of an owner
 // allows on a replica: what it announced, or one and one more for each
 // completed request.
@@ -230,10 +244,11 @@
 	w.applyView(e)
 }
 
-// changeGroup makes a replica cold, warm, broken, or ready at a new generation.
+// changeGroup makes a replica cold, warm, broken, leaving or staying, or ready
+// at a new generation.
 func (w *world) changeGroup(p pick) {
 	g := &w.view.Groups[p(len(w.view.Groups))]
-	switch p(4) {
+	switch p(5) {
 	case 0:
 		g.Warm, g.BearableLoad = false, p(2)
 	case 1:
@@ -245,6 +260,8 @@
 			g.Fencing++
 			g.Phase = api.GroupReady
 		}
+	case 4:
+		g.Leaving = !g.Leaving
 	}
 	w.publish()
 }
@@ -336,6 +353,8 @@
 		{"order of arrival", faultArrivalOrder},
 		{"decision is lost", faultLostTicket},
 		{"cold replica is taken for warm", faultIgnoreCold},
+		{"broken replica is taken for ready", faultIgnorePhase},
+		{"leaving replica is taken for staying", faultIgnoreLeaving},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			require.Error(t, explore(tc.fault, 300, 1000))
--- a/internal/shard/fuzz_world_test.go
+++ b/internal/shard/fuzz_world_test.go
@@ -29,6 +29,10 @@
 	faultLostTicket
 	// faultIgnoreCold takes every replica for warm.
 	faultIgnoreCold
+	// faultIgnorePhase takes every replica for ready.
+	faultIgnorePhase
+	// faultIgnoreLeaving takes no replica for leaving.
+	faultIgnoreLeaving
 )
 
 // pick returns a number from 0 to n-1.
@@ -148,6 +152,12 @@
 		if w.fault == faultIgnoreCold {
 			g.Warm, g.BearableLoad = true, fuzzWarmLoad
 		}
+		if w.fault == faultIgnorePhase {
+			g.Phase = api.GroupReady
+		}
+		if w.fault == faultIgnoreLeaving {
+			g.Leaving = false
+		}
 		facts.Groups = append(facts.Groups, &g)
 	}
 	if e.core == nil || e.core.term.epoch != lease.Epoch {
