One list of faults for settings, announcements and intents

Cause: three packages turned the validator's findings into texts, each in its own words; two of them showed the library's rule (max=64) in place of a bound. Ruled out: a shared text alone, since adding faults by hand stood three times too. Change: package faults; each message is 'field: value V, must be BOUND'. The tests of announcements and intents name the new texts: same cases, same fields, values and bounds, none dropped.

--- a/internal/config/flags.go
+++ b/internal/config/flags.go
@@ -2,13 +2,13 @@
 
 import (
 	"flag"
-	"fmt"
 	"os"
 	"strings"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/faults"
 )
 
 // EnvPrefix starts the name of every environment variable of crocusway.
@@ -132,7 +132,9 @@
 		}
 		id, address, found := strings.Cut(item, "=")
 		if !found {
-			return nil, &Error{Faults: []Fault{{Field: "voters", Value: fmt.Sprintf("%q", item), Bound: "id=ip:port"}}}
+			var list faults.List
+			list.Add("voters", item, "id=ip:port")
+			return nil, &Error{Faults: list}
 		}
 		voters = append(voters, Voter{ID: api.VoterID(id), Address: address})
 	}
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -2,30 +2,15 @@
 
 import (
 	"fmt"
-	"net/netip"
-	"reflect"
 	"sort"
 	"strings"
 
-	"github.com/cockroachdb/errors"
-	"github.com/go-playground/validator/v10"
+	"github.com/crocusway/crocusway/internal/faults"
 )
 
-// Fault is one setting out of its bounds.
-type Fault struct {
-	Field string
-	Value string
-	Bound string
-}
-
-// String formats the fault for an operator.
-func (f Fault) String() string {
-	return fmt.Sprintf("%s: value %s, must be %s", f.Field, f.Value, f.Bound)
-}
-
 // Error lists every fault of one set of settings.
 type Error struct {
-	Faults []Fault
+	Faults faults.List
 }
 
 // Error implements error with one fault a line.
@@ -38,116 +23,43 @@
 	return strings.Join(lines, "\n")
 }
 
+var checker = faults.NewChecker("flag")
+
 // Validate checks a settings struct by its validate tags, and a Serve by the
 // relations between its fields too. Fields are named by their flag tags.
 func Validate(settings any) error {
-	faults := tagFaults(settings)
+	list := checker.Check(settings)
 	if s, ok := settings.(*Serve); ok {
-		faults = append(faults, s.relationFaults()...)
+		s.checkRelations(&list)
 	}
-	if len(faults) == 0 {
+	if len(list) == 0 {
 		return nil
 	}
-	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Field < faults[j].Field })
-	return &Error{Faults: faults}
-}
-
-func tagFaults(settings any) []Fault {
-	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(flagName)
-	if err := v.RegisterValidation("listen_address", isListenAddress); err != nil {
-		panic(err)
-	}
-	err := v.Struct(settings)
-	if err == nil {
-		return nil
-	}
-	var list validator.ValidationErrors
-	if !errors.As(err, &list) {
-		return []Fault{{Field: "settings", Value: "?", Bound: err.Error()}}
-	}
-	faults := make([]Fault, 0, len(list))
-	for _, f := range list {
-		faults = append(faults, faultOf(f))
-	}
-	return faults
-}
-
-// isListenAddress accepts "ip:port"; the kernel chooses port 0.
-func isListenAddress(f validator.FieldLevel) bool {
-	address, err := netip.ParseAddrPort(f.Field().String())
-	return err == nil && address.Addr().IsValid()
-}
-
-func flagName(field reflect.StructField) string {
-	if name := field.Tag.Get("flag"); name != "" {
-		return name
-	}
-	return strings.ToLower(field.Name)
-}
-
-func faultOf(f validator.FieldError) Fault {
-	_, name, found := strings.Cut(f.Namespace(), ".")
-	if !found {
-		name = f.Field()
-	}
-	return Fault{Field: name, Value: shown(f.Value()), Bound: bound(f)}
-}
-
-func shown(value any) string {
-	if _, secret := value.(Secret); !secret && reflect.TypeOf(value).Kind() == reflect.String {
-		return fmt.Sprintf("%q", value)
-	}
-	return fmt.Sprint(value)
+	sort.SliceStable(list, func(i, j int) bool { return list[i].Field < list[j].Field })
+	return &Error{Faults: list}
 }
 
-func bound(f validator.FieldError) string {
-	switch f.Tag() {
-	case "required":
-		return "set"
-	case "min":
-		return "at least " + f.Param() + lengthUnit(f.Kind())
-	case "max":
-		return "at most " + f.Param() + lengthUnit(f.Kind())
-	case "oneof":
-		return "one of " + f.Param()
-	case "hostname_port":
-		return "host:port"
-	case "listen_address":
-		return "ip:port, port 0 to 65535"
-	case "unique":
-		return "without repeats"
-	default:
-		return strings.TrimSuffix(f.Tag()+" "+f.Param(), " ")
-	}
-}
-
-// relationFaults checks what no single field can tell.
-func (s *Serve) relationFaults() []Fault {
-	var faults []Fault
-	add := func(field, value, bound string) {
-		faults = append(faults, Fault{Field: field, Value: value, Bound: bound})
-	}
+// checkRelations checks what no single field can tell.
+func (s *Serve) checkRelations(list *faults.List) {
 	if s.Has(RoleControl) && s.DataDir == "" {
-		add("data-dir", `""`, "set for the role control")
+		list.Add("data-dir", "", "set for the role control")
 	}
 	if s.Has(RoleControl) && len(s.Voters) > 0 && !s.isVoter() {
-		add("voters", s.Name, "a list with this daemon's name")
+		list.Add("voters", s.Name, "a list with this daemon's name")
 	}
 	if s.RenewInterval*2 > s.WorkLease {
-		add("renew-interval", s.RenewInterval.String(), "at most half of work-lease "+s.WorkLease.String())
+		list.Add("renew-interval", s.RenewInterval, "at most half of work-lease %s", s.WorkLease)
 	}
 	if s.OrderHorizon < s.WorkLease {
-		add("order-horizon", s.OrderHorizon.String(), "at least work-lease "+s.WorkLease.String())
+		list.Add("order-horizon", s.OrderHorizon, "at least work-lease %s", s.WorkLease)
 	}
 	seen := make(map[string]bool, len(s.Voters))
 	for _, v := range s.Voters {
 		if seen[string(v.ID)] {
-			add("voters", string(v.ID), "without repeats")
+			list.Add("voters", string(v.ID), "without repeats")
 		}
 		seen[string(v.ID)] = true
 	}
-	return faults
 }
 
 func (s *Serve) isVoter() bool {
@@ -158,15 +70,3 @@
 	}
 	return false
 }
-
-// lengthUnit names what a bound of a length counts; it is empty for numbers.
-func lengthUnit(kind reflect.Kind) string {
-	switch kind {
-	case reflect.String:
-		return " characters"
-	case reflect.Slice:
-		return " items"
-	default:
-		return ""
-	}
-}
--- a/internal/control/contract_test.go
+++ b/internal/control/contract_test.go
@@ -100,18 +100,18 @@
 	_, err := f.service().plan(ctx, api.PlanRequest{Operator: "amal", Intent: in})
 	requireCode(t, errs.Invalid, err)
 	for _, want := range []string{
-		"serving_groups[0].hosts_per_replica = 17: must satisfy max=16",
-		"serving_groups[0].domains[0] = nowhere: must be a known failure domain",
-		"serving_groups[1].name = s: must be listed once",
-		"accounts[0].class = 10: must satisfy max=9",
-		"accounts[0].key_hashes[0] = " + digest + ": must be unique, account old has it",
-		"accounts[1].key_hashes[0] = short: must satisfy len=64",
-		`accounts[1].id = "x\ny": must be free of control characters`,
-		"domains[0].name = typo: must be a known failure domain to be drained",
-		"domains[1].state = sideways: must satisfy oneof=active drained",
-		"remove.services[0] = ghost: must exist",
-		"remove.services[1] = ghost: must be listed once",
-		"remove.serving_groups[0] = s: must not be changed by the same intent",
+		`serving_groups[0].hosts_per_replica: value 17, must be at most 16`,
+		`serving_groups[0].domains[0]: value "nowhere", must be a known failure domain`,
+		`serving_groups[1].name: value "s", must be listed once`,
+		`accounts[0].class: value 10, must be at most 9`,
+		`accounts[0].key_hashes[0]: value "` + digest + `", must be unique, account old has it`,
+		`accounts[1].key_hashes[0]: value "short", must be of length 64`,
+		`accounts[1].id: value "x\ny", must be free of control characters`,
+		`domains[0].name: value "typo", must be a known failure domain to be drained`,
+		`domains[1].state: value "sideways", must be one of active drained`,
+		`remove.services[0]: value "ghost", must be known`,
+		`remove.services[1]: value "ghost", must be listed once`,
+		`remove.serving_groups[0]: value "s", must be left alone by the rest of the same intent`,
 	} {
 		require.ErrorContains(t, err, want)
 	}
--- a/internal/control/entry_calls.go
+++ b/internal/control/entry_calls.go
@@ -5,6 +5,7 @@
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/faults"
 )
 
 // renew answers control.renew.
@@ -148,7 +149,7 @@
 func (s *Service) noteAll(lead *leadership, announcements []api.Announcement) (accepted int, changed bool) {
 	now := s.cfg.Clock.Now()
 	dropped := 0
-	var first Faults
+	var first faults.List
 	for _, a := range announcements {
 		if faults := announcementFaults(lead.hosts, &a); len(faults) > 0 {
 			dropped++
@@ -171,26 +172,26 @@
 
 // announcementFaults checks an announcement. One that differs from a checked one
 // by its sequence and load only needs no more than their check.
-func announcementFaults(hosts *hostTable, a *api.Announcement) Faults {
+func announcementFaults(hosts *hostTable, a *api.Announcement) faults.List {
 	row, ok := hosts.get(a.Host)
 	if ok && a.Sequence > 0 && a.Running >= 0 && a.Queued >= 0 && row.announcement.Significant() == a.Significant() {
 		return nil
 	}
-	return structFaults(a)
+	return checker.Check(a)
 }
 
 func checkRenew(r api.RenewRequest) error {
-	var f Faults
+	var f faults.List
 	if r.Entry.ID == "" || len(r.Entry.ID) > maxNameLength {
-		f.add("entry.id", r.Entry.ID, "must have 1 to %d characters", maxNameLength)
+		f.Add("entry.id", r.Entry.ID, "of 1 to %d characters", maxNameLength)
 	}
 	if r.Entry.Incarnation == 0 {
-		f.add("entry.incarnation", r.Entry.Incarnation, "must be 1 or more")
+		f.Add("entry.incarnation", r.Entry.Incarnation, "1 or more")
 	}
 	if r.Release && !r.Entry.Leaving {
-		f.add("release", r.Release, "must come from an entry that is leaving")
+		f.Add("release", r.Release, "false for an entry that is not leaving")
 	}
-	return f.err("renew lease")
+	return f.Err("renew lease", "")
 }
 
 // maxNameLength is the length of a name in a call, in bytes.
--- a/internal/control/member_calls.go
+++ b/internal/control/member_calls.go
@@ -36,11 +36,11 @@
 }
 
 func checkMember(r api.MemberRequest) error {
-	faults := structFaults(r)
+	list := checker.Check(r)
 	if r.Action == string(consensus.ChangeAddLearner) && r.Address == "" {
-		faults.add("address", r.Address, "must be the peer address of the learner")
+		list.Add("address", r.Address, "the peer address of the learner")
 	}
-	return faults.err(stepMember)
+	return list.Err(stepMember, "")
 }
 
 // memberChange converts a call. A learner is added under the first incarnation;
--- a/internal/control/operator_calls.go
+++ b/internal/control/operator_calls.go
@@ -6,6 +6,7 @@
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/faults"
 )
 
 const (
@@ -161,11 +162,11 @@
 }
 
 func checkOperator(step, operator string) error {
-	var f Faults
+	var f faults.List
 	if operator == "" || len(operator) > maxOperatorLength {
-		f.add("operator", operator, "must have 1 to %d characters", maxOperatorLength)
+		f.Add("operator", operator, "of 1 to %d characters", maxOperatorLength)
 	}
-	return f.err(step)
+	return f.Err(step, "")
 }
 
 func checkDecide(r api.DecideRequest) error {
--- a/internal/control/record_calls.go
+++ b/internal/control/record_calls.go
@@ -5,6 +5,7 @@
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/faults"
 )
 
 const (
@@ -81,35 +82,35 @@
 }
 
 func checkRecord(step string, r api.Record) error {
-	var f Faults
+	var f faults.List
 	if r.Account == "" || len(r.Account) > maxNameLength {
-		f.add("record.account", r.Account, "must have 1 to %d characters", maxNameLength)
+		f.Add("record.account", r.Account, "of 1 to %d characters", maxNameLength)
 	}
 	if r.Key == "" || len(r.Key) > maxKeyLength {
-		f.add("record.key", r.Key, "must have 1 to %d characters", maxKeyLength)
+		f.Add("record.key", r.Key, "of 1 to %d characters", maxKeyLength)
 	}
 	if r.Request == "" || len(r.Request) > maxNameLength {
-		f.add("record.request", r.Request, "must have 1 to %d characters", maxNameLength)
+		f.Add("record.request", r.Request, "of 1 to %d characters", maxNameLength)
 	}
 	if r.Entry == "" {
-		f.add("record.entry", r.Entry, "must not be empty")
+		f.Add("record.entry", r.Entry, "set")
 	}
 	if r.Incarnation == 0 {
-		f.add("record.incarnation", r.Incarnation, "must be 1 or more")
+		f.Add("record.incarnation", r.Incarnation, "1 or more")
 	}
-	return f.err(step)
+	return f.Err(step, "")
 }
 
 func checkSuspect(r api.SuspectRequest) error {
-	var f Faults
+	var f faults.List
 	if r.Fingerprint == "" || len(r.Fingerprint) > maxFingerprintLength {
-		f.add("fingerprint", r.Fingerprint, "must have 1 to %d characters", maxFingerprintLength)
+		f.Add("fingerprint", r.Fingerprint, "of 1 to %d characters", maxFingerprintLength)
 	}
 	if r.Group == "" {
-		f.add("group", r.Group, "must not be empty")
+		f.Add("group", r.Group, "set")
 	}
 	if r.Fencing == 0 {
-		f.add("fencing", r.Fencing, "must be 1 or more")
+		f.Add("fencing", r.Fencing, "1 or more")
 	}
-	return f.err("suspect request")
+	return f.Err("suspect request", "")
 }
--- a/internal/control/validate.go
+++ b/internal/control/validate.go
@@ -6,8 +6,12 @@
 	"strings"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/faults"
 )
 
+// checker names fields as they appear in JSON.
+var checker = faults.NewChecker("json")
+
 // configView is the configuration that an intent is checked against.
 type configView struct {
 	servingGroups map[api.ServingGroupName]api.ServingGroup
@@ -21,18 +25,18 @@
 // failure domain that is declared, announced by a host or an entry, or
 // declared by the same intent.
 func validateIntent(cfg configView, in api.Intent) error {
-	faults := structFaults(in)
-	checkNames(&faults, in)
-	checkRemovals(&faults, cfg, in)
-	checkDomains(&faults, cfg, in)
-	checkKeyHashes(&faults, cfg, in)
+	list := checker.Check(in)
+	checkNames(&list, in)
+	checkRemovals(&list, cfg, in)
+	checkDomains(&list, cfg, in)
+	checkKeyHashes(&list, cfg, in)
 	if reflect.DeepEqual(in, api.Intent{}) {
-		faults.add("intent", "empty", "must change something")
+		list.Add("intent", "empty", "a change of something")
 	}
-	return faults.err("validate intent")
+	return list.Err("validate intent", "")
 }
 
-func checkNames(f *Faults, in api.Intent) {
+func checkNames(f *faults.List, in api.Intent) {
 	groups := uniqueNames(f, "serving_groups", "name", in.ServingGroups, servingGroupKey)
 	accounts := uniqueNames(f, "accounts", "id", in.Accounts, accountKey)
 	uniqueNames(f, "domains", "name", in.Domains, domainKey)
@@ -45,7 +49,7 @@
 
 // checkCharacters refuses control characters, which would end a log line or
 // the key of a shard early.
-func checkCharacters(f *Faults, in api.Intent) {
+func checkCharacters(f *faults.List, in api.Intent) {
 	for i, sg := range in.ServingGroups {
 		printable(f, fmt.Sprintf("serving_groups[%d].name", i), string(sg.Name))
 		printable(f, fmt.Sprintf("serving_groups[%d].model", i), sg.Model)
@@ -61,58 +65,58 @@
 	}
 }
 
-func printable(f *Faults, field, value string) {
+func printable(f *faults.List, field, value string) {
 	if strings.ContainsFunc(value, func(r rune) bool { return r < ' ' }) {
-		f.add(field, fmt.Sprintf("%q", value), "must be free of control characters")
+		f.Add(field, value, "free of control characters")
 	}
 }
 
-func uniqueNames[K comparable, V any](f *Faults, list, field string, items []V, key func(V) K) map[K]struct{} {
+func uniqueNames[K comparable, V any](f *faults.List, list, field string, items []V, key func(V) K) map[K]struct{} {
 	seen := make(map[K]struct{}, len(items))
 	for i, item := range items {
 		name := key(item)
 		if _, ok := seen[name]; ok {
-			f.add(fmt.Sprintf("%s[%d].%s", list, i, field), name, "must be listed once")
+			f.Add(fmt.Sprintf("%s[%d].%s", list, i, field), name, "listed once")
 		}
 		seen[name] = struct{}{}
 	}
 	return seen
 }
 
-func removable[K comparable](f *Faults, list string, names []K, upserted map[K]struct{}) {
+func removable[K comparable](f *faults.List, list string, names []K, upserted map[K]struct{}) {
 	seen := make(map[K]struct{}, len(names))
 	for i, name := range names {
 		field := fmt.Sprintf("%s[%d]", list, i)
 		if _, ok := upserted[name]; ok {
-			f.add(field, name, "must not be changed by the same intent")
+			f.Add(field, name, "left alone by the rest of the same intent")
 		}
 		if _, ok := seen[name]; ok {
-			f.add(field, name, "must be listed once")
+			f.Add(field, name, "listed once")
 		}
 		seen[name] = struct{}{}
 	}
 }
 
-func checkRemovals(f *Faults, cfg configView, in api.Intent) {
+func checkRemovals(f *faults.List, cfg configView, in api.Intent) {
 	known(f, "remove.serving_groups", in.Remove.ServingGroups, cfg.servingGroups)
 	known(f, "remove.accounts", in.Remove.Accounts, cfg.accounts)
 	known(f, "remove.services", in.Remove.Services, cfg.services)
 }
 
-func known[K comparable, V any](f *Faults, list string, names []K, rows map[K]V) {
+func known[K comparable, V any](f *faults.List, list string, names []K, rows map[K]V) {
 	for i, name := range names {
 		if _, ok := rows[name]; !ok {
-			f.add(fmt.Sprintf("%s[%d]", list, i), name, "must exist")
+			f.Add(fmt.Sprintf("%s[%d]", list, i), name, "known")
 		}
 	}
 }
 
-func checkDomains(f *Faults, cfg configView, in api.Intent) {
+func checkDomains(f *faults.List, cfg configView, in api.Intent) {
 	declared := make(map[api.FailureDomain]struct{}, len(in.Domains))
 	for i, d := range in.Domains {
 		declared[d.Name] = struct{}{}
 		if _, ok := cfg.domains[d.Name]; !ok && d.State == api.DomainDrained {
-			f.add(fmt.Sprintf("domains[%d].name", i), d.Name, "must be a known failure domain to be drained")
+			f.Add(fmt.Sprintf("domains[%d].name", i), d.Name, "a known failure domain to be drained")
 		}
 	}
 	for i, sg := range in.ServingGroups {
@@ -120,14 +124,14 @@
 			_, ok := cfg.domains[name]
 			_, here := declared[name]
 			if !ok && !here {
-				f.add(fmt.Sprintf("serving_groups[%d].domains[%d]", i, j), name, "must be a known failure domain")
+				f.Add(fmt.Sprintf("serving_groups[%d].domains[%d]", i, j), name, "a known failure domain")
 			}
 		}
 	}
 }
 
 // checkKeyHashes keeps two accounts from sharing an API key.
-func checkKeyHashes(f *Faults, cfg configView, in api.Intent) {
+func checkKeyHashes(f *faults.List, cfg configView, in api.Intent) {
 	owners := make(map[string]api.AccountID)
 	replaced := make(map[api.AccountID]struct{}, len(in.Accounts))
 	for _, a := range in.Accounts {
@@ -149,14 +153,14 @@
 	}
 }
 
-func checkAccountHashes(f *Faults, owners map[string]api.AccountID, i int, a api.Account) {
+func checkAccountHashes(f *faults.List, owners map[string]api.AccountID, i int, a api.Account) {
 	for j, hash := range a.KeyHashes {
 		field := fmt.Sprintf("accounts[%d].key_hashes[%d]", i, j)
 		if hash != strings.ToLower(hash) {
-			f.add(field, hash, "must be in lower case")
+			f.Add(field, hash, "in lower case")
 		}
 		if owner, ok := owners[hash]; ok {
-			f.add(field, hash, "must be unique, account %s has it", owner)
+			f.Add(field, hash, "unique, account %s has it", owner)
 		}
 		owners[hash] = a.ID
 	}
