Instruments of the request path are created in one way

Cause: two packages created their instruments with the same six lines each. Change: a builder in telemetry. Ruled out: a global meter, which tests could not replace.

--- a/internal/pipeline/metrics.go
+++ b/internal/pipeline/metrics.go
@@ -5,12 +5,11 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
-	"go.opentelemetry.io/otel/metric/noop"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/telemetry"
 )
 
 // metrics are the instruments of the request path.
@@ -26,26 +25,17 @@
 
 // newMetrics creates the instruments; a nil meter measures nothing.
 func newMetrics(meter metric.Meter) (metrics, error) {
-	if meter == nil {
-		meter = noop.NewMeterProvider().Meter("")
+	in := telemetry.NewInstruments(meter)
+	m := metrics{
+		requests:   in.Counter("crocusway_requests", "Ended requests, by kind, outcome and refusal."),
+		attempts:   in.Counter("crocusway_request_attempts", "Dispatches to backend servers."),
+		cuts:       in.Counter("crocusway_streams_cut", "Streams that ended with an error event."),
+		resumes:    in.Counter("crocusway_streams_resumed", "Streams that continued on a further attempt."),
+		firstToken: in.Seconds("crocusway_first_token", "Time from the receipt of a request to its first token."),
+		duration:   in.Seconds("crocusway_request_duration", "Time from the receipt of a request to its end."),
+		labels:     newLabels(),
 	}
-	m := metrics{labels: newLabels()}
-	var failed error
-	note := func(err error) { failed = errors.CombineErrors(failed, err) }
-	var err error
-	m.requests, err = meter.Int64Counter("crocusway_requests", metric.WithDescription("Ended requests, by kind, outcome and refusal."))
-	note(err)
-	m.attempts, err = meter.Int64Counter("crocusway_request_attempts", metric.WithDescription("Dispatches to backend servers."))
-	note(err)
-	m.cuts, err = meter.Int64Counter("crocusway_streams_cut", metric.WithDescription("Streams that ended with an error event."))
-	note(err)
-	m.resumes, err = meter.Int64Counter("crocusway_streams_resumed", metric.WithDescription("Streams that continued on a further attempt."))
-	note(err)
-	m.firstToken, err = meter.Float64Histogram("crocusway_first_token", metric.WithUnit("s"), metric.WithDescription("Time from the receipt of a request to its first token."))
-	note(err)
-	m.duration, err = meter.Float64Histogram("crocusway_request_duration", metric.WithUnit("s"), metric.WithDescription("Time from the receipt of a request to its end."))
-	note(err)
-	return m, failed
+	return m, in.Err()
 }
 
 // endLabels are the labels of an ended request.
--- a/internal/shard/metrics.go
+++ b/internal/shard/metrics.go
@@ -4,12 +4,11 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
-	"go.opentelemetry.io/otel/metric/noop"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/telemetry"
 )
 
 // metrics are the instruments of the owner side.
@@ -23,24 +22,15 @@
 
 // newMetrics creates the instruments; a nil meter measures nothing.
 func newMetrics(meter metric.Meter) (metrics, error) {
-	if meter == nil {
-		meter = noop.NewMeterProvider().Meter("")
+	in := telemetry.NewInstruments(meter)
+	m := metrics{
+		grants:      in.Counter("crocusway_grants", "Grants made by this owner."),
+		refusals:    in.Counter("crocusway_grant_refusals", "Grants refused by this owner, by code."),
+		revocations: in.Counter("crocusway_grant_revocations", "Grants that were asked back for a claimed share."),
+		lapsed:      in.Counter("crocusway_grants_lapsed", "Grants that ran out without a settlement."),
+		wait:        in.Seconds("crocusway_grant_wait", "Time from the receipt of a request to its grant."),
 	}
-	var m metrics
-	var failed error
-	note := func(err error) { failed = errors.CombineErrors(failed, err) }
-	var err error
-	m.grants, err = meter.Int64Counter("crocusway_grants", metric.WithDescription("Grants made by this owner."))
-	note(err)
-	m.refusals, err = meter.Int64Counter("crocusway_grant_refusals", metric.WithDescription("Grants refused by this owner, by code."))
-	note(err)
-	m.revocations, err = meter.Int64Counter("crocusway_grant_revocations", metric.WithDescription("Grants that were asked back for a claimed share."))
-	note(err)
-	m.lapsed, err = meter.Int64Counter("crocusway_grants_lapsed", metric.WithDescription("Grants that ran out without a settlement."))
-	note(err)
-	m.wait, err = meter.Float64Histogram("crocusway_grant_wait", metric.WithUnit("s"), metric.WithDescription("Time from the receipt of a request to its grant."))
-	note(err)
-	return m, failed
+	return m, in.Err()
 }
 
 // groupLabel returns the attributes of a shard's instruments.
