Levels for the log lines of control

Cause: lines of control had no level, so that failed duties read as information. Change: warnings for failed duties, dropped announcements and lost leadership, the rest information. Ruled out: the default of the logger alone.

--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/crocusway/crocusway/internal/api"
 )
 
@@ -54,7 +56,7 @@
 // report logs a failed duty, which the next round repeats.
 func (s *Service) report(duty string, err error) {
 	if err != nil {
-		s.logger.Log("msg", "Duty failed", "duty", duty, "err", err)
+		level.Warn(s.logger).Log("msg", "Duty failed", "duty", duty, "err", err)
 	}
 }
 
@@ -83,7 +85,7 @@
 	}
 	lead.leases.endExpiry(row.Info.ID)
 	s.renewed.wake()
-	s.logger.Log("msg", "Entry lease ended", "entry", row.Info.ID, "incarnation", row.Info.Incarnation)
+	level.Info(s.logger).Log("msg", "Entry lease ended", "entry", row.Info.ID, "incarnation", row.Info.Incarnation)
 	return nil
 }
 
--- a/internal/control/entry_calls.go
+++ b/internal/control/entry_calls.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
 	"github.com/crocusway/crocusway/internal/faults"
@@ -64,7 +66,7 @@
 	}
 	_, err := propose[entryRow](ctx, s, cmd)
 	if err == nil {
-		s.logger.Log("msg", "Entry registered", "entry", info.ID, "incarnation", info.Incarnation, "leaving", info.Leaving)
+		level.Info(s.logger).Log("msg", "Entry registered", "entry", info.ID, "incarnation", info.Incarnation, "leaving", info.Leaving)
 	}
 	return err
 }
@@ -165,7 +167,7 @@
 		changed = changed || news
 	}
 	if dropped > 0 {
-		s.logger.Log("msg", "Announcements dropped", "count", dropped, "first", first.Error())
+		level.Warn(s.logger).Log("msg", "Announcements dropped", "count", dropped, "first", first.Error())
 	}
 	return accepted, changed
 }
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
 )
@@ -62,7 +64,7 @@
 	if old := s.leading.Swap(lead); old != nil {
 		old.cancel()
 	}
-	s.logger.Log("msg", "Leading", "term", term, "revision", s.state.Revision())
+	level.Info(s.logger).Log("msg", "Leading", "term", term, "revision", s.state.Revision())
 	return lead, nil
 }
 
@@ -117,7 +119,7 @@
 func (s *Service) stepDown() {
 	if old := s.leading.Swap(nil); old != nil {
 		old.cancel()
-		s.logger.Log("msg", "Not leading any more", "term", old.term)
+		level.Warn(s.logger).Log("msg", "Not leading any more", "term", old.term)
 	}
 }
 
--- a/internal/control/member_calls.go
+++ b/internal/control/member_calls.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/consensus"
 	"github.com/crocusway/crocusway/internal/errs"
@@ -31,7 +33,7 @@
 	if err != nil {
 		return none, errs.Wrap(err, stepMember, "")
 	}
-	s.logger.Log("msg", "Member changed", "action", r.Action, "voter", r.Voter)
+	level.Info(s.logger).Log("msg", "Member changed", "action", r.Action, "voter", r.Voter)
 	return none, nil
 }
 
--- a/internal/control/operator_calls.go
+++ b/internal/control/operator_calls.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
 	"github.com/crocusway/crocusway/internal/faults"
@@ -37,7 +39,7 @@
 		if err != nil {
 			return none, err
 		}
-		s.logger.Log("msg", "Plan recorded", "plan", plan.ID, "operator", r.Operator)
+		level.Info(s.logger).Log("msg", "Plan recorded", "plan", plan.ID, "operator", r.Operator)
 		return api.PlanResponse{Plan: plan}, nil
 	}
 }
@@ -84,7 +86,7 @@
 	if err != nil {
 		return none, err
 	}
-	s.logger.Log("msg", "Plan decided", "plan", plan.ID, "state", plan.State, "operator", r.Operator, "revision", plan.Decided)
+	level.Info(s.logger).Log("msg", "Plan decided", "plan", plan.ID, "state", plan.State, "operator", r.Operator, "revision", plan.Decided)
 	s.requestReconcile()
 	if plan.State != api.PlanConfirmed {
 		return api.DecideResponse{Plan: plan}, nil
