A test of the full queue that depended on the kernel; no cached verdicts

Ruled out: an unbounded queue; the notification before was refused. Change: (1) the check fills the queue and calls again until the call itself is refused as full; any code but full and timeout still fails; (2) make test runs with -count=1.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 
 # The tests, with the race detector and fixed fuzz seeds.
 test:
-	$(GO) test -race -timeout 20m ./...
+	$(GO) test -race -count=1 -timeout 20m ./...
 
 $(BIN)/golangci-lint: tools/go.mod tools/go.sum
 	cd tools && $(GO) build -o ../$(BIN)/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
--- a/internal/peer/contract_test.go
+++ b/internal/peer/contract_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -373,10 +374,17 @@
 	require.NoError(t, err)
 	p := <-accepted
 	text := strings.Repeat("x", 60<<10)
+	// The kernel may take bytes from a full queue at any moment, so that a call
+	// right after a refused notification may still find room and time out.
 	require.Eventually(t, func() bool {
-		return errs.Is(n.Notify(s.addr(), "test.note", echo{Text: text}), errs.Full)
-	}, waitFor, time.Microsecond)
-	require.Equal(t, errs.Full, errs.CodeOf(n.Call(t.Context(), s.addr(), methodEcho, echo{Text: text}, nil)))
+		for !errs.Is(n.Notify(s.addr(), "test.note", echo{Text: text}), errs.Full) {
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), pollAt)
+		defer cancel()
+		code := errs.CodeOf(n.Call(ctx, s.addr(), methodEcho, echo{Text: text}, nil))
+		assert.Contains(t, []errs.Code{errs.Full, errs.Timeout}, code)
+		return code == errs.Full
+	}, waitFor, pollAt)
 	require.Positive(t, n.Stats().QueueFull)
 
 	go func() {
