One check of whole answers in the process tests

Cause: four process tests spelled out the same three requirements on each stream. Change: requireWhole; the same checks, none dropped. Ruled out: nothing else moves.

--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -197,11 +197,7 @@
 			answers, failures := wait()
 			<-stopping.exited
 			require.True(t, stopping.cmd.ProcessState.Success(), stopping.logText())
-			for i, a := range answers {
-				require.NoError(t, failures[i])
-				require.True(t, a.Whole(), "answer %d: %d tokens, outcome %q", i, len(a.Tokens), a.Outcome)
-				require.Len(t, a.Tokens, tokens)
-			}
+			requireWhole(t, answers, failures, tokens)
 			c.awaitAnswer()
 		})
 	}
--- a/internal/e2e/request_test.go
+++ b/internal/e2e/request_test.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// requireWhole requires that every stream ended whole with its tokens.
+func requireWhole(t *testing.T, answers []caller.Answer, failures []error, tokens int) {
+	t.Helper()
+	for i, a := range answers {
+		require.NoError(t, failures[i])
+		require.True(t, a.Whole(), "answer %d: %d tokens, outcome %q", i, len(a.Tokens), a.Outcome)
+		require.Len(t, a.Tokens, tokens)
+	}
+}
+
 // requireBorne requires that no engine was given more than it bore.
 func (c *cluster) requireBorne() {
 	c.t.Helper()
@@ -91,11 +101,7 @@
 				return true
 			})
 			answers, failures := wait()
-			for i, a := range answers {
-				require.NoError(t, failures[i])
-				require.True(t, a.Whole(), "answer %d: %d tokens, outcome %q", i, len(a.Tokens), a.Outcome)
-				require.Len(t, a.Tokens, tokens)
-			}
+			requireWhole(t, answers, failures, tokens)
 			c.rejoin(owner, tc.signal)
 			c.await("4 live entries", func(s api.StatusResponse) bool { return liveEntries(s) == 4 })
 			c.awaitAnswer()
@@ -171,11 +177,7 @@
 		require.False(t, a.Whole())
 	}
 	answers, failures := wait()
-	for i, a := range answers {
-		require.NoError(t, failures[i])
-		require.True(t, a.Whole(), "innocent answer %d: %d tokens, outcome %q", i, len(a.Tokens), a.Outcome)
-		require.Len(t, a.Tokens, tokens)
-	}
+	requireWhole(t, answers, failures, tokens)
 	require.LessOrEqual(t, c.fleet.Falls(), 2, "two replicas are the price of knowing")
 	a, err := c.caller.Chat(context.Background(), model, poison, 16)
 	require.NoError(t, err)
@@ -218,11 +220,7 @@
 	}
 	for _, wait := range waits {
 		answers, failures := wait()
-		for i, a := range answers {
-			require.NoError(t, failures[i])
-			require.True(t, a.Whole(), "answer %d: %d tokens, outcome %q", i, len(a.Tokens), a.Outcome)
-			require.Len(t, a.Tokens, tokens)
-		}
+		requireWhole(t, answers, failures, tokens)
 	}
 	c.awaitAnswer()
 }
