A handshake that times out is counted once

The check of deadlines runs each tick; the event loop closes the connection later, on its own goroutine. On a busy machine the next tick came first, asked to close again and counted the same handshake a second time.

Ruled out: a lost timeout (the count only grows, and the two other cases of the test passed in the same run); a second connection (the test makes one).

Change: a link remembers that its close was asked for; only the first request logs and counts. The same held for the idle timeout, which logged twice.

Figures: TestTimeoutIsCountedOnce checks one link three times before the close runs. After: 1, and one close.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -43,6 +43,7 @@
 	mu      sync.Mutex
 	conn    gnet.Conn
 	remote  string
+	closing bool
 	closed  bool
 	lastID  uint64
 	pending map[uint64]*call
@@ -137,15 +138,18 @@
 	}
 }
 
-// close asks the event loop to close the connection.
-func (l *link) close(cause error) {
+// close asks the event loop to close the connection. It reports whether this
+// call was the first to ask.
+func (l *link) close(cause error) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.closed || l.conn == nil {
-		return
+	if l.closed || l.closing || l.conn == nil {
+		return false
 	}
+	l.closing = true
 	_ = level.Warn(l.node.logger).Log("msg", "closing link", "peer", l.remote, "err", cause)
 	_ = l.conn.Close()
+	return true
 }
 
 // isClosed reports whether the connection is gone.
@@ -240,9 +244,9 @@
 func (l *link) check(now time.Time) {
 	cfg := l.node.cfg
 	if !l.ready.Load() {
-		if now.Sub(l.opened) > cfg.HandshakeTimeout {
+		late := now.Sub(l.opened) > cfg.HandshakeTimeout
+		if late && l.close(errors.Wrap(errHandshake, "timeout")) {
 			l.node.counters.handshakeFailures.Add(1)
-			l.close(errors.Wrap(errHandshake, "timeout"))
 		}
 		return
 	}
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/panjf2000/gnet/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -217,3 +218,30 @@
 	_, err := Start(Config{Address: b.Addr(), Secret: testSecret})
 	require.Error(t, err)
 }
+
+// slowConn is a connection whose close has not run yet.
+type slowConn struct {
+	gnet.Conn
+	closes int
+}
+
+func (c *slowConn) Close() error {
+	c.closes++
+	return nil
+}
+
+// TestTimeoutIsCountedOnce checks a link again while the event loop has not
+// closed it yet.
+func TestTimeoutIsCountedOnce(t *testing.T) {
+	n := startNode(t, nil)
+	conn := &slowConn{}
+	l := newLink(n, false, "silent")
+	l.attach(conn)
+	t.Cleanup(l.cancel)
+	late := l.opened.Add(2 * n.cfg.HandshakeTimeout)
+	for range 3 {
+		l.check(late)
+	}
+	require.Equal(t, int64(1), n.Stats().HandshakeFailures)
+	require.Equal(t, 1, conn.closes)
+}
