The stand-in's load time is changed under its own atomic value

Ruled out: a race in the product (only the stand-in reads these settings).

Change: the load time may change during a run, by SetLoadTime, as a slower weight store would; the settings stay as they were at the start.

--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -139,7 +139,7 @@
 	f := startFleet(t, func(c *Config) { c.Engine.LoadTime = time.Millisecond })
 	h := f.Hosts()[0]
 	form(t, "g1", 1, h)
-	f.cfg.Engine.LoadTime = time.Hour
+	f.SetLoadTime(time.Hour)
 	form(t, "g1", 2, h)
 }
 
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -31,6 +31,8 @@
 	byID      map[api.HostID]*Host
 
 	direct atomic.Int64
+	// loadTime is how long a host loads a model, in nanoseconds.
+	loadTime atomic.Int64
 
 	mu      sync.Mutex
 	closed  bool
@@ -54,6 +56,7 @@
 		byID:     make(map[api.HostID]*Host),
 		counts:   make(map[serviceKey]int),
 	}
+	f.SetLoadTime(cfg.Engine.LoadTime)
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.server = &fasthttp.Server{
 		Handler:               f.serve,
@@ -181,6 +184,13 @@
 // SetEntries replaces the entries to announce to.
 func (f *Fleet) SetEntries(addresses []string) { f.announcer.learn(addresses) }
 
+// SetLoadTime changes how long the loads take that begin from now on, as a
+// slower weight store would.
+func (f *Fleet) SetLoadTime(d time.Duration) { f.loadTime.Store(int64(d)) }
+
+// LoadTime returns how long a load takes that begins now.
+func (f *Fleet) LoadTime() time.Duration { return time.Duration(f.loadTime.Load()) }
+
 // CrashOn makes every host fall over that runs a request whose body contains
 // text; an empty text ends it.
 func (f *Fleet) CrashOn(text string) {
--- a/internal/standin/order.go
+++ b/internal/standin/order.go
@@ -80,7 +80,7 @@
 		rank:    o.Rank,
 		members: slices.Clone(o.Members),
 		model:   o.Model,
-		readyAt: h.fleet.cfg.Clock.Now().Add(h.fleet.cfg.Engine.LoadTime),
+		readyAt: h.fleet.cfg.Clock.Now().Add(h.fleet.LoadTime()),
 		highest: old.highest,
 	}
 	if old.model == o.Model && old.rank == o.Rank && len(old.members) == len(o.Members) {
