Process tests draw all their addresses before they release one

Each address was drawn by itself, listener closed at once; the kernel may give a closed port out again. One of the two processes then ends with "address in use".

Ruled out: other users of the address (each test process has its own loopback address, and outgoing connections leave from another one).

Change: all 8 listeners are held until the last address is known. A failed test prints the end of each process's log, so the next cause is seen at once.

--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -35,6 +35,11 @@
 	poll     = 50 * time.Millisecond
 	// callLimit bounds one call, so that a frozen entry does not hold it.
 	callLimit = 5 * time.Second
+	// clusterEntries is the number of daemons; each listens on two addresses.
+	clusterEntries   = 4
+	clusterAddresses = 2 * clusterEntries
+	// logTail is how much of each process's log a failed test prints, in bytes.
+	logTail = 4 << 10
 )
 
 var domains = []api.FailureDomain{"cairo", "alexandria", "tanta"}
@@ -83,33 +88,51 @@
 	caller    *caller.Client
 }
 
-// freeAddress returns an address with a port that the kernel chose. It is free
-// until a process of the cluster binds it: nothing else uses this loopback
-// address, which only the present test process has.
-func freeAddress(t *testing.T) string {
+// freeAddresses returns n different addresses with ports that the kernel chose.
+// The kernel may give a closed port out again, so all are held until the last is
+// known. They stay free until a process of the cluster binds them: nothing else
+// uses this loopback address, which only the present test process has.
+func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
 	pid := os.Getpid()
 	own := netip.AddrFrom4([4]byte{127, byte(64 + pid>>16&63), byte(pid >> 8), byte(pid)})
-	ln, err := net.Listen("tcp", netip.AddrPortFrom(own, 0).String())
-	require.NoError(t, err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	out := make([]string, 0, n)
+	for range n {
+		ln, err := net.Listen("tcp", netip.AddrPortFrom(own, 0).String())
+		require.NoError(t, err)
+		defer func() { _ = ln.Close() }()
+		out = append(out, ln.Addr().String())
+	}
+	return out
+}
+
+// TestFreeAddressesDiffer draws the addresses of many clusters.
+func TestFreeAddressesDiffer(t *testing.T) {
+	for range 2000 {
+		seen := make(map[string]bool)
+		for _, a := range freeAddresses(t, clusterAddresses) {
+			require.False(t, seen[a], "address %s twice", a)
+			seen[a] = true
+		}
+	}
 }
 
 func startCluster(t *testing.T) *cluster {
 	t.Helper()
 	c := &cluster{t: t}
 	dir := t.TempDir()
-	for i := range 4 {
+	free := freeAddresses(t, clusterAddresses)
+	for i := range clusterEntries {
 		c.processes = append(c.processes, &process{
 			t:       t,
 			name:    fmt.Sprintf("entry%d", i+1),
-			peer:    freeAddress(t),
-			callers: freeAddress(t),
+			peer:    free[2*i],
+			callers: free[2*i+1],
 			dataDir: filepath.Join(dir, fmt.Sprintf("entry%d", i+1)),
 			log:     filepath.Join(dir, fmt.Sprintf("entry%d.log", i+1)),
 		})
 	}
+	t.Cleanup(c.printLogs)
 	for i, p := range c.processes {
 		p.env = c.environment(i)
 		p.start("CROCUSWAY_BOOTSTRAP=true")
@@ -208,6 +231,17 @@
 	return string(raw)
 }
 
+// printLogs prints the end of each process's log if the test failed.
+func (c *cluster) printLogs() {
+	if !c.t.Failed() {
+		return
+	}
+	for _, p := range c.processes {
+		text := p.logText()
+		c.t.Logf("%s:\n%s", p.name, text[max(0, len(text)-logTail):])
+	}
+}
+
 // await polls the leader's status until it holds.
 func (c *cluster) await(what string, holds func(api.StatusResponse) bool) api.StatusResponse {
 	c.t.Helper()
