A learner that never answered has not caught up

Cause: a trial of the recovery from a lost majority showed a member as a voter that had never answered. A learner counts as caught up when it lacks at most 64 entries; in a log shorter than that, one with nothing at all lacks few enough. As a voter it counts for the quorum: with one voter and two such members, the next loss of the lease could not be mended.

Ruled out: acknowledgements of an older incarnation (they were refused; the match was 0).

Change: a learner must have acknowledged an entry under its present incarnation.

Figures: TestSilentLearnerIsNotPromoted promoted the silent member before, and gets "unavailable" after. A log is never empty at that point: its leader has committed an entry of its term.

--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -223,9 +223,11 @@
 	return n
 }
 
+// caughtUp reports whether a learner lacks few entries. One that has not yet
+// acknowledged any under its present incarnation has not, however short the log.
 func (c *Core) caughtUp(m Member) bool {
 	p := c.peers[m.ID]
-	if p == nil || m.Incarnation == 0 || p.match < c.log.offset {
+	if p == nil || m.Incarnation == 0 || p.match == 0 || p.match < c.log.offset {
 		return false
 	}
 	return p.match+promoteLag >= c.log.last()
--- a/internal/consensus/server_test.go
+++ b/internal/consensus/server_test.go
@@ -119,6 +119,18 @@
 	c.converged(want)
 }
 
+// TestSilentLearnerIsNotPromoted adds a member that never answers to a log so
+// short that the allowed lag spans all of it.
+func TestSilentLearnerIsNotPromoted(t *testing.T) {
+	c := newCluster(t, 3)
+	c.propose("c0")
+	silent := consensus.Member{ID: "v4", Address: "addr-v4", Incarnation: 5}
+	c.change(consensus.Change{Kind: consensus.ChangeAddLearner, Member: silent})
+	c.propose("c1")
+	err := c.leader().server.ChangeMembers(t.Context(), consensus.Change{Kind: consensus.ChangePromote, Member: silent})
+	require.Equal(t, errs.Unavailable, errs.CodeOf(err), "%v", err)
+}
+
 // change repeats a membership change until it is accepted.
 func (c *cluster) change(change consensus.Change) {
 	c.t.Helper()
