A lost majority can be recovered from the last voter

Ruled out: starting anew from the intent (reloads every group, loses records); copying a folder to another voter (two voters with one promise); taking the last voter's state under the old numbers (entries that hold a later revision would never follow, fencing numbers and epochs would be given out twice).

The command skips as many revisions, fencing numbers and plan numbers, starts every watch with the full view and leases every shard anew. An open of a data folder can refuse a missing or empty one.

--- a/internal/control/counters.go
+++ b/internal/control/counters.go
@@ -68,6 +68,15 @@
 	c.values.Required = at
 }
 
+// skip leaves out numbers that a lost majority may have given out.
+func (c *counters) skip(gap uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values.Revision += api.Revision(gap)
+	c.values.Fencing += api.Fencing(gap)
+	c.values.Plan += api.PlanID(gap)
+}
+
 // leased notes that a shard lease changes at a revision.
 func (c *counters) leased(at api.Revision) {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/control/recover_command.go
@@ -0,0 +1,74 @@
+package control
+
+import (
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// recoveryGap is how many revisions, fencing numbers and plan numbers a
+// recovery skips, so that none that lost voters may have given out is given
+// out again. Entries, which never apply a lower revision, then follow again.
+const recoveryGap = 1 << 20
+
+// recoverCommand continues from the state of one voter after a majority was
+// lost for good.
+type recoverCommand struct {
+	Operator string `cbor:"1,keyasint"`
+	// Gap is the number of revisions, fencing numbers and plans to skip.
+	Gap uint64 `cbor:"2,keyasint"`
+	// Lost lists the voters that were given up.
+	Lost []api.VoterID `cbor:"3,keyasint"`
+}
+
+// EncodeRecovery returns the command that follows a recovery from a lost
+// majority in the log.
+func EncodeRecovery(operator string, lost []api.VoterID, now time.Time) ([]byte, error) {
+	cmd := &recoverCommand{Operator: operator, Gap: recoveryGap, Lost: lost}
+	return encodeCommand(cmd, now.UnixMilli())
+}
+
+func (*recoverCommand) kind() commandKind { return kindRecover }
+
+func (c *recoverCommand) apply(t *tx) (any, error) {
+	if c.Gap == 0 || c.Gap > recoveryGap {
+		return nil, refuse(errs.Invalid, "recover", "gap %d, allowed are 1 to %d", c.Gap, recoveryGap)
+	}
+	t.counters.skip(c.Gap)
+	// No entry may take a view that holds lost changes for an older one of this
+	// state: every watch starts with the full view.
+	t.changes.reset(t.Revision())
+	t.changed = true
+	t.counters.configured(t.next())
+	c.endShardLeases(t)
+	t.history.add(historyRow{
+		Config: t.ConfigRevision(),
+		Item: api.HistoryItem{
+			Revision:   t.next(),
+			Operator:   c.Operator,
+			UnixMillis: t.now,
+			Summary:    c.summary(),
+		},
+	})
+	return api.Empty{}, nil
+}
+
+// endShardLeases lets every shard be leased anew at a higher epoch: the lost
+// voters may have moved any of them, and only a handover counts what runs.
+func (*recoverCommand) endShardLeases(t *tx) {
+	t.counters.leased(t.next())
+	for _, lease := range t.shards.list() {
+		key := shardKey(lease.Shard)
+		t.shards.del(key)
+		t.touch(tableShards, key)
+	}
+}
+
+func (c *recoverCommand) summary() string {
+	s := "recovered from a lost majority; given up:"
+	for _, id := range c.Lost {
+		s += " " + string(id)
+	}
+	return s
+}
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -20,6 +20,8 @@
 	// consensus.BootstrapIncarnation. Without it, an empty folder is a lost disk
 	// and gets a new incarnation.
 	Bootstrap bool
+	// Existing refuses a folder that is missing or empty in place of creating it.
+	Existing bool
 	// SegmentBytes is the size at which a new segment starts, in bytes.
 	SegmentBytes int64
 	// FS is the file system; nil stands for OS.
@@ -85,8 +87,8 @@
 		opts.NewIncarnation = func() api.Incarnation { return api.Incarnation(time.Now().UnixNano()) }
 	}
 	s := &Store{dir: dir, opts: opts, fs: opts.FS}
-	if err := s.fs.MkdirAll(dir); err != nil {
-		return nil, fault("create data folder", dir, err)
+	if err := s.prepareFolder(); err != nil {
+		return nil, err
 	}
 	lock, err := s.fs.Lock(s.path(lockName))
 	if err != nil {
@@ -100,6 +102,20 @@
 	return s, nil
 }
 
+// prepareFolder creates the folder unless it has to be there already.
+func (s *Store) prepareFolder() error {
+	if s.opts.Existing {
+		if _, err := s.fs.ReadFile(s.path(identityName)); err != nil {
+			return errs.New(errs.NotFound, "open data folder", "", "%s holds no voter: %v", s.dir, err)
+		}
+		return nil
+	}
+	if err := s.fs.MkdirAll(s.dir); err != nil {
+		return fault("create data folder", s.dir, err)
+	}
+	return nil
+}
+
 // fault returns an error that names the file.
 func fault(step, name string, err error) error {
 	return errs.New(errs.Internal, step, "", "%s: %w", name, err)
