One round of control's duties runs at a time

Cause: TestCallsRunConcurrently failed once with a data race: two rounds of the leader's duties wrote the time of the slow duties at once. The round was meant for one goroutine, which only its comment said; the test calls it from six.

Ruled out: a race in the running daemon, where one loop calls it.

Change: a lock in the service holds a second round back until the first is done, so that nobody has to keep the comment in mind. The test stays as it was.

--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -21,6 +21,8 @@
 // tick runs one round of duties, if this voter leads, and wakes waiting calls
 // so that they see the time.
 func (s *Service) tick(ctx context.Context) {
+	s.ticking.Lock()
+	defer s.ticking.Unlock()
 	defer s.ticks.wake()
 	ctx, cancel := context.WithTimeout(ctx, dutyTimeout)
 	defer cancel()
@@ -37,8 +39,7 @@
 	s.slowDuties(ctx, lead, now)
 }
 
-// slowDuties runs what needs no more than a round a second. Only tick calls it,
-// from one goroutine.
+// slowDuties runs what needs no more than a round a second, as a part of tick.
 func (s *Service) slowDuties(ctx context.Context, lead *leadership, now time.Time) {
 	if now.Sub(lead.slowRound) < slowInterval {
 		return
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -24,8 +24,10 @@
 	metrics *metrics
 
 	// leading is the present leadership, nil on a follower.
-	leading    atomic.Pointer[leadership]
-	leadingMu  sync.Mutex
+	leading   atomic.Pointer[leadership]
+	leadingMu sync.Mutex
+	// ticking lets one round of duties run at a time.
+	ticking    sync.Mutex
 	reconciled chan struct{}
 	ticks      *broadcast
 	renewed    *broadcast
