Every refusal of the callers' side carries its outcome

Ruled out: a listener that answers by itself (a second writer of HTTP).

Change: up to 128 connections beyond the limit are opened to be refused on their first request, with the list of other entries, and closed; connections that were let in go on. OPTIONS is refused like any other method.

Figures: TestConnectionBeyondTheLimitIsTold and the case "options" of TestCallerContract; both failed before (no outcome header).

Beyond limit + 128 the bare 503 stays: then no request is read.

--- a/internal/pipeline/conn_test.go
+++ b/internal/pipeline/conn_test.go
@@ -5,12 +5,14 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttputil"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -74,3 +76,42 @@
 	h.server.Wait()
 	require.Zero(t, h.grants.outstanding())
 }
+
+// TestConnectionBeyondTheLimitIsTold opens one connection more than the limit.
+// The first stays open and is served again.
+func TestConnectionBeyondTheLimitIsTold(t *testing.T) {
+	h := newHarness(Settings{MaxConns: 1})
+	h.backends.do = func(context.Context, backend.Request) (*backend.Response, error) {
+		return &backend.Response{Status: 200, Body: []byte("{}")}, nil
+	}
+	ln := fasthttputil.NewInmemoryListener()
+	done := make(chan error, 1)
+	go func() { done <- h.server.HTTP().Serve(ln) }()
+	first, err := ln.Dial()
+	require.NoError(t, err)
+	ask := func(conn net.Conn) answer {
+		body := `{"model":"scribe-1","messages":[{"n":1}]}`
+		go func() {
+			_, _ = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testKey, len(body), body)
+		}()
+		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, res.Body)
+		require.NoError(t, err)
+		require.NoError(t, res.Body.Close())
+		return answer{status: res.StatusCode, header: res.Header, closed: res.Close}
+	}
+	require.Equal(t, 200, ask(first).status)
+	second, err := ln.Dial()
+	require.NoError(t, err)
+	res := ask(second)
+	require.Equal(t, 503, res.status)
+	require.Equal(t, api.OutcomeNotRun, res.outcome())
+	require.NotEmpty(t, res.header.Get(fasthttp.HeaderRetryAfter))
+	require.True(t, res.closed)
+	require.Equal(t, 200, ask(first).status)
+	_ = first.Close()
+	_ = second.Close()
+	_ = ln.Close()
+	require.NoError(t, <-done)
+}
--- /dev/null
+++ b/internal/pipeline/connections.go
@@ -0,0 +1,27 @@
+package pipeline
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// overflowConns is how many connections beyond Settings.MaxConns are opened to
+// be told so in the form of every refusal. Further ones get the HTTP library's
+// bare 503 before anything of a request is read.
+const overflowConns = 128
+
+// limitConns refuses the first request of each connection beyond the limit and
+// closes the connection. Connections that were let in stay.
+func (s *Server) limitConns(server *fasthttp.Server, next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		open := int(server.GetOpenConnectionsCount())
+		if ctx.ConnRequestNum() > 1 || open <= s.cfg.Settings.MaxConns {
+			next(ctx)
+			return
+		}
+		r := unavailable("too_many_connections", "this entry has as many connections as it takes", nil)
+		r.handOver = true
+		s.writeRefusal(ctx, r, newRequestID(), api.OutcomeNotRun)
+	}
+}
--- a/internal/pipeline/contract_test.go
+++ b/internal/pipeline/contract_test.go
@@ -72,6 +72,7 @@
 		{"unknown service", "GET", "/services/nothing/x", testKey, "", nil, 404, "service_not_found", ""},
 		{"missing idempotency key", "POST", ledger, testKey, `{}`, nil, 400, "invalid_request", api.HeaderIdempotencyKey},
 		{"long idempotency key", "POST", ledger, testKey, `{}`, []string{api.HeaderIdempotencyKey, long}, 400, "invalid_request", api.HeaderIdempotencyKey},
+		{"options", "OPTIONS", "/v1/chat/completions", testKey, ``, nil, 405, "no_route", ""},
 		{"dot segments", "POST", "/services/ledger/quote/../deposits", testKey, `{}`, nil, 400, "invalid_request", "path"},
 		{"encoded dot segments", "POST", "/services/ledger/quote/%2e%2E/deposits", testKey, `{}`, nil, 400, "invalid_request", "path"},
 		{"encoded slash", "POST", "/services/ledger/quote%2fx", testKey, `{}`, nil, 400, "invalid_request", "path"},
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -77,6 +77,7 @@
 	r := router.New()
 	r.RedirectTrailingSlash = false
 	r.RedirectFixedPath = false
+	r.HandleOPTIONS = false
 	r.POST("/v1/chat/completions", s.handle(callChat))
 	r.POST("/v1/completions", s.handle(callCompletion))
 	r.GET("/v1/models", s.serveModels)
@@ -97,10 +98,9 @@
 // HTTP returns a server with the limits of the settings.
 func (s *Server) HTTP() *fasthttp.Server {
 	set := s.cfg.Settings
-	return &fasthttp.Server{
-		Handler:                       s.Handler(),
+	server := &fasthttp.Server{
 		Name:                          "crocusway",
-		Concurrency:                   set.MaxConns,
+		Concurrency:                   set.MaxConns + overflowConns,
 		ReadBufferSize:                set.MaxHeaderBytes,
 		MaxRequestBodySize:            set.MaxBodyBytes,
 		ReadTimeout:                   set.ReadTimeout,
@@ -113,6 +113,8 @@
 		Logger:                        quietLogger{},
 		DisableHeaderNamesNormalizing: false,
 	}
+	server.Handler = s.limitConns(server, s.Handler())
+	return server
 }
 
 // Wait returns once every call that was taken has ended.
