One change is carried into several regions

Ruled out: one quorum over all regions (a region that is cut off accepts nothing), a quorum of quorums (a second protocol), a daemon in charge of the others (one more role with state).

Change: crocusway ctl region plan, confirm, reject, status. The client splits an intent, plans in every region that it reaches, confirms in order until one refuses, and keeps the progress in a file that is replaced in one step. Status names the accounts and services in which regions differ.

The regions differ until the last one has accepted; that is shown, not hidden.

--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -32,20 +32,33 @@
 
 func (c *common) register(fs *flag.FlagSet) {
 	fs.StringVar(&c.entries, "entries", "127.0.0.1:7200", "comma-separated caller addresses of daemons, tried in turn")
+	c.registerCommon(fs)
+}
+
+// registerCommon registers what commands for one and for several regions take.
+func (c *common) registerCommon(fs *flag.FlagSet) {
 	fs.StringVar(&c.tokenFile, "operator-token-file", "", "file with the bearer token of operators; or "+config.EnvName("operator-token")+" with the value")
 	fs.StringVar(&c.operator, "operator", os.Getenv("USER"), "name of the operator in the history")
 	fs.BoolVar(&c.json, "json", false, "print one JSON value")
 }
 
 func (c *common) client() (*Client, error) {
-	token, err := config.ReadSecret("operator-token", c.tokenFile)
+	token, err := c.token()
 	if err != nil {
 		return nil, err
 	}
+	return NewClient(strings.Split(c.entries, ","), token, c.operator), nil
+}
+
+func (c *common) token() (config.Secret, error) {
+	token, err := config.ReadSecret("operator-token", c.tokenFile)
+	if err != nil {
+		return "", err
+	}
 	if token == "" {
-		return nil, errors.Mark(errors.Newf("operator-token: value \"\", must be set by --operator-token-file or %s", config.EnvName("operator-token")), ErrUsage)
+		return "", errors.Mark(errors.Newf("operator-token: value \"\", must be set by --operator-token-file or %s", config.EnvName("operator-token")), ErrUsage)
 	}
-	return NewClient(strings.Split(c.entries, ","), token, c.operator), nil
+	return token, nil
 }
 
 // action runs one subcommand and returns what to print.
@@ -75,6 +88,7 @@
 			b.domainCommand("drain", "take a failure domain out", api.DomainDrained),
 			b.domainCommand("restore", "bring a failure domain back", api.DomainActive),
 			b.memberCommand(),
+			b.regionCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/internal/ctl/print.go
+++ b/internal/ctl/print.go
@@ -11,6 +11,7 @@
 	"github.com/olekukonko/tablewriter"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/region"
 )
 
 // print writes a result as one JSON value or in the form for operators.
@@ -32,6 +33,10 @@
 	case api.MemberRequest:
 		_, err := fmt.Fprintf(b.out, "%s %s: accepted\n", r.Action, r.Voter)
 		return err
+	case region.Change:
+		return printChange(b.out, r)
+	case region.Overview:
+		return printOverview(b.out, r)
 	default:
 		return PrintJSON(b.out, result)
 	}
--- a/internal/ctl/print_test.go
+++ b/internal/ctl/print_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/region"
 )
 
 func samplePlan() api.Plan {
@@ -42,6 +43,23 @@
 	}
 }
 
+func sampleChange() region.Change {
+	return region.Change{Version: 1, Steps: []region.Step{
+		{Region: "delta", State: region.Accepted, Plan: 12, Revision: 40, InForce: true, Reached: true, Consequences: samplePlan().Consequences},
+		{Region: "oasis", State: region.Pending, Reason: "no answer"},
+	}}
+}
+
+func sampleOverview() region.Overview {
+	return region.Overview{
+		Regions: []region.Summary{
+			{Region: "delta", Reached: true, Leader: "e1", Revision: 40, Entries: 4, LiveEntries: 3, Wanted: 6, Ready: 5, Drained: []string{"cairo"}},
+			{Region: "oasis", Reason: "no answer"},
+		},
+		Differences: []region.Difference{{Item: "account shop", Regions: []region.Name{"oasis"}}},
+	}
+}
+
 func TestPrintGolden(t *testing.T) {
 	cases := []struct {
 		name   string
@@ -54,6 +72,8 @@
 		{"held_out", api.DecideResponse{Plan: api.Plan{ID: 12, State: api.PlanConfirmed, Decided: 13}, HeldOut: []api.EntryID{"e2", "e4"}}},
 		{"rejected", api.DecideResponse{Plan: api.Plan{ID: 12, State: api.PlanRejected, Decided: 13}}},
 		{"history", []api.HistoryItem{{Revision: 13, Plan: 12, Operator: "amal", UnixMillis: 1700000000000, Summary: "drain cairo"}}},
+		{"region_change", sampleChange()},
+		{"region_overview", sampleOverview()},
 	}
 	for _, c := range cases {
 		for _, asJSON := range []bool{false, true} {
--- /dev/null
+++ b/internal/e2e/region_test.go
@@ -0,0 +1,104 @@
+package e2e
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/region"
+)
+
+// smallRegion is a region of one daemon.
+func smallRegion(t *testing.T, name string, addresses []string) *process {
+	t.Helper()
+	dir := t.TempDir()
+	return &process{
+		t: t, name: name, peer: addresses[0], callers: addresses[1],
+		dataDir: filepath.Join(dir, "data"), log: filepath.Join(dir, "log"),
+		env: []string{
+			"CROCUSWAY_NAME=" + name,
+			"CROCUSWAY_ROLES=control,entry",
+			"CROCUSWAY_DOMAIN=" + name,
+			"CROCUSWAY_DATA_DIR=" + filepath.Join(dir, "data"),
+			"CROCUSWAY_PEER_LISTEN=" + addresses[0],
+			"CROCUSWAY_CALLER_LISTEN=" + addresses[1],
+			"CROCUSWAY_VOTERS=" + name + "=" + addresses[0],
+			"CROCUSWAY_PEER_SECRET=" + peerSecret,
+			"CROCUSWAY_OPERATOR_TOKEN=" + operatorToken,
+			"CROCUSWAY_BACKEND_TOKEN=" + backendToken,
+		},
+	}
+}
+
+// regionClient runs "crocusway ctl region" in a folder with its files.
+type regionClient struct {
+	t   *testing.T
+	dir string
+}
+
+func (c *regionClient) run(result any, args ...string) error {
+	cmd := exec.Command(binary, append([]string{"ctl", "region"}, args...)...)
+	cmd.Dir = c.dir
+	cmd.Env = []string{"CROCUSWAY_OPERATOR_TOKEN=" + operatorToken}
+	out, err := cmd.Output()
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(out, result)
+}
+
+func (c *regionClient) write(file string, v any) {
+	c.t.Helper()
+	data, err := json.Marshal(v)
+	require.NoError(c.t, err)
+	require.NoError(c.t, os.WriteFile(filepath.Join(c.dir, file), data, 0o600))
+}
+
+// await repeats a subcommand until its result holds.
+func (c *regionClient) await(change *region.Change, holds func(region.Change) bool, args ...string) {
+	c.t.Helper()
+	require.Eventually(c.t, func() bool {
+		var next region.Change
+		if c.run(&next, args...) != nil {
+			return false
+		}
+		*change = next
+		return holds(next)
+	}, patience, poll, "%v", args)
+}
+
+// TestChangeReachesRegionsOneByOne states a change while one region is away. The
+// other accepts it; the lost one gets it once it is back.
+func TestChangeReachesRegionsOneByOne(t *testing.T) {
+	free := freeAddresses(t, 4)
+	near, far := smallRegion(t, "delta", free[:2]), smallRegion(t, "oasis", free[2:])
+	near.start("CROCUSWAY_BOOTSTRAP=true")
+	client := &regionClient{t: t, dir: t.TempDir()}
+	client.write("regions.json", region.Regions{Regions: []region.Region{
+		{Name: "delta", Entries: []string{near.callers}}, {Name: "oasis", Entries: []string{far.callers}},
+	}})
+	client.write("intent.json", region.Intent{Shared: api.Intent{
+		Accounts: []api.Account{{ID: "counter", KeyHashes: []string{keyHash()}, Class: 5, Share: 8}},
+	}})
+	states := func(near, far region.State) func(region.Change) bool {
+		return func(c region.Change) bool { return c.Steps[0].State == near && c.Steps[1].State == far }
+	}
+	var change region.Change
+	require.Eventually(t, func() bool { return client.run(&change, "plan", "--json", "-f", "intent.json") == nil }, patience, poll)
+	client.await(&change, states(region.Planned, region.Pending), "plan", "--json")
+	client.await(&change, states(region.Accepted, region.Pending), "confirm", "--json")
+
+	far.start("CROCUSWAY_BOOTSTRAP=true")
+	client.await(&change, states(region.Accepted, region.Planned), "plan", "--json")
+	client.await(&change, states(region.Accepted, region.Accepted), "confirm", "--json")
+	var overview region.Overview
+	require.NoError(t, client.run(&overview, "status", "--json"))
+	require.Empty(t, overview.Differences)
+	require.True(t, overview.Regions[0].Reached && overview.Regions[1].Reached)
+	client.await(&change, states(region.Accepted, region.Accepted), "confirm", "--json")
+}
