A repeated intent gets its plan

Plans that pile up fill the bounded table, and an operator sees two numbers for one wish.

Ruled out: comparing intents without a key (two operators may wish the same).

Change: a request for a plan may carry an idempotency key, over HTTP in Idempotency-Key. The key is part of the plan in the log, so a repeated request gets the first plan also after a leader change or a decision; the same key with another intent or operator is refused. The client draws a key for each plan and keeps it over the daemons that it tries; a change over several regions keeps it in its file.

--- a/internal/api/intent.go
+++ b/internal/api/intent.go
@@ -104,7 +104,9 @@
 	Base     Revision  `json:"base"`
 	State    PlanState `json:"state"`
 	Operator string    `json:"operator"`
-	Intent   Intent    `json:"intent"`
+	// Key is the idempotency key of the request that recorded the plan.
+	Key    string `json:"key,omitempty"`
+	Intent Intent `json:"intent"`
 	// Consequences lists every effect the plan is expected to have.
 	Consequences []Consequence `json:"consequences"`
 	// Decided is the revision of the confirmation or rejection, 0 if pending.
--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -89,6 +89,9 @@
 type PlanRequest struct {
 	Operator string `json:"operator"`
 	Intent   Intent `json:"intent"`
+	// Key makes the request idempotent: a request with the key of a recorded
+	// plan gets that plan. Empty records a new one.
+	Key string `json:"key,omitempty"`
 }
 
 // PlanResponse carries one plan.
--- a/internal/control/guards.go
+++ b/internal/control/guards.go
@@ -10,6 +10,8 @@
 type guards struct {
 	// base is the compare-and-set of a confirmation.
 	base func(t *tx, plan api.Plan) error
+	// planRecorded finds the plan that a repeated request must get.
+	planRecorded func(t *tx, key string) (api.Plan, bool)
 	// free keeps a host out of a second group.
 	free func(t *tx, hosts []api.HostID) error
 	// shardMove keeps a shard with an owner that can still work.
@@ -26,6 +28,7 @@
 func newGuards() guards {
 	return guards{
 		base:         checkBase,
+		planRecorded: findPlan,
 		free:         checkFree,
 		shardMove:    checkShardMove,
 		resume:       checkResume,
--- a/internal/control/operator_calls.go
+++ b/internal/control/operator_calls.go
@@ -19,12 +19,14 @@
 	defaultHistory = 100
 	// maxOperatorLength is the length of an operator's name, in bytes.
 	maxOperatorLength = 128
+	// maxPlanKey is the length of a plan's idempotency key, in bytes.
+	maxPlanKey = 128
 )
 
 // plan answers control.plan.
 func (s *Service) plan(ctx context.Context, r api.PlanRequest) (api.PlanResponse, error) {
 	var none api.PlanResponse
-	if err := checkOperator("plan", r.Operator); err != nil {
+	if err := checkPlan(r); err != nil {
 		return none, err
 	}
 	lead, err := s.lead(ctx)
@@ -47,6 +49,9 @@
 // evaluate checks an intent against the present configuration and records the
 // plan on that base.
 func (s *Service) evaluate(ctx context.Context, lead *leadership, r api.PlanRequest) (api.Plan, error) {
+	if _, ok := s.state.plans.byKey(r.Key); ok {
+		return propose[api.Plan](ctx, s, &planCommand{Operator: r.Operator, Intent: r.Intent, Key: r.Key})
+	}
 	base := s.state.ConfigRevision()
 	fleet := s.fleet(lead)
 	if err := validateIntent(s.state.configView(fleet.Hosts), r.Intent); err != nil {
@@ -58,6 +63,7 @@
 		Base:         base,
 		Consequences: append(consequencesOf(s.state, r.Intent), s.forecast(fleet, r.Intent)...),
 		Limit:        s.cfg.Limits.MaxPlans,
+		Key:          r.Key,
 	}
 	return propose[api.Plan](ctx, s, cmd)
 }
@@ -171,6 +177,17 @@
 	return f.Err(step, "")
 }
 
+func checkPlan(r api.PlanRequest) error {
+	if err := checkOperator("plan", r.Operator); err != nil {
+		return err
+	}
+	var f faults.List
+	if len(r.Key) > maxPlanKey {
+		f.Add("key", r.Key, "of at most %d characters", maxPlanKey)
+	}
+	return f.Err("plan", "")
+}
+
 func checkDecide(r api.DecideRequest) error {
 	if err := checkOperator("decide plan", r.Operator); err != nil {
 		return err
--- a/internal/control/plan_commands.go
+++ b/internal/control/plan_commands.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"reflect"
+
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
 )
@@ -13,12 +15,17 @@
 	Consequences []api.Consequence `cbor:"4,keyasint,omitempty"`
 	// Limit bounds the stored plans.
 	Limit int `cbor:"5,keyasint"`
+	// Key makes the command idempotent; it may be empty.
+	Key string `cbor:"6,keyasint,omitempty"`
 }
 
 func (*planCommand) kind() commandKind { return kindPlan }
 
 func (c *planCommand) apply(t *tx) (any, error) {
 	const step = "record plan"
+	if plan, ok := t.guards.planRecorded(t, c.Key); ok {
+		return c.repeated(plan)
+	}
 	base := t.ConfigRevision()
 	if c.Base != base {
 		return nil, refuse(errs.Conflict, step, "evaluated on configuration %d, now %d: %s", c.Base, base, t.history.since(c.Base))
@@ -31,6 +38,7 @@
 		Base:         c.Base,
 		State:        api.PlanPending,
 		Operator:     c.Operator,
+		Key:          c.Key,
 		Intent:       c.Intent,
 		Consequences: c.Consequences,
 	}
@@ -38,6 +46,17 @@
 	return plan, nil
 }
 
+// repeated returns the plan of an earlier request with the same key.
+func (c *planCommand) repeated(plan api.Plan) (any, error) {
+	if plan.Operator != c.Operator || !reflect.DeepEqual(plan.Intent, c.Intent) {
+		return nil, refuse(errs.Invalid, "record plan", "key %q is that of plan %d with another intent or operator", c.Key, plan.ID)
+	}
+	return plan, nil
+}
+
+// findPlan returns the plan that a request with the key recorded.
+func findPlan(t *tx, key string) (api.Plan, bool) { return t.plans.byKey(key) }
+
 // decideCommand confirms or rejects a plan.
 type decideCommand struct {
 	Operator string     `cbor:"1,keyasint"`
--- a/internal/control/plan_table.go
+++ b/internal/control/plan_table.go
@@ -32,6 +32,17 @@
 	})
 }
 
+// byKey returns the plan with an idempotency key. An empty key names none.
+func (p *planTable) byKey(key string) (api.Plan, bool) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	i := slices.IndexFunc(p.rows, func(row api.Plan) bool { return key != "" && row.Key == key })
+	if i < 0 {
+		return api.Plan{}, false
+	}
+	return p.rows[i], true
+}
+
 func (p *planTable) list() []api.Plan {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -48,8 +49,14 @@
 
 // Plan records a plan for the intent.
 func (c *Client) Plan(intent api.Intent) (api.Plan, error) {
+	return c.PlanOnce(intent, ulid.Make().String())
+}
+
+// PlanOnce records a plan for the intent, or returns the one that an earlier
+// call with the same key recorded.
+func (c *Client) PlanOnce(intent api.Intent, key string) (api.Plan, error) {
 	var response api.PlanResponse
-	err := c.post("/v1/operator/plans", intent, 0, &response)
+	err := c.post("/v1/operator/plans", key, intent, 0, &response)
 	return response.Plan, err
 }
 
@@ -61,7 +68,7 @@
 	}
 	path := fmt.Sprintf("/v1/operator/plans/%d/%s?wait_millis=%d", id, decision, wait.Milliseconds())
 	var response api.DecideResponse
-	err := c.post(path, nil, wait, &response)
+	err := c.post(path, "", nil, wait, &response)
 	return response, err
 }
 
@@ -88,35 +95,45 @@
 
 // Member changes the voters.
 func (c *Client) Member(request api.MemberRequest) error {
-	return c.post("/v1/operator/members", request, 0, &api.Empty{})
+	return c.post("/v1/operator/members", "", request, 0, &api.Empty{})
 }
 
 // Dump returns the state of the daemon at one address as JSON.
 func (c *Client) Dump(address string) (json.RawMessage, error) {
 	var raw json.RawMessage
-	err := c.call(address, fasthttp.MethodGet, "/debug/state", nil, 0, &raw)
+	err := c.call(address, query{method: fasthttp.MethodGet, path: "/debug/state"}, &raw)
 	return raw, err
 }
 
 func (c *Client) get(path string, result any) error {
-	return c.anywhere(fasthttp.MethodGet, path, nil, 0, result)
+	return c.anywhere(query{method: fasthttp.MethodGet, path: path}, result)
 }
 
-func (c *Client) post(path string, body any, hold time.Duration, result any) error {
+// query is one call of the operators' interface.
+type query struct {
+	method string
+	path   string
+	// key makes a call idempotent that is not by itself.
+	key  string
+	body []byte
+	// hold is how long the daemon may hold the answer back.
+	hold time.Duration
+}
+
+func (c *Client) post(path, key string, body any, hold time.Duration, result any) error {
 	raw, err := json.Marshal(body)
 	if err != nil {
 		return errors.Wrap(err, "encode request")
 	}
-	return c.anywhere(fasthttp.MethodPost, path, raw, hold, result)
+	return c.anywhere(query{method: fasthttp.MethodPost, path: path, key: key, body: raw, hold: hold}, result)
 }
 
 // anywhere tries the daemons in turn until one answers. Every operator call is
-// idempotent, so that a lost answer may be asked for again elsewhere; only a
-// plan may then be recorded twice, of which one is never confirmed.
-func (c *Client) anywhere(method, path string, body []byte, hold time.Duration, result any) error {
+// idempotent, so that a lost answer may be asked for again elsewhere.
+func (c *Client) anywhere(q query, result any) error {
 	var last error
 	for _, address := range c.addresses {
-		err := c.call(address, method, path, body, hold, result)
+		err := c.call(address, q, result)
 		if err == nil || !retryElsewhere(err) {
 			return err
 		}
@@ -130,20 +147,24 @@
 	return code == errs.Unavailable || code == errs.Timeout || code == errs.NotLeader
 }
 
-func (c *Client) call(address, method, path string, body []byte, hold time.Duration, result any) error {
+func (c *Client) call(address string, q query, result any) error {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(method)
-	request.SetRequestURI("http://" + address + path)
+	request.Header.SetMethod(q.method)
+	request.SetRequestURI("http://" + address + q.path)
 	request.Header.Set("Authorization", "Bearer "+c.token.Reveal())
 	request.Header.Set("Crocusway-Operator", c.operator)
-	request.SetBody(body)
-	if err := c.http.DoTimeout(request, response, answerTimeout+hold); err != nil {
-		return &errs.Error{Code: errs.Unavailable, Step: method + " " + path, Peer: address, Err: err}
+	if q.key != "" {
+		request.Header.Set(api.HeaderIdempotencyKey, q.key)
+	}
+	request.SetBody(q.body)
+	step := q.method + " " + q.path
+	if err := c.http.DoTimeout(request, response, answerTimeout+q.hold); err != nil {
+		return &errs.Error{Code: errs.Unavailable, Step: step, Peer: address, Err: err}
 	}
-	return decodeAnswer(response, method+" "+path, address, result)
+	return decodeAnswer(response, step, address, result)
 }
 
 func decodeAnswer(response *fasthttp.Response, step, address string, result any) error {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -125,7 +125,8 @@
 		writeError(ctx, err)
 		return
 	}
-	request := api.PlanRequest{Operator: operatorName(ctx), Intent: intent}
+	key := string(ctx.Request.Header.Peek(api.HeaderIdempotencyKey))
+	request := api.PlanRequest{Operator: operatorName(ctx), Intent: intent, Key: key}
 	forward[api.PlanResponse](s, ctx, api.MethodPlan, request, 0)
 }
 
--- a/internal/region/change.go
+++ b/internal/region/change.go
@@ -40,6 +40,8 @@
 	Region Name       `json:"region"`
 	State  State      `json:"state"`
 	Intent api.Intent `json:"intent"`
+	// Key is the idempotency key of the plan.
+	Key string `json:"key"`
 	// Plan is the number of the plan in that region, 0 without one.
 	Plan         api.PlanID        `json:"plan,omitempty"`
 	Consequences []api.Consequence `json:"consequences,omitempty"`
@@ -62,7 +64,7 @@
 		if empty(intent) {
 			continue
 		}
-		c.Steps = append(c.Steps, Step{Region: r.Name, State: Pending, Intent: intent})
+		c.Steps = append(c.Steps, Step{Region: r.Name, State: Pending, Intent: intent, Key: newKey()})
 	}
 	return c
 }
--- a/internal/region/run.go
+++ b/internal/region/run.go
@@ -4,14 +4,17 @@
 	"sync"
 	"time"
 
+	"github.com/oklog/ulid/v2"
+
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
 )
 
 // Operator is the operators' interface of one region.
 type Operator interface {
-	// Plan records a plan for an intent.
-	Plan(intent api.Intent) (api.Plan, error)
+	// PlanOnce records a plan for an intent; a repeated call with the same key
+	// gets the first plan.
+	PlanOnce(intent api.Intent, key string) (api.Plan, error)
 	// Decide confirms or rejects a plan; a repeated call gets the first outcome.
 	Decide(id api.PlanID, confirm bool, wait time.Duration) (api.DecideResponse, error)
 	// Status returns the summary of the leader.
@@ -51,7 +54,10 @@
 		r.fail(s, err)
 		return
 	}
-	plan, err := op.Plan(s.Intent)
+	if s.State == Refused {
+		s.Key = newKey()
+	}
+	plan, err := op.PlanOnce(s.Intent, s.Key)
 	if err != nil {
 		r.fail(s, err)
 		return
@@ -150,6 +156,9 @@
 	return true
 }
 
+// newKey returns the idempotency key of one plan.
+func newKey() string { return ulid.Make().String() }
+
 func (c Change) clone() Change {
 	c.Steps = append([]Step(nil), c.Steps...)
 	return c
--- a/internal/region/run_test.go
+++ b/internal/region/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,12 +25,16 @@
 
 var errLost = errs.New(errs.Timeout, "call", "region", "no answer")
 
-func (f *fakeRegion) Plan(in api.Intent) (api.Plan, error) {
+func (f *fakeRegion) PlanOnce(in api.Intent, key string) (api.Plan, error) {
 	if f.lost == 'c' {
 		return api.Plan{}, errLost
 	}
-	plan := api.Plan{ID: api.PlanID(len(f.plans) + 1), Base: f.config, State: api.PlanPending, Intent: in}
-	f.plans = append(f.plans, plan)
+	i := slices.IndexFunc(f.plans, func(p api.Plan) bool { return p.Key == key })
+	if i < 0 {
+		i = len(f.plans)
+		f.plans = append(f.plans, api.Plan{ID: api.PlanID(i + 1), Key: key, Base: f.config, State: api.PlanPending, Intent: in})
+	}
+	plan := f.plans[i]
 	if f.lost == 'a' {
 		return api.Plan{}, errLost
 	}
