The stand-in hosts learn the faults of the process tests

Cause: the stand-ins had no stragglers, no cold start that announcements conceal, and a swapped answer named a request that never was. A paused or slow member did not hold up its replica, so that only rank 0 could fail this way.

Change: Host.AnswerLate, SwapAnswers (the answer, with its id, of the request that arrived before), Slow, TurnColdUnannounced, Stay; a replica stands still with a paused member and is as slow as its slowest one.

Conclusion: the proofs at process level can use them.

--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -168,7 +168,7 @@
 func (h *Host) announcement() (api.Announcement, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.up || h.paused {
+	if !h.up || h.paused.Load() {
 		return api.Announcement{}, false
 	}
 	now := h.fleet.cfg.Clock.Now()
@@ -204,6 +204,10 @@
 	m.Load = h.loadState(now)
 	m.Warm = h.engine.warm
 	m.BearableLoad = h.engine.bearable()
+	if now.Before(h.claimsWarmUntil) {
+		m.Warm = true
+		m.BearableLoad = cfg.WarmLoad
+	}
 	m.WarmLoad = cfg.WarmLoad
 	m.ChecksFencing = cfg.ChecksFencing
 	m.Capabilities = cfg.Capabilities
@@ -227,7 +231,7 @@
 func (h *Host) takeDue(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.up || h.paused || h.announcing || now.Before(h.due) {
+	if !h.up || h.paused.Load() || h.announcing || now.Before(h.due) {
 		return false
 	}
 	h.announcing = true
--- a/internal/standin/completion.go
+++ b/internal/standin/completion.go
@@ -49,6 +49,9 @@
 	offset  int
 	fencing api.Fencing
 	fault   Fault
+	// other is a request whose answer a swapped answer holds.
+	other   api.RequestID
+	members []*Host
 	job     *job
 	cached  int
 	blocks  int
@@ -75,7 +78,8 @@
 	}
 	c.fault = h.nextFault()
 	if c.fault.Kind == FaultSwapAnswer {
-		ctx.Response.Header.Set(api.HeaderRequest, "swapped-"+string(c.id))
+		c.id = c.other
+		ctx.Response.Header.Set(api.HeaderRequest, string(c.id))
 	}
 	if err = c.awaitTurn(); err != nil {
 		c.leave(ctx, err)
@@ -158,6 +162,8 @@
 	defer h.mu.Unlock()
 	hashes := blockHashes(c.body.prompt())
 	c.blocks = len(hashes)
+	c.other = h.takePrevious(c.id)
+	c.members = h.member.hosts
 	c.cached = h.engine.cache.visit(hashes)
 	run := Run{
 		Request:     c.id,
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -1,6 +1,11 @@
 package standin
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
 
 // FaultKind names a way in which a host breaks the contract.
 type FaultKind int
@@ -9,9 +14,10 @@
 const (
 	// FaultLate delays the answer by Delay.
 	FaultLate FaultKind = iota + 1
-	// FaultSwapAnswer answers with the id of another request.
+	// FaultSwapAnswer gives the answer, with its id, of the request that reached
+	// the host before this one; of an unknown request if there was none.
 	FaultSwapAnswer
-	// FaultSwapEvent puts the id of another request on event After+1.
+	// FaultSwapEvent puts the event of another request in place of event After+1.
 	FaultSwapEvent
 	// FaultTruncate cuts the connection after After tokens, or in the middle of
 	// an answer that is not a stream.
@@ -51,3 +57,103 @@
 	}
 	return f
 }
+
+// AnswerLate delays the answers of the next count requests by d. The engine
+// takes them in at once.
+func (h *Host) AnswerLate(count int, d time.Duration) {
+	h.Inject(Fault{Kind: FaultLate, Count: count, Delay: d})
+}
+
+// SwapAnswers gives each of the next count requests the answer, with its id,
+// of the request that reached the host before it.
+func (h *Host) SwapAnswers(count int) {
+	h.Inject(Fault{Kind: FaultSwapAnswer, Count: count})
+}
+
+// Slow makes the host a straggler: it takes factor times as long, and so does
+// the replica that it belongs to. A factor of at most 1 ends it.
+func (h *Host) Slow(factor float64) {
+	h.slowdown.Store(math.Float64bits(factor))
+}
+
+// slowFactor returns the factor of a straggler, 1 for any other host.
+func (h *Host) slowFactor() float64 {
+	return max(math.Float64frombits(h.slowdown.Load()), 1)
+}
+
+// slowed scales the time of a plain service.
+func (h *Host) slowed(d time.Duration) time.Duration {
+	return time.Duration(h.slowFactor() * float64(d))
+}
+
+// Pause freezes the host: connections stay open, nothing moves, nothing is
+// announced. A replica stands still while one of its members is paused.
+func (h *Host) Pause() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.paused.Load() {
+		return
+	}
+	h.resumed = make(chan struct{})
+	h.paused.Store(true)
+}
+
+// Resume ends a pause.
+func (h *Host) Resume() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.paused.Load() {
+		return
+	}
+	h.paused.Store(false)
+	close(h.resumed)
+}
+
+// Leave announces at once that the host is leaving. It finishes what runs and
+// goes on to answer.
+func (h *Host) Leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leavingAt.IsZero() {
+		h.leavingAt = h.fleet.cfg.Clock.Now()
+		h.due = h.leavingAt
+	}
+}
+
+// Stay takes back Leave.
+func (h *Host) Stay() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.leavingAt = time.Time{}
+	h.due = h.fleet.cfg.Clock.Now()
+}
+
+// TurnCold begins a cold start without a warning. The next announcement says
+// so.
+func (h *Host) TurnCold() { h.TurnColdUnannounced(0) }
+
+// TurnColdUnannounced begins a cold start that announcements conceal for d:
+// they go on to claim a warm replica and its load.
+func (h *Host) TurnColdUnannounced(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.engine.turnCold()
+	h.claimsWarmUntil = h.fleet.cfg.Clock.Now().Add(d)
+}
+
+// arrived notes a request and returns the one that arrived before it.
+func (h *Host) arrived(id api.RequestID) api.RequestID {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.takePrevious(id)
+}
+
+// takePrevious is arrived with the lock held.
+func (h *Host) takePrevious(id api.RequestID) api.RequestID {
+	previous := h.previous
+	h.previous = id
+	if previous == "" || previous == id {
+		return "swapped-" + id
+	}
+	return previous
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -121,6 +121,17 @@
 // Host returns a host, or nil.
 func (f *Fleet) Host(id api.HostID) *Host { return f.byID[id] }
 
+// known returns the hosts of the fleet among ids.
+func (f *Fleet) known(ids []api.HostID) []*Host {
+	hosts := make([]*Host, 0, len(ids))
+	for _, id := range ids {
+		if h := f.byID[id]; h != nil {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
 // InFabric returns the hosts of a fabric domain.
 func (f *Fleet) InFabric(name api.FabricDomain) []*Host {
 	return f.filter(func(h *Host) bool { return h.fabric == name })
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -35,7 +35,7 @@
 	return sb.String()
 }
 
-// wait sleeps for d, then as long as the host is paused.
+// wait sleeps for d, then as long as a member of the replica is paused.
 func (c *completion) wait(d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -46,12 +46,17 @@
 	case <-c.job.canceled:
 		return errCanceled
 	}
-	select {
-	case <-c.host.pauseGate():
-		return nil
-	case <-c.job.aborted:
-		return errAborted
+	for _, member := range c.members {
+		if !member.paused.Load() {
+			continue
+		}
+		select {
+		case <-member.pauseGate():
+		case <-c.job.aborted:
+			return errAborted
+		}
 	}
+	return nil
 }
 
 // awaitTurn waits in the engine's queue, then for the first token.
@@ -72,10 +77,16 @@
 	return c.wait(c.pace(cfg.FirstToken + time.Duration(c.blocks-c.cached)*cfg.BlockTime))
 }
 
+// pace scales a duration by the state of the engine and by the slowest member
+// of the replica.
 func (c *completion) pace(d time.Duration) time.Duration {
+	slowest := 1.0
+	for _, member := range c.members {
+		slowest = max(slowest, member.slowFactor())
+	}
 	c.host.mu.Lock()
 	defer c.host.mu.Unlock()
-	return c.host.engine.pace(d)
+	return time.Duration(slowest * float64(c.host.engine.pace(d)))
 }
 
 // end takes the job out of the batch.
@@ -190,9 +201,9 @@
 func (c *completion) writeToken(w *bufio.Writer, i int) error {
 	id := c.id
 	if c.fault.Kind == FaultSwapEvent && i-1-c.offset == c.fault.After {
-		id = "swapped-" + id
+		id = c.other
 	}
-	raw, err := json.Marshal(c.chunk(i))
+	raw, err := json.Marshal(c.chunk(id, i))
 	if err != nil {
 		return err
 	}
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,14 +34,22 @@
 	leavingAt   time.Time
 	// resumed is closed while the host is not paused.
 	resumed chan struct{}
-	paused  bool
 	faults  []Fault
 	member  membership
 	load    loadReport
 	engine  batch
+	// previous is the last request that arrived before the present one.
+	previous api.RequestID
+	// claimsWarmUntil is how long announcements conceal a cold start.
+	claimsWarmUntil time.Time
 	// due is when the next announcement is sent; announcing is set meanwhile.
 	due        time.Time
 	announcing bool
+
+	// paused tells without the lock whether resumed is open.
+	paused atomic.Bool
+	// slowdown holds the bits of the factor of a straggler, 0 for none.
+	slowdown atomic.Uint64
 }
 
 // membership is what the host's orders made of it.
@@ -49,6 +58,8 @@
 	fencing api.Fencing
 	rank    int
 	members []api.HostID
+	// hosts are the members that this fleet has.
+	hosts   []*Host
 	model   string
 	readyAt time.Time
 	// highest is the highest fencing number accepted by this incarnation.
@@ -139,6 +150,8 @@
 	h.leavingAt = time.Time{}
 	h.member = membership{}
 	h.load = loadReport{}
+	h.previous = ""
+	h.claimsWarmUntil = time.Time{}
 	h.engine = newBatch(h.fleet.cfg.Engine)
 	h.due = h.fleet.cfg.Clock.Now()
 	h.fleet.tasks.Go(func() { h.fleet.listener.serve(ln, h) })
@@ -213,46 +226,6 @@
 	h.fleet.after(h.fleet.cfg.Engine.RestartTime, func() { _ = h.start() })
 }
 
-// Pause freezes the host: connections stay open, nothing moves.
-func (h *Host) Pause() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.paused {
-		return
-	}
-	h.paused = true
-	h.resumed = make(chan struct{})
-}
-
-// Resume ends a pause.
-func (h *Host) Resume() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if !h.paused {
-		return
-	}
-	h.paused = false
-	close(h.resumed)
-}
-
-// Leave announces at once that the host is leaving. It finishes what runs.
-func (h *Host) Leave() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.leavingAt.IsZero() {
-		h.leavingAt = h.fleet.cfg.Clock.Now()
-		h.due = h.leavingAt
-	}
-}
-
-// TurnCold begins a cold start without a warning. The next announcement says
-// so.
-func (h *Host) TurnCold() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.engine.turnCold()
-}
-
 // pauseGate returns a channel that is closed while the host is not paused.
 func (h *Host) pauseGate() <-chan struct{} {
 	h.mu.Lock()
--- a/internal/standin/openai.go
+++ b/internal/standin/openai.go
@@ -1,5 +1,7 @@
 package standin
 
+import "github.com/crocusway/crocusway/internal/api"
+
 // The shapes of the OpenAI completions API, as far as the stand-in fills them.
 
 type usage struct {
@@ -55,9 +57,9 @@
 	}
 }
 
-// chunk is the event of token i. The last one carries the usage.
-func (c *completion) chunk(i int) completionAnswer {
-	text := TokenText(c.id, i)
+// chunk is the event of token i of a request. The last one carries the usage.
+func (c *completion) chunk(id api.RequestID, i int) completionAnswer {
+	text := TokenText(id, i)
 	var ch choice
 	object := "text_completion"
 	if c.chat {
@@ -69,7 +71,7 @@
 	} else {
 		ch.Text = &text
 	}
-	answer := completionAnswer{ID: string(c.id), Object: object, Model: c.body.Model}
+	answer := completionAnswer{ID: string(id), Object: object, Model: c.body.Model}
 	if i == c.body.MaxTokens {
 		reason := "length"
 		ch.FinishReason = &reason
--- a/internal/standin/order.go
+++ b/internal/standin/order.go
@@ -79,6 +79,7 @@
 		fencing: o.Fencing,
 		rank:    o.Rank,
 		members: slices.Clone(o.Members),
+		hosts:   h.fleet.known(o.Members),
 		model:   o.Model,
 		readyAt: h.fleet.cfg.Clock.Now().Add(h.fleet.LoadTime()),
 		highest: old.highest,
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -21,6 +21,8 @@
 // handleService runs one call of a plain service. Every call other than GET
 // and HEAD changes its state.
 func (h *Host) handleService(ctx *fasthttp.RequestCtx, conn *hostConn) {
+	id := api.RequestID(ctx.Request.Header.Peek(api.HeaderRequest))
+	other := h.arrived(id)
 	answer := ServiceAnswer{
 		Service: h.service.Name,
 		Path:    string(ctx.Path()),
@@ -34,14 +36,14 @@
 		return
 	}
 	fault := h.nextFault()
-	if !h.serviceWait(h.service.Time + fault.Delay) {
+	if !h.serviceWait(h.slowed(h.service.Time) + fault.Delay) {
 		_ = conn.Close()
 		return
 	}
 	writeJSON(ctx, answer)
 	switch fault.Kind {
 	case FaultSwapAnswer:
-		ctx.Response.Header.Set(api.HeaderRequest, "swapped")
+		ctx.Response.Header.Set(api.HeaderRequest, string(other))
 	case FaultTruncate:
 		body := ctx.Response.Body()
 		ctx.Response.SetBodyStream(&cutBody{left: body[:len(body)/2], conn: conn}, len(body))
