--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -51,6 +51,7 @@
 		{"unknown role", []string{"--roles=queen"}, []string{"roles[0]"}},
 		{"port out of range", []string{"--peer-listen=127.0.0.1:70000"}, []string{"peer-listen"}},
 		{"listen by name", []string{"--caller-listen=somewhere:7200"}, []string{"caller-listen"}},
+		{"source with a port", []string{"--peer-source=127.0.0.1:1"}, []string{"peer-source"}},
 		{"no data folder", []string{"--data-dir="}, []string{"data-dir"}},
 		{"not a voter", []string{"--name=e9"}, []string{"voters"}},
 		{"voter twice", []string{"--voters=e1=127.0.0.1:1,e1=127.0.0.1:2"}, []string{"voters"}},
--- a/internal/config/serve.go
+++ b/internal/config/serve.go
@@ -31,6 +31,7 @@
 	PeerListen    string            `flag:"peer-listen" validate:"required,listen_address"`
 	CallerListen  string            `flag:"caller-listen" validate:"required,listen_address"`
 	PeerAddress   string            `flag:"peer-address" validate:"omitempty,hostname_port"`
+	PeerSource    string            `flag:"peer-source" validate:"omitempty,ip"`
 	CallerAddress string            `flag:"caller-address" validate:"omitempty,hostname_port"`
 	Voters        []Voter           `flag:"voters" validate:"min=1,max=9,dive"`
 	DataDir       string            `flag:"data-dir"`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,6 +54,7 @@
 	d.backends = backend.NewClient(backend.Config{Token: cfg.BackendToken.Reveal()})
 	d.node, err = peer.Start(peer.Config{
 		Address: cfg.PeerListen,
+		Source:  cfg.PeerSource,
 		Secret:  []byte(cfg.PeerSecret.Reveal()),
 		Logger:  logger,
 		Meter:   provider.Meter(),
@@ -84,6 +85,9 @@
 // PeerAddress returns the "ip:port" of the links between daemons.
 func (d *Daemon) PeerAddress() string { return d.cfg.PeerAddress }
 
+// PeerListener returns the "ip:port" on which the daemon itself accepts links.
+func (d *Daemon) PeerListener() string { return d.node.Addr() }
+
 // CallerAddress returns the "ip:port" for callers, backend servers and
 // operators.
 func (d *Daemon) CallerAddress() string { return d.cfg.CallerAddress }
--- a/internal/faults/check.go
+++ b/internal/faults/check.go
@@ -86,6 +86,8 @@
 		return "host:port"
 	case "listen_address":
 		return "ip:port, port 0 to 65535"
+	case "ip":
+		return "an IP address"
 	case "unique":
 		return "without repeats"
 	default:
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"net"
 	"time"
 
 	"github.com/go-kit/log"
@@ -33,6 +34,8 @@
 type Config struct {
 	// Address is the "ip:port" to listen on; port 0 is chosen by the kernel.
 	Address string
+	// Source is the IP that links leave from; empty for the kernel's choice.
+	Source string
 	// Secret is shared by all processes, at least 16 bytes.
 	Secret []byte
 	// MaxFrame bounds one message, in bytes.
@@ -96,6 +99,9 @@
 
 func (c Config) validate() error {
 	const step = "check peer settings"
+	if c.Source != "" && net.ParseIP(c.Source) == nil {
+		return errs.New(errs.Invalid, step, "", "source %q is no IP address", c.Source)
+	}
 	if len(c.Secret) < minSecret {
 		return errs.New(errs.Invalid, step, "", "secret has %d bytes, want at least %d", len(c.Secret), minSecret)
 	}
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -122,6 +122,9 @@
 	ctx, cancel := context.WithTimeout(n.ctx, n.cfg.DialTimeout)
 	defer cancel()
 	var dialer net.Dialer
+	if n.cfg.Source != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(n.cfg.Source)}
+	}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -245,3 +246,18 @@
 	require.Equal(t, int64(1), n.Stats().HandshakeFailures)
 	require.Equal(t, 1, conn.closes)
 }
+
+// TestLinkLeavesFromItsSource reads the source address of a link.
+func TestLinkLeavesFromItsSource(t *testing.T) {
+	a := startNode(t, func(c *Config) { c.Source = "127.0.0.9" })
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	require.Error(t, a.Notify(ln.Addr().String(), methodEcho, echo{}))
+	conn, err := ln.Accept()
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.Equal(t, "127.0.0.9", conn.RemoteAddr().(*net.TCPAddr).IP.String())
+	_, err = Start(Config{Address: "127.0.0.1:0", Secret: testSecret, Source: "127.0.0.9:1"})
+	require.Equal(t, errs.Invalid, errs.CodeOf(err))
+}
