Process tests that cut the network between daemons

Cause: partitions were proved at model level only: the process tests killed and froze, and after either nothing works on the far side. Change: tests of a cut leader, a follower cut for 300 changes, an entry cut in each direction and in both, an entry cut from the owner of the shard, a confirm whose answer is lost, and a cut leader with a killed entry. All process tests run over the stand-in network.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -56,6 +56,7 @@
 		{"not a voter", []string{"--name=e9"}, []string{"voters"}},
 		{"voter twice", []string{"--voters=e1=127.0.0.1:1,e1=127.0.0.1:2"}, []string{"voters"}},
 		{"lease too short for renewal", []string{"--work-lease=1s"}, []string{"renew-interval"}},
+		{"snapshots too small", []string{"--snapshot-bytes=65535"}, []string{"snapshot-bytes"}},
 		{"horizon under lease", []string{"--order-horizon=2s"}, []string{"order-horizon"}},
 		{"several at once", []string{"--max-body=1", "--log-level=loud", "--preset=x"}, []string{"log-level", "max-body", "preset"}},
 	}
--- a/internal/config/flags.go
+++ b/internal/config/flags.go
@@ -63,6 +63,7 @@
 func (f *ServeFlags) registerControl(fs *flag.FlagSet) {
 	s := &f.settings
 	fs.StringVar(&s.DataDir, "data-dir", "", "data folder of the role control")
+	fs.IntVar(&s.SnapshotBytes, "snapshot-bytes", s.SnapshotBytes, "size of the applied log after which a snapshot replaces it, bytes; a quarter of it is kept for voters that lag")
 	fs.BoolVar(&s.Bootstrap, "bootstrap", false, "first start of a new system: create the voter in an empty data folder")
 	fs.StringVar(&s.Preset, "preset", s.Preset, "weights of the three measures: nilecraft, tabrak")
 	fs.DurationVar(&s.WorkLease, "work-lease", s.WorkLease, "time for which an entry may take work after a renewal")
--- a/internal/config/serve.go
+++ b/internal/config/serve.go
@@ -35,6 +35,7 @@
 	CallerAddress string            `flag:"caller-address" validate:"omitempty,hostname_port"`
 	Voters        []Voter           `flag:"voters" validate:"min=1,max=9,dive"`
 	DataDir       string            `flag:"data-dir"`
+	SnapshotBytes int               `flag:"snapshot-bytes" validate:"min=65536,max=1073741824"`
 	Bootstrap     bool              `flag:"bootstrap"`
 
 	// Secrets are never shown in a dump or a log.
@@ -69,6 +70,7 @@
 		Roles:           []Role{RoleEntry},
 		PeerListen:      "127.0.0.1:7100",
 		CallerListen:    "127.0.0.1:7200",
+		SnapshotBytes:   16 << 20,
 		Preset:          "nilecraft",
 		WorkLease:       3 * time.Second,
 		RenewInterval:   time.Second,
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -22,11 +22,12 @@
 func (s *Server) publish() {
 	p := publishedStatus{
 		status: Status{
-			ID:      s.cfg.ID,
-			Leader:  s.core.leader,
-			Term:    s.core.term,
-			Applied: s.applied,
-			Voters:  s.voters(),
+			ID:        s.cfg.ID,
+			Leader:    s.core.leader,
+			Term:      s.core.term,
+			Applied:   s.applied,
+			Compacted: s.core.log.offset,
+			Voters:    s.voters(),
 		},
 		leaderAddr: s.route(s.core.leader).Address,
 		membership: s.core.Membership(),
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -204,7 +204,10 @@
 	Leading bool
 	// Applied is the index of the last applied entry.
 	Applied uint64
-	Voters  []api.VoterStatus
+	// Compacted is the index of the last entry that only the snapshot holds: a
+	// member that lacks it is sent the snapshot.
+	Compacted uint64
+	Voters    []api.VoterStatus
 }
 
 // Default timing.
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -21,6 +21,10 @@
 	"github.com/crocusway/crocusway/internal/storage"
 )
 
+// trailingShare is the part of the snapshot size that the log keeps for voters
+// that lag: one in trailingShare.
+const trailingShare = 4
+
 // controlRole is a voter: its log on disk, the replicated state and the duties
 // of the leader.
 type controlRole struct {
@@ -61,6 +65,9 @@
 		Clock:        clock.System{},
 		Logger:       d.base,
 		Seed:         seedOf(d.cfg.Name),
+
+		SnapshotBytes: d.cfg.SnapshotBytes,
+		Core:          consensus.CoreConfig{TrailingBytes: d.cfg.SnapshotBytes / trailingShare},
 	})
 	if err != nil {
 		return nil, err
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -21,6 +21,7 @@
 	"github.com/crocusway/crocusway/internal/caller"
 	"github.com/crocusway/crocusway/internal/ctl"
 	"github.com/crocusway/crocusway/internal/standin"
+	"github.com/crocusway/crocusway/internal/standin/network"
 )
 
 const (
@@ -73,16 +74,19 @@
 	env     []string
 	peer    string
 	callers string
-	dataDir string
-	log     string
-	cmd     *exec.Cmd
-	exited  chan struct{}
+	// advertised is the address under which the other daemons reach it.
+	advertised string
+	dataDir    string
+	log        string
+	cmd        *exec.Cmd
+	exited     chan struct{}
 }
 
 // cluster is 3 voters that are entries too, 1 more entry, and stand-ins.
 type cluster struct {
 	t         *testing.T
 	processes []*process
+	network   *network.Network
 	fleet     *standin.Fleet
 	client    *ctl.Client
 	caller    *caller.Client
@@ -133,6 +137,7 @@
 		})
 	}
 	t.Cleanup(c.printLogs)
+	c.buildNetwork()
 	for i, p := range c.processes {
 		p.env = c.environment(i)
 		p.start("CROCUSWAY_BOOTSTRAP=true")
@@ -146,25 +151,40 @@
 	return c
 }
 
+// buildNetwork puts the stand-in network between the daemons.
+func (c *cluster) buildNetwork() {
+	c.t.Helper()
+	c.network = network.New()
+	c.t.Cleanup(c.network.Close)
+	for _, p := range c.processes {
+		member, err := c.network.Join(p.name)
+		require.NoError(c.t, err)
+		c.network.Connect(p.name, p.peer)
+		p.advertised = member.Address
+		p.env = []string{"CROCUSWAY_PEER_SOURCE=" + member.Source, "CROCUSWAY_PEER_ADDRESS=" + member.Address}
+	}
+}
+
 func (c *cluster) environment(i int) []string {
 	p := c.processes[i]
 	roles := "entry"
 	voters := make([]string, 0, 3)
 	for _, v := range c.processes[:3] {
-		voters = append(voters, v.name+"="+v.peer)
+		voters = append(voters, v.name+"="+v.advertised)
 	}
-	env := []string{
-		"PATH=" + os.Getenv("PATH"),
-		"CROCUSWAY_NAME=" + p.name,
-		"CROCUSWAY_DOMAIN=" + string(domains[i%3]),
-		"CROCUSWAY_PEER_LISTEN=" + p.peer,
-		"CROCUSWAY_CALLER_LISTEN=" + p.callers,
-		"CROCUSWAY_VOTERS=" + strings.Join(voters, ","),
-		"CROCUSWAY_PEER_SECRET=" + peerSecret,
-		"CROCUSWAY_OPERATOR_TOKEN=" + operatorToken,
-		"CROCUSWAY_BACKEND_TOKEN=" + backendToken,
+	env := append(p.env,
+		"PATH="+os.Getenv("PATH"),
+		"CROCUSWAY_NAME="+p.name,
+		"CROCUSWAY_DOMAIN="+string(domains[i%3]),
+		"CROCUSWAY_PEER_LISTEN="+p.peer,
+		"CROCUSWAY_CALLER_LISTEN="+p.callers,
+		"CROCUSWAY_VOTERS="+strings.Join(voters, ","),
+		"CROCUSWAY_PEER_SECRET="+peerSecret,
+		"CROCUSWAY_OPERATOR_TOKEN="+operatorToken,
+		"CROCUSWAY_BACKEND_TOKEN="+backendToken,
 		"CROCUSWAY_PAUSE_GRACE=1s",
-	}
+		"CROCUSWAY_SNAPSHOT_BYTES=65536",
+	)
 	if i < 3 {
 		roles = "control,entry"
 		env = append(env, "CROCUSWAY_DATA_DIR="+p.dataDir)
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -222,11 +222,11 @@
 	require.Equal(t, changes-1, share(after))
 	require.GreaterOrEqual(t, after.View.Revision, before.View.Revision)
 	for _, p := range c.processes {
-		raw, err := c.client.Dump(p.callers)
-		require.NoError(t, err)
-		var dump daemon.Dump
-		require.NoError(t, json.Unmarshal(raw, &dump))
+		dump := c.dump(p)
 		require.GreaterOrEqual(t, dump.Entry.View.Revision, before.View.Revision, p.name)
+		if dump.Control != nil {
+			require.Positive(t, dump.Control.Log.Compacted, "%s did not restore a snapshot", p.name)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/e2e/partition_test.go
@@ -0,0 +1,253 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/caller"
+	"github.com/crocusway/crocusway/internal/ctl"
+	"github.com/crocusway/crocusway/internal/daemon"
+	"github.com/crocusway/crocusway/internal/standin/network"
+)
+
+// dump returns the state of a daemon.
+func (c *cluster) dump(p *process) daemon.Dump {
+	c.t.Helper()
+	raw, err := c.client.Dump(p.callers)
+	require.NoError(c.t, err)
+	var dump daemon.Dump
+	require.NoError(c.t, json.Unmarshal(raw, &dump))
+	return dump
+}
+
+// operatorsWithout points the operators' client at all daemons but one.
+func (c *cluster) operatorsWithout(p *process) {
+	var others []string
+	for _, o := range c.processes {
+		if o != p {
+			others = append(others, o.callers)
+		}
+	}
+	c.client = ctl.NewClient(others, operatorToken, "amal")
+}
+
+// drainTanta drains the last failure domain.
+func drainTanta() api.Intent {
+	return api.Intent{Domains: []api.Domain{{Name: domains[2], State: api.DomainDrained}}}
+}
+
+// TestCutLeaderAcceptsNothing cuts the leader off from the other daemons while
+// both sides go on working. Another leader takes over with every accepted change,
+// the old one accepts nothing and, once healed, has what was accepted without it.
+func TestCutLeaderAcceptsNothing(t *testing.T) {
+	c := startCluster(t)
+	c.serve(4)
+	old := c.leader()
+	before := c.await("revision", func(s api.StatusResponse) bool { return s.View.Revision > 0 }).View.Revision
+	c.network.Isolate(old.name)
+	cutOff := ctl.NewClient([]string{old.callers}, operatorToken, "amal")
+	c.operatorsWithout(old)
+	status := c.await("another leader", func(s api.StatusResponse) bool { return string(s.Leader) != old.name })
+	require.GreaterOrEqual(t, status.View.Revision, before)
+	_, err := cutOff.Plan(intent(5))
+	require.Error(t, err)
+	c.confirm(drainTanta())
+	require.False(t, c.dump(old).Control.Log.Leading)
+	c.network.Heal()
+	accepted := c.await("4 live entries", func(s api.StatusResponse) bool { return liveEntries(s) == 4 })
+	require.Equal(t, api.DomainDrained, domainState(accepted, domains[2]))
+	require.Eventually(t, func() bool {
+		return c.dump(old).Entry.View.Revision >= accepted.View.Revision
+	}, patience, poll, "old leader follows")
+	seen, err := cutOff.Status()
+	require.NoError(t, err)
+	require.Equal(t, api.DomainDrained, domainState(seen, domains[2]))
+	c.awaitAnswer()
+}
+
+// TestLongCutVoterNeedsASnapshot cuts a follower off for so many changes that the
+// others drop the log which it misses. It follows by a snapshot.
+func TestLongCutVoterNeedsASnapshot(t *testing.T) {
+	const changes = 300
+	c := startCluster(t)
+	leader := c.leader()
+	cut := c.processes[0]
+	if cut == leader {
+		cut = c.processes[1]
+	}
+	c.operatorsWithout(cut)
+	c.network.Isolate(cut.name)
+	missed := c.dump(cut).Control.Log.Applied
+	for i := range changes {
+		c.confirm(shareIntent(i))
+	}
+	require.Greater(t, c.dump(leader).Control.Log.Compacted, missed, "the log still reaches back")
+	c.network.Heal()
+	after := c.await("4 live entries", func(s api.StatusResponse) bool { return liveEntries(s) == 4 })
+	require.Equal(t, changes-1, share(after))
+	require.Eventually(t, func() bool {
+		return c.dump(cut).Entry.View.Revision >= after.View.Revision
+	}, patience, poll, "cut voter follows")
+}
+
+// TestCutEntryTakesNoWork cuts an entry off from all others, first in one
+// direction, then in both. After its lease it refuses with not-run, a drained
+// domain gets no work through it, and once healed it serves again.
+func TestCutEntryTakesNoWork(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		paths func(c *cluster, entry string) []network.Path
+	}{
+		{"nothing leaves it", func(c *cluster, entry string) []network.Path { return from(entry, c.network.Others(entry)) }},
+		{"nothing reaches it", func(c *cluster, entry string) []network.Path { return to(entry, c.network.Others(entry)) }},
+		{"both directions", func(c *cluster, entry string) []network.Path {
+			return network.Between(entry, c.network.Others(entry)...)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := startCluster(t)
+			c.serve(6)
+			cut := c.processes[3]
+			client := caller.Pinned(apiKey, cut.callers)
+			c.network.Cut(tc.paths(c, cut.name)...)
+			decision := c.confirm(drainTanta())
+			require.True(t, decision.InForce, "held out: %v", decision.HeldOut)
+			inTanta, all := c.runsIn(domains[2]), len(c.fleet.Runs())
+			for i := range 20 {
+				a, err := client.Chat(context.Background(), model, fmt.Sprintf("prompt %d", i), 4)
+				require.NoError(t, err)
+				require.Equal(t, api.OutcomeNotRun, a.Outcome, "status %d", a.Status)
+			}
+			require.Len(t, c.fleet.Runs(), all)
+			c.awaitAnswer()
+			require.Equal(t, inTanta, c.runsIn(domains[2]))
+			c.network.Heal()
+			c.awaitAnswerOf(client)
+			require.Equal(t, inTanta, c.runsIn(domains[2]))
+		})
+	}
+}
+
+// from and to return the paths out of and into a daemon.
+func from(name string, others []string) []network.Path {
+	paths := make([]network.Path, 0, len(others))
+	for _, other := range others {
+		paths = append(paths, network.Path{From: name, To: other})
+	}
+	return paths
+}
+
+func to(name string, others []string) []network.Path {
+	paths := from(name, others)
+	for i, p := range paths {
+		paths[i] = network.Path{From: p.To, To: p.From}
+	}
+	return paths
+}
+
+// TestCutFromTheOwner cuts an entry off from the owner of the shard only. Its
+// streams end whole. New requests are whole or said not to have run, which is
+// true, and no engine gets more than it bears.
+func TestCutFromTheOwner(t *testing.T) {
+	const tokens, later = 1500, 24
+	c := startCluster(t)
+	c.serve(6)
+	owner, other := c.shardOwner()
+	before := len(c.fleet.Runs())
+	wait := c.chats(other, 6, tokens)
+	require.Eventually(t, func() bool { return len(c.fleet.Runs()) >= before+6 }, patience, poll)
+	c.network.Cut(network.Between(other.name, owner.name)...)
+	during := len(c.fleet.Runs())
+	refused := 0
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for i := range later {
+		a, err := caller.Pinned(apiKey, other.callers).Chat(ctx, model, fmt.Sprintf("later %d", i), 4)
+		require.NoError(t, err)
+		require.True(t, a.Whole() || a.Outcome == api.OutcomeNotRun, "status %d, outcome %q", a.Status, a.Outcome)
+		if !a.Whole() {
+			refused++
+		}
+	}
+	require.LessOrEqual(t, len(c.fleet.Runs())-during, later-refused, "a refused request ran")
+	answers, failures := wait()
+	requireWhole(t, answers, failures, tokens)
+	c.awaitAnswer()
+	c.network.Heal()
+	c.awaitAnswerOf(caller.Pinned(apiKey, other.callers))
+	c.requireBorne()
+}
+
+// TestConfirmWhoseAnswerIsLost loses the answer to a confirm on its way from the
+// leader. The resend elsewhere gets the first outcome; another change in between
+// does not revert it.
+func TestConfirmWhoseAnswerIsLost(t *testing.T) {
+	c := startCluster(t)
+	leader := c.leader()
+	by := c.processes[3]
+	c.operatorsWithout(by)
+	plan, err := c.client.Plan(shareIntent(7))
+	require.NoError(t, err)
+	sender := ctl.NewClient([]string{by.callers}, operatorToken, "amal")
+	_, err = sender.Plans()
+	require.NoError(t, err)
+	c.network.Cut(from(leader.name, []string{by.name})...)
+	_, err = sender.Decide(plan.ID, true, 0)
+	require.Error(t, err, "the answer was not lost")
+	again, err := c.client.Decide(plan.ID, true, 0)
+	require.NoError(t, err)
+	require.Equal(t, api.PlanConfirmed, again.Plan.State)
+	c.await("the change", func(s api.StatusResponse) bool { return share(s) == 7 })
+	c.confirm(shareIntent(8))
+	last, err := c.client.Decide(plan.ID, true, 0)
+	require.NoError(t, err)
+	require.Equal(t, again.Plan.Decided, last.Plan.Decided)
+	require.Equal(t, 8, share(c.await("status", func(api.StatusResponse) bool { return true })))
+}
+
+// TestCutLeaderAndKilledEntry has two failures together, in the middle of streams
+// of a third entry.
+func TestCutLeaderAndKilledEntry(t *testing.T) {
+	const tokens = 1500
+	c := startCluster(t)
+	c.serve(6)
+	old, killed := c.leader(), c.processes[3]
+	serving := c.processes[0]
+	if serving == old {
+		serving = c.processes[1]
+	}
+	before := len(c.fleet.Runs())
+	wait := c.chats(serving, 6, tokens)
+	require.Eventually(t, func() bool { return len(c.fleet.Runs()) >= before+6 }, patience, poll)
+	c.network.Isolate(old.name)
+	killed.signal(syscall.SIGKILL)
+	c.operatorsWithout(old)
+	c.await("another leader", func(s api.StatusResponse) bool { return string(s.Leader) != old.name })
+	c.confirm(drainTanta())
+	answers, failures := wait()
+	requireWhole(t, answers, failures, tokens)
+	c.awaitAnswerOf(caller.Pinned(apiKey, serving.callers))
+	c.network.Heal()
+	c.rejoin(killed, syscall.SIGKILL)
+	status := c.await("4 live entries", func(s api.StatusResponse) bool { return liveEntries(s) == 4 })
+	require.Equal(t, api.DomainDrained, domainState(status, domains[2]))
+	c.awaitAnswer()
+	c.requireBorne()
+}
+
+// awaitAnswerOf awaits a whole answer to one client.
+func (c *cluster) awaitAnswerOf(client *caller.Client) {
+	c.t.Helper()
+	require.Eventually(c.t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+		defer cancel()
+		a, err := client.Chat(ctx, model, "hello", 4)
+		return err == nil && a.Whole()
+	}, patience, poll, "whole answer")
+}
