--- a/internal/config/flags.go
+++ b/internal/config/flags.go
@@ -45,6 +45,7 @@
 	fs.StringVar(&s.PeerListen, "peer-listen", s.PeerListen, "ip:port for links between daemons")
 	fs.StringVar(&s.CallerListen, "caller-listen", s.CallerListen, "ip:port for callers, backend servers and operators")
 	fs.StringVar(&s.PeerAddress, "peer-address", "", "ip:port under which other daemons reach this one; empty: peer-listen")
+	fs.StringVar(&s.PeerSource, "peer-source", "", "IP that links to other daemons leave from; empty: the kernel's choice")
 	fs.StringVar(&s.CallerAddress, "caller-address", "", "ip:port told to callers; empty: caller-listen")
 	fs.StringVar(&f.voters, "voters", "", "comma-separated id=ip:port of the control daemons' peer addresses")
 	fs.StringVar(&s.LogLevel, "log-level", s.LogLevel, "debug, info, warn or error")
@@ -62,6 +63,7 @@
 func (f *ServeFlags) registerControl(fs *flag.FlagSet) {
 	s := &f.settings
 	fs.StringVar(&s.DataDir, "data-dir", "", "data folder of the role control")
+	fs.IntVar(&s.SnapshotBytes, "snapshot-bytes", s.SnapshotBytes, "size of the applied log after which a snapshot replaces it, bytes; a quarter of it is kept for voters that lag")
 	fs.BoolVar(&s.Bootstrap, "bootstrap", false, "first start of a new system: create the voter in an empty data folder")
 	fs.StringVar(&s.Preset, "preset", s.Preset, "weights of the three measures: nilecraft, tabrak")
 	fs.DurationVar(&s.WorkLease, "work-lease", s.WorkLease, "time for which an entry may take work after a renewal")
