Processor time and memory of the process in metrics and dump

Ruled out: the peak resident size of getrusage: a child process inherits that of its parent. runtime.ReadMemStats in the dump: it stops every goroutine. Change: crocusway.process.cpu_seconds and crocusway.process.memory_bytes, and both with the heap under process in the dump, in place of heap_bytes. Conclusion: each daemon tells its own cost; the golden dump follows the new fields.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,6 +51,9 @@
 		return nil, err
 	}
 	d.telemetry = provider
+	if err := telemetry.RegisterProcess(provider.Meter()); err != nil {
+		return nil, err
+	}
 	d.backends = backend.NewClient(backend.Config{Token: cfg.BackendToken.Reveal()})
 	d.node, err = peer.Start(peer.Config{
 		Address: cfg.PeerListen,
--- a/internal/daemon/dump.go
+++ b/internal/daemon/dump.go
@@ -10,6 +10,7 @@
 	"github.com/crocusway/crocusway/internal/control"
 	"github.com/crocusway/crocusway/internal/peer"
 	"github.com/crocusway/crocusway/internal/shard"
+	"github.com/crocusway/crocusway/internal/telemetry"
 )
 
 // Dump is the state of one process at one moment. It holds no secret.
@@ -19,11 +20,12 @@
 	Settings   []config.Setting `json:"settings"`
 	Uptime     string           `json:"uptime"`
 	Goroutines int              `json:"goroutines"`
-	HeapBytes  uint64           `json:"heap_bytes"`
-	Leader     string           `json:"leader"`
-	Links      peer.Stats       `json:"links"`
-	Control    *ControlDump     `json:"control,omitempty"`
-	Entry      *EntryDump       `json:"entry,omitempty"`
+	// Process is zero if the platform does not tell it.
+	Process telemetry.ProcessUsage `json:"process"`
+	Leader  string                 `json:"leader"`
+	Links   peer.Stats             `json:"links"`
+	Control *ControlDump           `json:"control,omitempty"`
+	Entry   *EntryDump             `json:"entry,omitempty"`
 }
 
 // ControlDump is the state of a voter.
@@ -42,15 +44,14 @@
 
 // Dump returns the state of the process.
 func (d *Daemon) Dump() Dump {
-	var mem runtime.MemStats
-	runtime.ReadMemStats(&mem)
+	usage, _ := telemetry.ReadProcessUsage()
 	dump := Dump{
 		Name:       d.cfg.Name,
 		Roles:      d.cfg.Roles,
 		Settings:   d.cfg.Describe(),
 		Uptime:     time.Since(d.started).Round(time.Second).String(),
 		Goroutines: runtime.NumGoroutine(),
-		HeapBytes:  mem.HeapAlloc,
+		Process:    usage,
 		Leader:     d.leader.Leader(),
 		Links:      d.node.Stats(),
 	}
--- a/internal/daemon/dump_test.go
+++ b/internal/daemon/dump_test.go
@@ -12,6 +12,7 @@
 	"github.com/crocusway/crocusway/internal/consensus"
 	"github.com/crocusway/crocusway/internal/peer"
 	"github.com/crocusway/crocusway/internal/shard"
+	"github.com/crocusway/crocusway/internal/telemetry"
 )
 
 func TestDumpGolden(t *testing.T) {
@@ -28,7 +29,7 @@
 		Settings:   settings.Describe(),
 		Uptime:     "1m0s",
 		Goroutines: 42,
-		HeapBytes:  1 << 20,
+		Process:    telemetry.ProcessUsage{CPUSeconds: 1.5, MemoryBytes: 4 << 20, HeapBytes: 1 << 20},
 		Leader:     "127.0.0.1:7100",
 		Links:      peer.Stats{SentBytes: 10, ReceivedBytes: 20},
 		Control:    &ControlDump{Log: consensus.Status{ID: "entry1", Leader: "entry1", Term: 3, Leading: true, Applied: 40}},
