Experiment role-cost: leader, follower and entry in separate processes

Ruled out: reading /proc of the children: each daemon tells its own usage in its dump, on any platform. Change: role-cost starts 3 voters and up to 83 entries as processes of its own binary on addresses that are all drawn before one is released, reads each dump before and after a window, and reports the largest cost of each role, idle, with one change in the window and with 1 change/s, beside the budget.

--- a/cmd/crocusway/bench.go
+++ b/cmd/crocusway/bench.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -26,6 +27,8 @@
 	seed       int64
 	seeds      int
 	duration   time.Duration
+	entries    string
+	hosts      string
 	json       bool
 }
 
@@ -38,6 +41,8 @@
 	fs.Int64Var(&f.seed, "seed", 1, "first seed")
 	fs.IntVar(&f.seeds, "seeds", 3, "number of seeds, 1 to 100")
 	fs.DurationVar(&f.duration, "duration", 10*time.Second, "length of a run in real time, 1s to 10m")
+	fs.StringVar(&f.entries, "entries", "", "role-cost: numbers of entries, of 4,16,32,83; empty: its own choice of sizes")
+	fs.StringVar(&f.hosts, "hosts", "", "role-cost: numbers of announcing hosts, of 0,600,4000; empty: its own choice of sizes")
 	fs.BoolVar(&f.json, "json", false, "print one JSON object")
 	return &ffcli.Command{
 		Name:       "bench",
@@ -100,6 +105,13 @@
 		Policy:   bench.Policy(f.policy),
 		Duration: f.duration,
 	}
+	var err error
+	if o.Entries, err = parseSizes("entries", f.entries); err != nil {
+		return bench.Options{}, err
+	}
+	if o.Hosts, err = parseSizes("hosts", f.hosts); err != nil {
+		return bench.Options{}, err
+	}
 	for i := range f.seeds {
 		o.Seeds = append(o.Seeds, f.seed+int64(i))
 	}
@@ -109,6 +121,22 @@
 	return o, nil
 }
 
+// parseSizes reads a comma-separated list of numbers.
+func parseSizes(name, list string) ([]int, error) {
+	var out []int
+	for field := range strings.SplitSeq(list, ",") {
+		if field == "" {
+			continue
+		}
+		n, err := strconv.Atoi(field)
+		if err != nil {
+			return nil, errors.Mark(errors.Newf("%s: value %q, must be a list of numbers", name, list), ctl.ErrUsage)
+		}
+		out = append(out, n)
+	}
+	return out, nil
+}
+
 func printReport(out io.Writer, report bench.Report, asJSON bool) error {
 	if asJSON {
 		return ctl.PrintJSON(out, report)
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -33,6 +33,9 @@
 	Seeds  []int64 `json:"seeds" validate:"min=1,max=100"`
 	// Duration bounds experiments that run in real time.
 	Duration time.Duration `json:"duration" validate:"min=1s,max=10m"`
+	// Entries and Hosts choose the sizes of role-cost; empty for its own choice.
+	Entries []int `json:"entries,omitempty" validate:"dive,oneof=4 16 32 83"`
+	Hosts   []int `json:"hosts,omitempty" validate:"dive,oneof=0 600 4000"`
 }
 
 // Experiment is one named measurement.
--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -5,6 +5,7 @@
 	return append(FleetExperiments(), []Experiment{
 		configChange(),
 		controlCost(),
+		roleCost(),
 		pathLatency(),
 		priorityClaim(),
 		coldStart(),
