Plain services that state what they bear are counted over all entries

Ruled out: a slice of the limit for each entry (one call can't be split in four); one entry in charge of each cold server (calls that arrive at the others would be refused); a second kind of lease beside the shards.

Change: a server that announces bearable_load or warm_load is a replica of one host in the shard of its service and failure domain. The entry takes a grant for each call, from the same queues, limits and handover as for models. Such calls are never cancelled or taken back; one whose connection broke stays counted until it can't run any more. Servers that announce no load are used as before.

--- a/internal/api/view.go
+++ b/internal/api/view.go
@@ -1,5 +1,7 @@
 package api
 
+import "strings"
+
 // GroupPhase is the progress of one replica.
 type GroupPhase string
 
@@ -67,13 +69,55 @@
 	Epoch Revision `json:"epoch"`
 }
 
-// ServiceServer is one live backend server of a plain service.
+// ServiceServer is one live backend server of a plain service. One that states
+// what it bears is used by grants alone, as a replica of one host; its other
+// fields are 0 without such a statement.
 type ServiceServer struct {
 	Host    HostID        `json:"host"`
 	Service string        `json:"service"`
 	Domain  FailureDomain `json:"domain"`
 	Address string        `json:"address"`
 	Leaving bool          `json:"leaving,omitempty"`
+	// Incarnation, Warm, BearableLoad and WarmLoad are as announced; the loads
+	// are in concurrent calls.
+	Incarnation  Incarnation `json:"incarnation,omitempty"`
+	Warm         bool        `json:"warm,omitempty"`
+	BearableLoad int         `json:"bearable_load,omitempty"`
+	WarmLoad     int         `json:"warm_load,omitempty"`
+}
+
+// ServicePrefix starts the names under which plain services take grants. No
+// serving group may have such a name.
+const ServicePrefix = "service/"
+
+// ServiceShards names the shards of a plain service.
+func ServiceShards(service string) ServingGroupName {
+	return ServingGroupName(ServicePrefix + service)
+}
+
+// IsService reports whether the name is that of a plain service's shards.
+func (n ServingGroupName) IsService() bool { return strings.HasPrefix(string(n), ServicePrefix) }
+
+// Limited reports whether the server states what it bears.
+func (s ServiceServer) Limited() bool { return s.BearableLoad > 0 || s.WarmLoad > 0 }
+
+// Replica returns a limited server as a replica of one host. Its incarnation
+// is its generation.
+func (s ServiceServer) Replica() Group {
+	name := ServiceShards(s.Service)
+	return Group{
+		ID:           GroupID(string(name) + "/" + string(s.Host)),
+		ServingGroup: name,
+		Domain:       s.Domain,
+		Members:      []HostID{s.Host},
+		Fencing:      Fencing(s.Incarnation),
+		Phase:        GroupReady,
+		Address:      s.Address,
+		Warm:         s.Warm,
+		BearableLoad: s.BearableLoad,
+		WarmLoad:     s.WarmLoad,
+		Leaving:      s.Leaving,
+	}
 }
 
 // Quarantine refuses requests with a fingerprint until a moment in time.
--- a/internal/control/assign_shards.go
+++ b/internal/control/assign_shards.go
@@ -71,6 +71,11 @@
 	for _, g := range v.Groups {
 		out[api.ShardID{ServingGroup: g.ServingGroup, Domain: g.Domain}] = struct{}{}
 	}
+	for _, server := range v.Servers {
+		if server.Limited() {
+			out[api.ShardID{ServingGroup: api.ServiceShards(server.Service), Domain: server.Domain}] = struct{}{}
+		}
+	}
 	return out
 }
 
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -138,13 +138,20 @@
 }
 
 func serverOf(a api.Announcement) api.ServiceServer {
-	return api.ServiceServer{
-		Host:    a.Host,
-		Service: a.Service,
-		Domain:  a.Domain,
-		Address: a.Address,
-		Leaving: a.Leaving,
+	server := api.ServiceServer{
+		Host:         a.Host,
+		Service:      a.Service,
+		Domain:       a.Domain,
+		Address:      a.Address,
+		Leaving:      a.Leaving,
+		BearableLoad: a.BearableLoad,
+		WarmLoad:     a.WarmLoad,
 	}
+	if server.Limited() {
+		server.Incarnation = a.Incarnation
+		server.Warm = a.Warm
+	}
+	return server
 }
 
 // expire forgets records and quarantines whose time is over.
--- a/internal/control/validate.go
+++ b/internal/control/validate.go
@@ -53,6 +53,9 @@
 	for i, sg := range in.ServingGroups {
 		printable(f, fmt.Sprintf("serving_groups[%d].name", i), string(sg.Name))
 		printable(f, fmt.Sprintf("serving_groups[%d].model", i), sg.Model)
+		if sg.Name.IsService() {
+			f.Add(fmt.Sprintf("serving_groups[%d].name", i), string(sg.Name), "without the prefix %q", api.ServicePrefix)
+		}
 	}
 	for i, a := range in.Accounts {
 		printable(f, fmt.Sprintf("accounts[%d].id", i), string(a.ID))
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -121,7 +121,7 @@
 	}
 }
 
-func startCluster(t *testing.T) *cluster {
+func startCluster(t *testing.T, services ...standin.Service) *cluster {
 	t.Helper()
 	c := &cluster{t: t}
 	dir := t.TempDir()
@@ -144,7 +144,7 @@
 	}
 	c.client = ctl.NewClient(c.addresses(), operatorToken, "amal")
 	c.caller = caller.New(apiKey, c.addresses())
-	c.startFleet()
+	c.startFleet(services)
 	c.await("4 live entries and all hosts", func(s api.StatusResponse) bool {
 		return liveEntries(s) == 4 && len(s.Hosts) == len(c.fleet.Hosts())
 	})
@@ -192,7 +192,7 @@
 	return append(env, "CROCUSWAY_ROLES="+roles)
 }
 
-func (c *cluster) startFleet() {
+func (c *cluster) startFleet(services []standin.Service) {
 	fleet, err := standin.Start(standin.Config{
 		Entries:        c.addresses(),
 		Token:          backendToken,
@@ -200,7 +200,7 @@
 		Fabrics:        3,
 		HostsPerFabric: 5,
 		Engine:         standin.Engine{ChecksFencing: true, Capabilities: standin.AllCapabilities},
-		Services:       []standin.Service{{Name: service, PerDomain: 1}},
+		Services:       append([]standin.Service{{Name: service, PerDomain: 1}}, services...),
 	})
 	require.NoError(c.t, err)
 	c.fleet = fleet
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -60,10 +60,13 @@
 		s.byModel[sg.Model] = append(s.byModel[sg.Model], sg)
 	}
 	for i := range s.Groups {
-		g := &s.Groups[i]
-		s.groups[g.ID] = g
-		id := api.ShardID{ServingGroup: g.ServingGroup, Domain: g.Domain}
-		s.byShard[id] = append(s.byShard[id], g)
+		s.indexReplica(&s.Groups[i])
+	}
+	for _, server := range s.Servers {
+		if server.Limited() {
+			g := server.Replica()
+			s.indexReplica(&g)
+		}
 	}
 	for i := range s.Shards {
 		lease := &s.Shards[i]
@@ -71,6 +74,12 @@
 	}
 }
 
+func (s *Snapshot) indexReplica(g *api.Group) {
+	s.groups[g.ID] = g
+	id := api.ShardID{ServingGroup: g.ServingGroup, Domain: g.Domain}
+	s.byShard[id] = append(s.byShard[id], g)
+}
+
 func (s *Snapshot) indexRest() {
 	for i := range s.Accounts {
 		a := &s.Accounts[i]
@@ -95,7 +104,7 @@
 	}
 }
 
-// Group returns a group, or nil.
+// Group returns a group or a limited server of a plain service, or nil.
 func (s *Snapshot) Group(id api.GroupID) *api.Group { return s.groups[id] }
 
 // ServingGroup returns a serving group, or nil.
@@ -109,6 +118,17 @@
 // ShardGroups returns the replicas of a shard, in any phase.
 func (s *Snapshot) ShardGroups(id api.ShardID) []*api.Group { return s.byShard[id] }
 
+// HasShard reports whether any shard of a serving group or plain service is
+// leased.
+func (s *Snapshot) HasShard(name api.ServingGroupName) bool {
+	for i := range s.Shards {
+		if s.Shards[i].Shard.ServingGroup == name {
+			return true
+		}
+	}
+	return false
+}
+
 // Shard returns the lease of a shard, or nil.
 func (s *Snapshot) Shard(id api.ShardID) *api.ShardLease { return s.shards[id] }
 
--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -22,6 +22,14 @@
 }
 
 func (f admit) service(c *call) error {
+	if err := f.enterService(c); err != nil {
+		return err
+	}
+	return f.server(c)
+}
+
+// enterService takes a place in this entry's limit of calls to the service.
+func (f admit) enterService(c *call) error {
 	if c.service.entered {
 		return nil
 	}
@@ -32,6 +40,30 @@
 	return nil
 }
 
+// server takes a grant of a server that states what it bears, unless another
+// server can take the call without one.
+func (f admit) server(c *call) error {
+	c.snapshot = f.cfg.State.Snapshot()
+	own, others := f.freeServers(c)
+	name := api.ServiceShards(c.service.name)
+	if len(own)+len(others) > 0 || !c.snapshot.HasShard(name) {
+		return nil
+	}
+	wait := min(c.deadline.Sub(f.cfg.Clock.Now()), f.cfg.Settings.QueueWait)
+	if err := f.acquire(c, name, wait); err != nil {
+		return serverRefusal(err)
+	}
+	return nil
+}
+
+// serverRefusal refuses a call to a plain service that got no grant.
+func serverRefusal(err error) *refusal {
+	if errs.Is(err, errs.Full) {
+		return unavailable("service_busy", "no server of the service became free in time", err)
+	}
+	return unavailable("no_server", "no server of the service can take the call now", err)
+}
+
 func (f admit) model(c *call) error {
 	wait := c.deadline.Sub(f.cfg.Clock.Now())
 	if !c.hasBegun() {
@@ -74,7 +106,7 @@
 		Wait:         wait,
 		Exclude:      c.excluded,
 		Alone:        c.alone,
-		Revocable:    c.generation.stream || !c.takenBack,
+		Revocable:    c.isModel() && (c.generation.stream || !c.takenBack),
 		Resumed:      c.hasBegun(),
 	})
 	if err != nil {
--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -63,6 +63,12 @@
 		c.exclude(t.grant.Group)
 		return nil
 	}
+	if c.kind == callService {
+		// The call may still run: its place stays counted until it can't.
+		s.cfg.Grants.Abandon(t.grant)
+		c.exclude(t.grant.Group)
+		return nil
+	}
 	if failed.answered {
 		s.cfg.Grants.Settle(t.grant, c.result(api.OutcomeUnknown, true))
 		c.exclude(t.grant.Group)
--- a/internal/pipeline/choose.go
+++ b/internal/pipeline/choose.go
@@ -13,7 +13,7 @@
 
 func (f choose) apply(c *call) error {
 	c.snapshot = f.cfg.State.Snapshot()
-	if c.kind == callService {
+	if c.kind == callService && !c.target.granted {
 		return f.server(c)
 	}
 	return f.replica(c)
@@ -32,18 +32,7 @@
 // server takes the next server of the service, of the own failure domain if it
 // has one.
 func (f choose) server(c *call) error {
-	var own, others []*api.ServiceServer
-	for i := range c.snapshot.Servers {
-		srv := &c.snapshot.Servers[i]
-		if srv.Service != c.service.name || !f.mayServe(c, srv) {
-			continue
-		}
-		if srv.Domain == f.cfg.Self.Domain {
-			own = append(own, srv)
-			continue
-		}
-		others = append(others, srv)
-	}
+	own, others := f.freeServers(c)
 	if len(own) == 0 {
 		own = others
 	}
@@ -55,6 +44,23 @@
 	return nil
 }
 
-func (f choose) mayServe(c *call, srv *api.ServiceServer) bool {
-	return !srv.Leaving && !c.snapshot.Drained(srv.Domain) && !slices.Contains(c.service.excluded, srv.Host)
+// freeServers lists the servers that may take the call without a grant, those
+// of the own failure domain apart.
+func (s *Server) freeServers(c *call) (own, others []*api.ServiceServer) {
+	for i := range c.snapshot.Servers {
+		srv := &c.snapshot.Servers[i]
+		if srv.Service != c.service.name || !mayServe(c, srv) {
+			continue
+		}
+		if srv.Domain == s.cfg.Self.Domain {
+			own = append(own, srv)
+			continue
+		}
+		others = append(others, srv)
+	}
+	return own, others
+}
+
+func mayServe(c *call, srv *api.ServiceServer) bool {
+	return !srv.Limited() && !srv.Leaving && !c.snapshot.Drained(srv.Domain) && !slices.Contains(c.service.excluded, srv.Host)
 }
--- a/internal/pipeline/fakes_test.go
+++ b/internal/pipeline/fakes_test.go
@@ -77,6 +77,12 @@
 		return api.Grant{}, f.err
 	}
 	groups := f.state.Snapshot().Groups
+	if r.ServingGroup.IsService() {
+		groups = nil
+		for _, server := range f.state.Snapshot().Servers {
+			groups = append(groups, server.Replica())
+		}
+	}
 	for i := range groups {
 		g := groups[(f.n+i)%len(groups)]
 		if contains(r.Exclude, g.ID) || g.Phase != api.GroupReady {
--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -128,6 +128,11 @@
 // stopLapsed stops the work of an expired grant on its engine, and counts the
 // grant out once it can't run there any more.
 func (m *Manager) stopLapsed(o *owned, g api.Grant) {
+	if g.Shard.ServingGroup.IsService() {
+		// A plain service has no cancel call. The grant stays counted until its
+		// call can't run any more.
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopRepeat)
 	defer cancel()
 	err := m.cfg.Engines.Cancel(ctx, g.Address, g.Request)
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -187,6 +187,8 @@
 	}
 	if h.kind == api.BackendEngine {
 		h.describeEngine(&m, now)
+	} else {
+		h.describeService(&m)
 	}
 	return m, true
 }
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -64,6 +64,12 @@
 	PerDomain int
 	// Time is how long one call runs.
 	Time time.Duration
+	// ColdLoad and WarmLoad are the concurrent calls borne by a server, which
+	// falls over above them. 0 for ColdLoad sets no limit and announces none.
+	ColdLoad int
+	WarmLoad int
+	// WarmAfter is the number of completed calls that end a cold start.
+	WarmAfter int
 }
 
 // Config are the settings of a fleet.
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -38,6 +38,7 @@
 	member  membership
 	load    loadReport
 	engine  batch
+	calls   serviceLoad
 	// previous is the last request that arrived before the present one.
 	previous api.RequestID
 	// claimsWarmUntil is how long announcements conceal a cold start.
@@ -153,6 +154,7 @@
 	h.previous = ""
 	h.claimsWarmUntil = time.Time{}
 	h.engine = newBatch(h.fleet.cfg.Engine)
+	h.calls = serviceLoad{}
 	h.due = h.fleet.cfg.Clock.Now()
 	h.fleet.tasks.Go(func() { h.fleet.listener.serve(ln, h) })
 	return nil
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -23,15 +23,18 @@
 func (h *Host) handleService(ctx *fasthttp.RequestCtx, conn *hostConn) {
 	id := api.RequestID(ctx.Request.Header.Peek(api.HeaderRequest))
 	other := h.arrived(id)
+	incarnation := h.Incarnation()
+	running, borne := h.beginCall()
+	defer h.endCall(incarnation)
 	answer := ServiceAnswer{
 		Service: h.service.Name,
 		Path:    string(ctx.Path()),
 		Key:     string(ctx.Request.Header.Peek(api.HeaderIdempotencyKey)),
 	}
 	if !ctx.IsGet() && !ctx.IsHead() {
-		answer.Run = h.runService(ctx, answer.Key)
+		answer.Run = h.runService(ctx, answer.Key, Run{Incarnation: incarnation, Concurrent: running, Borne: borne})
 	}
-	if h.fleet.crashes(ctx.PostBody()) {
+	if h.fleet.crashes(ctx.PostBody()) || (borne > 0 && running > borne) {
 		h.fall()
 		return
 	}
@@ -50,22 +53,16 @@
 	}
 }
 
-// runService records the run and counts it by key.
-func (h *Host) runService(ctx *fasthttp.RequestCtx, key string) int {
+// runService completes and records the run and counts it by key.
+func (h *Host) runService(ctx *fasthttp.RequestCtx, key string, run Run) int {
 	body := string(ctx.PostBody())
-	h.mu.Lock()
-	incarnation := h.incarnation
-	h.mu.Unlock()
-	h.fleet.record.addRun(Run{
-		Request:     api.RequestID(ctx.Request.Header.Peek(api.HeaderRequest)),
-		Host:        h.id,
-		Incarnation: incarnation,
-		Key:         key,
-		Path:        string(ctx.Path()),
-		Body:        body,
-		Concurrent:  1,
-		Start:       h.fleet.cfg.Clock.Now(),
-	})
+	run.Request = api.RequestID(ctx.Request.Header.Peek(api.HeaderRequest))
+	run.Host = h.id
+	run.Key = key
+	run.Path = string(ctx.Path())
+	run.Body = body
+	run.Start = h.fleet.cfg.Clock.Now()
+	h.fleet.record.addRun(run)
 	if key == "" {
 		key = body
 	}
