--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -172,7 +172,8 @@
 	for _, v := range c.processes[:3] {
 		voters = append(voters, v.name+"="+v.advertised)
 	}
-	env := append(p.env,
+	env := append([]string{}, p.env...)
+	env = append(env,
 		"PATH="+os.Getenv("PATH"),
 		"CROCUSWAY_NAME="+p.name,
 		"CROCUSWAY_DOMAIN="+string(domains[i%3]),
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -206,7 +206,7 @@
 // TestRestartOfAllKeepsChanges kills every daemon after hundreds of changes.
 // They come back with the newest accepted one.
 func TestRestartOfAllKeepsChanges(t *testing.T) {
-	const changes = 200
+	const changes = 400
 	c := startCluster(t)
 	for i := range changes {
 		c.confirm(shareIntent(i))
--- a/internal/e2e/partition_test.go
+++ b/internal/e2e/partition_test.go
@@ -74,7 +74,7 @@
 // TestLongCutVoterNeedsASnapshot cuts a follower off for so many changes that the
 // others drop the log which it misses. It follows by a snapshot.
 func TestLongCutVoterNeedsASnapshot(t *testing.T) {
-	const changes = 300
+	const changes = 400
 	c := startCluster(t)
 	leader := c.leader()
 	cut := c.processes[0]
