--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
@@ -15,7 +14,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusway/crocusway/internal/api"
-	"github.com/crocusway/crocusway/internal/caller"
 	"github.com/crocusway/crocusway/internal/daemon"
 	"github.com/crocusway/crocusway/internal/errs"
 )
@@ -249,36 +247,16 @@
 	c := startCluster(t)
 	c.serve(6)
 	drained := domains[2]
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	var wg sync.WaitGroup
-	cut := make([]int, loads)
-	whole := make([]int, loads)
-	for i := range loads {
-		wg.Go(func() {
-			client := caller.New(apiKey, c.addresses())
-			for ctx.Err() == nil {
-				a, err := client.Chat(context.Background(), model, fmt.Sprintf("prompt %d", i), 32)
-				switch {
-				case err == nil && a.Whole():
-					whole[i]++
-				case a.Outcome != api.OutcomeNotRun:
-					cut[i]++
-				}
-			}
-		})
-	}
+	load := c.startLoad(loads)
 	require.Eventually(t, func() bool { return c.runsIn(drained) > loads }, patience, poll)
 	decision := c.confirm(api.Intent{Domains: []api.Domain{{Name: drained, State: api.DomainDrained}}})
 	require.True(t, decision.InForce, "held out: %v", decision.HeldOut)
 	before, all := c.runsIn(drained), len(c.fleet.Runs())
 	require.Eventually(t, func() bool { return len(c.fleet.Runs()) > all+100 }, patience, poll)
 	require.Equal(t, before, c.runsIn(drained))
-	stop()
-	wg.Wait()
+	load.requireUncut()
 	for i := range loads {
-		require.Zero(t, cut[i])
-		require.Positive(t, whole[i])
+		require.Positive(t, load.callers[i].whole.Load())
 	}
 }
 
--- a/internal/e2e/request_test.go
+++ b/internal/e2e/request_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/caller"
+	"github.com/crocusway/crocusway/internal/standin"
 )
 
 // shardOwner returns an owner of a shard other than the leader if there is one,
@@ -58,6 +59,7 @@
 		require.NoError(t, failures[i])
 		require.True(t, a.Whole(), "answer %d: %d tokens, outcome %q", i, len(a.Tokens), a.Outcome)
 		require.Len(t, a.Tokens, tokens)
+		require.Equal(t, standin.AnswerText(a.Request, tokens), a.Text())
 	}
 }
 
@@ -66,7 +68,7 @@
 	c.t.Helper()
 	for _, run := range c.fleet.Runs() {
 		if run.Group != "" {
-			require.LessOrEqual(c.t, run.Concurrent, run.Borne, "run of %s on %s", run.Request, run.Host)
+			require.LessOrEqual(c.t, run.Concurrent, run.Borne, "run of %s on %s, group %s in generation %d", run.Request, run.Host, run.Group, run.Fencing)
 		}
 	}
 	require.Zero(c.t, c.fleet.Falls())
--- a/internal/standin/order.go
+++ b/internal/standin/order.go
@@ -59,21 +59,24 @@
 	}
 }
 
-// release ends the membership. The lock is held.
+// release ends the membership and the requests of its generation. The lock is
+// held.
 func (h *Host) release(o api.Order) {
 	if h.member.group != o.Group && h.fleet.cfg.Engine.ChecksFencing {
 		return
 	}
+	h.engine.abort()
 	h.member = membership{highest: h.member.highest}
 }
 
-// assign begins a membership. A host that holds the same part of the model
+// assign begins a membership; requests of an earlier one end. A host that holds the same part of the model
 // need not load it again. The lock is held.
 func (h *Host) assign(o api.Order) {
 	old := h.member
 	if old.group == o.Group && old.fencing == o.Fencing {
 		return
 	}
+	h.engine.abort()
 	h.member = membership{
 		group:   o.Group,
 		fencing: o.Fencing,
