--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -87,9 +87,11 @@
 	t         *testing.T
 	processes []*process
 	network   *network.Network
-	fleet     *standin.Fleet
-	client    *ctl.Client
-	caller    *caller.Client
+	// replicas is the number that serve asked for.
+	replicas int
+	fleet    *standin.Fleet
+	client   *ctl.Client
+	caller   *caller.Client
 }
 
 // freeAddresses returns n different addresses with ports that the kernel chose.
@@ -172,7 +174,8 @@
 	for _, v := range c.processes[:3] {
 		voters = append(voters, v.name+"="+v.advertised)
 	}
-	env := append(p.env,
+	env := append([]string{}, p.env...)
+	env = append(env,
 		"PATH="+os.Getenv("PATH"),
 		"CROCUSWAY_NAME="+p.name,
 		"CROCUSWAY_DOMAIN="+string(domains[i%3]),
@@ -328,6 +331,7 @@
 // serve brings the cluster to where calls are answered.
 func (c *cluster) serve(replicas int) {
 	c.t.Helper()
+	c.replicas = replicas
 	c.confirm(intent(replicas))
 	c.await("ready replicas", func(s api.StatusResponse) bool { return readyGroups(s) == replicas })
 	c.awaitAnswer()
