--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -141,8 +141,12 @@
 type MeasureStatus struct {
 	// GroupDowntime is in replica-seconds.
 	GroupDowntime float64 `json:"group_downtime_replica_seconds"`
-	// Stranded is in host-seconds.
+	// Stranded is the time in which hosts were idle because their group was
+	// incomplete, in host-seconds.
 	Stranded float64 `json:"stranded_host_seconds"`
+	// NotServing is the time in which replicas were missing and hosts beyond the
+	// spares did not serve, in host-seconds.
+	NotServing float64 `json:"not_serving_host_seconds"`
 }
 
 // StatusResponse is the leader's summary for operators.
--- a/internal/bench/fleet_meter.go
+++ b/internal/bench/fleet_meter.go
@@ -5,12 +5,15 @@
 	"time"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/measure"
 )
 
 // Names of the figures of the fleet experiments.
 const (
 	FigureDowntime   = "group downtime"
 	FigureStranded   = "stranded accelerators"
+	FigurePaused     = "stranded beside paused members"
+	FigureUnused     = "idle beyond spares"
 	FigureIdle       = "accelerators not serving"
 	FigureHostsMoved = "hosts moved"
 	FigureLoads      = "loads started"
@@ -19,9 +22,12 @@
 
 // fleetMeter adds up the measures of a run.
 type fleetMeter struct {
-	// downtime is in replica-seconds, stranded and idle in host-seconds.
+	hosts measure.Meter
+	// downtime is in replica-seconds, the others are in host-seconds.
 	downtime float64
 	stranded float64
+	paused   float64
+	unused   float64
 	idle     float64
 	moved    int
 	loads    int
@@ -74,7 +80,7 @@
 
 // unused counts the running hosts of each fabric domain that do not serve: all
 // of them, and those that do not load as members of a whole group either.
-func (r *fleetRun) unused() (idle, stranded map[api.FabricDomain]int) {
+func (r *fleetRun) unused() (idle, unused map[api.FabricDomain]int) {
 	whole := make(map[api.HostID]api.GroupPhase)
 	for _, g := range r.store.groups {
 		if !r.whole(g) {
@@ -88,7 +94,7 @@
 			whole[id] = phase
 		}
 	}
-	idle, stranded = make(map[api.FabricDomain]int), make(map[api.FabricDomain]int)
+	idle, unused = make(map[api.FabricDomain]int), make(map[api.FabricDomain]int)
 	for _, h := range r.model.Hosts {
 		if !h.Up || h.Paused || r.drained(h.Domain) {
 			continue
@@ -99,10 +105,10 @@
 			idle[h.Fabric]++
 		default:
 			idle[h.Fabric]++
-			stranded[h.Fabric]++
+			unused[h.Fabric]++
 		}
 	}
-	return idle, stranded
+	return idle, unused
 }
 
 // whole reports whether every member runs and holds the group's generation.
@@ -116,15 +122,19 @@
 	return true
 }
 
-// measure adds one tick of length d. Not serving are running hosts beyond the
-// spares of their fabric domain, at most as many as the missing replicas take.
-// Stranded are those that do not load as members of a whole group either, at
-// most as many as the missing replicas that nothing loads take.
+// measure adds one tick of length d. Stranded are the hosts that are idle because
+// their group is incomplete (package measure). Not serving are running hosts
+// beyond the spares of their fabric domain, at most as many as the missing
+// replicas take. Unused are those that do not load as members of a whole group
+// either, whether an incomplete group had them or not, at most as many as the
+// missing replicas that nothing loads take.
 func (r *fleetRun) measure(d time.Duration) {
 	if r.onMeasure != nil {
 		r.onMeasure(d)
 	}
 	replicas, hosts := r.short()
+	view := r.trueView()
+	stranded := r.meter.hosts.Observe(&view).Stranded
 	seconds := d.Seconds()
 	if replicas == 0 {
 		r.meter.shortage = 0
@@ -133,10 +143,54 @@
 	r.meter.downtime += float64(replicas) * seconds
 	r.meter.shortage += seconds
 	r.meter.longest = max(r.meter.longest, r.meter.shortage)
-	idle, stranded := r.unused()
-	loading := total(idle) - total(stranded)
+	r.meter.stranded += float64(stranded) * seconds
+	r.meter.paused += float64(min(r.besidePaused(), stranded)) * seconds
+	idle, unused := r.unused()
+	loading := total(idle) - total(unused)
 	r.meter.idle += float64(min(r.beyondSpares(idle), hosts)) * seconds
-	r.meter.stranded += float64(min(r.beyondSpares(stranded), max(hosts-loading, 0))) * seconds
+	r.meter.unused += float64(min(r.beyondSpares(unused), max(hosts-loading, 0))) * seconds
+}
+
+// trueView shows what hosts do at this moment, announced or not.
+func (r *fleetRun) trueView() api.FleetView {
+	v := api.FleetView{
+		ServingGroups: r.store.ServingGroups,
+		Domains:       r.store.Domains,
+		Groups:        r.store.Groups(),
+		Assignments:   r.store.Assignments(),
+		Hosts:         make([]api.HostStatus, 0, len(r.model.Hosts)),
+	}
+	for _, h := range r.model.Hosts {
+		a := api.Announcement{
+			Host: h.ID, Kind: api.BackendEngine, Fabric: h.Fabric, Domain: h.Domain, Group: h.Group, Fencing: h.Fencing,
+		}
+		v.Hosts = append(v.Hosts, api.HostStatus{Announcement: a, Alive: h.Up && !h.Paused})
+	}
+	return v
+}
+
+// besidePaused counts the running members of groups whose other members are only
+// paused. Whatever a planner does, they cannot serve until the pause ends or a
+// reload does.
+func (r *fleetRun) besidePaused() int {
+	n := 0
+	for _, g := range r.store.groups {
+		running, paused := 0, 0
+		for _, id := range g.Members {
+			h := r.model.Host(id)
+			switch {
+			case h.Group != g.ID || h.Fencing != g.Fencing:
+			case h.Paused:
+				paused++
+			default:
+				running++
+			}
+		}
+		if paused > 0 && running+paused == len(g.Members) {
+			n += running
+		}
+	}
+	return n
 }
 
 func total(hosts map[api.FabricDomain]int) int {
@@ -178,6 +232,8 @@
 	return []Figure{
 		{Name: FigureDowntime, Unit: "replica-seconds", Value: r.meter.downtime},
 		{Name: FigureStranded, Unit: "host-seconds", Value: r.meter.stranded},
+		{Name: FigurePaused, Unit: "host-seconds", Value: r.meter.paused},
+		{Name: FigureUnused, Unit: "host-seconds", Value: r.meter.unused},
 		{Name: FigureIdle, Unit: "host-seconds", Value: r.meter.idle},
 		{Name: FigureHostsMoved, Unit: "hosts", Value: float64(r.meter.moved)},
 		{Name: FigureLoads, Unit: "host loads", Value: float64(r.meter.loads + r.model.Loads)},
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -156,11 +156,12 @@
 	s.report("expire", err)
 }
 
-// measure samples group downtime and stranded hosts.
+// measure samples group downtime, stranded hosts and hosts that do not serve.
 func (s *Service) measure(ctx context.Context, lead *leadership) {
 	fleet := s.fleet(lead)
 	now := s.cfg.Clock.Now()
-	downtime, stranded := lead.measures.sample(now, downReplicas(fleet), strandedHosts(fleet))
-	s.metrics.downtime.Add(ctx, downtime)
-	s.metrics.stranded.Add(ctx, stranded)
+	amount := lead.measures.sample(now, &fleet)
+	s.metrics.downtime.Add(ctx, amount.downtime)
+	s.metrics.stranded.Add(ctx, amount.stranded)
+	s.metrics.notServing.Add(ctx, amount.notServing)
 }
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -12,9 +12,10 @@
 
 // metrics are the instruments of the control role.
 type metrics struct {
-	commands metric.Int64Counter
-	downtime metric.Float64Counter
-	stranded metric.Float64Counter
+	commands   metric.Int64Counter
+	downtime   metric.Float64Counter
+	stranded   metric.Float64Counter
+	notServing metric.Float64Counter
 }
 
 func newMetrics(meter metric.Meter, s *Service) *metrics {
@@ -30,10 +31,13 @@
 		metric.WithDescription("Commands committed by this leader."))
 	check(next)
 	m.downtime, next = meter.Float64Counter("crocusway.group.downtime",
-		metric.WithUnit("s"), metric.WithDescription("Replica-seconds in which a wanted replica was not ready."))
+		metric.WithUnit("s"), metric.WithDescription("Replica-seconds in which a wanted replica could not serve."))
 	check(next)
 	m.stranded, next = meter.Float64Counter("crocusway.hosts.stranded",
-		metric.WithUnit("s"), metric.WithDescription("Host-seconds in which an accelerator host was stranded."))
+		metric.WithUnit("s"), metric.WithDescription("Host-seconds in which a host was idle because its group was incomplete."))
+	check(next)
+	m.notServing, next = meter.Float64Counter("crocusway.hosts.not_serving",
+		metric.WithUnit("s"), metric.WithDescription("Host-seconds in which replicas were missing and a host beyond the spares did not serve."))
 	check(next)
 	check(observeState(meter, s))
 	if err != nil {
--- a/internal/ctl/print_test.go
+++ b/internal/ctl/print_test.go
@@ -38,7 +38,7 @@
 			},
 		},
 		Hosts:    []api.HostStatus{{Announcement: api.Announcement{Host: "h1", Domain: "cairo"}, Alive: true}},
-		Measures: api.MeasureStatus{GroupDowntime: 12.4, Stranded: 3},
+		Measures: api.MeasureStatus{GroupDowntime: 12.4, Stranded: 3, NotServing: 9},
 	}
 }
 
