Work leases and renewals stretch with the number of entries

Cause: a renewal and a watch a second cost the leader 520 B/s an entry, 48 KB/s in a region of 83. Ruled out: a longer lease as a setting: a system of 4 entries would wait 9 s in place of 3 s for a lost one. A new leader that waits for the longest lease that any setting allows: the same, after each election. Change: the leader tells each entry with the answer a lease and a factor on its intervals: 1 up to 16 entries, 2 up to 32, 3 above (9 s at most). It commits the longest lease before it grants it, and a shorter one only once the longer ones have run out, so that a new leader knows what to wait for. A renewal never shortens the lease that the leader counts on. The view carries the longest lease: the owner of a shard holds back that long for grants of an earlier owner.

--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -45,6 +45,9 @@
 // moment it sent the request.
 type RenewResponse struct {
 	LeaseMillis int64 `json:"lease_millis"`
+	// Stretch is the factor on the entry's intervals towards control. It grows
+	// with the number of entries; 0 stands for 1.
+	Stretch int `json:"stretch,omitempty"`
 	// Revision is the newest accepted revision.
 	Revision Revision `json:"revision"`
 }
--- a/internal/api/view.go
+++ b/internal/api/view.go
@@ -86,7 +86,10 @@
 
 // View is the replicated state that an entry applies.
 type View struct {
-	Revision      Revision        `json:"revision"`
+	Revision Revision `json:"revision"`
+	// LeaseMillis is the longest work lease that an entry may hold, 0 for that of
+	// the settings. Each update carries it.
+	LeaseMillis   int64           `json:"lease_millis,omitempty"`
 	ServingGroups []ServingGroup  `json:"serving_groups,omitempty"`
 	Accounts      []Account       `json:"accounts,omitempty"`
 	Domains       []Domain        `json:"domains,omitempty"`
--- a/internal/control/changes.go
+++ b/internal/control/changes.go
@@ -99,6 +99,7 @@
 		return update
 	}
 	update.Upsert.Revision = update.To
+	update.Upsert.LeaseMillis = s.counters.load().LeaseMillis
 	for _, key := range keys {
 		s.addChange(&update, key)
 	}
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -27,6 +27,7 @@
 	kindSuspect     commandKind = 10
 	kindExpire      commandKind = 11
 	kindLead        commandKind = 12
+	kindLease       commandKind = 13
 )
 
 // command is one replicated change. apply must depend on nothing but the
@@ -128,6 +129,8 @@
 		return &expireCommand{}
 	case kindLead:
 		return &leadCommand{}
+	case kindLease:
+		return &leaseCommand{}
 	}
 	return nil
 }
--- a/internal/control/command_gen_test.go
+++ b/internal/control/command_gen_test.go
@@ -13,6 +13,7 @@
 	switch rapid.SampledFrom([]commandKind{
 		kindPlan, kindDecide, kindGroup, kindGroup, kindGroup, kindGroup, kindEntryPut, kindEntryExpire,
 		kindShards, kindServers, kindRecordOpen, kindRecordEnd, kindSuspect, kindExpire, kindLead,
+		kindLease,
 	}).Draw(t, "kind") {
 	case kindPlan:
 		return &planCommand{Operator: "amal", Intent: drawIntent(t), Base: s.ConfigRevision(), Limit: 8}
@@ -31,6 +32,8 @@
 		return &entryExpireCommand{ID: row.Info.ID, Registered: row.Registered, RetentionMillis: 1000, Term: term}
 	case kindLead:
 		return &leadCommand{Term: rapid.Uint64Range(0, 2).Draw(t, "term")}
+	case kindLease:
+		return &leaseCommand{Millis: 3000 * rapid.Int64Range(1, 3).Draw(t, "lease"), Term: rapid.Uint64Range(0, 2).Draw(t, "term")}
 	case kindShards:
 		cmd := assignShards(s.View())
 		return &cmd
--- a/internal/control/command_test.go
+++ b/internal/control/command_test.go
@@ -73,6 +73,7 @@
 		&suspectCommand{Suspect: api.SuspectRequest{Fingerprint: "f"}},
 		&expireCommand{MaxRecords: 1},
 		&leadCommand{Term: 1},
+		&leaseCommand{Millis: 9000, Term: 1},
 	} {
 		data, err := encodeCommand(cmd, 1)
 		if err != nil {
--- a/internal/control/counters.go
+++ b/internal/control/counters.go
@@ -19,6 +19,9 @@
 	Shards api.Revision `cbor:"7,keyasint"`
 	// Term is the term of the newest leader that took over.
 	Term uint64 `cbor:"8,keyasint"`
+	// LeaseMillis is the longest work lease that an entry may hold, 0 for that of
+	// the settings.
+	LeaseMillis int64 `cbor:"9,keyasint,omitempty"`
 }
 
 type counters struct {
@@ -60,6 +63,13 @@
 	c.values.Term = term
 }
 
+// setLease sets the longest work lease.
+func (c *counters) setLease(millis int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values.LeaseMillis = millis
+}
+
 // configured counts a configuration change that takes effect at a revision.
 func (c *counters) configured(at api.Revision) {
 	c.mu.Lock()
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -44,6 +44,7 @@
 		return
 	}
 	lead.slowRound = now
+	s.stretchLeases(ctx, lead, now)
 	s.measure(ctx, lead)
 	lead.hosts.forget(now, s.isAssigned)
 }
--- a/internal/control/entry_calls.go
+++ b/internal/control/entry_calls.go
@@ -26,7 +26,9 @@
 	if r.Release {
 		return none, s.release(ctx, lead, r.Entry)
 	}
-	if err := lead.leases.renew(r, s.cfg.Clock.Now(), s.requiredRevision(lead)); err != nil {
+	stretch := lead.pace.stretch()
+	length := s.stretched(stretch)
+	if err := lead.leases.renew(r, length+s.cfg.DriftMargin, s.cfg.Clock.Now(), s.requiredRevision(lead)); err != nil {
 		s.renewed.wake()
 		return none, err
 	}
@@ -37,7 +39,7 @@
 		return none, err
 	}
 	s.renewed.wake()
-	return api.RenewResponse{LeaseMillis: s.cfg.LeaseDuration.Milliseconds(), Revision: s.state.Revision()}, nil
+	return api.RenewResponse{LeaseMillis: length.Milliseconds(), Stretch: stretch, Revision: s.state.Revision()}, nil
 }
 
 // requiredRevision returns what an entry must have applied to renew its lease:
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -14,6 +14,7 @@
 type leadership struct {
 	term     uint64
 	leases   *leaseTable
+	pace     leasePace
 	hosts    *hostTable
 	slots    *slotTable
 	measures *measures
@@ -80,9 +81,12 @@
 func (s *Service) newLeadership(term uint64) *leadership {
 	now := s.cfg.Clock.Now()
 	ctx, cancel := context.WithCancel(context.Background())
+	leases := newLeaseTable(s.leaseLength(), now, s.state.View().Entries)
+	leases.extend = s.extend
 	return &leadership{
 		term:     term,
-		leases:   newLeaseTable(s.leaseLength(), now, s.state.View().Entries),
+		pace:     leasePace{granted: int(s.longestLease() / s.cfg.LeaseDuration)},
+		leases:   leases,
 		hosts:    newHostTable(s.cfg.Limits.MaxHosts, s.cfg.DetectionBound, now),
 		slots:    newSlotTable(),
 		measures: newMeasures(now),
@@ -92,8 +96,8 @@
 	}
 }
 
-// leaseLength is how long the leader takes a lease as valid.
-func (s *Service) leaseLength() time.Duration { return s.cfg.LeaseDuration + s.cfg.DriftMargin }
+// leaseLength is the longest time for which the leader takes a lease as valid.
+func (s *Service) leaseLength() time.Duration { return s.longestLease() + s.cfg.DriftMargin }
 
 // stillLeading reports whether this voter holds the leader lease of the same
 // term. An answer that promises something is sent only after this check.
--- a/internal/control/lease_fuzz_test.go
+++ b/internal/control/lease_fuzz_test.go
@@ -46,10 +46,14 @@
 	entries []*simEntry
 	// claimed is the highest revision that was said to be in force.
 	claimed api.Revision
+	// freezeSeconds is longer than the longest work lease.
+	freezeSeconds int
+	// stretches adds changes of the length of leases to the drawn events.
+	stretches bool
 }
 
-func newLeaseSim(t require.TestingT, entries int) *leaseSim {
-	s := &leaseSim{fixture: newFixture()}
+func newLeaseSim(t require.TestingT, entries int, options ...option) *leaseSim {
+	s := &leaseSim{fixture: newFixture(options...), freezeSeconds: 4}
 	for i := range entries {
 		id := api.EntryID(fmt.Sprintf("e%d", i+1))
 		s.entries = append(s.entries, &simEntry{info: entryInfo(id, 1)})
@@ -177,7 +181,7 @@
 
 // freeze stops one entry for longer than its lease while the others go on.
 func (s *leaseSim) freeze(frozen *simEntry) error {
-	for range 4 {
+	for range s.freezeSeconds {
 		s.advance(time.Second)
 		for _, e := range s.entries {
 			if e == frozen {
@@ -209,8 +213,41 @@
 	return nil
 }
 
+// stretch makes the leader grant longer or shorter leases. An entry that still
+// has a long one renews it, loses the answer and falls silent, while the others
+// go on and the operator asks what is in force.
+func (s *leaseSim) stretch(t *rapid.T, e *simEntry, step int) error {
+	entries := rapid.SampledFrom([]int{1, 2, 100}).Draw(t, "step of entries")
+	for _, service := range s.services {
+		service.cfg.StretchEntries = entries
+	}
+	s.advance(time.Second)
+	s.send(e)
+	e.pending = nil
+	s.confirm(step)
+	for range rapid.IntRange(1, 8).Draw(t, "seconds") {
+		s.advance(time.Second)
+		for _, other := range s.entries {
+			if other == e {
+				continue
+			}
+			if err := s.keepAlive(other); err != nil {
+				return err
+			}
+		}
+		s.askAgain()
+		if err := s.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (s *leaseSim) event(t *rapid.T, step int) error {
 	e := rapid.SampledFrom(s.entries).Draw(t, "entry")
+	if s.stretches && rapid.IntRange(0, 9).Draw(t, "stretch") == 0 {
+		return s.stretch(t, e, step)
+	}
 	switch rapid.IntRange(0, 17).Draw(t, "event") {
 	case 0, 1, 2:
 		return s.keepAlive(e)
@@ -262,9 +299,79 @@
 	rapid.Check(t, func(t *rapid.T) { require.NoError(t, runLeases(t, newLeaseSim(t, 3))) })
 }
 
+// newStretchSim is a cluster whose leases get longer with each entry.
+func newStretchSim(t require.TestingT) *leaseSim {
+	s := newLeaseSim(t, 3, func(c *Config) { c.StretchEntries = 1 })
+	s.freezeSeconds = 10
+	s.stretches = true
+	return s
+}
+
+func TestStretchedLeasesHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { require.NoError(t, runLeases(t, newStretchSim(t))) })
+}
+
+// forgetLongerLease lets the leader take the newest lease as the only one.
+func forgetLongerLease(s *leaseSim) {
+	for _, service := range s.services {
+		service.extend = func(_, renewed time.Time) time.Time { return renewed }
+		if lead := service.leading.Load(); lead != nil {
+			lead.leases.extend = service.extend
+		}
+	}
+}
+
+// A leader that grants shorter leases must wait for the longer one that an
+// entry may still count on, also when it took over from another leader.
+func TestLeaseCheckerCatchesForgottenLongerLease(t *testing.T) {
+	const whole = "none"
+	variants := map[string]func(*leaseSim){
+		whole:                             func(*leaseSim) {},
+		"renewal replaces a longer lease": forgetLongerLease,
+		"new leader counts on the shortest lease": func(s *leaseSim) {
+			for _, state := range s.states {
+				state.counters.setLease(0)
+			}
+			s.elect(1)
+		},
+	}
+	for name, breakIt := range variants {
+		t.Run(name, func(t *testing.T) {
+			s := newStretchSim(t)
+			for range 3 {
+				s.advance(time.Second)
+				for _, e := range s.entries {
+					require.NoError(t, s.keepAlive(e))
+				}
+			}
+			require.Equal(t, 3, s.service().leading.Load().pace.stretch())
+			breakIt(s)
+			last := s.entries[0]
+			lead, err := s.service().lead(ctx)
+			require.NoError(t, err)
+			lead.pace.raise(1)
+			s.send(last)
+			last.pending = nil
+			s.advance(DefaultLeaseDuration + DefaultDriftMargin + time.Millisecond)
+			for _, e := range s.entries[1:] {
+				require.NoError(t, s.keepAlive(e))
+			}
+			s.confirm(1)
+			for _, e := range s.entries[1:] {
+				require.NoError(t, s.keepAlive(e))
+			}
+			s.askAgain()
+			require.True(t, last.mayWork(s.clock.Now()))
+			require.Equal(t, name != whole, s.check() != nil)
+		})
+	}
+}
+
 // The fuzz itself, and not only the cases below, finds each broken variant.
 func TestLeaseFuzzFindsBrokenVariants(t *testing.T) {
+	const stretched = "longer lease forgotten"
 	variants := map[string]func(*leaseSim){
+		stretched: forgetLongerLease,
 		"lease from receipt": func(s *leaseSim) {
 			for _, e := range s.entries {
 				e.fromReceipt = true
@@ -286,6 +393,9 @@
 			found := 0
 			rapid.Check(t, func(t *rapid.T) {
 				s := newLeaseSim(t, 3)
+				if name == stretched {
+					s = newStretchSim(t)
+				}
 				breakIt(s)
 				if runLeases(t, s) != nil {
 					found++
--- a/internal/control/lease_table.go
+++ b/internal/control/lease_table.go
@@ -23,16 +23,16 @@
 // leaseTable holds the work leases that entries may hold. It belongs to one
 // leadership.
 type leaseTable struct {
-	mu sync.Mutex
-	// length is the lease duration with the drift margin.
-	length time.Duration
-	rows   map[api.EntryID]*leaseRow
+	mu   sync.Mutex
+	rows map[api.EntryID]*leaseRow
+	// extend returns the end of a lease that is renewed.
+	extend func(until, renewed time.Time) time.Time
 }
 
 // newLeaseTable assumes that every live entry renewed its lease just before the
-// election.
+// election for a length of time, which includes the drift margin.
 func newLeaseTable(length time.Duration, electedAt time.Time, entries []api.EntryInfo) *leaseTable {
-	t := &leaseTable{length: length, rows: make(map[api.EntryID]*leaseRow)}
+	t := &leaseTable{rows: make(map[api.EntryID]*leaseRow), extend: later}
 	for _, e := range entries {
 		if e.Live {
 			t.rows[e.ID] = &leaseRow{incarnation: e.Incarnation, until: electedAt.Add(length)}
@@ -41,9 +41,17 @@
 	return t
 }
 
-// renew extends the lease of an entry from now on. An entry that has not
+// later keeps the end of a longer lease that was granted earlier.
+func later(until, renewed time.Time) time.Time {
+	if until.After(renewed) {
+		return until
+	}
+	return renewed
+}
+
+// renew extends the lease of an entry by a length from now on. An entry that has not
 // applied the required revision is refused, so that its lease runs out.
-func (t *leaseTable) renew(r api.RenewRequest, now time.Time, required func() api.Revision) error {
+func (t *leaseTable) renew(r api.RenewRequest, length time.Duration, now time.Time, required func() api.Revision) error {
 	const step = "renew lease"
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -52,7 +60,7 @@
 		return refuse(errs.Stale, step, "incarnation %d is older than %d", r.Entry.Incarnation, row.incarnation)
 	}
 	if row != nil && row.expiring {
-		return retryLater(t.length/10, step, "the expiry of the lease is being recorded")
+		return retryLater(length/10, step, "the expiry of the lease is being recorded")
 	}
 	if row != nil && r.Entry.Incarnation > row.incarnation && row.until.After(now) {
 		return retryLater(row.until.Sub(now), step, "incarnation %d may still hold a lease", row.incarnation)
@@ -67,7 +75,7 @@
 		row = &leaseRow{incarnation: r.Entry.Incarnation, applied: r.Applied}
 		t.rows[r.Entry.ID] = row
 	}
-	row.until = now.Add(t.length)
+	row.until = t.extend(row.until, now.Add(length))
 	return nil
 }
 
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -29,6 +29,9 @@
 	reconciled chan struct{}
 	ticks      *broadcast
 	renewed    *broadcast
+	// extend returns the end of a work lease that is renewed. It is a field so
+	// that tests can show that the fuzz catches its absence.
+	extend func(until, renewed time.Time) time.Time
 }
 
 // New returns a service for one voter. Call Register and Run.
@@ -42,6 +45,7 @@
 		reconciled: make(chan struct{}, 1),
 		ticks:      newBroadcast(),
 		renewed:    newBroadcast(),
+		extend:     later,
 	}
 	s.metrics = newMetrics(cfg.Meter, s)
 	return s
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -61,6 +61,9 @@
 	Reconciler Reconciler
 	// LeaseDuration is the work lease of an entry.
 	LeaseDuration time.Duration
+	// StretchEntries is the number of entries for which leases get longer by one
+	// LeaseDuration.
+	StretchEntries int
 	// DriftMargin is added by the leader before it takes a lease as run out.
 	DriftMargin time.Duration
 	// DetectionBound is the silence after which a backend server counts as
@@ -76,6 +79,7 @@
 // Defaults of Config.
 const (
 	DefaultLeaseDuration     = 3 * time.Second
+	DefaultStretchEntries    = 16
 	DefaultDriftMargin       = 300 * time.Millisecond
 	DefaultDetectionBound    = 2 * time.Second
 	DefaultTickInterval      = 100 * time.Millisecond
@@ -105,6 +109,7 @@
 		c.Meter = noop.NewMeterProvider().Meter("control")
 	}
 	c.LeaseDuration = cmp.Or(c.LeaseDuration, DefaultLeaseDuration)
+	c.StretchEntries = cmp.Or(c.StretchEntries, DefaultStretchEntries)
 	c.DriftMargin = cmp.Or(c.DriftMargin, DefaultDriftMargin)
 	c.DetectionBound = cmp.Or(c.DetectionBound, DefaultDetectionBound)
 	c.TickInterval = cmp.Or(c.TickInterval, DefaultTickInterval)
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -125,6 +125,7 @@
 func (s *State) view() api.View {
 	return api.View{
 		Revision:      s.Revision(),
+		LeaseMillis:   s.counters.load().LeaseMillis,
 		ServingGroups: s.config.servingGroups.list(),
 		Accounts:      s.config.accounts.list(),
 		Domains:       s.config.domains.list(),
--- a/internal/control/update.go
+++ b/internal/control/update.go
@@ -27,6 +27,7 @@
 	up, gone := u.Upsert, u.Removed
 	return api.View{
 		Revision:      u.To,
+		LeaseMillis:   up.LeaseMillis,
 		ServingGroups: mergeRows(v.ServingGroups, up.ServingGroups, gone.ServingGroups, servingGroupKey),
 		Accounts:      mergeRows(v.Accounts, up.Accounts, gone.Accounts, accountKey),
 		Domains:       mergeRows(v.Domains, up.Domains, gone.Domains, domainKey),
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -46,13 +46,15 @@
 	// reported is the newest applied revision that control knows of.
 	reported api.Revision
 	joined   bool
+	// stretch is the factor on intervals that the leader asked for, 1 or more.
+	stretch int
 	// applied wakes the renewal loop after a new view.
 	applied chan struct{}
 }
 
 // NewAgent returns an agent that does nothing until Run.
 func NewAgent(cfg AgentConfig) *Agent {
-	return &Agent{cfg: cfg, batch: newAnnounceBatch(), applied: make(chan struct{}, 1)}
+	return &Agent{cfg: cfg, batch: newAnnounceBatch(), stretch: 1, applied: make(chan struct{}, 1)}
 }
 
 // Run works until ctx ends.
@@ -108,6 +110,7 @@
 	a.reported = max(a.reported, applied)
 	required := a.required
 	a.required = r.Revision
+	a.stretch = max(1, r.Stretch)
 	if !a.joined {
 		a.joined = true
 		return
@@ -121,7 +124,7 @@
 func (a *Agent) renewLoop(ctx context.Context) error {
 	failing := false
 	for ctx.Err() == nil {
-		renewCtx, cancel := context.WithTimeout(ctx, a.cfg.RenewInterval*2)
+		renewCtx, cancel := context.WithTimeout(ctx, 2*a.stretched(a.cfg.RenewInterval))
 		err := a.Renew(renewCtx)
 		cancel()
 		failing = a.logChange("lease renewal", failing, err)
@@ -161,7 +164,14 @@
 	if err != nil || !a.cfg.State.MayWork() {
 		return a.cfg.RenewInterval / 10
 	}
-	return a.cfg.RenewInterval
+	return a.stretched(a.cfg.RenewInterval)
+}
+
+// stretched returns an interval at the stretch that the leader asked for.
+func (a *Agent) stretched(d time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return time.Duration(a.stretch) * d
 }
 
 func (a *Agent) watchLoop(ctx context.Context) error {
@@ -182,7 +192,7 @@
 	request := api.WatchRequest{
 		Entry:      a.cfg.State.Info.ID,
 		From:       current.Revision,
-		WaitMillis: a.cfg.WatchWait.Milliseconds(),
+		WaitMillis: a.stretched(a.cfg.WatchWait).Milliseconds(),
 	}
 	var response api.WatchResponse
 	if err := a.cfg.Control.Call(ctx, api.MethodWatch, request, &response); err != nil {
--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -19,6 +19,7 @@
 	delay    time.Duration
 	revision api.Revision
 	lease    time.Duration
+	stretch  int
 	update   api.ViewUpdate
 }
 
@@ -26,7 +27,7 @@
 	f.clock.Advance(f.delay)
 	switch r := result.(type) {
 	case *api.RenewResponse:
-		*r = api.RenewResponse{LeaseMillis: f.lease.Milliseconds(), Revision: f.revision}
+		*r = api.RenewResponse{LeaseMillis: f.lease.Milliseconds(), Stretch: f.stretch, Revision: f.revision}
 	case *api.WatchResponse:
 		r.Update = f.update
 	}
@@ -82,6 +83,18 @@
 	require.False(t, agent.reportDue(), "revision 7 was reported")
 }
 
+func TestLeaderStretchesIntervals(t *testing.T) {
+	f := &fakeControl{clock: clock.NewManual(time.Unix(100, 0)), lease: 9 * time.Second, stretch: 3}
+	agent, _ := newTestAgent(f)
+	agent.cfg.RenewInterval = time.Second
+	require.NoError(t, agent.Renew(context.Background()))
+	require.NoError(t, agent.Renew(context.Background()))
+	require.Equal(t, 3*time.Second, agent.pause(nil))
+	f.stretch = 0
+	require.NoError(t, agent.Renew(context.Background()))
+	require.Equal(t, time.Second, agent.pause(nil), "a leader that asks for nothing")
+}
+
 func TestStateNeverAppliesLowerRevision(t *testing.T) {
 	state := NewState(api.EntryInfo{ID: "e1"}, clock.System{})
 	require.True(t, state.Apply(api.View{Revision: 9}))
--- a/internal/shard/ownership.go
+++ b/internal/shard/ownership.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"time"
+
 	"github.com/go-kit/log/level"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -48,6 +50,13 @@
 	}
 }
 
+// settings returns the settings with the longest work lease of a view.
+func (m *Manager) settings(s *entry.Snapshot) Settings {
+	out := m.cfg.Settings
+	out.WorkLease = max(out.WorkLease, time.Duration(s.LeaseMillis)*time.Millisecond)
+	return out
+}
+
 // holders returns the entries that may hold grants of an earlier owner: those
 // that were live within the longest lifetime of a grant.
 func (m *Manager) holders(s *entry.Snapshot) []api.EntryInfo {
@@ -55,7 +64,7 @@
 	holders := make([]api.EntryInfo, 0, len(s.Entries))
 	for _, e := range s.Entries {
 		since, gone := m.gone[e.ID]
-		if !gone || now.Sub(since) <= m.cfg.Settings.handoverHold() {
+		if !gone || now.Sub(since) <= m.settings(s).handoverHold() {
 			holders = append(holders, e)
 		}
 	}
@@ -71,7 +80,7 @@
 	}
 	if o == nil {
 		t := term{epoch: lease.Epoch, incarnation: m.cfg.Self.Incarnation}
-		core := NewCore(lease.Shard, t, m.cfg.Settings, w, m.cfg.Clock.Now())
+		core := NewCore(lease.Shard, t, m.settings(s), w, m.cfg.Clock.Now())
 		o = &owned{epoch: lease.Epoch, core: core, waiters: map[uint64]waiter{}, label: groupLabel(lease.Shard)}
 		m.shards[lease.Shard] = o
 		level.Info(m.logger).Log("msg", "took over a shard", "shard", lease.Shard, "epoch", lease.Epoch)
