--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -28,6 +28,7 @@
 	kindExpire      commandKind = 11
 	kindLead        commandKind = 12
 	kindRecover     commandKind = 13
+	kindLease       commandKind = 14
 )
 
 // command is one replicated change. apply must depend on nothing but the
@@ -131,6 +132,8 @@
 		return &leadCommand{}
 	case kindRecover:
 		return &recoverCommand{}
+	case kindLease:
+		return &leaseCommand{}
 	}
 	return nil
 }
