bench: the rate of tokens through one entry

Cause: the tokens that one entry relays to saturation and its processor time a token were not measured.

Change: experiment relay. One control daemon and one entry run as processes of their own, the entry with GOMAXPROCS=2; stand-ins and callers share the process of the experiment. Streams of 336 tokens, 15 ms apart, grow in number until the rate stops growing or 95 in 100 gaps exceed 30 ms. Processor time, bytes and calls come from the kernel's counters of the process.

--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -6,6 +6,7 @@
 		configChange(),
 		controlCost(),
 		pathLatency(),
+		relay(),
 		priorityClaim(),
 		coldStart(),
 		domainCycle(),
