--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -7,6 +7,7 @@
 		controlCost(),
 		roleCost(),
 		pathLatency(),
+		relay(),
 		priorityClaim(),
 		coldStart(),
 		domainCycle(),
