One way to run daemons as processes of an experiment

Change: the start, the end and the ports are those of process.go; processes.go keeps the region of many daemons.

--- a/internal/bench/process.go
+++ b/internal/bench/process.go
@@ -62,22 +62,39 @@
 	return nil
 }
 
-// stop shuts the process down, and kills it if that takes too long.
-func (p *process) stop() {
+// interrupt begins a graceful shutdown.
+func (p *process) interrupt() {
+	if p.exited != nil {
+		_ = p.cmd.Process.Signal(os.Interrupt)
+	}
+}
+
+// wait returns once the process has ended. It kills the process when ctx ends.
+func (p *process) wait(ctx context.Context) {
 	if p.exited == nil {
 		return
 	}
-	_ = p.cmd.Process.Signal(os.Interrupt)
-	timer := time.NewTimer(processStop)
-	defer timer.Stop()
 	select {
 	case <-p.exited:
-	case <-timer.C:
+	case <-ctx.Done():
 		_ = p.cmd.Process.Kill()
 		<-p.exited
 	}
 }
 
+// stopProcesses shuts processes down, all at once, and kills those that take too
+// long. Processes that were not started are passed over.
+func stopProcesses(all ...*process) {
+	ctx, cancel := context.WithTimeout(context.Background(), processStop)
+	defer cancel()
+	for _, p := range all {
+		p.interrupt()
+	}
+	for _, p := range all {
+		p.wait(ctx)
+	}
+}
+
 // freeAddresses returns n different loopback addresses with ports that the
 // kernel chose. All are held until the last is known, so that none comes twice.
 func freeAddresses(n int) ([]string, error) {
@@ -188,10 +205,8 @@
 }
 
 func (p *processPair) stop() {
-	for _, d := range []*process{p.entry, p.control} {
-		if d != nil {
-			d.stop()
-		}
+	if p.entry != nil {
+		stopProcesses(p.entry, p.control)
 	}
 	_ = os.RemoveAll(p.dir)
 }
--- a/internal/bench/processes.go
+++ b/internal/bench/processes.go
@@ -1,13 +1,9 @@
 package bench
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
-	"net"
-	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"time"
@@ -26,28 +22,13 @@
 	maxProcesses = 90
 	// processMemory is what a daemon is expected to stay below, in bytes.
 	processMemory = 100 << 20
-	// processStop bounds the graceful shutdown of all daemons.
-	processStop = 2 * time.Second
-
-	processOperatorToken = "bench-operator-token"
-	processBackendToken  = "bench-backend-token-1"
-	processPeerSecret    = "bench-peer-secret-01"
 )
 
-// daemonProcess is one daemon in a process of its own.
-type daemonProcess struct {
-	name    string
-	peer    string
-	callers string
-	command *exec.Cmd
-	exited  chan struct{}
-}
-
 // processes is a region of daemons that are separate processes of this binary:
 // voters of the control role alone, and entries.
 type processes struct {
-	voters  []*daemonProcess
-	entries []*daemonProcess
+	voters  []*process
+	entries []*process
 	client  *ctl.Client
 	dir     string
 }
@@ -57,10 +38,6 @@
 	if err := checkRoom(voters + entries); err != nil {
 		return nil, err
 	}
-	program, err := os.Executable()
-	if err != nil {
-		return nil, errors.Wrap(err, "find own program")
-	}
 	addresses, err := freeAddresses(2 * (voters + entries))
 	if err != nil {
 		return nil, err
@@ -71,7 +48,7 @@
 	}
 	p := &processes{dir: dir}
 	for i := range voters + entries {
-		d := &daemonProcess{peer: addresses[2*i], callers: addresses[2*i+1]}
+		d := &process{peer: addresses[2*i], callers: addresses[2*i+1]}
 		if i < voters {
 			d.name = fmt.Sprintf("voter%d", i+1)
 			p.voters = append(p.voters, d)
@@ -82,7 +59,7 @@
 	}
 	p.client = ctl.NewClient(callerAddresses(p.voters), processOperatorToken, "bench")
 	for i, d := range p.all() {
-		if err := d.start(program, p.environment(i, d)); err != nil {
+		if err := startProcess(d, p.environment(i, d)); err != nil {
 			p.close()
 			return nil, err
 		}
@@ -111,28 +88,11 @@
 	return nil
 }
 
-// freeAddresses draws n different ports from the kernel and holds all of them
-// until the last is known. The loopback address belongs to this process alone.
-func freeAddresses(n int) ([]string, error) {
-	pid := os.Getpid()
-	own := netip.AddrFrom4([4]byte{127, byte(64 + pid>>16&63), byte(pid >> 8), byte(pid)})
-	out := make([]string, 0, n)
-	for range n {
-		listener, err := net.Listen("tcp", netip.AddrPortFrom(own, 0).String())
-		if err != nil {
-			return nil, errors.Wrap(err, "draw a port")
-		}
-		defer func() { _ = listener.Close() }()
-		out = append(out, listener.Addr().String())
-	}
-	return out, nil
-}
-
-func (p *processes) all() []*daemonProcess {
-	return append(append([]*daemonProcess{}, p.voters...), p.entries...)
+func (p *processes) all() []*process {
+	return append(append([]*process{}, p.voters...), p.entries...)
 }
 
-func callerAddresses(daemons []*daemonProcess) []string {
+func callerAddresses(daemons []*process) []string {
 	out := make([]string, 0, len(daemons))
 	for _, d := range daemons {
 		out = append(out, d.callers)
@@ -141,7 +101,7 @@
 }
 
 // environment returns the settings of the daemon at a position of all.
-func (p *processes) environment(i int, d *daemonProcess) []string {
+func (p *processes) environment(i int, d *process) map[string]string {
 	voters := make([]string, 0, len(p.voters))
 	for _, v := range p.voters {
 		voters = append(voters, v.name+"="+v.peer)
@@ -163,52 +123,16 @@
 		settings["data-dir"] = filepath.Join(p.dir, d.name)
 		settings["bootstrap"] = "true"
 	}
-	env := make([]string, 0, len(settings)+1)
-	env = append(env, "PATH="+os.Getenv("PATH"))
+	env := map[string]string{"PATH": os.Getenv("PATH")}
 	for flag, value := range settings {
-		env = append(env, config.EnvName(flag)+"="+value)
+		env[config.EnvName(flag)] = value
 	}
 	return env
 }
 
-func (d *daemonProcess) start(program string, env []string) error {
-	d.command = exec.Command(program, "serve")
-	d.command.Env = env
-	if err := d.command.Start(); err != nil {
-		return errors.Wrapf(err, "start %s", d.name)
-	}
-	d.exited = make(chan struct{})
-	go func() {
-		defer close(d.exited)
-		_ = d.command.Wait()
-	}()
-	return nil
-}
-
-// stop ends the process, which may end by itself until ctx ends.
-func (d *daemonProcess) stop(ctx context.Context) {
-	select {
-	case <-d.exited:
-	case <-ctx.Done():
-		_ = d.command.Process.Kill()
-		<-d.exited
-	}
-}
-
 // close ends every process that was started and removes the data folders.
 func (p *processes) close() {
-	var started []*daemonProcess
-	for _, d := range p.all() {
-		if d.exited != nil {
-			started = append(started, d)
-			_ = d.command.Process.Signal(os.Interrupt)
-		}
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), processStop)
-	defer cancel()
-	for _, d := range started {
-		d.stop(ctx)
-	}
+	stopProcesses(p.all()...)
 	_ = os.RemoveAll(p.dir)
 }
 
@@ -222,7 +146,7 @@
 }
 
 // readCost asks a daemon for its state.
-func (p *processes) readCost(d *daemonProcess) (processCost, error) {
+func (p *processes) readCost(d *process) (processCost, error) {
 	raw, err := p.client.Dump(d.callers)
 	if err != nil {
 		return processCost{}, err
