The unused cached tokens of a settlement are gone

Change: the field is removed from the message and from the result.

Conclusion: the owner's own index of prefixes decides, as before.

--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -317,8 +317,6 @@
 	Failed bool `json:"failed,omitempty"`
 	// FirstTokenMicros is 0 when no token arrived.
 	FirstTokenMicros int64 `json:"first_token_micros,omitempty"`
-	// CachedTokens is the prefix hit that the engine reported, in tokens.
-	CachedTokens int `json:"cached_tokens,omitempty"`
 }
 
 // RevokeRequest takes a grant back: the entry stops the request on the engine,
--- a/internal/shard/client.go
+++ b/internal/shard/client.go
@@ -76,8 +76,6 @@
 	Failed bool
 	// FirstToken is the time to the first token, 0 if none arrived.
 	FirstToken time.Duration
-	// CachedTokens is the prefix hit that the engine reported, in tokens.
-	CachedTokens int
 }
 
 // newClient returns a client that holds no grant.
@@ -377,7 +375,6 @@
 		Outcome:          r.Outcome,
 		Failed:           r.Failed,
 		FirstTokenMicros: r.FirstToken.Microseconds(),
-		CachedTokens:     r.CachedTokens,
 	}
 	if c.isLocal(*lease) {
 		c.logLost(c.local.Settle(params), g)
