--- a/internal/e2e/partition_test.go
+++ b/internal/e2e/partition_test.go
@@ -59,11 +59,13 @@
 	require.Error(t, err)
 	c.confirm(drainTanta())
 	require.False(t, c.dump(old).Control.Log.Leading)
+	applied := c.dump(c.leader()).Control.Log.Applied
 	c.network.Heal()
 	accepted := c.await("4 live entries", func(s api.StatusResponse) bool { return liveEntries(s) == 4 })
 	require.Equal(t, api.DomainDrained, domainState(accepted, domains[2]))
 	require.Eventually(t, func() bool {
-		return c.dump(old).Entry.View.Revision >= accepted.View.Revision
+		d := c.dump(old)
+		return d.Control.Log.Applied >= applied && d.Entry.View.Revision >= accepted.View.Revision
 	}, patience, poll, "old leader follows")
 	seen, err := cutOff.Status()
 	require.NoError(t, err)
@@ -88,13 +90,14 @@
 		c.confirm(shareIntent(i))
 	}
 	require.Greater(t, c.dump(leader).Control.Log.Compacted, missed, "the log still reaches back")
+	accepted := c.dump(leader).Control.Log.Applied
 	// What was under way is lost, so that the voter can't live on it.
 	c.network.Reset(network.Between(cut.name, c.network.Others(cut.name)...)...)
 	c.network.Heal()
 	after := c.await("4 live entries", func(s api.StatusResponse) bool { return liveEntries(s) == 4 })
 	require.Equal(t, changes-1, share(after))
 	require.Eventually(t, func() bool {
-		return c.dump(cut).Entry.View.Revision >= after.View.Revision
+		return c.dump(cut).Control.Log.Applied >= accepted
 	}, patience, poll, "cut voter follows")
 }
 
