--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -56,6 +56,7 @@
 			old.signal(tc.signal)
 			status := c.await("another leader", func(s api.StatusResponse) bool { return string(s.Leader) != old.name })
 			require.GreaterOrEqual(t, status.View.Revision, before)
+			c.operatorsWithout(old)
 			c.confirm(api.Intent{Domains: []api.Domain{{Name: domains[2], State: api.DomainDrained}}})
 			c.awaitAnswer()
 			c.rejoin(old, tc.signal)
