An experiment with cuts between daemons

Change: local.Config.Network puts the stand-in network between the daemons of a system in one process; the experiment 'partition' cuts the leader's host off and heals it, then cuts an entry off while a domain is drained, under load.

--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -10,6 +10,7 @@
 		coldStart(),
 		domainCycle(),
 		entryLoss(),
+		partition(),
 		atMostOnce(),
 		poison(),
 		overload(),
--- a/internal/bench/path_system.go
+++ b/internal/bench/path_system.go
@@ -14,6 +14,7 @@
 	"github.com/crocusway/crocusway/internal/config"
 	"github.com/crocusway/crocusway/internal/local"
 	"github.com/crocusway/crocusway/internal/standin"
+	"github.com/crocusway/crocusway/internal/standin/network"
 )
 
 const (
@@ -38,6 +39,8 @@
 	engine   standin.Engine
 	accounts []api.Account
 	services []standin.Service
+	// network is put between the daemons, if not nil.
+	network *network.Network
 }
 
 // Sizes of the request path experiments. They are below those of the
@@ -156,6 +159,7 @@
 		Voters:  pathVoters,
 		Domains: pathDomains,
 		Fleet:   spec.fleet(),
+		Network: spec.network,
 		Adjust:  func(s *config.Serve) { s.Preset = string(spec.preset) },
 	})
 	if err != nil {
--- a/internal/local/system.go
+++ b/internal/local/system.go
@@ -24,6 +24,7 @@
 	"github.com/crocusway/crocusway/internal/logging"
 	"github.com/crocusway/crocusway/internal/peer"
 	"github.com/crocusway/crocusway/internal/standin"
+	"github.com/crocusway/crocusway/internal/standin/network"
 )
 
 const (
@@ -48,7 +49,9 @@
 	Fleet standin.Config
 	// Adjust changes the settings of each daemon, if not nil.
 	Adjust func(*config.Serve)
-	Logger log.Logger
+	// Network is put between the daemons, if not nil. Its owner closes it.
+	Network *network.Network
+	Logger  log.Logger
 }
 
 // System is a running system.
@@ -63,6 +66,8 @@
 	peer     config.Secret
 	backend  config.Secret
 	members  []*member
+	// addresses are those that the network gave, by name.
+	addresses map[string]network.Member
 }
 
 // member is one daemon of the system.
@@ -82,7 +87,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "create data folder")
 	}
-	s := &System{cfg: cfg, dir: dir}
+	s := &System{cfg: cfg, dir: dir, addresses: make(map[string]network.Member)}
 	if err := s.start(); err != nil {
 		s.Close()
 		return nil, err
@@ -93,11 +98,15 @@
 func (s *System) start() error {
 	s.operator, s.peer, s.backend = newSecret(), newSecret(), newSecret()
 	for i := range s.cfg.Daemons {
+		if err := s.join(i); err != nil {
+			return err
+		}
 		settings := s.settings(i)
 		d, err := daemon.Listen(settings, s.cfg.Logger)
 		if err != nil {
 			return err
 		}
+		s.connect(d)
 		s.members = append(s.members, &member{daemon: d, done: make(chan struct{})})
 	}
 	voters := s.voters()
@@ -109,9 +118,30 @@
 	return s.startFleet()
 }
 
+// join asks the network for the addresses of a daemon.
+func (s *System) join(i int) error {
+	if s.cfg.Network == nil {
+		return nil
+	}
+	member, err := s.cfg.Network.Join(nameOf(i))
+	s.addresses[nameOf(i)] = member
+	return err
+}
+
+// connect tells the network where a daemon listens.
+func (s *System) connect(d *daemon.Daemon) {
+	if s.cfg.Network != nil {
+		s.cfg.Network.Connect(d.Name(), d.PeerListener())
+	}
+}
+
+func nameOf(i int) string { return fmt.Sprintf("entry%d", i+1) }
+
 func (s *System) settings(i int) config.Serve {
 	settings := config.DefaultServe()
-	settings.Name = fmt.Sprintf("entry%d", i+1)
+	settings.Name = nameOf(i)
+	settings.PeerSource = s.addresses[settings.Name].Source
+	settings.PeerAddress = s.addresses[settings.Name].Address
 	settings.Domain = s.cfg.Domains[i%len(s.cfg.Domains)]
 	settings.PeerListen = anyPort
 	settings.CallerListen = anyPort
@@ -200,12 +230,13 @@
 	old := s.members[i].daemon
 	settings := s.settings(i)
 	settings.Bootstrap = false
-	settings.PeerListen = old.PeerAddress()
+	settings.PeerListen = old.PeerListener()
 	settings.CallerListen = old.CallerAddress()
 	d, err := daemon.Listen(settings, s.cfg.Logger)
 	if err != nil {
 		return err
 	}
+	s.connect(d)
 	d.SetVoters(s.voters())
 	s.members[i] = &member{daemon: d, done: make(chan struct{})}
 	s.members[i].run()
