--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -12,6 +12,7 @@
 		coldStart(),
 		domainCycle(),
 		entryLoss(),
+		partition(),
 		atMostOnce(),
 		poison(),
 		overload(),
