Renewals carry the heartbeats of hosts where leases are stretched

Cause: four batches a second from each entry cost the leader of 83 entries and 4,000 hosts 55 KB/s, whatever they carry. Ruled out: a longer silence bound alone (8 s at 83 entries): each lost host would be down 6 s longer before its group is repaired. Batches of their own at 3 s: 27 KB/s by the slopes. Change: from a stretch of 2 on, what repeats an announcement goes with the renewal; news goes at once as before. An entry vouches for its hosts for two thirds of a lease beyond their heartbeat, and reports a host at once that was silent for the detection bound. The leader takes that report from the entry that vouched last only. So a lost host is still found after 2 s; after 6 s (stretch 2) or 8 s (stretch 3) if its entry is lost or cut off with it. Test changes: note, touch, put and take have new parameters; the tests that call them pass the values that mean what they meant before.

--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -36,6 +36,9 @@
 type RenewRequest struct {
 	Entry   EntryInfo `json:"entry"`
 	Applied Revision  `json:"applied"`
+	// Announce carries the heartbeats of a stretched entry. Its Entry and
+	// Incarnation are those of the renewal and left out.
+	Announce *AnnounceBatch `json:"announce,omitempty"`
 	// Release gives the lease back at the end of a graceful shutdown. The entry
 	// does no more work; Entry.Leaving must be set.
 	Release bool `json:"release,omitempty"`
@@ -48,6 +51,8 @@
 	// Stretch is the factor on the entry's intervals towards control. It grows
 	// with the number of entries; 0 stands for 1.
 	Stretch int `json:"stretch,omitempty"`
+	// Session answers Announce, see AnnounceBatchResponse.
+	Session uint64 `json:"session,omitempty"`
 	// Revision is the newest accepted revision.
 	Revision Revision `json:"revision"`
 }
@@ -68,8 +73,8 @@
 // that tells something new is sent whole and gets a slot; one that repeats the
 // last is sent as its slot alone.
 type AnnounceBatch struct {
-	Entry       EntryID     `json:"entry"`
-	Incarnation Incarnation `json:"incarnation"`
+	Entry       EntryID     `json:"entry,omitempty"`
+	Incarnation Incarnation `json:"incarnation,omitempty"`
 	// Session is that of the last answer, 0 to begin anew.
 	Session       uint64         `json:"session,omitempty"`
 	Announcements []Announcement `json:"announcements,omitempty"`
@@ -78,6 +83,9 @@
 	Slots []uint64 `json:"slots,omitempty"`
 	// Heartbeats are slots as EncodeSlots writes them.
 	Heartbeats []byte `json:"heartbeats,omitempty"`
+	// Silent are the slots of hosts that stopped announcing themselves to this
+	// entry, as EncodeSlots writes them.
+	Silent []byte `json:"silent,omitempty"`
 }
 
 // AnnounceBatchResponse acknowledges a batch.
--- a/internal/control/entry_calls.go
+++ b/internal/control/entry_calls.go
@@ -26,6 +26,10 @@
 	if r.Release {
 		return none, s.release(ctx, lead, r.Entry)
 	}
+	session, err := s.takeHeartbeats(lead, r)
+	if err != nil {
+		return none, err
+	}
 	stretch := lead.pace.stretch()
 	length := s.stretched(stretch)
 	if err := lead.leases.renew(r, length+s.cfg.DriftMargin, s.cfg.Clock.Now(), s.requiredRevision(lead)); err != nil {
@@ -39,7 +43,25 @@
 		return none, err
 	}
 	s.renewed.wake()
-	return api.RenewResponse{LeaseMillis: length.Milliseconds(), Stretch: stretch, Revision: s.state.Revision()}, nil
+	return api.RenewResponse{
+		LeaseMillis: length.Milliseconds(),
+		Stretch:     stretch,
+		Session:     session,
+		Revision:    s.state.Revision(),
+	}, nil
+}
+
+// takeHeartbeats notes the heartbeats that a renewal carries, whether or not it
+// is granted, and returns the session to go on with.
+func (s *Service) takeHeartbeats(lead *leadership, r api.RenewRequest) (uint64, error) {
+	if r.Announce == nil {
+		return 0, nil
+	}
+	batch := *r.Announce
+	batch.Entry = r.Entry.ID
+	batch.Incarnation = r.Entry.Incarnation
+	response, err := s.takeBatch(lead, batch)
+	return response.Session, err
 }
 
 // requiredRevision returns what an entry must have applied to renew its lease:
@@ -106,6 +128,20 @@
 
 // announce answers control.announce. Invalid announcements are dropped.
 func (s *Service) announce(ctx context.Context, r api.AnnounceBatch) (api.AnnounceBatchResponse, error) {
+	var none api.AnnounceBatchResponse
+	lead, err := s.lead(ctx)
+	if err != nil {
+		return none, err
+	}
+	response, err := s.takeBatch(lead, r)
+	if err != nil {
+		return none, err
+	}
+	return response, s.confirmLeading(lead)
+}
+
+// takeBatch notes the announcements, heartbeats and silences of a batch.
+func (s *Service) takeBatch(lead *leadership, r api.AnnounceBatch) (api.AnnounceBatchResponse, error) {
 	var none api.AnnounceBatchResponse
 	if len(r.Announcements) > s.cfg.Limits.MaxBatch {
 		return none, refuse(errs.Invalid, "announce", "%d announcements, the limit is %d", len(r.Announcements), s.cfg.Limits.MaxBatch)
@@ -117,30 +153,43 @@
 	if err != nil {
 		return none, err
 	}
-	lead, err := s.lead(ctx)
+	silent, err := api.DecodeSlots(r.Silent)
 	if err != nil {
 		return none, err
 	}
-	accepted, changed := s.noteAll(lead, r.Announcements)
+	v := s.vouch(lead, r.Entry)
+	accepted, changed := s.noteAll(lead, r.Announcements, v)
 	lead.slots.keep(r)
-	session, returned := s.touchAll(lead, r, beats)
-	if changed || returned {
+	session, returned := s.touchAll(lead, r, beats, v)
+	lost := s.silenceAll(lead, r, silent, v)
+	if changed || returned || lost {
 		s.requestReconcile()
 	}
-	return api.AnnounceBatchResponse{Accepted: accepted, Session: session}, s.confirmLeading(lead)
+	return api.AnnounceBatchResponse{Accepted: accepted, Session: session}, nil
+}
+
+// silenceAll counts hosts as gone. It returns whether one had counted as alive.
+func (s *Service) silenceAll(lead *leadership, r api.AnnounceBatch, silent []uint64, v vouch) (lost bool) {
+	if r.Session != lead.term {
+		return false
+	}
+	hosts, _ := lead.slots.resolve(r, silent)
+	for _, h := range hosts {
+		lost = lead.hosts.silence(h, v) || lost
+	}
+	return lost
 }
 
 // touchAll counts the hosts of heartbeats as seen. It returns the session to go
 // on with, 0 if whole announcements are wanted, and whether a host returned.
 // Heartbeats of another session refer to slots of another leader.
-func (s *Service) touchAll(lead *leadership, r api.AnnounceBatch, beats []uint64) (session uint64, returned bool) {
+func (s *Service) touchAll(lead *leadership, r api.AnnounceBatch, beats []uint64, v vouch) (session uint64, returned bool) {
 	if r.Session != lead.term {
 		return lead.term, false
 	}
 	hosts, all := lead.slots.resolve(r, beats)
-	now := s.cfg.Clock.Now()
 	for _, h := range hosts {
-		known, back := lead.hosts.touch(h, now)
+		known, back := lead.hosts.touch(h, v)
 		all = all && known
 		returned = returned || back
 	}
@@ -150,8 +199,7 @@
 	return lead.term, returned
 }
 
-func (s *Service) noteAll(lead *leadership, announcements []api.Announcement) (accepted int, changed bool) {
-	now := s.cfg.Clock.Now()
+func (s *Service) noteAll(lead *leadership, announcements []api.Announcement, v vouch) (accepted int, changed bool) {
 	dropped := 0
 	var first faults.List
 	for _, a := range announcements {
@@ -162,7 +210,7 @@
 			}
 			continue
 		}
-		kept, news := lead.hosts.note(a, now)
+		kept, news := lead.hosts.note(a, v)
 		if kept {
 			accepted++
 		}
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -22,7 +22,11 @@
 // a newer announcement replaces the row.
 type hostRow struct {
 	announcement api.Announcement
-	seen         time.Time
+	// seen is when the host was last seen, or until when the entry of its newest
+	// announcement vouches for it.
+	seen time.Time
+	// via is that entry.
+	via api.EntryID
 }
 
 type hostShard struct {
@@ -54,9 +58,16 @@
 	return &t.shards[xxhash.Sum64String(string(id))%hostShards]
 }
 
+// vouch is what an entry says now of the hosts that announce themselves to it:
+// they count as seen until a moment, unless the entry reports them as silent.
+type vouch struct {
+	entry      api.EntryID
+	now, until time.Time
+}
+
 // note keeps an announcement that is newer than the known one. It returns
 // whether it was kept, and whether it tells more than the load.
-func (t *hostTable) note(a api.Announcement, now time.Time) (kept, changed bool) {
+func (t *hostTable) note(a api.Announcement, v vouch) (kept, changed bool) {
 	shard := t.shard(a.Host)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
@@ -67,8 +78,8 @@
 	if !known && len(shard.rows) >= t.limit {
 		return false, false
 	}
-	shard.rows[a.Host] = &hostRow{announcement: a, seen: now}
-	return true, !known || !t.alive(old.seen, now) || old.announcement.Significant() != a.Significant()
+	shard.rows[a.Host] = &hostRow{announcement: a, seen: v.until, via: v.entry}
+	return true, !known || !t.alive(old.seen, v.now) || old.announcement.Significant() != a.Significant()
 }
 
 func newer(a, than api.Announcement) bool {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -81,13 +81,14 @@
 func (s *Service) newLeadership(term uint64) *leadership {
 	now := s.cfg.Clock.Now()
 	ctx, cancel := context.WithCancel(context.Background())
+	stretch := int(s.longestLease() / s.cfg.LeaseDuration)
 	leases := newLeaseTable(s.leaseLength(), now, s.state.View().Entries)
 	leases.extend = s.extend
 	return &leadership{
 		term:     term,
-		pace:     leasePace{granted: int(s.longestLease() / s.cfg.LeaseDuration)},
+		pace:     leasePace{granted: stretch},
 		leases:   leases,
-		hosts:    newHostTable(s.cfg.Limits.MaxHosts, s.cfg.DetectionBound, now),
+		hosts:    newHostTable(s.cfg.Limits.MaxHosts, s.cfg.DetectionBound, now.Add(s.vouchTime(stretch))),
 		slots:    newSlotTable(),
 		measures: newMeasures(now),
 		marks:    &revisionMarks{},
--- a/internal/control/lease_pace.go
+++ b/internal/control/lease_pace.go
@@ -74,6 +74,22 @@
 	return time.Duration(stretch) * s.cfg.LeaseDuration
 }
 
+// vouchTime returns for how long an entry vouches for its hosts beyond their
+// heartbeats. Those go with the renewals at a stretch, which come three times in a
+// lease; one of them may be lost.
+func (s *Service) vouchTime(stretch int) time.Duration {
+	if stretch <= 1 {
+		return 0
+	}
+	return s.stretched(stretch) * 2 / 3
+}
+
+// vouch returns what an entry that reports now says of its hosts.
+func (s *Service) vouch(lead *leadership, entry api.EntryID) vouch {
+	now := s.cfg.Clock.Now()
+	return vouch{entry: entry, now: now, until: now.Add(s.vouchTime(lead.pace.stretch()))}
+}
+
 // longestLease returns the longest work lease that an entry may hold.
 func (s *Service) longestLease() time.Duration {
 	committed := time.Duration(s.state.counters.load().LeaseMillis) * time.Millisecond
--- a/internal/control/slots.go
+++ b/internal/control/slots.go
@@ -92,7 +92,7 @@
 
 // touch counts a host as seen now. It reports whether the host is known in this
 // incarnation, and whether it had counted as gone.
-func (t *hostTable) touch(h slotHost, now time.Time) (known, returned bool) {
+func (t *hostTable) touch(h slotHost, v vouch) (known, returned bool) {
 	shard := t.shard(h.host)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
@@ -100,6 +100,21 @@
 	if !found || old.announcement.Incarnation != h.incarnation {
 		return false, false
 	}
-	shard.rows[h.host] = &hostRow{announcement: old.announcement, seen: now}
-	return true, !t.alive(old.seen, now)
+	shard.rows[h.host] = &hostRow{announcement: old.announcement, seen: v.until, via: v.entry}
+	return true, !t.alive(old.seen, v.now)
+}
+
+// silence counts a host as gone that the entry which vouched for it last reports
+// as silent. It returns whether the host had counted as alive.
+func (t *hostTable) silence(h slotHost, v vouch) bool {
+	shard := t.shard(h.host)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	old, found := shard.rows[h.host]
+	if !found || old.via != v.entry || old.announcement.Incarnation != h.incarnation || !t.alive(old.seen, v.now) {
+		return false
+	}
+	gone := v.now.Add(-t.bound - time.Millisecond)
+	shard.rows[h.host] = &hostRow{announcement: old.announcement, seen: gone, via: old.via}
+	return true
 }
--- a/internal/control/slots_test.go
+++ b/internal/control/slots_test.go
@@ -49,17 +49,58 @@
 	}
 }
 
+// seenAt is what an entry says that forwards every heartbeat at once.
+func seenAt(at time.Time) vouch { return vouch{entry: "e1", now: at, until: at} }
+
+// TestVouchedHost follows a host whose entry sends heartbeats rarely.
+func TestVouchedHost(t *testing.T) {
+	const bound = 2 * time.Second
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	vouched := func(entry api.EntryID, seconds int) vouch {
+		return vouch{entry: entry, now: at(seconds), until: at(seconds + 6)}
+	}
+	h := slotHost{"h1", 1}
+	cases := []struct {
+		name    string
+		silent  *vouch
+		aliveAt int
+		goneAt  int
+	}{
+		{"heartbeats end", nil, 8, 9},
+		{"its entry reports it", new(vouched("e1", 3)), 2, 3},
+		{"an entry that it left reports it", new(vouched("e2", 3)), 8, 9},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := newHostTable(100, bound, start)
+			table.note(api.Announcement{Host: "h1", Incarnation: 1, Sequence: 1}, vouched("e2", 0))
+			table.touch(h, vouched("e1", 0))
+			alive := func(seconds int) bool {
+				row, _ := table.get("h1")
+				return table.alive(row.seen, at(seconds))
+			}
+			require.True(t, alive(c.aliveAt))
+			if c.silent != nil {
+				table.silence(h, *c.silent)
+			}
+			require.False(t, alive(c.goneAt))
+			_, returned := table.touch(h, vouched("e2", 20))
+			require.True(t, returned)
+		})
+	}
+}
+
 // TestHeartbeatOfOlderIncarnation requires that a heartbeat keeps no host alive
 // that has restarted since its whole announcement.
 func TestHeartbeatOfOlderIncarnation(t *testing.T) {
 	start := time.Unix(100, 0)
 	table := newHostTable(100, time.Second, start)
-	table.note(api.Announcement{Host: "h1", Incarnation: 2, Sequence: 1}, start)
-	known, _ := table.touch(slotHost{"h1", 1}, start.Add(time.Second))
+	table.note(api.Announcement{Host: "h1", Incarnation: 2, Sequence: 1}, seenAt(start))
+	known, _ := table.touch(slotHost{"h1", 1}, seenAt(start.Add(time.Second)))
 	require.False(t, known)
 	row, _ := table.get("h1")
 	require.Equal(t, start, row.seen)
-	known, returned := table.touch(slotHost{"h1", 2}, start.Add(5*time.Second))
+	known, returned := table.touch(slotHost{"h1", 2}, seenAt(start.Add(5*time.Second)))
 	require.True(t, known)
 	require.True(t, returned, "it had been silent beyond the bound")
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -65,9 +65,10 @@
 		Logger:        logging.For(d.base, "entry"),
 		RenewInterval: d.cfg.RenewInterval,
 		// A watch that hangs on a lost leader ends well within the work lease.
-		WatchWait:   d.cfg.RenewInterval,
-		OnSnapshot:  r.apply,
-		ApplyUpdate: control.ApplyUpdate,
+		WatchWait:      d.cfg.RenewInterval,
+		DetectionBound: d.cfg.DetectionBound,
+		OnSnapshot:     r.apply,
+		ApplyUpdate:    control.ApplyUpdate,
 	})
 	return r
 }
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -11,6 +11,7 @@
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/clock"
+	"github.com/crocusway/crocusway/internal/errs"
 )
 
 // reportDelay is the shortest time between two renewals. Changes within it are
@@ -27,6 +28,9 @@
 	RenewInterval time.Duration
 	// WatchWait is how long the leader may hold back an answer to a watch.
 	WatchWait time.Duration
+	// DetectionBound is the silence after which a backend server is reported as
+	// silent; 0 reports none.
+	DetectionBound time.Duration
 	// OnSnapshot is called after each applied snapshot, in order.
 	OnSnapshot func(*Snapshot)
 	// ApplyUpdate brings a view up to date; it fails on a gap.
@@ -48,6 +52,8 @@
 	joined   bool
 	// stretch is the factor on intervals that the leader asked for, 1 or more.
 	stretch int
+	// stretchedBefore is set if the answer before asked for a stretch, too.
+	stretchedBefore bool
 	// applied wakes the renewal loop after a new view.
 	applied chan struct{}
 }
@@ -68,7 +74,7 @@
 
 // Announce queues an announcement for the control leader. It never blocks and
 // keeps only the newest announcement of a host.
-func (a *Agent) Announce(ann api.Announcement) { a.batch.put(ann) }
+func (a *Agent) Announce(ann api.Announcement) { a.batch.put(ann, a.cfg.Clock.Now()) }
 
 // Renew asks for one extension of the work lease. The lease is counted from
 // before the request was sent, so that the entry never believes longer in it
@@ -76,8 +82,16 @@
 func (a *Agent) Renew(ctx context.Context) error {
 	sent := a.cfg.Clock.Now()
 	request := a.renewal()
+	if a.renewalsCarry() {
+		request.Announce = a.batch.heartbeats()
+	}
 	var response api.RenewResponse
-	if err := a.cfg.Control.Call(ctx, api.MethodRenew, request, &response); err != nil {
+	err := a.cfg.Control.Call(ctx, api.MethodRenew, request, &response)
+	// A leader that refuses the renewal has counted the heartbeats.
+	if request.Announce != nil && errs.RetryAfterOf(err) == 0 {
+		a.batch.acknowledge(response.Session)
+	}
+	if err != nil {
 		return err
 	}
 	a.extend(sent, request.Applied, response)
@@ -110,6 +124,7 @@
 	a.reported = max(a.reported, applied)
 	required := a.required
 	a.required = r.Revision
+	a.stretchedBefore = a.stretch > 1
 	a.stretch = max(1, r.Stretch)
 	if !a.joined {
 		a.joined = true
@@ -167,6 +182,15 @@
 	return a.stretched(a.cfg.RenewInterval)
 }
 
+// renewalsCarry reports whether heartbeats of hosts go with the renewals. They do
+// from the second stretched answer on: until then the leader may expect them at
+// the shorter interval.
+func (a *Agent) renewalsCarry() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.stretch > 1 && a.stretchedBefore
+}
+
 // stretched returns an interval at the stretch that the leader asked for.
 func (a *Agent) stretched(d time.Duration) time.Duration {
 	a.mu.Lock()
--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -127,13 +127,13 @@
 		t.Run(c.name, func(t *testing.T) {
 			b := newAnnounceBatch()
 			for _, ann := range c.sent {
-				b.put(ann)
+				b.put(ann, time.Time{})
 			}
-			list := b.take().Announcements
+			list := b.take(true).Announcements
 			require.Len(t, list, 1)
 			require.Equal(t, c.sequence, list[0].Sequence)
 			require.Equal(t, c.started, list[0].Incarnation)
-			require.Empty(t, b.take().Announcements)
+			require.Empty(t, b.take(true).Announcements)
 		})
 	}
 }
@@ -194,8 +194,8 @@
 	sequence := uint64(0)
 	send := func(running, bearable int) api.AnnounceBatch {
 		sequence++
-		b.put(api.Announcement{Host: "h", Incarnation: 1, Sequence: sequence, Running: running, BearableLoad: bearable})
-		return b.take()
+		b.put(api.Announcement{Host: "h", Incarnation: 1, Sequence: sequence, Running: running, BearableLoad: bearable}, time.Time{})
+		return b.take(true)
 	}
 	first := send(0, 2)
 	require.Len(t, first.Announcements, 1)
@@ -212,3 +212,41 @@
 	b.acknowledge(0)
 	require.Len(t, send(3, 4).Announcements, 1, "the delivery failed")
 }
+
+// TestStretchedHeartbeats follows a host of an entry whose heartbeats go with
+// the renewals: repeated announcements wait, silence and return do not.
+func TestStretchedHeartbeats(t *testing.T) {
+	b := newAnnounceBatch()
+	at := func(seconds int) time.Time { return time.Unix(int64(seconds), 0) }
+	put := func(sequence uint64, seconds int) {
+		b.put(api.Announcement{Host: "h", Incarnation: 1, Sequence: sequence}, at(seconds))
+	}
+	put(1, 0)
+	slots := b.take(false).Slots
+	require.Len(t, slots, 1)
+	b.acknowledge(9)
+	put(2, 1)
+	require.Empty(t, b.take(false).Heartbeats, "a renewal carries it")
+	require.Equal(t, &api.AnnounceBatch{Session: 9, Heartbeats: api.EncodeSlots(slots)}, b.heartbeats())
+	require.Nil(t, b.heartbeats())
+	b.findSilent(at(1))
+	require.Empty(t, b.take(false).Silent)
+	b.findSilent(at(2))
+	require.Equal(t, api.EncodeSlots(slots), b.take(false).Silent)
+	b.findSilent(at(9))
+	require.Empty(t, b.take(false).Silent, "reported once")
+	put(3, 9)
+	require.Len(t, b.take(false).Announcements, 1, "a host that returns is news")
+}
+
+func TestRenewalsCarryHeartbeatsFromTheSecondStretchedAnswer(t *testing.T) {
+	f := &fakeControl{clock: clock.NewManual(time.Unix(100, 0)), lease: 9 * time.Second, stretch: 3}
+	agent, _ := newTestAgent(f)
+	for _, carry := range []bool{false, true} {
+		require.NoError(t, agent.Renew(context.Background()))
+		require.Equal(t, carry, agent.renewalsCarry())
+	}
+	f.stretch = 1
+	require.NoError(t, agent.Renew(context.Background()))
+	require.False(t, agent.renewalsCarry())
+}
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -28,6 +28,8 @@
 type forwarded struct {
 	announcement api.Announcement
 	slot         uint64
+	// silent is set once the host was reported as silent.
+	silent bool
 }
 
 // announceBatch collects the newest announcement of each host, and knows which
@@ -38,21 +40,24 @@
 	sent     map[api.HostID]forwarded
 	session  uint64
 	lastSlot uint64
-	// filled and news wake the sender; news for what the leader does not know.
-	filled chan struct{}
-	news   chan struct{}
+	// heard is when the hosts announced themselves last.
+	heard map[api.HostID]time.Time
+	// silent are the slots of hosts to report as silent.
+	silent []uint64
+	// news wakes the sender for what the leader does not know.
+	news chan struct{}
 }
 
 func newAnnounceBatch() *announceBatch {
 	return &announceBatch{
 		pending: make(map[api.HostID]api.Announcement),
 		sent:    make(map[api.HostID]forwarded),
-		filled:  make(chan struct{}, 1),
+		heard:   make(map[api.HostID]time.Time),
 		news:    make(chan struct{}, 1),
 	}
 }
 
-func (b *announceBatch) put(ann api.Announcement) {
+func (b *announceBatch) put(ann api.Announcement, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old, found := b.pending[ann.Host]
@@ -63,16 +68,34 @@
 		return
 	}
 	b.pending[ann.Host] = ann
-	signal(b.filled)
+	b.heard[ann.Host] = now
 	if !b.isKnown(ann) {
 		signal(b.news)
 	}
 }
 
+// findSilent notes the hosts that were last heard before a moment as silent.
+func (b *announceBatch) findSilent(before time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for host, heard := range b.heard {
+		if !heard.Before(before) {
+			continue
+		}
+		delete(b.heard, host)
+		delete(b.pending, host)
+		if row, found := b.sent[host]; found {
+			row.silent = true
+			b.sent[host] = row
+			b.silent = append(b.silent, row.slot)
+		}
+	}
+}
+
 // isKnown reports whether the leader has all but the sequence and the load.
 func (b *announceBatch) isKnown(ann api.Announcement) bool {
 	last, found := b.sent[ann.Host]
-	return found && last.announcement == ann.Significant()
+	return found && !last.silent && last.announcement == ann.Significant()
 }
 
 func signal(ch chan struct{}) {
@@ -90,17 +113,44 @@
 	return a.Sequence > b.Sequence
 }
 
-// take removes pending announcements and returns them as a batch, which is
-// empty when nothing is pending.
-func (b *announceBatch) take() api.AnnounceBatch {
+// heartbeats removes the pending announcements that repeat the last one and
+// returns them as a batch, or nil when there are none.
+func (b *announceBatch) heartbeats() *api.AnnounceBatch {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	batch := api.AnnounceBatch{Session: b.session}
+	beats := b.takeBeats()
+	if len(beats) == 0 {
+		return nil
+	}
+	return &api.AnnounceBatch{Session: b.session, Heartbeats: api.EncodeSlots(beats)}
+}
+
+// takeBeats removes the pending announcements that repeat the last one and
+// returns their slots. The lock is held.
+func (b *announceBatch) takeBeats() []uint64 {
 	var beats []uint64
 	for host, ann := range b.pending {
 		if b.isKnown(ann) {
 			beats = append(beats, b.sent[host].slot)
 			delete(b.pending, host)
+		}
+	}
+	return beats
+}
+
+// take removes pending announcements and returns them as a batch, which is
+// empty when nothing is pending. Those that repeat the last one are left for the
+// renewal of the work lease unless withBeats is set.
+func (b *announceBatch) take(withBeats bool) api.AnnounceBatch {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	batch := api.AnnounceBatch{Session: b.session, Silent: api.EncodeSlots(b.silent)}
+	b.silent = nil
+	if withBeats {
+		batch.Heartbeats = api.EncodeSlots(b.takeBeats())
+	}
+	for host, ann := range b.pending {
+		if b.isKnown(ann) {
 			continue
 		}
 		if len(batch.Announcements) == announceBatchSize {
@@ -112,7 +162,6 @@
 		batch.Slots = append(batch.Slots, b.lastSlot)
 		delete(b.pending, host)
 	}
-	batch.Heartbeats = api.EncodeSlots(beats)
 	return batch
 }
 
@@ -129,33 +178,39 @@
 	b.session = session
 }
 
+// announceLoop sends news at once and what repeats the last announcement in
+// batches, unless the renewals of the work lease carry it.
 func (a *Agent) announceLoop(ctx context.Context) error {
+	ticker := time.NewTicker(heartbeatDelay)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-a.batch.filled:
-		}
-		a.collect(ctx)
-		for {
-			batch := a.batch.take()
-			if len(batch.Announcements) == 0 && len(batch.Heartbeats) == 0 {
-				break
-			}
-			a.sendAnnouncements(ctx, batch)
+		case <-a.batch.news:
+			wait(ctx, newsDelay)
+		case <-ticker.C:
+			a.findSilent()
 		}
+		a.flush(ctx)
 	}
 }
 
-// collect waits for more announcements, only shortly if there is news.
-func (a *Agent) collect(ctx context.Context) {
-	timer := time.NewTimer(heartbeatDelay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-a.batch.news:
-		wait(ctx, newsDelay)
+// findSilent looks for hosts that stopped announcing themselves. An entry that
+// forwards heartbeats rarely tells the leader of silence at once.
+func (a *Agent) findSilent() {
+	if a.cfg.DetectionBound > 0 {
+		a.batch.findSilent(a.cfg.Clock.Now().Add(-a.cfg.DetectionBound))
+	}
+}
+
+func (a *Agent) flush(ctx context.Context) {
+	for ctx.Err() == nil {
+		batch := a.batch.take(!a.renewalsCarry())
+		if len(batch.Announcements) == 0 && len(batch.Heartbeats) == 0 && len(batch.Silent) == 0 {
+			return
+		}
+		a.sendAnnouncements(ctx, batch)
 	}
 }
 
