A watch waits for three renewals and follows the leader

Cause: a watch that finds nothing costs about 240 B, as often as a renewal. Ruled out: the longer wait alone: an entry whose leader freezes kept its old view for the whole wait. Change: a watch waits for three renewal intervals; it ends when a renewal finds another leader.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -22,6 +22,8 @@
 	// heartbeatsPerBound is the number of announcements that a backend server
 	// sends within the detection bound.
 	heartbeatsPerBound = 4
+	// renewalsPerWatch is the number of lease renewals while one watch waits.
+	renewalsPerWatch = 3
 )
 
 // entryRole takes callers' requests and owns shards.
@@ -64,8 +66,8 @@
 		Clock:         clock.System{},
 		Logger:        logging.For(d.base, "entry"),
 		RenewInterval: d.cfg.RenewInterval,
-		// A watch that hangs on a lost leader ends well within the work lease.
-		WatchWait:      d.cfg.RenewInterval,
+		// A watch that hangs on a lost leader ends when a renewal finds another.
+		WatchWait:      d.cfg.RenewInterval * renewalsPerWatch,
 		DetectionBound: d.cfg.DetectionBound,
 		OnSnapshot:     r.apply,
 		ApplyUpdate:    control.ApplyUpdate,
--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -250,3 +250,32 @@
 	require.NoError(t, agent.Renew(context.Background()))
 	require.False(t, agent.renewalsCarry())
 }
+
+// frozenLeader holds every watch until its call is given up.
+type frozenLeader struct{ watching chan struct{} }
+
+func (f *frozenLeader) Call(ctx context.Context, address string, method api.Method, _, _ any) error {
+	switch {
+	case address == "b":
+		return nil
+	case method == api.MethodWatch:
+		close(f.watching)
+		<-ctx.Done()
+	}
+	return errs.New(errs.Timeout, "call", address, "no answer")
+}
+
+func (f *frozenLeader) Notify(string, api.Method, any) error { return nil }
+
+func TestWatchFollowsTheLeaderThatARenewalFound(t *testing.T) {
+	f := &frozenLeader{watching: make(chan struct{})}
+	client := NewLeaderClient(f, []string{"a", "b"})
+	watched := make(chan error)
+	go func() {
+		watched <- client.Call(context.Background(), api.MethodWatch, api.WatchRequest{WaitMillis: time.Hour.Milliseconds()}, &api.Empty{})
+	}()
+	<-f.watching
+	require.NoError(t, client.Call(context.Background(), api.MethodRenew, api.RenewRequest{}, &api.Empty{}))
+	require.NoError(t, <-watched)
+	require.Equal(t, "b", client.Leader())
+}
--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -27,20 +27,22 @@
 	mu      sync.Mutex
 	current string
 	next    int
+	// moved is closed when current changes.
+	moved chan struct{}
 }
 
 // NewLeaderClient returns a client that looks for the leader among the peer
 // addresses of the voters, of which there must be at least one.
 func NewLeaderClient(caller peer.Caller, voters []string) *LeaderClient {
-	return &LeaderClient{caller: caller, voters: voters, current: voters[0], next: 1}
+	return &LeaderClient{caller: caller, voters: voters, current: voters[0], next: 1, moved: make(chan struct{})}
 }
 
 // Call sends the call to the leader until ctx ends. A call whose outcome is
 // unknown is repeated only if its method is idempotent.
 func (c *LeaderClient) Call(ctx context.Context, method api.Method, params, result any) error {
 	for attempt := 0; ; attempt++ {
-		address := c.target()
-		err := c.attempt(ctx, address, method, params, result)
+		address, moved := c.follow()
+		err := c.attempt(ctx, address, moved, method, params, result)
 		if err == nil || !c.redirect(address, err, method) {
 			return err
 		}
@@ -53,10 +55,21 @@
 	}
 }
 
-func (c *LeaderClient) attempt(ctx context.Context, address string, method api.Method, params, result any) error {
+// attempt calls one voter. A watch ends when another call finds that the leader
+// is elsewhere; a hanging one would keep the entry on an old view.
+func (c *LeaderClient) attempt(ctx context.Context, address string, moved <-chan struct{}, method api.Method, params, result any) error {
 	limit := leaderAttemptTimeout + longPollWait(params)
 	attemptCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	if method == api.MethodWatch {
+		go func() {
+			select {
+			case <-moved:
+				cancel()
+			case <-attemptCtx.Done():
+			}
+		}()
+	}
 	return c.caller.Call(attemptCtx, address, method, params, result)
 }
 
@@ -78,9 +91,15 @@
 func (c *LeaderClient) Leader() string { return c.target() }
 
 func (c *LeaderClient) target() string {
+	address, _ := c.follow()
+	return address
+}
+
+// follow returns the target and a channel that is closed when it changes.
+func (c *LeaderClient) follow() (address string, moved <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.current
+	return c.current, c.moved
 }
 
 // redirect chooses the next target after err and reports whether to repeat.
@@ -112,6 +131,8 @@
 	if c.current != failed {
 		return
 	}
+	close(c.moved)
+	c.moved = make(chan struct{})
 	if hint != "" && hint != failed {
 		c.current = hint
 		return
