--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/crocusway/crocusway/internal/local"
 )
 
 // Policy selects what an experiment measures.
@@ -36,6 +38,8 @@
 	// Entries and Hosts choose the sizes of role-cost; empty for its own choice.
 	Entries []int `json:"entries,omitempty" validate:"dive,oneof=4 16 32 83"`
 	Hosts   []int `json:"hosts,omitempty" validate:"dive,oneof=0 600 4000"`
+	// Attach names daemons that run elsewhere, nil to start own ones.
+	Attach *local.Attachment `json:"-"`
 }
 
 // Experiment is one named measurement.
@@ -45,6 +49,8 @@
 	Summary string
 	// Run measures one policy, "ours" or "baseline", with one seed.
 	Run func(ctx context.Context, o Options, policy Policy, seed int64) ([]Figure, error)
+	// Attaches is set for experiments that can use daemons that run elsewhere.
+	Attaches bool
 	// Targets are checked on the figures of PolicyOurs.
 	Targets []Target
 }
--- a/internal/bench/path_cold.go
+++ b/internal/bench/path_cold.go
@@ -22,9 +22,10 @@
 // third of them cold without a warning.
 func coldStart() Experiment {
 	return Experiment{
-		Name:    "cold-start",
-		Summary: "Load meets cold replicas, which fall over above what they bear.",
-		Run:     runColdStart,
+		Attaches: true,
+		Name:     "cold-start",
+		Summary:  "Load meets cold replicas, which fall over above what they bear.",
+		Run:      runColdStart,
 		Targets: []Target{
 			{Figure: "start_overloads", Relation: "<=", Bound: 0},
 			{Figure: "start_falls", Relation: "<=", Bound: 0},
@@ -34,7 +35,7 @@
 }
 
 func runColdStart(ctx context.Context, o Options, policy Policy, seed int64) ([]Figure, error) {
-	spec := newPathSpec(o.Preset)
+	spec := newPathSpec(o)
 	spec.engine.ColdLoad = coldBears
 	spec.engine.WarmAfter = coldWarms
 	rig, err := startRig(ctx, policy, spec)
--- a/internal/bench/path_domain.go
+++ b/internal/bench/path_domain.go
@@ -26,9 +26,10 @@
 // domain are stopped soon after the drain and started before the restore.
 func domainCycle() Experiment {
 	return Experiment{
-		Name:    "domain-cycle",
-		Summary: "A failure domain is drained, its hosts are stopped, and it returns, under load.",
-		Run:     runDomainCycle,
+		Attaches: true,
+		Name:     "domain-cycle",
+		Summary:  "A failure domain is drained, its hosts are stopped, and it returns, under load.",
+		Run:      runDomainCycle,
 		Targets: []Target{
 			{Figure: "cut", Relation: "<=", Bound: 0},
 			{Figure: "failed", Relation: "<=", Bound: 0},
@@ -52,7 +53,7 @@
 }
 
 func runDomainCycle(ctx context.Context, o Options, policy Policy, seed int64) ([]Figure, error) {
-	spec := newPathSpec(o.Preset)
+	spec := newPathSpec(o)
 	rig, err := startWarmRig(ctx, policy, spec)
 	if err != nil {
 		return nil, err
--- a/internal/bench/path_entry.go
+++ b/internal/bench/path_entry.go
@@ -39,7 +39,7 @@
 	if policy == PolicyBaseline {
 		return nil, nil
 	}
-	spec := newPathSpec(o.Preset)
+	spec := newPathSpec(o)
 	rig, err := startWarmRig(ctx, policy, spec)
 	if err != nil {
 		return nil, err
--- a/internal/bench/path_latency.go
+++ b/internal/bench/path_latency.go
@@ -22,9 +22,10 @@
 // itself, in one run and over the same connections' library.
 func pathLatency() Experiment {
 	return Experiment{
-		Name:    "path-latency",
-		Summary: "Latency that an entry adds to a request and to a token, against the stand-in called directly.",
-		Run:     runPathLatency,
+		Attaches: true,
+		Name:     "path-latency",
+		Summary:  "Latency that an entry adds to a request and to a token, against the stand-in called directly.",
+		Run:      runPathLatency,
 		Targets: []Target{
 			{Figure: "entry_first_token_p95", Relation: "<=", Bound: firstTokenBound},
 			{Figure: "entry_token_gap_p95", Relation: "<=", Bound: tokenGapBound},
@@ -37,7 +38,7 @@
 	if policy == PolicyBaseline {
 		return nil, nil
 	}
-	spec := newPathSpec(o.Preset)
+	spec := newPathSpec(o)
 	// The two paths spread requests differently, which must not show as latency.
 	spec.engine.BatchFactor = negligibleBatch
 	rig, err := startWarmRig(ctx, policy, spec)
--- a/internal/bench/path_once.go
+++ b/internal/bench/path_once.go
@@ -44,7 +44,7 @@
 }
 
 func runAtMostOnce(ctx context.Context, o Options, policy Policy, seed int64) ([]Figure, error) {
-	spec := newPathSpec(o.Preset)
+	spec := newPathSpec(o)
 	spec.replicas = 1
 	spec.services = []standin.Service{{Name: onceService, PerDomain: 1, Time: onceRunTime}}
 	rig, err := startRig(ctx, policy, spec)
--- a/internal/bench/path_overload.go
+++ b/internal/bench/path_overload.go
@@ -28,9 +28,10 @@
 // overload offers more and more load, in equal parts of the duration.
 func overload() Experiment {
 	return Experiment{
-		Name:    "overload",
-		Summary: "Goodput, latency and refusals when callers with little patience offer 1, 2 and 4 times the capacity.",
-		Run:     runOverload,
+		Attaches: true,
+		Name:     "overload",
+		Summary:  "Goodput, latency and refusals when callers with little patience offer 1, 2 and 4 times the capacity.",
+		Run:      runOverload,
 		Targets: []Target{
 			{Figure: "x4_goodput", Relation: ">=", Bound: overloadGoodput},
 			{Figure: "x4_wrong", Relation: "<=", Bound: 0},
@@ -40,7 +41,7 @@
 }
 
 func runOverload(ctx context.Context, o Options, policy Policy, seed int64) ([]Figure, error) {
-	spec := newPathSpec(o.Preset)
+	spec := newPathSpec(o)
 	rig, err := startWarmRig(ctx, policy, spec)
 	if err != nil {
 		return nil, err
--- a/internal/bench/path_partition.go
+++ b/internal/bench/path_partition.go
@@ -60,7 +60,7 @@
 	if policy == PolicyBaseline {
 		return nil, nil
 	}
-	spec := newPathSpec(o.Preset)
+	spec := newPathSpec(o)
 	spec.network = network.New()
 	defer spec.network.Close()
 	rig, err := startWarmRig(ctx, policy, spec)
--- a/internal/bench/path_poison.go
+++ b/internal/bench/path_poison.go
@@ -24,9 +24,10 @@
 // replica that runs it, beside innocent load.
 func poison() Experiment {
 	return Experiment{
-		Name:    "poison",
-		Summary: "A request crashes each replica that runs it, and its caller sends it again.",
-		Run:     runPoison,
+		Attaches: true,
+		Name:     "poison",
+		Summary:  "A request crashes each replica that runs it, and its caller sends it again.",
+		Run:      runPoison,
 		Targets: []Target{
 			{Figure: "replicas_lost", Relation: "<=", Bound: poisonAllowed},
 			{Figure: "innocent_quarantined", Relation: "<=", Bound: 0},
@@ -36,7 +37,7 @@
 }
 
 func runPoison(ctx context.Context, o Options, policy Policy, seed int64) ([]Figure, error) {
-	spec := newPathSpec(o.Preset)
+	spec := newPathSpec(o)
 	rig, err := startWarmRig(ctx, policy, spec)
 	if err != nil {
 		return nil, err
--- a/internal/bench/path_prefix.go
+++ b/internal/bench/path_prefix.go
@@ -22,14 +22,15 @@
 // prefix offers requests that share long prefixes to replicas with little cache.
 func prefix() Experiment {
 	return Experiment{
-		Name:    "prefix",
-		Summary: "Hit ratio of the engines' prefix caches when requests share long prefixes.",
-		Run:     runPrefix,
+		Attaches: true,
+		Name:     "prefix",
+		Summary:  "Hit ratio of the engines' prefix caches when requests share long prefixes.",
+		Run:      runPrefix,
 	}
 }
 
 func runPrefix(ctx context.Context, o Options, policy Policy, seed int64) ([]Figure, error) {
-	spec := newPathSpec(o.Preset)
+	spec := newPathSpec(o)
 	spec.engine.CacheBlocks = prefixCached
 	rig, err := startWarmRig(ctx, policy, spec)
 	if err != nil {
--- a/internal/bench/path_priority.go
+++ b/internal/bench/path_priority.go
@@ -28,9 +28,10 @@
 // quiet claims the share that it bought.
 func priorityClaim() Experiment {
 	return Experiment{
-		Name:    "priority-claim",
-		Summary: "A quiet account claims its bought share while others offer twice the capacity.",
-		Run:     runPriorityClaim,
+		Attaches: true,
+		Name:     "priority-claim",
+		Summary:  "A quiet account claims its bought share while others offer twice the capacity.",
+		Run:      runPriorityClaim,
 		Targets: []Target{
 			{Figure: "quiet_first_token_p95", Relation: "<=", Bound: firstTokenBound},
 			{Figure: "quiet_refused", Relation: "<=", Bound: 0},
@@ -39,7 +40,7 @@
 }
 
 func runPriorityClaim(ctx context.Context, o Options, policy Policy, seed int64) ([]Figure, error) {
-	spec := newPathSpec(o.Preset)
+	spec := newPathSpec(o)
 	share := int(quietShare * float64(spec.capacity()))
 	spec.accounts = []api.Account{pathAccount(quietAccount, quietClass, share)}
 	for _, name := range bulkAccounts {
--- a/internal/bench/path_relay.go
+++ b/internal/bench/path_relay.go
@@ -105,7 +105,7 @@
 }
 
 func startRelayRig(ctx context.Context, preset Preset) (*relayRig, error) {
-	spec := newPathSpec(preset)
+	spec := newPathSpec(Options{Preset: preset})
 	spec.engine.BatchFactor = negligibleBatch
 	// A cold replica does the same, so that no cold start is measured.
 	spec.engine.WarmLoad, spec.engine.ColdLoad, spec.engine.ColdFactor = relayWarmLoad, relayWarmLoad, 1
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -63,6 +63,9 @@
 	if err := validator.New().Struct(o); err != nil {
 		return Report{}, errors.Wrap(err, "experiment options")
 	}
+	if o.Attach != nil && !e.Attaches {
+		return Report{}, errors.Newf("experiment %s stops daemons or starts its own: it can't use daemons that run elsewhere", e.Name)
+	}
 	report := Report{Experiment: e.Name, Options: o}
 	for _, policy := range o.policies() {
 		for _, seed := range o.Seeds {
--- a/internal/bench/run_test.go
+++ b/internal/bench/run_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/local"
 )
 
 func fixed(ours, baseline float64, targets ...Target) Experiment {
@@ -52,3 +54,14 @@
 	_, err := Run(context.Background(), fixed(1, 1), o, io.Discard)
 	require.ErrorContains(t, err, "Preset")
 }
+
+func TestOnlySomeExperimentsAttach(t *testing.T) {
+	for _, e := range Experiments() {
+		if e.Attaches {
+			continue
+		}
+		o := Options{Preset: PresetNilecraft, Policy: PolicyOurs, Seeds: []int64{1}, Duration: time.Second, Attach: &local.Attachment{}}
+		_, err := Run(t.Context(), e, o, io.Discard)
+		require.ErrorContains(t, err, "can't use daemons that run elsewhere", e.Name)
+	}
+}
--- a/internal/local/system.go
+++ b/internal/local/system.go
@@ -47,6 +47,8 @@
 	// Fleet sets up the backend servers; its entries, token and domains are
 	// filled in.
 	Fleet standin.Config
+	// Attach uses daemons that run elsewhere in place of own ones, if not nil.
+	Attach *Attachment
 	// Adjust changes the settings of each daemon, if not nil.
 	Adjust func(*config.Serve)
 	// Network is put between the daemons, if not nil. Its owner closes it.
@@ -96,6 +98,9 @@
 }
 
 func (s *System) start() error {
+	if s.cfg.Attach != nil {
+		return s.attach(s.cfg.Attach)
+	}
 	s.operator, s.peer, s.backend = newSecret(), newSecret(), newSecret()
 	for i := range s.cfg.Daemons {
 		if err := s.join(i); err != nil {
@@ -200,6 +205,9 @@
 
 // Entries returns the caller addresses of all daemons.
 func (s *System) Entries() []string {
+	if s.cfg.Attach != nil {
+		return s.cfg.Attach.Entries
+	}
 	out := make([]string, 0, len(s.members))
 	for _, m := range s.members {
 		out = append(out, m.daemon.CallerAddress())
