Loss experiments report the downtime that hosts cannot prevent

The trace shows three faults, each on one of the two fabric domains that hold 6 replicas, while the hosts elsewhere suffice for 3. For the whole outage 3 replicas have no hosts.

Change: the figure "downtime for lack of hosts" counts, at each tick, the replicas for which the running hosts do not suffice even when all are placed anew at once.

The downtime itself is unchanged.

--- a/internal/bench/fleet_meter.go
+++ b/internal/bench/fleet_meter.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -11,6 +12,7 @@
 // Names of the figures of the fleet experiments.
 const (
 	FigureDowntime   = "group downtime"
+	FigureUnmet      = "downtime for lack of hosts"
 	FigureStranded   = "stranded accelerators"
 	FigurePaused     = "stranded beside paused members"
 	FigureUnused     = "idle beyond spares"
@@ -23,8 +25,9 @@
 // fleetMeter adds up the measures of a run.
 type fleetMeter struct {
 	hosts measure.Meter
-	// downtime is in replica-seconds, the others are in host-seconds.
+	// downtime and unmet are in replica-seconds, the others are in host-seconds.
 	downtime float64
+	unmet    float64
 	stranded float64
 	paused   float64
 	unused   float64
@@ -143,6 +146,7 @@
 	r.meter.downtime += float64(replicas) * seconds
 	r.meter.shortage += seconds
 	r.meter.longest = max(r.meter.longest, r.meter.shortage)
+	r.meter.unmet += float64(r.unmet()) * seconds
 	r.meter.stranded += float64(stranded) * seconds
 	r.meter.paused += float64(min(r.besidePaused(), stranded)) * seconds
 	idle, unused := r.unused()
@@ -151,6 +155,30 @@
 	r.meter.unused += float64(min(r.beyondSpares(unused), max(hosts-loading, 0))) * seconds
 }
 
+// unmet is the number of replicas for which the running hosts do not suffice,
+// placed anew at once, larger replicas first: what no planner can serve.
+func (r *fleetRun) unmet() int {
+	running := make(map[api.FabricDomain]int)
+	for _, h := range r.model.Hosts {
+		if h.Up && !h.Paused && !r.drained(h.Domain) {
+			running[h.Fabric]++
+		}
+	}
+	sgs := slices.Clone(r.store.ServingGroups)
+	slices.SortFunc(sgs, func(a, b api.ServingGroup) int { return cmp.Compare(b.HostsPerReplica, a.HostsPerReplica) })
+	unmet := 0
+	for _, sg := range sgs {
+		wanted := sg.Replicas
+		for f, n := range running {
+			placed := min(n/sg.HostsPerReplica, wanted)
+			running[f] -= placed * sg.HostsPerReplica
+			wanted -= placed
+		}
+		unmet += wanted
+	}
+	return unmet
+}
+
 // trueView shows what hosts do at this moment, announced or not.
 func (r *fleetRun) trueView() api.FleetView {
 	v := api.FleetView{
@@ -231,6 +259,7 @@
 func (r *fleetRun) figures() []Figure {
 	return []Figure{
 		{Name: FigureDowntime, Unit: "replica-seconds", Value: r.meter.downtime},
+		{Name: FigureUnmet, Unit: "replica-seconds", Value: r.meter.unmet},
 		{Name: FigureStranded, Unit: "host-seconds", Value: r.meter.stranded},
 		{Name: FigurePaused, Unit: "host-seconds", Value: r.meter.paused},
 		{Name: FigureUnused, Unit: "host-seconds", Value: r.meter.unused},
