A spare makes up for a lost host when a replica is formed

A repair may take spares, a new group could not, though the domain had lost more hosts than it spared.

Ruled out: merging earlier (merges start within 20 s of the second loss) and giving up broken groups for others (every fabric domain has one free host, and no ready group may be robbed).

Change: silent hosts of a fabric domain are taken off its reserve when a replica is placed. TestSpareCompletesMissingReplica failed before (2 replicas of 3). A domain without losses keeps its spares, as TestSpreadsOverFailureDomainsAndKeepsSpares demands.

--- a/internal/group/form.go
+++ b/internal/group/form.go
@@ -184,13 +184,14 @@
 	return left/size - (left-sg.HostsPerReplica)/size
 }
 
-// surplus is the number of free hosts beyond the spares.
+// surplus is the number of free hosts beyond the spares. Spares are there to make
+// up for lost hosts: each one that is silent takes the place of a spare.
 func (pl *planner) surplus(f *fabric, sg *servingGroup) int {
 	reserve := f.reserve
 	if sg.byFabric[f.name] == 0 {
 		reserve += sg.Spares
 	}
-	return len(f.free) - reserve
+	return len(f.free) - max(reserve-f.lost, 0)
 }
 
 // startLoads admits jobs within the budget of the weight store, the most
--- a/internal/group/index.go
+++ b/internal/group/index.go
@@ -18,6 +18,8 @@
 	pending int
 	// reserve is the number of free hosts to keep as spares.
 	reserve int
+	// lost is the number of hosts that are silent.
+	lost int
 }
 
 // memberState tells how a member stands towards its group's generation.
@@ -197,7 +199,10 @@
 		}
 		f := x.fabric(a.Fabric, a.Domain)
 		switch {
-		case a.Domain != f.domain, h.assign != nil && !h.assign.Releasing:
+		case a.Domain != f.domain:
+		case !h.stale && !isAlive(h.status, x.policy):
+			f.lost++
+		case h.assign != nil && !h.assign.Releasing:
 		case !x.usable(h):
 		case h.assign == nil:
 			f.free = append(f.free, a.Host)
--- a/internal/group/loss_test.go
+++ b/internal/group/loss_test.go
@@ -137,3 +137,25 @@
 		})
 	}
 }
+
+// TestSpareCompletesMissingReplica: survivors that were let go form a replica
+// with the spare of their fabric domain, once the losses exceed the spares.
+func TestSpareCompletesMissingReplica(t *testing.T) {
+	sg := scribe(3, 4)
+	sg.Spares = 1
+	r := newRig(t, testPolicy(), sg)
+	r.add("f1", "d1", 13, true)
+	r.step(30 * time.Second)
+	require.Equal(t, 3, r.ready())
+	groups := r.store.Groups()
+	for _, g := range groups {
+		r.model.Kill(r.model.Host(g.Members[0]))
+	}
+	r.step(2 * time.Minute)
+	require.Equal(t, 2, r.ready(), "10 hosts are left")
+	for _, g := range groups[:2] {
+		r.model.Start(r.model.Host(g.Members[0]))
+	}
+	r.step(2 * time.Minute)
+	require.Equal(t, 3, r.ready(), "12 hosts are left")
+}
