--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -100,6 +100,9 @@
 type PlanRequest struct {
 	Operator string `json:"operator"`
 	Intent   Intent `json:"intent"`
+	// Key makes the request idempotent: a request with the key of a recorded
+	// plan gets that plan. Empty records a new one.
+	Key string `json:"key,omitempty"`
 }
 
 // PlanResponse carries one plan.
@@ -152,8 +155,12 @@
 type MeasureStatus struct {
 	// GroupDowntime is in replica-seconds.
 	GroupDowntime float64 `json:"group_downtime_replica_seconds"`
-	// Stranded is in host-seconds.
+	// Stranded is the time in which hosts were idle because their group was
+	// incomplete, in host-seconds.
 	Stranded float64 `json:"stranded_host_seconds"`
+	// NotServing is the time in which replicas were missing and hosts beyond the
+	// spares did not serve, in host-seconds.
+	NotServing float64 `json:"not_serving_host_seconds"`
 }
 
 // StatusResponse is the leader's summary for operators.
@@ -318,8 +325,6 @@
 	Failed bool `json:"failed,omitempty"`
 	// FirstTokenMicros is 0 when no token arrived.
 	FirstTokenMicros int64 `json:"first_token_micros,omitempty"`
-	// CachedTokens is the prefix hit that the engine reported, in tokens.
-	CachedTokens int `json:"cached_tokens,omitempty"`
 }
 
 // RevokeRequest takes a grant back: the entry stops the request on the engine,
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -27,7 +27,8 @@
 	kindSuspect     commandKind = 10
 	kindExpire      commandKind = 11
 	kindLead        commandKind = 12
-	kindLease       commandKind = 13
+	kindRecover     commandKind = 13
+	kindLease       commandKind = 14
 )
 
 // command is one replicated change. apply must depend on nothing but the
@@ -129,6 +130,8 @@
 		return &expireCommand{}
 	case kindLead:
 		return &leadCommand{}
+	case kindRecover:
+		return &recoverCommand{}
 	case kindLease:
 		return &leaseCommand{}
 	}
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -21,6 +21,8 @@
 // tick runs one round of duties, if this voter leads, and wakes waiting calls
 // so that they see the time.
 func (s *Service) tick(ctx context.Context) {
+	s.ticking.Lock()
+	defer s.ticking.Unlock()
 	defer s.ticks.wake()
 	ctx, cancel := context.WithTimeout(ctx, dutyTimeout)
 	defer cancel()
@@ -37,8 +39,7 @@
 	s.slowDuties(ctx, lead, now)
 }
 
-// slowDuties runs what needs no more than a round a second. Only tick calls it,
-// from one goroutine.
+// slowDuties runs what needs no more than a round a second, as a part of tick.
 func (s *Service) slowDuties(ctx context.Context, lead *leadership, now time.Time) {
 	if now.Sub(lead.slowRound) < slowInterval {
 		return
@@ -138,13 +139,20 @@
 }
 
 func serverOf(a api.Announcement) api.ServiceServer {
-	return api.ServiceServer{
-		Host:    a.Host,
-		Service: a.Service,
-		Domain:  a.Domain,
-		Address: a.Address,
-		Leaving: a.Leaving,
+	server := api.ServiceServer{
+		Host:         a.Host,
+		Service:      a.Service,
+		Domain:       a.Domain,
+		Address:      a.Address,
+		Leaving:      a.Leaving,
+		BearableLoad: a.BearableLoad,
+		WarmLoad:     a.WarmLoad,
 	}
+	if server.Limited() {
+		server.Incarnation = a.Incarnation
+		server.Warm = a.Warm
+	}
+	return server
 }
 
 // expire forgets records and quarantines whose time is over.
@@ -157,11 +165,12 @@
 	s.report("expire", err)
 }
 
-// measure samples group downtime and stranded hosts.
+// measure samples group downtime, stranded hosts and hosts that do not serve.
 func (s *Service) measure(ctx context.Context, lead *leadership) {
 	fleet := s.fleet(lead)
 	now := s.cfg.Clock.Now()
-	downtime, stranded := lead.measures.sample(now, downReplicas(fleet), strandedHosts(fleet))
-	s.metrics.downtime.Add(ctx, downtime)
-	s.metrics.stranded.Add(ctx, stranded)
+	amount := lead.measures.sample(now, &fleet)
+	s.metrics.downtime.Add(ctx, amount.downtime)
+	s.metrics.stranded.Add(ctx, amount.stranded)
+	s.metrics.notServing.Add(ctx, amount.notServing)
 }
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -21,6 +21,7 @@
 	"github.com/crocusway/crocusway/internal/caller"
 	"github.com/crocusway/crocusway/internal/ctl"
 	"github.com/crocusway/crocusway/internal/standin"
+	"github.com/crocusway/crocusway/internal/standin/network"
 )
 
 const (
@@ -73,19 +74,24 @@
 	env     []string
 	peer    string
 	callers string
-	dataDir string
-	log     string
-	cmd     *exec.Cmd
-	exited  chan struct{}
+	// advertised is the address under which the other daemons reach it.
+	advertised string
+	dataDir    string
+	log        string
+	cmd        *exec.Cmd
+	exited     chan struct{}
 }
 
 // cluster is 3 voters that are entries too, 1 more entry, and stand-ins.
 type cluster struct {
 	t         *testing.T
 	processes []*process
-	fleet     *standin.Fleet
-	client    *ctl.Client
-	caller    *caller.Client
+	network   *network.Network
+	// replicas is the number that serve asked for.
+	replicas int
+	fleet    *standin.Fleet
+	client   *ctl.Client
+	caller   *caller.Client
 }
 
 // freeAddresses returns n different addresses with ports that the kernel chose.
@@ -117,7 +123,7 @@
 	}
 }
 
-func startCluster(t *testing.T) *cluster {
+func startCluster(t *testing.T, services ...standin.Service) *cluster {
 	t.Helper()
 	c := &cluster{t: t}
 	dir := t.TempDir()
@@ -133,38 +139,55 @@
 		})
 	}
 	t.Cleanup(c.printLogs)
+	c.buildNetwork()
 	for i, p := range c.processes {
 		p.env = c.environment(i)
 		p.start("CROCUSWAY_BOOTSTRAP=true")
 	}
 	c.client = ctl.NewClient(c.addresses(), operatorToken, "amal")
 	c.caller = caller.New(apiKey, c.addresses())
-	c.startFleet()
+	c.startFleet(services)
 	c.await("4 live entries and all hosts", func(s api.StatusResponse) bool {
 		return liveEntries(s) == 4 && len(s.Hosts) == len(c.fleet.Hosts())
 	})
 	return c
 }
 
+// buildNetwork puts the stand-in network between the daemons.
+func (c *cluster) buildNetwork() {
+	c.t.Helper()
+	c.network = network.New()
+	c.t.Cleanup(c.network.Close)
+	for _, p := range c.processes {
+		member, err := c.network.Join(p.name)
+		require.NoError(c.t, err)
+		c.network.Connect(p.name, p.peer)
+		p.advertised = member.Address
+		p.env = []string{"CROCUSWAY_PEER_SOURCE=" + member.Source, "CROCUSWAY_PEER_ADDRESS=" + member.Address}
+	}
+}
+
 func (c *cluster) environment(i int) []string {
 	p := c.processes[i]
 	roles := "entry"
 	voters := make([]string, 0, 3)
 	for _, v := range c.processes[:3] {
-		voters = append(voters, v.name+"="+v.peer)
+		voters = append(voters, v.name+"="+v.advertised)
 	}
-	env := []string{
-		"PATH=" + os.Getenv("PATH"),
-		"CROCUSWAY_NAME=" + p.name,
-		"CROCUSWAY_DOMAIN=" + string(domains[i%3]),
-		"CROCUSWAY_PEER_LISTEN=" + p.peer,
-		"CROCUSWAY_CALLER_LISTEN=" + p.callers,
-		"CROCUSWAY_VOTERS=" + strings.Join(voters, ","),
-		"CROCUSWAY_PEER_SECRET=" + peerSecret,
-		"CROCUSWAY_OPERATOR_TOKEN=" + operatorToken,
-		"CROCUSWAY_BACKEND_TOKEN=" + backendToken,
+	env := append([]string{}, p.env...)
+	env = append(env,
+		"PATH="+os.Getenv("PATH"),
+		"CROCUSWAY_NAME="+p.name,
+		"CROCUSWAY_DOMAIN="+string(domains[i%3]),
+		"CROCUSWAY_PEER_LISTEN="+p.peer,
+		"CROCUSWAY_CALLER_LISTEN="+p.callers,
+		"CROCUSWAY_VOTERS="+strings.Join(voters, ","),
+		"CROCUSWAY_PEER_SECRET="+peerSecret,
+		"CROCUSWAY_OPERATOR_TOKEN="+operatorToken,
+		"CROCUSWAY_BACKEND_TOKEN="+backendToken,
 		"CROCUSWAY_PAUSE_GRACE=1s",
-	}
+		"CROCUSWAY_SNAPSHOT_BYTES=65536",
+	)
 	if i < 3 {
 		roles = "control,entry"
 		env = append(env, "CROCUSWAY_DATA_DIR="+p.dataDir)
@@ -172,7 +195,7 @@
 	return append(env, "CROCUSWAY_ROLES="+roles)
 }
 
-func (c *cluster) startFleet() {
+func (c *cluster) startFleet(services []standin.Service) {
 	fleet, err := standin.Start(standin.Config{
 		Entries:        c.addresses(),
 		Token:          backendToken,
@@ -180,7 +203,7 @@
 		Fabrics:        3,
 		HostsPerFabric: 5,
 		Engine:         standin.Engine{ChecksFencing: true, Capabilities: standin.AllCapabilities},
-		Services:       []standin.Service{{Name: service, PerDomain: 1}},
+		Services:       append([]standin.Service{{Name: service, PerDomain: 1}}, services...),
 	})
 	require.NoError(c.t, err)
 	c.fleet = fleet
@@ -308,6 +331,7 @@
 // serve brings the cluster to where calls are answered.
 func (c *cluster) serve(replicas int) {
 	c.t.Helper()
+	c.replicas = replicas
 	c.confirm(intent(replicas))
 	c.await("ready replicas", func(s api.StatusResponse) bool { return readyGroups(s) == replicas })
 	c.awaitAnswer()
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
@@ -15,7 +14,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusway/crocusway/internal/api"
-	"github.com/crocusway/crocusway/internal/caller"
 	"github.com/crocusway/crocusway/internal/daemon"
 	"github.com/crocusway/crocusway/internal/errs"
 )
@@ -58,6 +56,7 @@
 			old.signal(tc.signal)
 			status := c.await("another leader", func(s api.StatusResponse) bool { return string(s.Leader) != old.name })
 			require.GreaterOrEqual(t, status.View.Revision, before)
+			c.operatorsWithout(old)
 			c.confirm(api.Intent{Domains: []api.Domain{{Name: domains[2], State: api.DomainDrained}}})
 			c.awaitAnswer()
 			c.rejoin(old, tc.signal)
@@ -206,7 +205,7 @@
 // TestRestartOfAllKeepsChanges kills every daemon after hundreds of changes.
 // They come back with the newest accepted one.
 func TestRestartOfAllKeepsChanges(t *testing.T) {
-	const changes = 200
+	const changes = 400
 	c := startCluster(t)
 	for i := range changes {
 		c.confirm(shareIntent(i))
@@ -222,11 +221,11 @@
 	require.Equal(t, changes-1, share(after))
 	require.GreaterOrEqual(t, after.View.Revision, before.View.Revision)
 	for _, p := range c.processes {
-		raw, err := c.client.Dump(p.callers)
-		require.NoError(t, err)
-		var dump daemon.Dump
-		require.NoError(t, json.Unmarshal(raw, &dump))
+		dump := c.dump(p)
 		require.GreaterOrEqual(t, dump.Entry.View.Revision, before.View.Revision, p.name)
+		if dump.Control != nil {
+			require.Positive(t, dump.Control.Log.Compacted, "%s did not restore a snapshot", p.name)
+		}
 	}
 }
 
@@ -249,36 +248,16 @@
 	c := startCluster(t)
 	c.serve(6)
 	drained := domains[2]
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	var wg sync.WaitGroup
-	cut := make([]int, loads)
-	whole := make([]int, loads)
-	for i := range loads {
-		wg.Go(func() {
-			client := caller.New(apiKey, c.addresses())
-			for ctx.Err() == nil {
-				a, err := client.Chat(context.Background(), model, fmt.Sprintf("prompt %d", i), 32)
-				switch {
-				case err == nil && a.Whole():
-					whole[i]++
-				case a.Outcome != api.OutcomeNotRun:
-					cut[i]++
-				}
-			}
-		})
-	}
+	load := c.startLoad(loads)
 	require.Eventually(t, func() bool { return c.runsIn(drained) > loads }, patience, poll)
 	decision := c.confirm(api.Intent{Domains: []api.Domain{{Name: drained, State: api.DomainDrained}}})
 	require.True(t, decision.InForce, "held out: %v", decision.HeldOut)
 	before, all := c.runsIn(drained), len(c.fleet.Runs())
 	require.Eventually(t, func() bool { return len(c.fleet.Runs()) > all+100 }, patience, poll)
 	require.Equal(t, before, c.runsIn(drained))
-	stop()
-	wg.Wait()
+	load.requireUncut()
 	for i := range loads {
-		require.Zero(t, cut[i])
-		require.Positive(t, whole[i])
+		require.Positive(t, load.callers[i].whole.Load())
 	}
 }
 
