--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -20,6 +20,33 @@
 type register struct {
 	mu       sync.Mutex
 	Commands []string
+	// held takes a channel whose close lets the next encoding go on.
+	held chan chan struct{}
+}
+
+// holdEncoding makes the next snapshot wait before it is encoded.
+func (r *register) holdEncoding() <-chan chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held = make(chan chan struct{})
+	return r.held
+}
+
+// Freeze implements consensus.Freezer.
+func (r *register) Freeze() (encode func() ([]byte, error), err error) {
+	data, err := r.Snapshot()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := r.held
+	r.held = nil
+	return func() ([]byte, error) {
+		if held != nil {
+			goOn := make(chan struct{})
+			held <- goOn
+			<-goOn
+		}
+		return data, nil
+	}, err
 }
 
 func (r *register) Apply(_ uint64, command []byte) any {
--- a/internal/consensus/compact.go
+++ b/internal/consensus/compact.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
 )
 
@@ -27,39 +28,90 @@
 	return nil
 }
 
-// compact takes a snapshot once enough entries were applied.
+// encodedSnapshot is a snapshot that was encoded beside the run goroutine.
+type encodedSnapshot struct {
+	snapshot Snapshot
+	// incarnation is the member's when the state was frozen.
+	incarnation api.Incarnation
+	err         error
+}
+
+// compact begins a snapshot once enough entries were applied.
 func (s *Server) compact() error {
 	if s.applied < s.snapshot+s.cfg.SnapshotEntries && s.appliedBytes < s.cfg.SnapshotBytes {
 		return nil
 	}
-	return s.takeSnapshot()
+	return s.beginSnapshot()
 }
 
-func (s *Server) takeSnapshot() error {
-	if s.applied == s.snapshot {
+// beginSnapshot freezes the applied state and encodes it on another goroutine,
+// one snapshot at a time.
+func (s *Server) beginSnapshot() error {
+	if s.encoding || s.applied == s.snapshot {
 		return nil
 	}
-	data, err := s.cfg.StateMachine.Snapshot()
+	encode, err := s.freeze()
 	if err != nil {
 		return errs.Wrap(err, "encode snapshot", "")
 	}
-	snap := s.core.NewSnapshot(slices.Clip(data))
+	e := encodedSnapshot{snapshot: s.core.NewSnapshot(nil), incarnation: s.cfg.Core.Incarnation}
+	s.encoding = true
+	s.appliedBytes = 0
+	s.encoders.Go(func() {
+		e.snapshot.Data, e.err = encode()
+		s.encoded <- e
+	})
+	return nil
+}
+
+func (s *Server) freeze() (encode func() ([]byte, error), err error) {
+	if f, ok := s.cfg.StateMachine.(Freezer); ok {
+		return f.Freeze()
+	}
+	data, err := s.cfg.StateMachine.Snapshot()
+	return func() ([]byte, error) { return data, nil }, err
+}
+
+// finishSnapshot makes an encoded snapshot durable and drops the log that it
+// replaces. One that a received snapshot overtook, or that belongs to a cluster
+// that the member left, is dropped.
+func (s *Server) finishSnapshot(e encodedSnapshot) {
+	s.encoding = false
+	if e.err == nil && e.incarnation == s.cfg.Core.Incarnation && e.snapshot.Index > s.snapshot {
+		e.err = s.keepSnapshot(e.snapshot)
+	}
+	if e.err != nil {
+		s.fail(errs.Wrap(e.err, "take snapshot", ""))
+	}
+	for _, done := range s.compactions {
+		done <- e.err
+	}
+	s.compactions = nil
+}
+
+func (s *Server) keepSnapshot(snap Snapshot) error {
+	snap.Data = slices.Clip(snap.Data)
 	if err := s.cfg.Store.SaveSnapshot(snap); err != nil {
 		return errs.Wrap(err, "save snapshot", "")
 	}
 	s.core.Compact(snap)
 	s.snapshot = snap.Index
-	s.appliedBytes = 0
 	return nil
 }
 
-// TakeSnapshot compacts the log now.
+// TakeSnapshot compacts the log now, or waits for the snapshot that is being
+// encoded.
 func (s *Server) TakeSnapshot(ctx context.Context) error {
 	return s.call(ctx, "take snapshot", func(done chan<- error) {
-		err := s.takeSnapshot()
-		if err != nil {
+		if err := s.beginSnapshot(); err != nil {
 			s.fail(err)
+			done <- err
+			return
+		}
+		if !s.encoding {
+			done <- nil
+			return
 		}
-		done <- err
+		s.compactions = append(s.compactions, done)
 	})
 }
--- a/internal/consensus/server.go
+++ b/internal/consensus/server.go
@@ -24,6 +24,7 @@
 
 	inbox   chan []Message
 	queue   chan func()
+	encoded chan encodedSnapshot
 	stop    chan struct{}
 	done    chan struct{}
 	started atomic.Bool
@@ -44,7 +45,11 @@
 	// pendingBytes counts the commands of proposals.
 	pendingBytes int
 	routes       map[api.VoterID]string
-	lastRole     role
+	// encoding is set while a snapshot is encoded; compactions wait for it.
+	encoding    bool
+	compactions []chan<- error
+	encoders    sync.WaitGroup
+	lastRole    role
 }
 
 // NewServer recovers the state from the Store and returns a server that Run
@@ -57,6 +62,7 @@
 		logger:    logging.For(cfg.Logger, "consensus"),
 		inbox:     make(chan []Message, inboxLength),
 		queue:     make(chan func(), queueLength),
+		encoded:   make(chan encodedSnapshot, 1),
 		stop:      make(chan struct{}),
 		done:      make(chan struct{}),
 		proposals: map[uint64]*proposal{},
@@ -149,6 +155,7 @@
 
 func (s *Server) run() {
 	defer close(s.done)
+	defer s.encoders.Wait()
 	ticks := s.cfg.Ticks
 	if ticks == nil {
 		ticker := time.NewTicker(s.cfg.TickInterval)
@@ -174,6 +181,8 @@
 		s.step(msgs)
 	case f := <-s.queue:
 		f()
+	case e := <-s.encoded:
+		s.finishSnapshot(e)
 	}
 	for range maxBatch {
 		select {
--- a/internal/consensus/server_test.go
+++ b/internal/consensus/server_test.go
@@ -262,3 +262,18 @@
 	require.Empty(t, n.server.Membership().Members)
 	require.Greater(t, n.store.Identity().Incarnation, consensus.BootstrapIncarnation)
 }
+
+// TestEncodingHoldsNoCommandUp commits while a snapshot is being encoded, and
+// finds the snapshot and the later commands after a restart.
+func TestEncodingHoldsNoCommandUp(t *testing.T) {
+	c := newCluster(t, 1)
+	n := c.nodes["v1"]
+	held := n.sm.holdEncoding()
+	c.proposeMany(0, int(c.snapshots))
+	goOn := <-held
+	want := c.proposeMany(int(c.snapshots), int(c.snapshots)+10)
+	close(goOn)
+	require.NoError(t, n.server.TakeSnapshot(context.Background()))
+	c.restart("v1")
+	c.converged(want)
+}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -195,6 +195,14 @@
 	Restore(data []byte) error
 }
 
+// Freezer is a StateMachine whose snapshot is encoded while further commands are
+// applied.
+type Freezer interface {
+	// Freeze returns an encoder of the present state, which runs on another
+	// goroutine and must not see later commands.
+	Freeze() (encode func() ([]byte, error), err error)
+}
+
 // Status is the state of one voter's log.
 type Status struct {
 	ID     api.VoterID
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -32,16 +32,27 @@
 	Records       []recordRow         `cbor:"16,keyasint"`
 }
 
-// Snapshot implements StateMachine. Commands wait only while the rows are
-// copied, not while they are encoded.
+// Snapshot implements StateMachine.
 func (s *State) Snapshot() ([]byte, error) {
+	encode, err := s.Freeze()
+	if err != nil {
+		return nil, err
+	}
+	return encode()
+}
+
+// Freeze implements consensus.Freezer. Commands wait only while the rows are
+// copied, not while they are encoded: rows are immutable.
+func (s *State) Freeze() (encode func() ([]byte, error), err error) {
 	if err := s.Err(); err != nil {
 		return nil, err
 	}
 	img, records := s.copy()
-	img.Records = recordRows(records)
-	data, err := encMode.Marshal(img)
-	return data, errs.Wrap(err, "encode snapshot", "")
+	return func() ([]byte, error) {
+		img.Records = recordRows(records)
+		data, err := encMode.Marshal(img)
+		return data, errs.Wrap(err, "encode snapshot", "")
+	}, nil
 }
 
 // copy returns the state without its records, and the records in no order.
