The overload experiment shows where its capacity goes

Change: the stand-in records when a run ended; the experiment reports the mean run time, the slots busy with runs that came to their end, and the goodput over the measured run time. The goodput itself and its window stay as they were. Ruled out: the ramp at the start of the part and whole rounds cut off by its end.

--- a/internal/bench/path_overload.go
+++ b/internal/bench/path_overload.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"github.com/crocusway/crocusway/internal/standin"
 )
 
 // overloadFactors are the loads of overload, as factors of the capacity.
@@ -53,14 +55,51 @@
 		runsBefore := len(rig.fleet.Runs())
 		completed := rig.fleet.Completed()
 		s := pathStream{rate: spec.rate() * factor, end: part, next: impatient, tally: tally}
+		began := time.Now()
 		offer(ctx, rig.target, s, seed+int64(i))
 		prefix := fmt.Sprintf("x%g_", factor)
 		figures = append(figures, tally.latencyFigures(prefix)...)
 		figures = append(figures, tally.endingFigures(prefix)...)
-		wasted := len(rig.fleet.Runs()) - runsBefore - (rig.fleet.Completed() - completed)
+		runs := rig.fleet.Runs()[runsBefore:]
+		wasted := len(runs) - (rig.fleet.Completed() - completed)
 		figures = append(figures,
 			Figure{Name: prefix + "goodput", Unit: "ratio", Value: tally.goodput(part) / spec.rate()},
+			Figure{Name: prefix + "run_time", Unit: "ms", Value: float64(meanRunTime(runs).Microseconds()) / 1000},
+			Figure{Name: prefix + "goodput_of_measured", Unit: "ratio", Value: tally.goodput(part) * meanRunTime(runs).Seconds() / float64(spec.capacity())},
+			Figure{Name: prefix + "busy", Unit: "ratio", Value: busySlots(runs, began, part) / float64(spec.capacity())},
 			Figure{Name: prefix + "wasted_runs", Unit: "requests", Value: float64(wasted)})
 	}
 	return figures, nil
 }
+
+// meanRunTime is how long the runs took that came to their end. The stand-ins'
+// timers make it longer than the nominal time, on which the capacity rests.
+func meanRunTime(runs []standin.Run) time.Duration {
+	var sum time.Duration
+	n := 0
+	for _, run := range runs {
+		if !run.End.IsZero() {
+			sum += run.End.Sub(run.Start)
+			n++
+		}
+	}
+	return sum / time.Duration(max(n, 1))
+}
+
+// busySlots is the mean number of requests in progress over a window that came
+// to their end, in it or later.
+func busySlots(runs []standin.Run, began time.Time, window time.Duration) float64 {
+	var busy time.Duration
+	end := began.Add(window)
+	for _, run := range runs {
+		if run.End.IsZero() || run.Start.After(end) {
+			continue
+		}
+		until := run.End
+		if until.After(end) {
+			until = end
+		}
+		busy += until.Sub(run.Start)
+	}
+	return busy.Seconds() / window.Seconds()
+}
--- a/internal/standin/completion.go
+++ b/internal/standin/completion.go
@@ -50,8 +50,10 @@
 	fencing api.Fencing
 	fault   Fault
 	job     *job
-	cached  int
-	blocks  int
+	// run is the number of the recorded run.
+	run    int
+	cached int
+	blocks int
 }
 
 // handleCompletion answers chat and text completions.
@@ -174,6 +176,6 @@
 		Cached:      c.cached,
 		Start:       h.fleet.cfg.Clock.Now(),
 	}
-	h.fleet.record.addRun(run)
+	c.run = h.fleet.record.addRun(run)
 	return h.engine.add(c.job)
 }
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -84,7 +84,8 @@
 	c.host.engine.remove(c.job, complete)
 	c.host.mu.Unlock()
 	if complete {
-		c.host.fleet.record.addComplete()
+		f := c.host.fleet
+		f.record.addComplete(c.run, f.cfg.Clock.Now())
 	}
 }
 
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -29,6 +29,8 @@
 	Blocks int
 	Cached int
 	Start  time.Time
+	// End is when a completion ran to its end, zero if it did not.
+	End time.Time
 }
 
 // OrderRun is one order that reached a host.
@@ -50,12 +52,15 @@
 	complete int
 }
 
-func (r *recorder) addRun(run Run) {
+// addRun returns the number of the run.
+func (r *recorder) addRun(run Run) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.runs) < maxRecorded {
 		r.runs = append(r.runs, run)
+		return len(r.runs) - 1
 	}
+	return maxRecorded
 }
 
 func (r *recorder) addOrder(o OrderRun) {
@@ -72,10 +77,14 @@
 	r.falls++
 }
 
-func (r *recorder) addComplete() {
+// addComplete counts a run that came to its end.
+func (r *recorder) addComplete(run int, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.complete++
+	if run < len(r.runs) {
+		r.runs[run].End = now
+	}
 }
 
 // Runs returns every request that began to run, in order of start.
