Estimated run times follow the requested tokens

Cause: one smoothed run time for each model, whatever the length of the answer. A long answer got places that it could not use in time; after it, short ones were refused early. Change: a line through the run times over the requested tokens, with older runs fading out; requests without a number of tokens have a mean of their own. A resumed request is not learned from, since its last attempt is a part of its run.

--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -13,6 +13,7 @@
 		atMostOnce(),
 		poison(),
 		overload(),
+		overloadMixed(),
 		prefix(),
 	}...)
 }
--- a/internal/pipeline/admit.go
+++ b/internal/pipeline/admit.go
@@ -36,7 +36,7 @@
 	wait := c.deadline.Sub(f.cfg.Clock.Now())
 	if !c.hasBegun() {
 		// A place that is granted too late is wasted: the run itself takes time.
-		wait = min(wait-f.runTimes.estimate(c.generation.model), f.cfg.Settings.QueueWait)
+		wait = min(wait-f.runTimes.estimate(c.generation.model, c.generation.tokens), f.cfg.Settings.QueueWait)
 		if wait <= 0 {
 			return unmeetable()
 		}
--- a/internal/pipeline/generation.go
+++ b/internal/pipeline/generation.go
@@ -23,6 +23,8 @@
 type generation struct {
 	model  string
 	stream bool
+	// tokens is the number of tokens that the caller asks for, 0 if it names none.
+	tokens int
 	// blocks are chained hashes of the leading blocks of the prompt.
 	blocks []uint64
 }
@@ -50,6 +52,7 @@
 	return generation{
 		model:  *b.Model,
 		stream: string(b.Stream) == "true",
+		tokens: b.tokens(),
 		blocks: prefixBlocks(*b.Model, b.prompt(kind)),
 	}, nil
 }
@@ -99,6 +102,16 @@
 	return b.Messages
 }
 
+// tokens returns the checked number of requested tokens, 0 if there is none.
+func (b *generationBody) tokens() int {
+	raw := b.MaxCompletionTokens
+	if isAbsent(raw) {
+		raw = b.MaxTokens
+	}
+	n, _ := strconv.Atoi(string(raw))
+	return n
+}
+
 func isAbsent(raw json.RawMessage) bool { return len(raw) == 0 || string(raw) == "null" }
 
 func checkBool(field string, raw json.RawMessage) *refusal {
--- a/internal/pipeline/settle.go
+++ b/internal/pipeline/settle.go
@@ -27,8 +27,9 @@
 	if c.service.entered {
 		s.limits.leave(c.service.name)
 	}
-	if c.kind != callService && c.outcome == api.OutcomeComplete && !c.started.IsZero() {
-		s.runTimes.observe(c.generation.model, s.cfg.Clock.Now().Sub(c.started))
+	// The last attempt of a resumed request is only a part of its run.
+	if c.kind != callService && c.outcome == api.OutcomeComplete && !c.started.IsZero() && !c.takenBack {
+		s.runTimes.observe(c.generation.model, c.generation.tokens, s.cfg.Clock.Now().Sub(c.started))
 	}
 	s.closeRecord(c)
 	if c.endAttempt != nil {
