An entry that finished is not awaited by new owners

Cause: an entry that leaves with nothing in progress gives its lease back and exits before it reports to the new owners of its shards. Found by reading the shutdown: the leave of an idle entry waits for nothing between its last renewal and the release. Cause of a second fault: a grant that is left to expire, because its work may go on, was not reported to new owners, which could grant its slot again. Change: the release of a lease says whether a grant is in use (finished); control keeps it with the entry until a newer registration, and owners do not wait for finished entries. A lease that runs out never sets it. An abandoned grant counts as in use, is reported to later owners and is not renewed. Figures: none timed; TestEntryLongGoneDoesNotDelayAHandover grants at once after a finish, and refuses 1 s after a loss without it.

--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -39,6 +39,8 @@
 	// Release gives the lease back at the end of a graceful shutdown. The entry
 	// does no more work; Entry.Leaving must be set.
 	Release bool `json:"release,omitempty"`
+	// Finished is set with Release when no grant of the entry is in use.
+	Finished bool `json:"finished,omitempty"`
 }
 
 // RenewResponse grants a work lease. The entry counts LeaseMillis from the
--- a/internal/api/view.go
+++ b/internal/api/view.go
@@ -58,6 +58,8 @@
 	Live bool `json:"live"`
 	// Leaving is set during a graceful shutdown: no new work, no shards.
 	Leaving bool `json:"leaving,omitempty"`
+	// Finished is set once it gave its work lease back without a grant in use.
+	Finished bool `json:"finished,omitempty"`
 }
 
 // ShardLease names the entry that owns a shard. Epoch only grows.
--- a/internal/control/contract_test.go
+++ b/internal/control/contract_test.go
@@ -259,10 +259,15 @@
 	require.NoError(t, f.renew("e1", 1))
 	info := entryInfo("e1", 1)
 	info.Leaving = true
-	_, err := f.service().renew(ctx, api.RenewRequest{Entry: info, Applied: f.state().Revision(), Release: true})
+	_, err := f.service().renew(ctx, api.RenewRequest{Entry: info, Applied: f.state().Revision(), Release: true, Finished: true})
 	require.NoError(t, err)
 	require.False(t, f.state().View().Entries[0].Live)
+	require.True(t, f.state().View().Entries[0].Finished)
 	require.NoError(t, f.renew("e1", 2), "a restarted entry need not wait")
+	require.False(t, f.state().View().Entries[0].Finished)
+	f.advance(2 * DefaultLeaseDuration)
+	require.False(t, f.state().View().Entries[0].Live)
+	require.False(t, f.state().View().Entries[0].Finished, "a lease that ran out")
 }
 
 func TestStatusGolden(t *testing.T) {
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -66,19 +66,20 @@
 		if !row.Info.Live || !lead.leases.beginExpiry(row.Info.ID, s.cfg.Clock.Now()) {
 			continue
 		}
-		s.report("expire entry", s.expireEntry(ctx, lead, row))
+		s.report("expire entry", s.expireEntry(ctx, lead, row, false))
 	}
 }
 
 // expireEntry commits that a lease has run out. When the outcome is unknown the
 // lease stays marked, so that it can't be renewed, and the next round tries
 // again.
-func (s *Service) expireEntry(ctx context.Context, lead *leadership, row entryRow) error {
+func (s *Service) expireEntry(ctx context.Context, lead *leadership, row entryRow, finished bool) error {
 	cmd := &entryExpireCommand{
 		ID:              row.Info.ID,
 		Registered:      row.Registered,
 		RetentionMillis: s.cfg.Limits.Records.RetentionMillis,
 		Term:            lead.term,
+		Finished:        finished,
 	}
 	if _, err := propose[entryRow](ctx, s, cmd); err != nil {
 		return err
--- a/internal/control/entry_calls.go
+++ b/internal/control/entry_calls.go
@@ -24,7 +24,7 @@
 		return none, refuse(errs.Stale, "renew lease", "incarnation %d is older than %d", r.Entry.Incarnation, row.Info.Incarnation)
 	}
 	if r.Release {
-		return none, s.release(ctx, lead, r.Entry)
+		return none, s.release(ctx, lead, r)
 	}
 	if err := lead.leases.renew(r, s.cfg.Clock.Now(), s.requiredRevision(lead)); err != nil {
 		s.renewed.wake()
@@ -55,6 +55,7 @@
 func (s *Service) register(ctx context.Context, r api.RenewRequest) error {
 	info := r.Entry
 	info.Live = true
+	info.Finished = false
 	row, known := s.state.entries.get(info.ID)
 	if known && row.Info == info {
 		return nil
@@ -72,15 +73,15 @@
 }
 
 // release ends the lease that a leaving entry gives back.
-func (s *Service) release(ctx context.Context, lead *leadership, info api.EntryInfo) error {
-	if err := lead.leases.release(info, s.cfg.Clock.Now()); err != nil {
+func (s *Service) release(ctx context.Context, lead *leadership, r api.RenewRequest) error {
+	if err := lead.leases.release(r.Entry, s.cfg.Clock.Now()); err != nil {
 		return err
 	}
-	row, ok := s.state.entries.get(info.ID)
+	row, ok := s.state.entries.get(r.Entry.ID)
 	if !ok || !row.Info.Live {
 		return nil
 	}
-	return s.expireEntry(ctx, lead, row)
+	return s.expireEntry(ctx, lead, row, r.Finished)
 }
 
 // watch answers control.watch.
--- a/internal/control/entry_table.go
+++ b/internal/control/entry_table.go
@@ -81,6 +81,8 @@
 	RetentionMillis int64 `cbor:"3,keyasint"`
 	// Term is the leadership that saw the lease run out.
 	Term uint64 `cbor:"4,keyasint"`
+	// Finished is set when the entry gave the lease back without a grant in use.
+	Finished bool `cbor:"5,keyasint,omitempty"`
 }
 
 func (*entryExpireCommand) kind() commandKind { return kindEntryExpire }
@@ -94,6 +96,7 @@
 		return row, nil
 	}
 	row.Info.Live = false
+	row.Info.Finished = c.Finished
 	row.Registered = t.next()
 	row.EndedUnixMillis = t.now
 	t.entries.put(c.ID, row)
--- a/internal/control/lease_fuzz_test.go
+++ b/internal/control/lease_fuzz_test.go
@@ -395,7 +395,7 @@
 		s.elect(0)
 		_, err := frozen.lead(ctx)
 		require.NoError(t, err)
-		err = frozen.expireEntry(ctx, lead, row)
+		err = frozen.expireEntry(ctx, lead, row, false)
 		require.Equal(t, !broken, err != nil)
 		s.advance(time.Millisecond)
 		require.NoError(t, s.watch(s.entries[1]))
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -131,7 +131,8 @@
 		level.Warn(r.agent.Logger()).Log("msg", "calls are still in progress at the end of the shutdown")
 		return
 	}
-	if err := bounded(ctx, r.agent.Release); err != nil {
+	release := func(ctx context.Context) error { return r.agent.Release(ctx, r.grants.IsIdle()) }
+	if err := bounded(ctx, release); err != nil {
 		level.Warn(r.agent.Logger()).Log("msg", "work lease was not given back", "err", err)
 	}
 }
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -91,11 +91,13 @@
 
 // Release gives the work lease back at the end of a graceful shutdown, so that
 // the shards of this entry move on at once. The entry must be leaving and do
-// no more work.
-func (a *Agent) Release(ctx context.Context) error {
+// no more work. finished tells that no grant is in use either, so that new owners
+// of its shards need not wait for what it may hold.
+func (a *Agent) Release(ctx context.Context, finished bool) error {
 	a.cfg.State.SetLease(time.Time{})
 	request := a.renewal()
 	request.Release = true
+	request.Finished = finished
 	return a.cfg.Control.Call(ctx, api.MethodRenew, request, &api.RenewResponse{})
 }
 
--- a/internal/shard/client.go
+++ b/internal/shard/client.go
@@ -346,7 +346,15 @@
 func (c *Client) Abandon(g api.Grant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.holdings.Remove(g)
+	c.holdings.Abandon(g)
+}
+
+// IsIdle reports whether no grant is held or left to expire.
+func (c *Client) IsIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holdings.Expire(c.cfg.Clock.Now())
+	return len(c.holdings.held) == 0
 }
 
 // Revoke stops the request of a grant that its owner takes back.
--- a/internal/shard/holdings.go
+++ b/internal/shard/holdings.go
@@ -26,6 +26,9 @@
 	ended chan struct{}
 	// stopped is set once ended is closed.
 	stopped bool
+	// abandoned is set when the work may go on without this entry. The grant is
+	// not renewed any more, but a new owner is told of it.
+	abandoned bool
 }
 
 // stop tells the user of the grant to stop.
@@ -91,6 +94,14 @@
 	}
 }
 
+// Abandon leaves a grant to expire.
+func (h *Holdings) Abandon(g api.Grant) {
+	if held := h.held[holdKey(g)]; held != nil {
+		held.stop()
+		held.abandoned = true
+	}
+}
+
 // Expire ends every grant whose lifetime has run out.
 func (h *Holdings) Expire(now time.Time) {
 	for key, held := range h.held {
@@ -123,7 +134,7 @@
 	}
 	grants := []api.Grant{}
 	for _, held := range h.held {
-		if held.grant.Shard == id {
+		if held.grant.Shard == id && (!held.abandoned || termOf(held.grant).before(t)) {
 			grants = append(grants, held.grant)
 		}
 	}
@@ -153,7 +164,7 @@
 			held.stop()
 			continue
 		}
-		if expires.After(held.expires) {
+		if expires.After(held.expires) && !held.abandoned {
 			held.expires = expires
 		}
 	}
--- a/internal/shard/manager_test.go
+++ b/internal/shard/manager_test.go
@@ -237,15 +237,17 @@
 		after  time.Duration
 		owner  string
 		epoch  api.Revision
+		done   bool
 		reason string
 		code   errs.Code
 	}{
-		{time.Second, "e1", 3, "gone for a second", errs.Full},
-		{owner.cfg.Settings.handoverHold(), "e1", 4, "gone for longer than a grant lives", ""},
+		{time.Second, "e1", 3, false, "gone for a second", errs.Full},
+		{time.Second, "e1", 4, true, "finished before it was gone", ""},
+		{owner.cfg.Settings.handoverHold(), "e1", 5, false, "gone for longer than a grant lives", ""},
 	} {
 		now.Advance(tc.after)
 		v = viewOwnedBy(tc.owner, tc.epoch, *warmGroup("g1", 1))
-		v.Entries[1].Live = false
+		v.Entries[1].Live, v.Entries[1].Finished = false, tc.done
 		state.Apply(v)
 		owner.Update(state.Snapshot())
 		_, err := owner.Report(api.ReportRequest{Shard: testShard, Epoch: tc.epoch, Entry: "e1", Incarnation: 1, OwnerIncarnation: 1})
--- a/internal/shard/ownership.go
+++ b/internal/shard/ownership.go
@@ -49,11 +49,14 @@
 }
 
 // holders returns the entries that may hold grants of an earlier owner: those
-// that were live within the longest lifetime of a grant.
+// that were live within the longest lifetime of a grant and did not finish.
 func (m *Manager) holders(s *entry.Snapshot) []api.EntryInfo {
 	now := m.cfg.Clock.Now()
 	holders := make([]api.EntryInfo, 0, len(s.Entries))
 	for _, e := range s.Entries {
+		if !e.Live && e.Finished {
+			continue
+		}
 		since, gone := m.gone[e.ID]
 		if !gone || now.Sub(since) <= m.cfg.Settings.handoverHold() {
 			holders = append(holders, e)
