A new owner grants what a lost entry can't hold

Cause: one entry that does not report made a new owner grant nothing at all for 11 s on every replica of the shard. The reports of the others arrive within 1 ms of the takeover (trace of a start of 4 entries), and all grants of earlier owners together never exceed the largest limit of the replica. Change: a new owner counts, on each replica, that limit less the grants that are reported as in use, until all have reported or the time is over. Slots that the others give back are granted at once. Limits are followed by each entry; a replica that it has followed for less than the life of a grant, or at an older generation, is blocked as before. A settled grant of an earlier owner is remembered until the handover ends. Ruled out: the bound without that memory. The fuzz test found 4 requests on a replica that bears 3: a late report adopted a settled grant a second time. Broken variants caught: unreported grants are left out; finished with grants in use. Conclusion: what a lost entry held itself still waits for its lifetime. An idle shard gains nothing: without reported grants, all slots may be the lost entry's.

--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -24,6 +24,8 @@
 	Drained bool
 	// Entries may hold grants of an earlier owner.
 	Entries []api.EntryInfo
+	// Bounds are the most that earlier owners granted on replicas, where known.
+	Bounds map[api.GroupID]int
 }
 
 // Decision is the answer to one ticket: a grant or an error.
@@ -76,14 +78,15 @@
 		rand:      rand.New(rand.NewPCG(uint64(t.epoch), uint64(t.incarnation))),
 	}
 	c.drained = w.Drained
-	c.ledger.update(w.Groups, true)
+	c.ledger.update(w.Groups)
+	c.ledger.inherit(w.Bounds)
 	return c
 }
 
 // Update applies a newer view.
 func (c *Core) Update(w World) {
 	c.drained = w.Drained
-	c.ledger.update(w.Groups, false)
+	c.ledger.update(w.Groups)
 }
 
 // Submit puts a ticket into the queue, or refuses it by a decision of the next
@@ -212,9 +215,9 @@
 
 // Settle counts a grant out. A repeated settlement changes nothing.
 func (c *Core) Settle(now time.Time, s api.SettleRequest) bool {
+	c.rememberSettled(now, s.Grant)
 	h, ok := c.ledger.remove(s.Grant.ID)
 	if !ok {
-		c.rememberSettled(now, s.Grant)
 		return false
 	}
 	c.learn(now, h, s)
@@ -299,7 +302,7 @@
 	if !adopt || !termOf(g).before(c.term) || c.ledger.settled[g.ID] || !known {
 		return false
 	}
-	c.ledger.add(&hold{
+	c.ledger.adopt(&hold{
 		grant:       g,
 		entry:       from.Entry,
 		incarnation: from.Incarnation,
@@ -342,10 +345,7 @@
 		return
 	}
 	c.certain = true
-	clear(c.ledger.settled)
-	for _, r := range c.ledger.order {
-		r.uncertain = false
-	}
+	c.ledger.settleInheritance()
 }
 
 func (c *Core) evaluate(now time.Time) {
--- a/internal/shard/dump.go
+++ b/internal/shard/dump.go
@@ -22,6 +22,8 @@
 	Limit int         `json:"limit"`
 	// Uncertain is set while grants of an earlier owner may be unreported.
 	Uncertain bool `json:"uncertain,omitempty"`
+	// Unreported is the most grants of earlier owners that may be unreported.
+	Unreported int `json:"unreported,omitempty"`
 }
 
 // Dump returns the state of every owned shard, ordered by name.
@@ -42,10 +44,11 @@
 	d := Dump{Shard: id, Epoch: o.epoch, Waiting: len(o.waiters)}
 	for _, r := range o.core.ledger.order {
 		d.Replicas = append(d.Replicas, ReplicaDump{
-			Group:     r.group.ID,
-			Held:      r.held,
-			Limit:     r.limit.value,
-			Uncertain: r.uncertain,
+			Group:      r.group.ID,
+			Held:       r.held,
+			Limit:      r.limit.value,
+			Uncertain:  r.uncertain,
+			Unreported: r.unreported,
 		})
 	}
 	return d
--- a/internal/shard/filter_free.go
+++ b/internal/shard/filter_free.go
@@ -6,7 +6,7 @@
 
 func (freeFilter) keep(c *choice, r *replica) bool {
 	if c.request.Alone {
-		return r.held == 0
+		return r.isIdle()
 	}
 	return r.free() > 0
 }
--- a/internal/shard/fuzz_test.go
+++ b/internal/shard/fuzz_test.go
@@ -361,6 +361,8 @@
 		{"cold replica is taken for warm", faultIgnoreCold},
 		{"broken replica is taken for ready", faultIgnorePhase},
 		{"leaving replica is taken for staying", faultIgnoreLeaving},
+		{"unreported grants are left out", faultLowBound},
+		{"finished with grants in use", faultFinishedInUse},
 		{"credit without end", faultEndlessCredit},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/shard/fuzz_world_test.go
+++ b/internal/shard/fuzz_world_test.go
@@ -33,6 +33,11 @@
 	faultIgnorePhase
 	// faultIgnoreLeaving takes no replica for leaving.
 	faultIgnoreLeaving
+	// faultLowBound takes it that earlier owners granted less than they may have.
+	faultLowBound
+	// faultFinishedInUse takes an entry without a lease for finished, although its
+	// grants are in use.
+	faultFinishedInUse
 	// faultEndlessCredit never books what an account uses above its share.
 	faultEndlessCredit
 )
@@ -180,6 +185,10 @@
 		return
 	}
 	facts := World{Entries: e.view.Entries}
+	if w.fault == faultFinishedInUse {
+		gone := func(e api.EntryInfo) bool { return !e.Live }
+		facts.Entries = slices.DeleteFunc(slices.Clone(e.view.Entries), gone)
+	}
 	for i := range e.view.Groups {
 		g := e.view.Groups[i]
 		if w.fault == faultIgnoreCold {
@@ -197,6 +206,7 @@
 		e.core = NewCore(testShard, term{lease.Epoch, e.info.Incarnation}, w.settings, facts, w.now)
 		w.open[e.core] = map[uint64]*Ticket{}
 		w.completed[e.core] = map[api.GroupID]int{}
+		e.core.ledger.inherit(w.bounds(lease.Epoch))
 		if w.fault == faultNoHandover {
 			e.core.handover.done = true
 		}
@@ -210,6 +220,21 @@
 	w.advance(e)
 }
 
+// bounds returns what earlier owners may have granted; some owners don't know.
+func (w *world) bounds(epoch api.Revision) map[api.GroupID]int {
+	bounds := map[api.GroupID]int{}
+	most := fuzzWarmLoad
+	if w.fault == faultLowBound {
+		most = 0
+	}
+	for _, g := range w.view.Groups {
+		if epoch%3 > 0 {
+			bounds[g.ID] = most
+		}
+	}
+	return bounds
+}
+
 // ownerTerm returns the term of the owner in the view of e.
 func (e *fuzzEntry) ownerTerm() term {
 	lease := e.view.Shards[0]
--- a/internal/shard/grant.go
+++ b/internal/shard/grant.go
@@ -89,7 +89,7 @@
 			reserved++
 			continue
 		}
-		usable := readyFilter{}.keep(ctx, r) && excludedFilter{}.keep(ctx, r) && !r.uncertain
+		usable := readyFilter{}.keep(ctx, r) && excludedFilter{}.keep(ctx, r) && !r.uncertain && r.unreported == 0
 		if usable && (best == nil || r.held < best.held) {
 			best = r
 		}
--- a/internal/shard/ledger.go
+++ b/internal/shard/ledger.go
@@ -22,8 +22,10 @@
 	alone bool
 	// reserved is the ticket that waits for the replica to become idle, or 0.
 	reserved uint64
-	// uncertain is set while grants of an earlier owner may be unreported.
-	uncertain bool
+	// uncertain is set while grants of an earlier owner may be unreported and
+	// nothing bounds their number; otherwise unreported is the most of them.
+	uncertain  bool
+	unreported int
 	// listed is set while the view contains the replica.
 	listed  bool
 	latency latency
@@ -32,7 +34,10 @@
 }
 
 // free returns the number of further requests that the replica bears.
-func (r *replica) free() int { return r.limit.value - r.held }
+func (r *replica) free() int { return r.limit.value - r.held - r.unreported }
+
+// isIdle reports whether nothing can run on the replica.
+func (r *replica) isIdle() bool { return r.held == 0 && r.unreported == 0 }
 
 // hold is one grant outstanding.
 type hold struct {
@@ -89,14 +94,13 @@
 	}
 }
 
-// update applies the replicas of the view. uncertain marks replicas that are
-// new to the ledger as possibly used by an earlier owner.
-func (l *ledger) update(groups []*api.Group, uncertain bool) {
+// update applies the replicas of the view.
+func (l *ledger) update(groups []*api.Group) {
 	for _, r := range l.order {
 		r.listed = false
 	}
 	for _, g := range groups {
-		l.updateGroup(g, uncertain)
+		l.updateGroup(g)
 	}
 	l.order = l.order[:0]
 	for _, g := range groups {
@@ -109,10 +113,10 @@
 	}
 }
 
-func (l *ledger) updateGroup(g *api.Group, uncertain bool) {
+func (l *ledger) updateGroup(g *api.Group) {
 	r := l.replicas[g.ID]
 	if r == nil || r.group.Fencing != g.Fencing {
-		r = &replica{limit: newLimiter(g, l.settings.DefaultWarmLoad), uncertain: uncertain}
+		r = &replica{limit: newLimiter(g, l.settings.DefaultWarmLoad)}
 		l.replicas[g.ID] = r
 	}
 	r.limit.announce(g, l.settings.DefaultWarmLoad)
@@ -120,6 +124,31 @@
 	r.listed = true
 }
 
+// inherit marks all replicas as possibly used by an earlier owner, which granted
+// no more than the bounds.
+func (l *ledger) inherit(bounds map[api.GroupID]int) {
+	for _, r := range l.order {
+		most, known := bounds[r.group.ID]
+		r.uncertain = !known
+		r.unreported = most
+	}
+}
+
+// adopt counts a grant of an earlier owner.
+func (l *ledger) adopt(h *hold) {
+	l.add(h)
+	h.replica.unreported = max(0, h.replica.unreported-1)
+}
+
+// settleInheritance forgets what was not reported, once it has run out.
+func (l *ledger) settleInheritance() {
+	clear(l.settled)
+	for _, r := range l.replicas {
+		r.uncertain = false
+		r.unreported = 0
+	}
+}
+
 // add counts a grant.
 func (l *ledger) add(h *hold) {
 	l.holds[h.grant.ID] = h
--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -32,6 +32,8 @@
 	shards      map[api.ShardID]*owned
 	// gone remembers since when entries are seen without a work lease.
 	gone map[api.EntryID]time.Time
+	// borne bounds what earlier owners may have granted.
+	borne borne
 }
 
 // owned is one shard under its own lock.
@@ -56,6 +58,7 @@
 		logger: logging.For(cfg.Logger, "shard"),
 		shards: map[api.ShardID]*owned{},
 		gone:   map[api.EntryID]time.Time{},
+		borne:  borne{},
 	}
 	var err error
 	if m.metrics, err = newMetrics(cfg.Meter); err != nil {
--- a/internal/shard/ownership.go
+++ b/internal/shard/ownership.go
@@ -14,6 +14,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.noteGone(s)
+	m.borne.note(m.cfg.Clock.Now(), s, m.cfg.Settings.DefaultWarmLoad)
 	kept := make(map[api.ShardID]bool, len(m.shards))
 	for _, lease := range s.Shards {
 		if lease.Owner != m.cfg.Self.ID {
@@ -73,6 +74,7 @@
 		o = nil
 	}
 	if o == nil {
+		w.Bounds = m.borne.bounds(m.cfg.Clock.Now(), w.Groups, m.cfg.Settings.handoverHold())
 		t := term{epoch: lease.Epoch, incarnation: m.cfg.Self.Incarnation}
 		core := NewCore(lease.Shard, t, m.cfg.Settings, w, m.cfg.Clock.Now())
 		o = &owned{epoch: lease.Epoch, core: core, waiters: map[uint64]waiter{}, label: groupLabel(lease.Shard)}
