--- a/internal/e2e/backend_test.go
+++ b/internal/e2e/backend_test.go
@@ -156,30 +156,27 @@
 	}
 }
 
-// TestReplicaTurnsCold lets warm replicas turn cold under load without a warning.
-// Once every entry knows it, no replica gets more than it bears.
-func TestReplicaTurnsCold(t *testing.T) {
+// TestReplicasTurnCold lets warm replicas, between two loads, turn cold without a
+// warning and conceal it for a while. Once every entry knows it, no replica gets
+// more than it bears, though it took far more before.
+func TestReplicasTurnCold(t *testing.T) {
+	const callers = 24
 	c := startCluster(t)
 	c.serve(6)
-	load := c.startLoad(24)
+	load := c.startLoad(callers)
 	c.everywhere("warm replicas", func(v api.View) bool { return coldReplicas(v) == 0 })
-	cold := c.readyReplica()
-	cold.members[0].TurnColdUnannounced(time.Second)
-	c.everywhere("the cold start", func(v api.View) bool {
-		g, ready := cold.listed(v)
-		return !ready || !g.Warm
-	})
 	load.rounds(2)
-	falls, before := c.fleet.Falls(), len(c.fleet.Runs())
-	load.rounds(10)
-	require.Equal(t, falls, c.fleet.Falls())
-	for _, run := range c.fleet.Runs()[before:] {
-		if run.Group != "" {
-			require.LessOrEqual(t, run.Concurrent, run.Borne)
+	load.requireUncut()
+	for _, h := range c.fleet.Hosts() {
+		if h.Serving() {
+			h.TurnColdUnannounced(time.Second)
 		}
 	}
-	c.awaitWholeReplicas()
+	c.everywhere("the cold start", func(v api.View) bool { return coldReplicas(v) == c.replicas })
+	load = c.startLoad(callers)
+	load.rounds(2)
 	load.requireUncut()
+	c.requireBorne()
 }
 
 // coldReplicas counts the listed replicas that are in a cold start.
--- a/internal/e2e/request_test.go
+++ b/internal/e2e/request_test.go
@@ -227,31 +227,42 @@
 	c.awaitAnswer()
 }
 
-// TestLostLeaderRunsNoCallTwice kills the control leader among calls that may
-// not be repeated. Each call is sent again until it is whole, and ran once.
+// TestLostLeaderRunsNoCallTwice kills the control leader, or cuts it off from the
+// other daemons, among calls that may not be repeated. Each call is sent again
+// until it is whole, and ran once.
 func TestLostLeaderRunsNoCallTwice(t *testing.T) {
-	const calls = 40
-	c := startCluster(t)
-	c.serve(4)
-	leader := c.leader()
-	entry := c.processes[3]
-	client := caller.Pinned(apiKey, entry.callers)
-	var wg sync.WaitGroup
-	var whole atomic.Int64
-	for i := range calls {
-		wg.Go(func() {
-			if c.depositUntilDecided(client, i) {
-				whole.Add(1)
+	for _, tc := range []struct {
+		name string
+		lose func(c *cluster, leader *process)
+	}{
+		{"killed", func(_ *cluster, leader *process) { leader.signal(syscall.SIGKILL) }},
+		{"cut off", func(c *cluster, leader *process) { c.network.Isolate(leader.name) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			const calls = 40
+			c := startCluster(t)
+			c.serve(4)
+			leader := c.leader()
+			entry := c.processes[3]
+			client := caller.Pinned(apiKey, entry.callers)
+			var wg sync.WaitGroup
+			var whole atomic.Int64
+			for i := range calls {
+				wg.Go(func() {
+					if c.depositUntilDecided(client, i) {
+						whole.Add(1)
+					}
+				})
+				if i == calls/2 {
+					tc.lose(c, leader)
+				}
+			}
+			wg.Wait()
+			require.Positive(t, whole.Load())
+			for i := range calls {
+				require.LessOrEqual(t, c.fleet.RunsOfKey(service, fmt.Sprintf("d%d", i)), 1, "call %d", i)
 			}
 		})
-		if i == calls/2 {
-			leader.signal(syscall.SIGKILL)
-		}
-	}
-	wg.Wait()
-	require.Positive(t, whole.Load())
-	for i := range calls {
-		require.LessOrEqual(t, c.fleet.RunsOfKey(service, fmt.Sprintf("d%d", i)), 1, "call %d", i)
 	}
 }
 
