Daemons as processes belong to package local

Cause: the experiments and the process tests each start daemons as processes, draw their addresses and end them.

Change: local.Process and local.FreeAddresses, with the settings that every daemon needs; the experiments use them.

--- a/internal/bench/path_relay.go
+++ b/internal/bench/path_relay.go
@@ -126,7 +126,7 @@
 	ready, cancel := context.WithTimeout(ctx, pathStart)
 	defer cancel()
 	cfg := spec.fleet()
-	cfg.Entries = []string{r.pair.entry.callers}
+	cfg.Entries = []string{r.pair.entry.Callers}
 	cfg.Token = processBackendToken
 	cfg.Domains = pathDomains
 	fleet, err := standin.Start(cfg)
@@ -152,7 +152,7 @@
 	r.pair.stop()
 }
 
-func (r *relayRig) client() *caller.Client { return caller.Pinned("counter", r.pair.entry.callers) }
+func (r *relayRig) client() *caller.Client { return caller.Pinned("counter", r.pair.entry.Callers) }
 
 // relayTally sums what the streams of one step saw within its window.
 type relayTally struct {
@@ -252,7 +252,7 @@
 
 // usedWithin returns what the entry used between two moments.
 func (r *relayRig) usedWithin(ctx context.Context, from, to time.Time) (usage, error) {
-	pid := r.pair.entry.cmd.Process.Pid
+	pid := r.pair.entry.PID()
 	sleepUntil(ctx, from)
 	before, err := readUsage(pid)
 	if err != nil {
--- a/internal/bench/process.go
+++ b/internal/bench/process.go
@@ -1,12 +1,8 @@
 package bench
 
 import (
-	"bytes"
 	"context"
-	"net"
-	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -27,96 +23,28 @@
 	processBackendToken  = "bench-backend-token-1"
 )
 
-// processStop bounds the graceful shutdown of a daemon's process.
+// processStop bounds the graceful shutdown of the daemons of one experiment.
 const processStop = 10 * time.Second
 
-// process is one daemon in a process of its own.
-type process struct {
-	name    string
-	peer    string
-	callers string
-	log     bytes.Buffer
-	cmd     *exec.Cmd
-	exited  chan struct{}
+// processSecrets are shared by the daemons that run as processes.
+func processSecrets() local.Secrets {
+	return local.Secrets{Peer: processPeerSecret, Operator: processOperatorToken, Backend: processBackendToken}
 }
 
-// startProcess runs this program's "serve" with settings from the environment.
-func startProcess(p *process, env map[string]string) error {
-	program, err := os.Executable()
-	if err != nil {
-		return errors.Wrap(err, "find this program")
-	}
-	p.cmd = exec.Command(program, "serve")
-	for name, value := range env {
-		p.cmd.Env = append(p.cmd.Env, name+"="+value)
-	}
-	p.cmd.Stderr = &p.log
-	if err = p.cmd.Start(); err != nil {
-		return errors.Wrapf(err, "start %s", p.name)
-	}
-	p.exited = make(chan struct{})
-	go func() {
-		defer close(p.exited)
-		_ = p.cmd.Wait()
-	}()
-	return nil
-}
-
-// interrupt begins a graceful shutdown.
-func (p *process) interrupt() {
-	if p.exited != nil {
-		_ = p.cmd.Process.Signal(os.Interrupt)
-	}
-}
-
-// wait returns once the process has ended. It kills the process when ctx ends.
-func (p *process) wait(ctx context.Context) {
-	if p.exited == nil {
-		return
-	}
-	select {
-	case <-p.exited:
-	case <-ctx.Done():
-		_ = p.cmd.Process.Kill()
-		<-p.exited
+// votersOf lists daemons as voters.
+func votersOf(daemons []*local.Process) []config.Voter {
+	out := make([]config.Voter, 0, len(daemons))
+	for _, d := range daemons {
+		out = append(out, config.Voter{ID: api.VoterID(d.Name), Address: d.Peer})
 	}
-}
-
-// stopProcesses shuts processes down, all at once, and kills those that take too
-// long. Processes that were not started are passed over.
-func stopProcesses(all ...*process) {
-	ctx, cancel := context.WithTimeout(context.Background(), processStop)
-	defer cancel()
-	for _, p := range all {
-		p.interrupt()
-	}
-	for _, p := range all {
-		p.wait(ctx)
-	}
-}
-
-// freeAddresses returns n different loopback addresses with ports that the
-// kernel chose. All are held until the last is known, so that none comes twice.
-func freeAddresses(n int) ([]string, error) {
-	pid := os.Getpid()
-	own := netip.AddrFrom4([4]byte{127, byte(64 + pid>>16&63), byte(pid >> 8), byte(pid)})
-	out := make([]string, 0, n)
-	for range n {
-		ln, err := net.Listen("tcp", netip.AddrPortFrom(own, 0).String())
-		if err != nil {
-			return nil, errors.Wrap(err, "choose a port")
-		}
-		defer func() { _ = ln.Close() }()
-		out = append(out, ln.Addr().String())
-	}
-	return out, nil
+	return out
 }
 
 // processPair is one control daemon and one entry, each a process.
 type processPair struct {
 	dir     string
-	control *process
-	entry   *process
+	control *local.Process
+	entry   *local.Process
 	client  *ctl.Client
 }
 
@@ -135,39 +63,25 @@
 }
 
 func (p *processPair) start(preset Preset, procs int) error {
-	free, err := freeAddresses(4)
+	free, err := local.FreeAddresses(4)
 	if err != nil {
 		return err
 	}
-	p.control = &process{name: "control1", peer: free[0], callers: free[1]}
-	p.entry = &process{name: "entry1", peer: free[2], callers: free[3]}
-	p.client = ctl.NewClient([]string{p.control.callers}, config.Secret(processOperatorToken), "bench")
-	env := p.environment(p.control, config.RoleControl, pathDomains[1], preset)
-	env["CROCUSWAY_DATA_DIR"] = filepath.Join(p.dir, p.control.name)
-	env["CROCUSWAY_BOOTSTRAP"] = "true"
-	if err = startProcess(p.control, env); err != nil {
+	p.control = &local.Process{Name: "control1", Peer: free[0], Callers: free[1]}
+	p.entry = &local.Process{Name: "entry1", Peer: free[2], Callers: free[3]}
+	p.client = ctl.NewClient([]string{p.control.Callers}, config.Secret(processOperatorToken), "bench")
+	voters := votersOf([]*local.Process{p.control})
+	p.control.Configure(pathDomains[1], voters, processSecrets(), config.RoleControl)
+	p.control.Settings["preset"] = string(preset)
+	p.control.Settings["data-dir"] = filepath.Join(p.dir, p.control.Name)
+	p.control.Settings["bootstrap"] = "true"
+	if err = p.control.Start(); err != nil {
 		return err
 	}
-	env = p.environment(p.entry, config.RoleEntry, pathDomains[0], preset)
-	env["GOMAXPROCS"] = strconv.Itoa(procs)
-	env["CROCUSWAY_MAX_CONNECTIONS"] = "100000"
-	return startProcess(p.entry, env)
-}
-
-func (p *processPair) environment(d *process, role config.Role, domain api.FailureDomain, preset Preset) map[string]string {
-	return map[string]string{
-		"PATH":                     os.Getenv("PATH"),
-		"CROCUSWAY_NAME":           d.name,
-		"CROCUSWAY_ROLES":          string(role),
-		"CROCUSWAY_DOMAIN":         string(domain),
-		"CROCUSWAY_PRESET":         string(preset),
-		"CROCUSWAY_PEER_LISTEN":    d.peer,
-		"CROCUSWAY_CALLER_LISTEN":  d.callers,
-		"CROCUSWAY_VOTERS":         p.control.name + "=" + p.control.peer,
-		"CROCUSWAY_PEER_SECRET":    processPeerSecret,
-		"CROCUSWAY_OPERATOR_TOKEN": processOperatorToken,
-		"CROCUSWAY_BACKEND_TOKEN":  processBackendToken,
-	}
+	p.entry.Configure(pathDomains[0], voters, processSecrets(), config.RoleEntry)
+	p.entry.Settings["max-connections"] = "100000"
+	p.entry.Environment = map[string]string{"GOMAXPROCS": strconv.Itoa(procs)}
+	return p.entry.Start()
 }
 
 // await repeats a step until it holds or ctx ends.
@@ -206,7 +120,7 @@
 
 func (p *processPair) stop() {
 	if p.entry != nil {
-		stopProcesses(p.entry, p.control)
+		local.StopProcesses(processStop, p.entry, p.control)
 	}
 	_ = os.RemoveAll(p.dir)
 }
--- a/internal/bench/processes.go
+++ b/internal/bench/processes.go
@@ -13,6 +13,7 @@
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/config"
 	"github.com/crocusway/crocusway/internal/ctl"
+	"github.com/crocusway/crocusway/internal/local"
 	"github.com/crocusway/crocusway/internal/peer"
 	"github.com/crocusway/crocusway/internal/telemetry"
 )
@@ -27,8 +28,8 @@
 // processes is a region of daemons that are separate processes of this binary:
 // voters of the control role alone, and entries.
 type processes struct {
-	voters  []*process
-	entries []*process
+	voters  []*local.Process
+	entries []*local.Process
 	client  *ctl.Client
 	dir     string
 }
@@ -38,7 +39,7 @@
 	if err := checkRoom(voters + entries); err != nil {
 		return nil, err
 	}
-	addresses, err := freeAddresses(2 * (voters + entries))
+	addresses, err := local.FreeAddresses(2 * (voters + entries))
 	if err != nil {
 		return nil, err
 	}
@@ -48,18 +49,18 @@
 	}
 	p := &processes{dir: dir}
 	for i := range voters + entries {
-		d := &process{peer: addresses[2*i], callers: addresses[2*i+1]}
+		d := &local.Process{Peer: addresses[2*i], Callers: addresses[2*i+1]}
 		if i < voters {
-			d.name = fmt.Sprintf("voter%d", i+1)
+			d.Name = fmt.Sprintf("voter%d", i+1)
 			p.voters = append(p.voters, d)
 			continue
 		}
-		d.name = fmt.Sprintf("entry%d", i-voters+1)
+		d.Name = fmt.Sprintf("entry%d", i-voters+1)
 		p.entries = append(p.entries, d)
 	}
 	p.client = ctl.NewClient(callerAddresses(p.voters), processOperatorToken, "bench")
 	for i, d := range p.all() {
-		if err := startProcess(d, p.environment(i, d)); err != nil {
+		if err := p.startAt(i, d); err != nil {
 			p.close()
 			return nil, err
 		}
@@ -88,51 +89,36 @@
 	return nil
 }
 
-func (p *processes) all() []*process {
-	return append(append([]*process{}, p.voters...), p.entries...)
+func (p *processes) all() []*local.Process {
+	return append(append([]*local.Process{}, p.voters...), p.entries...)
 }
 
-func callerAddresses(daemons []*process) []string {
+func callerAddresses(daemons []*local.Process) []string {
 	out := make([]string, 0, len(daemons))
 	for _, d := range daemons {
-		out = append(out, d.callers)
+		out = append(out, d.Callers)
 	}
 	return out
 }
 
-// environment returns the settings of the daemon at a position of all.
-func (p *processes) environment(i int, d *process) map[string]string {
-	voters := make([]string, 0, len(p.voters))
-	for _, v := range p.voters {
-		voters = append(voters, v.name+"="+v.peer)
-	}
-	settings := map[string]string{
-		"name":           d.name,
-		"roles":          string(config.RoleEntry),
-		"domain":         string(threeDomains[i%len(threeDomains)]),
-		"peer-listen":    d.peer,
-		"caller-listen":  d.callers,
-		"voters":         strings.Join(voters, ","),
-		"peer-secret":    processPeerSecret,
-		"operator-token": processOperatorToken,
-		"backend-token":  processBackendToken,
-		"log-level":      "error",
-	}
+// startAt starts the daemon at a position of all.
+func (p *processes) startAt(i int, d *local.Process) error {
+	role := config.RoleEntry
 	if i < len(p.voters) {
-		settings["roles"] = string(config.RoleControl)
-		settings["data-dir"] = filepath.Join(p.dir, d.name)
-		settings["bootstrap"] = "true"
+		role = config.RoleControl
 	}
-	env := map[string]string{"PATH": os.Getenv("PATH")}
-	for flag, value := range settings {
-		env[config.EnvName(flag)] = value
+	d.Configure(threeDomains[i%len(threeDomains)], votersOf(p.voters), processSecrets(), role)
+	d.Settings["log-level"] = "error"
+	if role == config.RoleControl {
+		d.Settings["data-dir"] = filepath.Join(p.dir, d.Name)
+		d.Settings["bootstrap"] = "true"
 	}
-	return env
+	return d.Start()
 }
 
 // close ends every process that was started and removes the data folders.
 func (p *processes) close() {
-	stopProcesses(p.all()...)
+	local.StopProcesses(processStop, p.all()...)
 	_ = os.RemoveAll(p.dir)
 }
 
@@ -146,8 +132,8 @@
 }
 
 // readCost asks a daemon for its state.
-func (p *processes) readCost(d *process) (processCost, error) {
-	raw, err := p.client.Dump(d.callers)
+func (p *processes) readCost(d *local.Process) (processCost, error) {
+	raw, err := p.client.Dump(d.Callers)
 	if err != nil {
 		return processCost{}, err
 	}
@@ -161,7 +147,7 @@
 		} `json:"control"`
 	}
 	if err := json.Unmarshal(raw, &dump); err != nil {
-		return processCost{}, errors.Wrapf(err, "decode the dump of %s", d.name)
+		return processCost{}, errors.Wrapf(err, "decode the dump of %s", d.Name)
 	}
 	return processCost{
 		at:      time.Now(),
