Replicas move back to a returned failure domain, if asked

Cause: nothing moved ready groups.

Change: policy setting Rebalance, `--rebalance`, off by default. While every replica serves and nothing is under way, one replica is formed in a failure domain that holds at least two fewer than the fullest; once it serves, the existing rule for surplus gives up one of the fullest domain. Hosts beyond the spares and the budget of the weight store bound it. A loss turns the loading replica into its replacement.

Conclusion: kept, off by default: the gain shows only at the next loss of a domain.

--- a/internal/config/flags.go
+++ b/internal/config/flags.go
@@ -64,6 +64,7 @@
 	fs.StringVar(&s.DataDir, "data-dir", "", "data folder of the role control")
 	fs.BoolVar(&s.Bootstrap, "bootstrap", false, "first start of a new system: create the voter in an empty data folder")
 	fs.StringVar(&s.Preset, "preset", s.Preset, "weights of the three measures: nilecraft, tabrak")
+	fs.BoolVar(&s.Rebalance, "rebalance", false, "move replicas, one at a time, to failure domains that hold fewer of their serving group")
 	fs.DurationVar(&s.WorkLease, "work-lease", s.WorkLease, "time for which an entry may take work after a renewal")
 	fs.DurationVar(&s.DetectionBound, "detection-bound", s.DetectionBound, "silence after which a backend server counts as lost")
 	fs.DurationVar(&s.OrderHorizon, "order-horizon", s.OrderHorizon, "time after which no order of an older leader can arrive")
--- a/internal/config/serve.go
+++ b/internal/config/serve.go
@@ -42,6 +42,7 @@
 	BackendToken  Secret `flag:"backend-token" validate:"min=16,max=1024"`
 
 	Preset         string        `flag:"preset" validate:"oneof=nilecraft tabrak"`
+	Rebalance      bool          `flag:"rebalance"`
 	WorkLease      time.Duration `flag:"work-lease" validate:"min=500ms,max=60s"`
 	RenewInterval  time.Duration `flag:"renew-interval" validate:"min=50ms,max=20s"`
 	DetectionBound time.Duration `flag:"detection-bound" validate:"min=200ms,max=60s"`
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -215,6 +215,7 @@
 	p.Grace = d.cfg.PauseGrace
 	p.LoadRate = d.cfg.LoadRate
 	p.MaxLoads = d.cfg.ConcurrentLoads
+	p.Rebalance = d.cfg.Rebalance
 	return p
 }
 
--- a/internal/group/fuzz_test.go
+++ b/internal/group/fuzz_test.go
@@ -92,6 +92,7 @@
 	}
 	sg := scribe(rapid.IntRange(1, 4).Draw(rt, "scribes"), rapid.IntRange(2, 4).Draw(rt, "size"))
 	sg.Spares = rapid.IntRange(0, 1).Draw(rt, "spares")
+	p.Rebalance = sg.Replicas%2 == 0
 	w := &world{rig: newRig(t, p, sg, ledger), rt: rt, policy: p, faults: true}
 	for i := range rapid.IntRange(1, 4).Draw(rt, "fabrics") {
 		name, domain := fmt.Sprintf("f%d", i), fmt.Sprintf("d%d", i%2)
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -22,6 +22,7 @@
 	ReasonRepair   Reason = "lost members are replaced"
 	ReasonMerge    Reason = "survivors complete another group"
 	ReasonHopeless Reason = "the group cannot be repaired"
+	ReasonSpread   Reason = "replicas stand unevenly over the failure domains"
 	ReasonSurplus  Reason = "more replicas than wanted"
 	ReasonRetired  Reason = "the configuration no longer wants the group"
 )
@@ -56,6 +57,7 @@
 	pl.planRepairs()
 	pl.trim()
 	pl.planForms()
+	pl.rebalance()
 	pl.startLoads()
 	pl.planOrders()
 	return pl.plan
--- a/internal/group/policy.go
+++ b/internal/group/policy.go
@@ -57,6 +57,9 @@
 	MaxDomainLoads int
 	// LoadTimeout is how long a member may load before it counts as lost.
 	LoadTimeout time.Duration
+	// Rebalance moves replicas, one at a time, to failure domains that hold fewer
+	// of their serving group, while nothing is missing.
+	Rebalance bool
 	// StragglerFactor times the usual load time of a serving group is how long
 	// a member may load; 0 leaves only LoadTimeout.
 	StragglerFactor float64
--- a/internal/group/trim.go
+++ b/internal/group/trim.go
@@ -42,7 +42,11 @@
 		pl.releaseLast(broken, len(broken))
 		pl.releaseLeaving(ready)
 	}
-	pl.releaseLast(loading, serving+len(loading)-sg.Replicas)
+	excess := serving + len(loading) - sg.Replicas
+	if excess == 1 && len(loading) == 1 && pl.spreads(loading[0]) {
+		excess = 0
+	}
+	pl.releaseLast(loading, excess)
 	slices.SortStableFunc(ready, pl.compareKeep(sg))
 	pl.releaseLast(ready, serving-sg.Replicas)
 }
