--- a/internal/consensus/server_test.go
+++ b/internal/consensus/server_test.go
@@ -119,6 +119,18 @@
 	c.converged(want)
 }
 
+// TestSilentLearnerIsNotPromoted adds a member that never answers to a log so
+// short that the allowed lag spans all of it.
+func TestSilentLearnerIsNotPromoted(t *testing.T) {
+	c := newCluster(t, 3)
+	c.propose("c0")
+	silent := consensus.Member{ID: "v4", Address: "addr-v4", Incarnation: 5}
+	c.change(consensus.Change{Kind: consensus.ChangeAddLearner, Member: silent})
+	c.propose("c1")
+	err := c.leader().server.ChangeMembers(t.Context(), consensus.Change{Kind: consensus.ChangePromote, Member: silent})
+	require.Equal(t, errs.Unavailable, errs.CodeOf(err), "%v", err)
+}
+
 // change repeats a membership change until it is accepted.
 func (c *cluster) change(change consensus.Change) {
 	c.t.Helper()
@@ -250,3 +262,18 @@
 	require.Empty(t, n.server.Membership().Members)
 	require.Greater(t, n.store.Identity().Incarnation, consensus.BootstrapIncarnation)
 }
+
+// TestEncodingHoldsNoCommandUp commits while a snapshot is being encoded, and
+// finds the snapshot and the later commands after a restart.
+func TestEncodingHoldsNoCommandUp(t *testing.T) {
+	c := newCluster(t, 1)
+	n := c.nodes["v1"]
+	held := n.sm.holdEncoding()
+	c.proposeMany(0, int(c.snapshots))
+	goOn := <-held
+	want := c.proposeMany(int(c.snapshots), int(c.snapshots)+10)
+	close(goOn)
+	require.NoError(t, n.server.TakeSnapshot(context.Background()))
+	c.restart("v1")
+	c.converged(want)
+}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -195,6 +195,14 @@
 	Restore(data []byte) error
 }
 
+// Freezer is a StateMachine whose snapshot is encoded while further commands are
+// applied.
+type Freezer interface {
+	// Freeze returns an encoder of the present state, which runs on another
+	// goroutine and must not see later commands.
+	Freeze() (encode func() ([]byte, error), err error)
+}
+
 // Status is the state of one voter's log.
 type Status struct {
 	ID     api.VoterID
@@ -204,7 +212,10 @@
 	Leading bool
 	// Applied is the index of the last applied entry.
 	Applied uint64
-	Voters  []api.VoterStatus
+	// Compacted is the index of the last entry that only the snapshot holds: a
+	// member that lacks it is sent the snapshot.
+	Compacted uint64
+	Voters    []api.VoterStatus
 }
 
 // Default timing.
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -27,6 +27,8 @@
 	kindSuspect     commandKind = 10
 	kindExpire      commandKind = 11
 	kindLead        commandKind = 12
+	kindRecover     commandKind = 13
+	kindLease       commandKind = 14
 )
 
 // command is one replicated change. apply must depend on nothing but the
@@ -128,6 +130,10 @@
 		return &expireCommand{}
 	case kindLead:
 		return &leadCommand{}
+	case kindRecover:
+		return &recoverCommand{}
+	case kindLease:
+		return &leaseCommand{}
 	}
 	return nil
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -22,6 +22,8 @@
 	// heartbeatsPerBound is the number of announcements that a backend server
 	// sends within the detection bound.
 	heartbeatsPerBound = 4
+	// renewalsPerWatch is the number of lease renewals while one watch waits.
+	renewalsPerWatch = 3
 )
 
 // entryRole takes callers' requests and owns shards.
@@ -64,10 +66,11 @@
 		Clock:         clock.System{},
 		Logger:        logging.For(d.base, "entry"),
 		RenewInterval: d.cfg.RenewInterval,
-		// A watch that hangs on a lost leader ends well within the work lease.
-		WatchWait:   d.cfg.RenewInterval,
-		OnSnapshot:  r.apply,
-		ApplyUpdate: control.ApplyUpdate,
+		// A watch that hangs on a lost leader ends when a renewal finds another.
+		WatchWait:      d.cfg.RenewInterval * renewalsPerWatch,
+		DetectionBound: d.cfg.DetectionBound,
+		OnSnapshot:     r.apply,
+		ApplyUpdate:    control.ApplyUpdate,
 	})
 	return r
 }
@@ -131,7 +134,8 @@
 		level.Warn(r.agent.Logger()).Log("msg", "calls are still in progress at the end of the shutdown")
 		return
 	}
-	if err := bounded(ctx, r.agent.Release); err != nil {
+	release := func(ctx context.Context) error { return r.agent.Release(ctx, r.grants.IsIdle()) }
+	if err := bounded(ctx, release); err != nil {
 		level.Warn(r.agent.Logger()).Log("msg", "work lease was not given back", "err", err)
 	}
 }
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -11,6 +11,7 @@
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/clock"
+	"github.com/crocusway/crocusway/internal/errs"
 )
 
 // reportDelay is the shortest time between two renewals. Changes within it are
@@ -27,6 +28,9 @@
 	RenewInterval time.Duration
 	// WatchWait is how long the leader may hold back an answer to a watch.
 	WatchWait time.Duration
+	// DetectionBound is the silence after which a backend server is reported as
+	// silent; 0 reports none.
+	DetectionBound time.Duration
 	// OnSnapshot is called after each applied snapshot, in order.
 	OnSnapshot func(*Snapshot)
 	// ApplyUpdate brings a view up to date; it fails on a gap.
@@ -46,13 +50,17 @@
 	// reported is the newest applied revision that control knows of.
 	reported api.Revision
 	joined   bool
+	// stretch is the factor on intervals that the leader asked for, 1 or more.
+	stretch int
+	// stretchedBefore is set if the answer before asked for a stretch, too.
+	stretchedBefore bool
 	// applied wakes the renewal loop after a new view.
 	applied chan struct{}
 }
 
 // NewAgent returns an agent that does nothing until Run.
 func NewAgent(cfg AgentConfig) *Agent {
-	return &Agent{cfg: cfg, batch: newAnnounceBatch(), applied: make(chan struct{}, 1)}
+	return &Agent{cfg: cfg, batch: newAnnounceBatch(), stretch: 1, applied: make(chan struct{}, 1)}
 }
 
 // Run works until ctx ends.
@@ -66,7 +74,7 @@
 
 // Announce queues an announcement for the control leader. It never blocks and
 // keeps only the newest announcement of a host.
-func (a *Agent) Announce(ann api.Announcement) { a.batch.put(ann) }
+func (a *Agent) Announce(ann api.Announcement) { a.batch.put(ann, a.cfg.Clock.Now()) }
 
 // Renew asks for one extension of the work lease. The lease is counted from
 // before the request was sent, so that the entry never believes longer in it
@@ -74,8 +82,16 @@
 func (a *Agent) Renew(ctx context.Context) error {
 	sent := a.cfg.Clock.Now()
 	request := a.renewal()
+	if a.renewalsCarry() {
+		request.Announce = a.batch.heartbeats()
+	}
 	var response api.RenewResponse
-	if err := a.cfg.Control.Call(ctx, api.MethodRenew, request, &response); err != nil {
+	err := a.cfg.Control.Call(ctx, api.MethodRenew, request, &response)
+	// A leader that refuses the renewal has counted the heartbeats.
+	if request.Announce != nil && errs.RetryAfterOf(err) == 0 {
+		a.batch.acknowledge(response.Session)
+	}
+	if err != nil {
 		return err
 	}
 	a.extend(sent, request.Applied, response)
@@ -91,11 +107,13 @@
 
 // Release gives the work lease back at the end of a graceful shutdown, so that
 // the shards of this entry move on at once. The entry must be leaving and do
-// no more work.
-func (a *Agent) Release(ctx context.Context) error {
+// no more work. finished tells that no grant is in use either, so that new owners
+// of its shards need not wait for what it may hold.
+func (a *Agent) Release(ctx context.Context, finished bool) error {
 	a.cfg.State.SetLease(time.Time{})
 	request := a.renewal()
 	request.Release = true
+	request.Finished = finished
 	return a.cfg.Control.Call(ctx, api.MethodRenew, request, &api.RenewResponse{})
 }
 
@@ -108,6 +126,8 @@
 	a.reported = max(a.reported, applied)
 	required := a.required
 	a.required = r.Revision
+	a.stretchedBefore = a.stretch > 1
+	a.stretch = max(1, r.Stretch)
 	if !a.joined {
 		a.joined = true
 		return
@@ -121,7 +141,7 @@
 func (a *Agent) renewLoop(ctx context.Context) error {
 	failing := false
 	for ctx.Err() == nil {
-		renewCtx, cancel := context.WithTimeout(ctx, a.cfg.RenewInterval*2)
+		renewCtx, cancel := context.WithTimeout(ctx, 2*a.stretched(a.cfg.RenewInterval))
 		err := a.Renew(renewCtx)
 		cancel()
 		failing = a.logChange("lease renewal", failing, err)
@@ -161,7 +181,23 @@
 	if err != nil || !a.cfg.State.MayWork() {
 		return a.cfg.RenewInterval / 10
 	}
-	return a.cfg.RenewInterval
+	return a.stretched(a.cfg.RenewInterval)
+}
+
+// renewalsCarry reports whether heartbeats of hosts go with the renewals. They do
+// from the second stretched answer on: until then the leader may expect them at
+// the shorter interval.
+func (a *Agent) renewalsCarry() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.stretch > 1 && a.stretchedBefore
+}
+
+// stretched returns an interval at the stretch that the leader asked for.
+func (a *Agent) stretched(d time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return time.Duration(a.stretch) * d
 }
 
 func (a *Agent) watchLoop(ctx context.Context) error {
@@ -182,7 +218,7 @@
 	request := api.WatchRequest{
 		Entry:      a.cfg.State.Info.ID,
 		From:       current.Revision,
-		WaitMillis: a.cfg.WatchWait.Milliseconds(),
+		WaitMillis: a.stretched(a.cfg.WatchWait).Milliseconds(),
 	}
 	var response api.WatchResponse
 	if err := a.cfg.Control.Call(ctx, api.MethodWatch, request, &response); err != nil {
--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -19,6 +19,7 @@
 	delay    time.Duration
 	revision api.Revision
 	lease    time.Duration
+	stretch  int
 	update   api.ViewUpdate
 }
 
@@ -26,7 +27,7 @@
 	f.clock.Advance(f.delay)
 	switch r := result.(type) {
 	case *api.RenewResponse:
-		*r = api.RenewResponse{LeaseMillis: f.lease.Milliseconds(), Revision: f.revision}
+		*r = api.RenewResponse{LeaseMillis: f.lease.Milliseconds(), Stretch: f.stretch, Revision: f.revision}
 	case *api.WatchResponse:
 		r.Update = f.update
 	}
@@ -82,6 +83,18 @@
 	require.False(t, agent.reportDue(), "revision 7 was reported")
 }
 
+func TestLeaderStretchesIntervals(t *testing.T) {
+	f := &fakeControl{clock: clock.NewManual(time.Unix(100, 0)), lease: 9 * time.Second, stretch: 3}
+	agent, _ := newTestAgent(f)
+	agent.cfg.RenewInterval = time.Second
+	require.NoError(t, agent.Renew(context.Background()))
+	require.NoError(t, agent.Renew(context.Background()))
+	require.Equal(t, 3*time.Second, agent.pause(nil))
+	f.stretch = 0
+	require.NoError(t, agent.Renew(context.Background()))
+	require.Equal(t, time.Second, agent.pause(nil), "a leader that asks for nothing")
+}
+
 func TestStateNeverAppliesLowerRevision(t *testing.T) {
 	state := NewState(api.EntryInfo{ID: "e1"}, clock.System{})
 	require.True(t, state.Apply(api.View{Revision: 9}))
@@ -114,13 +127,13 @@
 		t.Run(c.name, func(t *testing.T) {
 			b := newAnnounceBatch()
 			for _, ann := range c.sent {
-				b.put(ann)
+				b.put(ann, time.Time{})
 			}
-			list := b.take().Announcements
+			list := b.take(true).Announcements
 			require.Len(t, list, 1)
 			require.Equal(t, c.sequence, list[0].Sequence)
 			require.Equal(t, c.started, list[0].Incarnation)
-			require.Empty(t, b.take().Announcements)
+			require.Empty(t, b.take(true).Announcements)
 		})
 	}
 }
@@ -181,8 +194,8 @@
 	sequence := uint64(0)
 	send := func(running, bearable int) api.AnnounceBatch {
 		sequence++
-		b.put(api.Announcement{Host: "h", Incarnation: 1, Sequence: sequence, Running: running, BearableLoad: bearable})
-		return b.take()
+		b.put(api.Announcement{Host: "h", Incarnation: 1, Sequence: sequence, Running: running, BearableLoad: bearable}, time.Time{})
+		return b.take(true)
 	}
 	first := send(0, 2)
 	require.Len(t, first.Announcements, 1)
@@ -199,3 +212,70 @@
 	b.acknowledge(0)
 	require.Len(t, send(3, 4).Announcements, 1, "the delivery failed")
 }
+
+// TestStretchedHeartbeats follows a host of an entry whose heartbeats go with
+// the renewals: repeated announcements wait, silence and return do not.
+func TestStretchedHeartbeats(t *testing.T) {
+	b := newAnnounceBatch()
+	at := func(seconds int) time.Time { return time.Unix(int64(seconds), 0) }
+	put := func(sequence uint64, seconds int) {
+		b.put(api.Announcement{Host: "h", Incarnation: 1, Sequence: sequence}, at(seconds))
+	}
+	put(1, 0)
+	slots := b.take(false).Slots
+	require.Len(t, slots, 1)
+	b.acknowledge(9)
+	put(2, 1)
+	require.Empty(t, b.take(false).Heartbeats, "a renewal carries it")
+	require.Equal(t, &api.AnnounceBatch{Session: 9, Heartbeats: api.EncodeSlots(slots)}, b.heartbeats())
+	require.Nil(t, b.heartbeats())
+	b.findSilent(at(1))
+	require.Empty(t, b.take(false).Silent)
+	b.findSilent(at(2))
+	require.Equal(t, api.EncodeSlots(slots), b.take(false).Silent)
+	b.findSilent(at(9))
+	require.Empty(t, b.take(false).Silent, "reported once")
+	put(3, 9)
+	require.Len(t, b.take(false).Announcements, 1, "a host that returns is news")
+}
+
+func TestRenewalsCarryHeartbeatsFromTheSecondStretchedAnswer(t *testing.T) {
+	f := &fakeControl{clock: clock.NewManual(time.Unix(100, 0)), lease: 9 * time.Second, stretch: 3}
+	agent, _ := newTestAgent(f)
+	for _, carry := range []bool{false, true} {
+		require.NoError(t, agent.Renew(context.Background()))
+		require.Equal(t, carry, agent.renewalsCarry())
+	}
+	f.stretch = 1
+	require.NoError(t, agent.Renew(context.Background()))
+	require.False(t, agent.renewalsCarry())
+}
+
+// frozenLeader holds every watch until its call is given up.
+type frozenLeader struct{ watching chan struct{} }
+
+func (f *frozenLeader) Call(ctx context.Context, address string, method api.Method, _, _ any) error {
+	switch {
+	case address == "b":
+		return nil
+	case method == api.MethodWatch:
+		close(f.watching)
+		<-ctx.Done()
+	}
+	return errs.New(errs.Timeout, "call", address, "no answer")
+}
+
+func (f *frozenLeader) Notify(string, api.Method, any) error { return nil }
+
+func TestWatchFollowsTheLeaderThatARenewalFound(t *testing.T) {
+	f := &frozenLeader{watching: make(chan struct{})}
+	client := NewLeaderClient(f, []string{"a", "b"})
+	watched := make(chan error)
+	go func() {
+		watched <- client.Call(context.Background(), api.MethodWatch, api.WatchRequest{WaitMillis: time.Hour.Milliseconds()}, &api.Empty{})
+	}()
+	<-f.watching
+	require.NoError(t, client.Call(context.Background(), api.MethodRenew, api.RenewRequest{}, &api.Empty{}))
+	require.NoError(t, <-watched)
+	require.Equal(t, "b", client.Leader())
+}
--- a/internal/shard/fuzz_world_test.go
+++ b/internal/shard/fuzz_world_test.go
@@ -33,6 +33,13 @@
 	faultIgnorePhase
 	// faultIgnoreLeaving takes no replica for leaving.
 	faultIgnoreLeaving
+	// faultLowBound takes it that earlier owners granted less than they may have.
+	faultLowBound
+	// faultFinishedInUse takes an entry without a lease for finished, although its
+	// grants are in use.
+	faultFinishedInUse
+	// faultEndlessCredit never books what an account uses above its share.
+	faultEndlessCredit
 )
 
 // pick returns a number from 0 to n-1.
@@ -84,13 +91,44 @@
 	completed map[*Core]map[api.GroupID]int
 	// open counts the undecided tickets of each core.
 	open map[*Core]map[uint64]*Ticket
-	err  error
+	// credit is what the oracle allows accounts above their share, by core.
+	credit map[*Core]*fuzzCredit
+	err    error
+}
+
+// fuzzCredit is the oracle of the credits of one core, in request-seconds.
+type fuzzCredit struct {
+	at      time.Time
+	balance map[api.AccountID]float64
+}
+
+// book follows the credit of every account with a share, which is 1 here.
+func (w *world) book(c *Core) *fuzzCredit {
+	credit := w.credit[c]
+	if credit == nil {
+		credit = &fuzzCredit{at: w.now, balance: map[api.AccountID]float64{}}
+		w.credit[c] = credit
+	}
+	elapsed := w.now.Sub(credit.at).Seconds()
+	credit.at = w.now
+	for id, balance := range credit.balance {
+		balance += float64(1-c.ledger.accounts[id]) * elapsed
+		credit.balance[id] = min(1, max(-1, balance))
+	}
+	return credit
+}
+
+// covers reports whether an account may go above its share.
+func (f *fuzzCredit) covers(id api.AccountID) bool {
+	balance, known := f.balance[id]
+	return !known || balance > 0
 }
 
 func newWorld(f fault) *world {
 	w := &world{
 		fault: f, now: testStart, settings: Settings{}.withDefaults(),
 		using: map[string]api.Grant{}, user: map[string]*fuzzEntry{}, open: map[*Core]map[uint64]*Ticket{}, completed: map[*Core]map[api.GroupID]int{},
+		credit: map[*Core]*fuzzCredit{},
 	}
 	for i := range fuzzEntries {
 		info := api.EntryInfo{ID: api.EntryID(fmt.Sprintf("e%d", i)), Incarnation: 1, Live: true}
@@ -147,6 +185,10 @@
 		return
 	}
 	facts := World{Entries: e.view.Entries}
+	if w.fault == faultFinishedInUse {
+		gone := func(e api.EntryInfo) bool { return !e.Live }
+		facts.Entries = slices.DeleteFunc(slices.Clone(e.view.Entries), gone)
+	}
 	for i := range e.view.Groups {
 		g := e.view.Groups[i]
 		if w.fault == faultIgnoreCold {
@@ -164,6 +206,7 @@
 		e.core = NewCore(testShard, term{lease.Epoch, e.info.Incarnation}, w.settings, facts, w.now)
 		w.open[e.core] = map[uint64]*Ticket{}
 		w.completed[e.core] = map[api.GroupID]int{}
+		e.core.ledger.inherit(w.bounds(lease.Epoch))
 		if w.fault == faultNoHandover {
 			e.core.handover.done = true
 		}
@@ -177,6 +220,21 @@
 	w.advance(e)
 }
 
+// bounds returns what earlier owners may have granted; some owners don't know.
+func (w *world) bounds(epoch api.Revision) map[api.GroupID]int {
+	bounds := map[api.GroupID]int{}
+	most := fuzzWarmLoad
+	if w.fault == faultLowBound {
+		most = 0
+	}
+	for _, g := range w.view.Groups {
+		if epoch%3 > 0 {
+			bounds[g.ID] = most
+		}
+	}
+	return bounds
+}
+
 // ownerTerm returns the term of the owner in the view of e.
 func (e *fuzzEntry) ownerTerm() term {
 	lease := e.view.Shards[0]
@@ -361,6 +419,10 @@
 	if !o.runs() || o.core == nil {
 		return
 	}
+	credit := w.book(o.core)
+	if w.fault == faultEndlessCredit {
+		clear(o.core.ledger.credits.accounts)
+	}
 	w.settleOpen(o.core, o.core.Advance(w.now, false), nil)
 	before := w.waiting(o.core)
 	held := make(map[api.AccountID]int)
@@ -369,7 +431,7 @@
 	}
 	leased := w.now.Before(o.lease)
 	out := o.core.Advance(w.now, leased)
-	w.checkOrder(out, before, held)
+	w.checkOrder(out, before, held, credit)
 	w.settleOpen(o.core, out, o)
 	if leased {
 		w.checkIdle(o.core)
--- a/internal/shard/ownership.go
+++ b/internal/shard/ownership.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"time"
+
 	"github.com/go-kit/log/level"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -14,6 +16,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.noteGone(s)
+	m.borne.note(m.cfg.Clock.Now(), s, m.cfg.Settings.DefaultWarmLoad)
 	kept := make(map[api.ShardID]bool, len(m.shards))
 	for _, lease := range s.Shards {
 		if lease.Owner != m.cfg.Self.ID {
@@ -48,14 +51,24 @@
 	}
 }
 
+// settings returns the settings with the longest work lease of a view.
+func (m *Manager) settings(s *entry.Snapshot) Settings {
+	out := m.cfg.Settings
+	out.WorkLease = max(out.WorkLease, time.Duration(s.LeaseMillis)*time.Millisecond)
+	return out
+}
+
 // holders returns the entries that may hold grants of an earlier owner: those
-// that were live within the longest lifetime of a grant.
+// that were live within the longest lifetime of a grant and did not finish.
 func (m *Manager) holders(s *entry.Snapshot) []api.EntryInfo {
 	now := m.cfg.Clock.Now()
 	holders := make([]api.EntryInfo, 0, len(s.Entries))
 	for _, e := range s.Entries {
+		if !e.Live && e.Finished {
+			continue
+		}
 		since, gone := m.gone[e.ID]
-		if !gone || now.Sub(since) <= m.cfg.Settings.handoverHold() {
+		if !gone || now.Sub(since) <= m.settings(s).handoverHold() {
 			holders = append(holders, e)
 		}
 	}
@@ -70,8 +83,9 @@
 		o = nil
 	}
 	if o == nil {
+		w.Bounds = m.borne.bounds(m.cfg.Clock.Now(), w.Groups, m.settings(s).handoverHold())
 		t := term{epoch: lease.Epoch, incarnation: m.cfg.Self.Incarnation}
-		core := NewCore(lease.Shard, t, m.cfg.Settings, w, m.cfg.Clock.Now())
+		core := NewCore(lease.Shard, t, m.settings(s), w, m.cfg.Clock.Now())
 		o = &owned{epoch: lease.Epoch, core: core, waiters: map[uint64]waiter{}, label: groupLabel(lease.Shard)}
 		m.shards[lease.Shard] = o
 		level.Info(m.logger).Log("msg", "took over a shard", "shard", lease.Shard, "epoch", lease.Epoch)
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -21,49 +21,48 @@
 // handleService runs one call of a plain service. Every call other than GET
 // and HEAD changes its state.
 func (h *Host) handleService(ctx *fasthttp.RequestCtx, conn *hostConn) {
+	id := api.RequestID(ctx.Request.Header.Peek(api.HeaderRequest))
+	other := h.arrived(id)
+	incarnation := h.Incarnation()
+	running, borne := h.beginCall()
+	defer h.endCall(incarnation)
 	answer := ServiceAnswer{
 		Service: h.service.Name,
 		Path:    string(ctx.Path()),
 		Key:     string(ctx.Request.Header.Peek(api.HeaderIdempotencyKey)),
 	}
 	if !ctx.IsGet() && !ctx.IsHead() {
-		answer.Run = h.runService(ctx, answer.Key)
+		answer.Run = h.runService(ctx, answer.Key, Run{Incarnation: incarnation, Concurrent: running, Borne: borne})
 	}
-	if h.fleet.crashes(ctx.PostBody()) {
+	if h.fleet.crashes(ctx.PostBody()) || (borne > 0 && running > borne) {
 		h.fall()
 		return
 	}
 	fault := h.nextFault()
-	if !h.serviceWait(h.service.Time + fault.Delay) {
+	if !h.serviceWait(h.slowed(h.service.Time) + fault.Delay) {
 		_ = conn.Close()
 		return
 	}
 	writeJSON(ctx, answer)
 	switch fault.Kind {
 	case FaultSwapAnswer:
-		ctx.Response.Header.Set(api.HeaderRequest, "swapped")
+		ctx.Response.Header.Set(api.HeaderRequest, string(other))
 	case FaultTruncate:
 		body := ctx.Response.Body()
 		ctx.Response.SetBodyStream(&cutBody{left: body[:len(body)/2], conn: conn}, len(body))
 	}
 }
 
-// runService records the run and counts it by key.
-func (h *Host) runService(ctx *fasthttp.RequestCtx, key string) int {
+// runService completes and records the run and counts it by key.
+func (h *Host) runService(ctx *fasthttp.RequestCtx, key string, run Run) int {
 	body := string(ctx.PostBody())
-	h.mu.Lock()
-	incarnation := h.incarnation
-	h.mu.Unlock()
-	h.fleet.record.addRun(Run{
-		Request:     api.RequestID(ctx.Request.Header.Peek(api.HeaderRequest)),
-		Host:        h.id,
-		Incarnation: incarnation,
-		Key:         key,
-		Path:        string(ctx.Path()),
-		Body:        body,
-		Concurrent:  1,
-		Start:       h.fleet.cfg.Clock.Now(),
-	})
+	run.Request = api.RequestID(ctx.Request.Header.Peek(api.HeaderRequest))
+	run.Host = h.id
+	run.Key = key
+	run.Path = string(ctx.Path())
+	run.Body = body
+	run.Start = h.fleet.cfg.Clock.Now()
+	h.fleet.record.addRun(run)
 	if key == "" {
 		key = body
 	}
