--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -12,10 +12,12 @@
 		coldStart(),
 		domainCycle(),
 		entryLoss(),
+		ownerLoss(),
 		partition(),
 		atMostOnce(),
 		poison(),
 		overload(),
+		overloadMixed(),
 		prefix(),
 	}...)
 }
--- a/internal/shard/ownership.go
+++ b/internal/shard/ownership.go
@@ -16,6 +16,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.noteGone(s)
+	m.borne.note(m.cfg.Clock.Now(), s, m.cfg.Settings.DefaultWarmLoad)
 	kept := make(map[api.ShardID]bool, len(m.shards))
 	for _, lease := range s.Shards {
 		if lease.Owner != m.cfg.Self.ID {
@@ -58,11 +59,14 @@
 }
 
 // holders returns the entries that may hold grants of an earlier owner: those
-// that were live within the longest lifetime of a grant.
+// that were live within the longest lifetime of a grant and did not finish.
 func (m *Manager) holders(s *entry.Snapshot) []api.EntryInfo {
 	now := m.cfg.Clock.Now()
 	holders := make([]api.EntryInfo, 0, len(s.Entries))
 	for _, e := range s.Entries {
+		if !e.Live && e.Finished {
+			continue
+		}
 		since, gone := m.gone[e.ID]
 		if !gone || now.Sub(since) <= m.settings(s).handoverHold() {
 			holders = append(holders, e)
@@ -79,6 +83,7 @@
 		o = nil
 	}
 	if o == nil {
+		w.Bounds = m.borne.bounds(m.cfg.Clock.Now(), w.Groups, m.settings(s).handoverHold())
 		t := term{epoch: lease.Epoch, incarnation: m.cfg.Self.Incarnation}
 		core := NewCore(lease.Shard, t, m.settings(s), w, m.cfg.Clock.Now())
 		o = &owned{epoch: lease.Epoch, core: core, waiters: map[uint64]waiter{}, label: groupLabel(lease.Shard)}
