--- a/internal/bench/path_overload_mixed.go
+++ b/internal/bench/path_overload_mixed.go
@@ -25,7 +25,7 @@
 }
 
 func runOverloadMixed(ctx context.Context, o Options, policy Policy, seed int64) ([]Figure, error) {
-	spec := newPathSpec(o.Preset)
+	spec := newPathSpec(o)
 	rig, err := startWarmRig(ctx, policy, spec)
 	if err != nil {
 		return nil, err
