The deadlines of a stream are not set again for each token

Change: a deadline is set again when less than the stall timeout of it is left, to an eighth more than the timeout. The short wait for the end of a body is set exactly.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -196,6 +196,8 @@
 	deadline time.Time
 	stop     func() bool
 	aborted  atomic.Bool
+	// readUntil is the present deadline of reads.
+	readUntil time.Time
 }
 
 func newInFlight(ctx context.Context, p *pool, cn *conn, r Request) *inFlight {
@@ -211,13 +213,34 @@
 	return call
 }
 
-// extend bounds the next read by d and the deadline of the call.
+// deadlineSlack is the inverse of the part by which a deadline may be late, so
+// that it need not be set again for each event.
+const deadlineSlack = 8
+
+// extend bounds the next read by d, up to an eighth more, and by the deadline of
+// the call.
 func (f *inFlight) extend(d time.Duration) {
-	until := time.Now().Add(d)
+	now := time.Now()
+	if !f.readUntil.Before(f.earlier(now.Add(d))) {
+		return
+	}
+	f.setReadDeadline(now.Add(d + d/deadlineSlack))
+}
+
+// shorten bounds the next read by d and the deadline of the call.
+func (f *inFlight) shorten(d time.Duration) { f.setReadDeadline(time.Now().Add(d)) }
+
+func (f *inFlight) setReadDeadline(until time.Time) {
+	f.readUntil = f.earlier(until)
+	_ = f.conn.SetReadDeadline(f.readUntil)
+}
+
+// earlier returns a moment or the deadline of the call.
+func (f *inFlight) earlier(until time.Time) time.Time {
 	if until.After(f.deadline) {
-		until = f.deadline
+		return f.deadline
 	}
-	_ = f.conn.SetReadDeadline(until)
+	return until
 }
 
 // cause replaces the error of a closed connection by the reason of the close.
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -148,7 +148,7 @@
 
 // atEnd reports whether nothing follows the terminator.
 func (s *eventStream) atEnd() bool {
-	s.call.extend(endWait)
+	s.call.shorten(endWait)
 	_, err := s.events.next()
 	return errors.Is(err, io.EOF)
 }
--- a/internal/pipeline/tokens.go
+++ b/internal/pipeline/tokens.go
@@ -27,6 +27,8 @@
 	buf     []byte
 	pending []byte
 	ended   bool
+	// writeUntil is the present deadline of writes to the caller.
+	writeUntil time.Time
 }
 
 // Read implements io.Reader.
@@ -41,11 +43,25 @@
 	}
 	n := copy(p, t.pending)
 	t.pending = t.pending[n:]
-	// An error means that the caller is gone, which the write will show.
-	_ = t.call.http.SetWriteDeadline(time.Now().Add(t.cfg.Settings.StallTimeout))
+	t.extendWrite()
 	return n, nil
 }
 
+// writeSlack is the inverse of the part by which the deadline of a write may be
+// late, so that it need not be set again for each token.
+const writeSlack = 8
+
+// extendWrite bounds the next write by the stall timeout, up to an eighth more.
+func (t *tokenReader) extendWrite() {
+	now, stall := time.Now(), t.cfg.Settings.StallTimeout
+	if !t.writeUntil.Before(now.Add(stall)) {
+		return
+	}
+	t.writeUntil = now.Add(stall + stall/writeSlack)
+	// An error means that the caller is gone, which the write will show.
+	_ = t.call.http.SetWriteDeadline(t.writeUntil)
+}
+
 // next encodes the next event, or the end of the stream.
 func (t *tokenReader) next() {
 	defer t.recoverStream()
