--- a/internal/local/stop_test.go
+++ b/internal/local/stop_test.go
@@ -20,7 +20,7 @@
 	stopModel    = "scribe"
 	stopKey      = "key-of-the-counter"
 	stopStreams  = 4
-	stopTokens   = 3000
+	stopTokens   = 6000
 	stopPatience = time.Minute
 )
 
