The process tests use the cluster of package local

With tests beside each other, a trial run failed at the start of a cluster: "address already in use" on three of four peer addresses. A process that another test starts holds every open listener of the test until it runs its program, also the listeners with which a cluster draws its addresses; on a busy machine the address was given out meanwhile.

Ruled out: an address that was drawn twice (each is remembered), outgoing connections (they leave from other addresses).

Change: local.Cluster starts daemons as processes over the stand-in network. The start of a process and the drawing of addresses exclude each other.

--- a/internal/e2e/backend_test.go
+++ b/internal/e2e/backend_test.go
@@ -96,8 +96,7 @@
 		}
 	}
 	load.rounds(20)
-	whole, _ := load.stop()
-	require.Positive(t, whole)
+	require.Positive(t, load.Stop().Complete)
 	c.awaitAnswer()
 }
 
@@ -127,14 +126,14 @@
 // TestPauseWithinTheGrace pauses a member for less than the grace, in which nothing
 // replaces its replica: its streams wait, the others serve, and it comes back whole.
 func TestPauseWithinTheGrace(t *testing.T) {
-	c := startClusterWith(t, []string{"CROCUSWAY_PAUSE_GRACE=10m"})
+	c := startClusterWith(t, map[string]string{"pause-grace": "10m"})
 	c.serve(6)
 	waiting := c.startLoad(6)
 	paused := c.readyReplica()
 	require.Eventually(t, func() bool { return c.runsOfGeneration(paused) > 0 }, patience, poll)
 	paused.members[1].Pause()
 	c.everywhere("the pause", func(v api.View) bool { _, ready := paused.listed(v); return !ready })
-	waiting.cancel()
+	waiting.Finish()
 	load := c.startLoad(6)
 	load.rounds(2)
 	before := c.runsOfGeneration(paused)
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -1,18 +1,16 @@
 package e2e
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
-	"net/netip"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
-	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -22,6 +20,7 @@
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/caller"
 	"github.com/crocusway/crocusway/internal/ctl"
+	"github.com/crocusway/crocusway/internal/local"
 	"github.com/crocusway/crocusway/internal/standin"
 	"github.com/crocusway/crocusway/internal/standin/network"
 )
@@ -71,22 +70,17 @@
 
 // process is one daemon.
 type process struct {
+	*local.Process
 	t       *testing.T
 	name    string
-	env     []string
-	peer    string
 	callers string
-	// advertised is the address under which the other daemons reach it.
-	advertised string
-	dataDir    string
-	log        string
-	cmd        *exec.Cmd
-	exited     chan struct{}
+	dataDir string
 }
 
 // cluster is 3 voters that are entries too, 1 more entry, and stand-ins.
 type cluster struct {
 	t         *testing.T
+	local     *local.Cluster
 	processes []*process
 	network   *network.Network
 	// replicas is the number that serve asked for.
@@ -96,36 +90,15 @@
 	caller   *caller.Client
 }
 
-// drawn holds every address that a test of this process was given.
-var drawn = struct {
-	sync.Mutex
-	addresses map[string]bool
-}{addresses: make(map[string]bool)}
-
-// freeAddresses returns n addresses with ports that the kernel chose, none of
-// which any test was given before. The kernel may give a closed port out again,
-// so all are held until the last is known. They stay free until a process of the
-// cluster binds them: nothing else uses this loopback address, which only the
-// present test process has.
-func freeAddresses(t *testing.T, n int) []string {
-	t.Helper()
-	drawn.Lock()
-	defer drawn.Unlock()
-	pid := os.Getpid()
-	own := netip.AddrFrom4([4]byte{127, byte(64 + pid>>16&63), byte(pid >> 8), byte(pid)})
-	out := make([]string, 0, n)
-	for len(out) < n {
-		ln, err := net.Listen("tcp", netip.AddrPortFrom(own, 0).String())
-		require.NoError(t, err)
-		defer func() { _ = ln.Close() }()
-		address := ln.Addr().String()
-		if drawn.addresses[address] {
-			continue
-		}
-		drawn.addresses[address] = true
-		out = append(out, address)
+// output runs a command and returns what it printed.
+func output(cmd *exec.Cmd) ([]byte, error) {
+	var out bytes.Buffer
+	cmd.Stdout = &out
+	if err := local.StartCommand(cmd); err != nil {
+		return nil, err
 	}
-	return out
+	err := cmd.Wait()
+	return out.Bytes(), err
 }
 
 // places bounds the clusters that run at one time: their processes have the race
@@ -136,7 +109,9 @@
 func TestFreeAddressesDiffer(t *testing.T) {
 	seen := make(map[string]bool)
 	for range 500 {
-		for _, a := range freeAddresses(t, clusterAddresses) {
+		addresses, err := local.FreeAddresses(clusterAddresses)
+		require.NoError(t, err)
+		for _, a := range addresses {
 			require.False(t, seen[a], "address %s twice", a)
 			seen[a] = true
 		}
@@ -148,149 +123,72 @@
 	return startClusterWith(t, nil, services...)
 }
 
-// startClusterWith starts the processes with further environment.
-func startClusterWith(t *testing.T, extra []string, services ...standin.Service) *cluster {
+// startClusterWith starts the processes with further settings.
+func startClusterWith(t *testing.T, settings map[string]string, services ...standin.Service) *cluster {
 	t.Helper()
 	t.Parallel()
 	places <- struct{}{}
 	t.Cleanup(func() { <-places })
 	c := &cluster{t: t}
-	dir := t.TempDir()
-	free := freeAddresses(t, clusterAddresses)
-	for i := range clusterEntries {
-		c.processes = append(c.processes, &process{
-			t:       t,
-			name:    fmt.Sprintf("entry%d", i+1),
-			peer:    free[2*i],
-			callers: free[2*i+1],
-			dataDir: filepath.Join(dir, fmt.Sprintf("entry%d", i+1)),
-			log:     filepath.Join(dir, fmt.Sprintf("entry%d.log", i+1)),
-		})
-	}
+	var err error
+	c.local, err = local.StartCluster(c.config(settings, services))
+	t.Cleanup(c.local.Close)
 	t.Cleanup(c.printLogs)
-	c.buildNetwork()
-	for i, p := range c.processes {
-		p.env = append(c.environment(i), extra...)
-		p.start("CROCUSWAY_BOOTSTRAP=true")
+	require.NoError(t, err)
+	c.network, c.fleet, c.client = c.local.Network, c.local.Fleet, c.local.Client
+	for _, d := range c.local.Daemons {
+		c.processes = append(c.processes, &process{Process: d, t: t, name: d.Name, callers: d.Callers, dataDir: c.local.DataDir(d.Name)})
 	}
-	c.client = ctl.NewClient(c.addresses(), operatorToken, "amal")
 	c.caller = caller.New(apiKey, c.addresses())
-	c.startFleet(services)
 	c.await("4 live entries and all hosts", func(s api.StatusResponse) bool {
 		return liveEntries(s) == 4 && len(s.Hosts) == len(c.fleet.Hosts())
 	})
 	return c
 }
 
-// buildNetwork puts the stand-in network between the daemons.
-func (c *cluster) buildNetwork() {
-	c.t.Helper()
-	c.network = network.New()
-	c.t.Cleanup(c.network.Close)
-	for _, p := range c.processes {
-		member, err := c.network.Join(p.name)
-		require.NoError(c.t, err)
-		c.network.Connect(p.name, p.peer)
-		p.advertised = member.Address
-		p.env = []string{"CROCUSWAY_PEER_SOURCE=" + member.Source, "CROCUSWAY_PEER_ADDRESS=" + member.Address}
-	}
+func secrets() local.Secrets {
+	return local.Secrets{Peer: peerSecret, Operator: operatorToken, Backend: backendToken}
 }
 
-func (c *cluster) environment(i int) []string {
-	p := c.processes[i]
-	roles := "entry"
-	voters := make([]string, 0, 3)
-	for _, v := range c.processes[:3] {
-		voters = append(voters, v.name+"="+v.advertised)
+func (c *cluster) config(settings map[string]string, services []standin.Service) local.ClusterConfig {
+	all := map[string]string{"pause-grace": "1s", "snapshot-bytes": "65536"}
+	maps.Copy(all, settings)
+	return local.ClusterConfig{
+		Dir: c.t.TempDir(), Program: binary, Daemons: clusterEntries, Voters: 3, Domains: domains,
+		Secrets: secrets(), Settings: all, Operator: "amal",
+		Fleet: standin.Config{
+			Fabrics:        3,
+			HostsPerFabric: 5,
+			Engine:         standin.Engine{ChecksFencing: true, Capabilities: standin.AllCapabilities},
+			Services:       append([]standin.Service{{Name: service, PerDomain: 1}}, services...),
+		},
 	}
-	env := append([]string{}, p.env...)
-	env = append(env,
-		"PATH="+os.Getenv("PATH"),
-		"CROCUSWAY_NAME="+p.name,
-		"CROCUSWAY_DOMAIN="+string(domains[i%3]),
-		"CROCUSWAY_PEER_LISTEN="+p.peer,
-		"CROCUSWAY_CALLER_LISTEN="+p.callers,
-		"CROCUSWAY_VOTERS="+strings.Join(voters, ","),
-		"CROCUSWAY_PEER_SECRET="+peerSecret,
-		"CROCUSWAY_OPERATOR_TOKEN="+operatorToken,
-		"CROCUSWAY_BACKEND_TOKEN="+backendToken,
-		"CROCUSWAY_PAUSE_GRACE=1s",
-		"CROCUSWAY_SNAPSHOT_BYTES=65536",
-	)
-	if i < 3 {
-		roles = "control,entry"
-		env = append(env, "CROCUSWAY_DATA_DIR="+p.dataDir)
-	}
-	return append(env, "CROCUSWAY_ROLES="+roles)
 }
 
-func (c *cluster) startFleet(services []standin.Service) {
-	fleet, err := standin.Start(standin.Config{
-		Entries:        c.addresses(),
-		Token:          backendToken,
-		Domains:        domains,
-		Fabrics:        3,
-		HostsPerFabric: 5,
-		Engine:         standin.Engine{ChecksFencing: true, Capabilities: standin.AllCapabilities},
-		Services:       append([]standin.Service{{Name: service, PerDomain: 1}}, services...),
-	})
-	require.NoError(c.t, err)
-	c.fleet = fleet
-	c.t.Cleanup(fleet.Close)
-}
-
-func (c *cluster) addresses() []string {
-	out := make([]string, 0, len(c.processes))
-	for _, p := range c.processes {
-		out = append(out, p.callers)
-	}
-	return out
-}
+func (c *cluster) addresses() []string { return c.local.Entries() }
 
-// start runs the process with further environment.
-func (p *process) start(extra ...string) {
+// start runs the process again, or for the first time.
+func (p *process) start() {
 	p.t.Helper()
-	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	require.NoError(p.t, err)
-	defer func() { _ = log.Close() }()
-	p.cmd = exec.Command(binary, "serve")
-	p.cmd.Env = append(append([]string{}, p.env...), extra...)
-	p.cmd.Stderr = log
-	require.NoError(p.t, p.cmd.Start())
-	p.exited = make(chan struct{})
-	go func(cmd *exec.Cmd, exited chan struct{}) {
-		defer close(exited)
-		_ = cmd.Wait()
-	}(p.cmd, p.exited)
+	require.NoError(p.t, p.Start())
 	p.t.Cleanup(p.kill)
 }
 
 func (p *process) signal(s syscall.Signal) {
 	p.t.Helper()
-	require.NoError(p.t, p.cmd.Process.Signal(s))
+	require.NoError(p.t, p.Signal(s))
 }
 
 // kill ends the process at once; a frozen one too.
-func (p *process) kill() {
-	_ = p.cmd.Process.Kill()
-	<-p.exited
-}
-
-// logText returns what the process logged.
-func (p *process) logText() string {
-	raw, err := os.ReadFile(p.log)
-	require.NoError(p.t, err)
-	return string(raw)
-}
+func (p *process) kill() { p.Kill() }
 
 // printLogs prints the end of each process's log if the test failed.
 func (c *cluster) printLogs() {
 	if !c.t.Failed() {
 		return
 	}
-	for _, p := range c.processes {
-		text := p.logText()
-		c.t.Logf("%s:\n%s", p.name, text[max(0, len(text)-logTail):])
+	for _, d := range c.local.Daemons {
+		c.t.Logf("%s:\n%s", d.Name, c.local.LogTail(d.Name, logTail))
 	}
 }
 
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -1,10 +1,11 @@
 package e2e
 
 import (
+	"bytes"
 	"context"
+	"maps"
 	"net/http"
 	"os"
-	"os/exec"
 	"sync"
 	"syscall"
 	"testing"
@@ -15,6 +16,7 @@
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/daemon"
 	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/local"
 )
 
 func TestPathThroughSeparateProcesses(t *testing.T) {
@@ -71,7 +73,7 @@
 		p.signal(syscall.SIGCONT)
 		return
 	}
-	<-p.exited
+	<-p.Exited()
 	p.start()
 }
 
@@ -163,11 +165,14 @@
 func TestSecondInstanceIsRefused(t *testing.T) {
 	c := startCluster(t)
 	p := c.processes[0]
-	second := exec.Command(binary, "serve", "--peer-listen=127.0.0.1:0", "--caller-listen=127.0.0.1:0")
-	second.Env = p.env
-	out, err := second.CombinedOutput()
-	require.Error(t, err)
-	require.Contains(t, string(out), "in use by another instance")
+	var log bytes.Buffer
+	second := &local.Process{Name: p.name, Program: binary, Settings: maps.Clone(p.Settings), Log: &log}
+	second.Settings["peer-listen"] = "127.0.0.1:0"
+	second.Settings["caller-listen"] = "127.0.0.1:0"
+	require.NoError(t, second.Start())
+	<-second.Exited()
+	require.False(t, second.Succeeded())
+	require.Contains(t, log.String(), "in use by another instance")
 }
 
 // TestGracefulStopCutsNothing stops a daemon that serves streams, the control
@@ -191,8 +196,8 @@
 			require.Eventually(t, func() bool { return len(c.fleet.Runs()) >= before+8 }, patience, poll)
 			stopping.signal(syscall.SIGTERM)
 			answers, failures := wait()
-			<-stopping.exited
-			require.True(t, stopping.cmd.ProcessState.Success(), stopping.logText())
+			<-stopping.Exited()
+			require.True(t, stopping.Succeeded(), c.local.LogTail(stopping.name, logTail))
 			requireWhole(t, answers, failures, tokens)
 			c.awaitAnswer()
 		})
@@ -264,8 +269,9 @@
 	require.Eventually(t, func() bool { return len(c.fleet.Runs()) > all+100 }, patience, poll)
 	require.Equal(t, before, c.runsIn(drained))
 	load.requireUncut()
-	for i := range loads {
-		require.Positive(t, load.callers[i].whole.Load())
+	c.await("calls counted while the domain was away", func(s api.StatusResponse) bool { return s.Measures.Service.Served > 0 })
+	for i, tally := range load.Callers() {
+		require.Positive(t, tally.Complete, "caller %d", i)
 	}
 }
 
--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"strings"
-	"sync"
-	"sync/atomic"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -21,80 +19,51 @@
 // load is a number of callers that each send one request after the other. Every
 // token that they get must belong to their own request.
 type load struct {
-	c       *cluster
-	callers []loadCaller
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
-}
-
-// loadCaller counts the requests of one caller by their end. Cut are those that
-// are neither whole nor said not to have run.
-type loadCaller struct {
-	ended, whole, cut atomic.Int64
+	*caller.Load
+	c *cluster
 }
 
 // startLoad starts the callers; their requests end within the test.
 func (c *cluster) startLoad(callers int) *load {
-	ctx, cancel := context.WithCancel(context.Background())
-	l := &load{c: c, callers: make([]loadCaller, callers), cancel: cancel}
-	c.t.Cleanup(func() { l.stop() })
-	for i := range callers {
-		l.wg.Go(func() { l.run(ctx, i) })
+	clients := make([]*caller.Client, callers)
+	for i := range clients {
+		clients[i] = caller.New(apiKey, c.addresses())
 	}
+	l := &load{c: c, Load: caller.StartLoad(callers, func(i, n int) (caller.Answer, error) {
+		a, err := clients[i].Chat(context.Background(), model, fmt.Sprintf("prompt %d of %d", n, i), loadTokens)
+		assert.True(c.t, strings.HasPrefix(standin.AnswerText(a.Request, loadTokens), a.Text()), "another's answer: %q", a.Text())
+		assert.True(c.t, err != nil || !a.Whole() || len(a.Tokens) == loadTokens, "%d tokens in a whole answer", len(a.Tokens))
+		return a, err
+	})}
+	c.t.Cleanup(func() { l.Stop() })
 	return l
 }
 
-func (l *load) run(ctx context.Context, i int) {
-	client := caller.New(apiKey, l.c.addresses())
-	me := &l.callers[i]
-	for n := 0; ctx.Err() == nil; n++ {
-		a, err := client.Chat(context.Background(), model, fmt.Sprintf("prompt %d of %d", n, i), loadTokens)
-		assert.True(l.c.t, strings.HasPrefix(standin.AnswerText(a.Request, loadTokens), a.Text()), "another's answer: %q", a.Text())
-		switch {
-		case err == nil && a.Whole():
-			me.whole.Add(1)
-			assert.Len(l.c.t, a.Tokens, loadTokens)
-		case a.Outcome != api.OutcomeNotRun:
-			me.cut.Add(1)
-		}
-		me.ended.Add(1)
-	}
-}
-
 // rounds waits until each caller has ended n more requests, so that none is left
 // that began before.
 func (l *load) rounds(n int64) {
 	l.c.t.Helper()
-	for i := range l.callers {
-		want := l.callers[i].ended.Load() + n
-		require.Eventually(l.c.t, func() bool { return l.callers[i].ended.Load() >= want }, patience, poll, "requests of caller %d", i)
-	}
-}
-
-// stop ends the load and returns the numbers of whole and of cut answers.
-func (l *load) stop() (whole, cut int64) {
-	l.cancel()
-	l.wg.Wait()
-	for i := range l.callers {
-		whole += l.callers[i].whole.Load()
-		cut += l.callers[i].cut.Load()
+	for i, before := range l.Callers() {
+		require.Eventually(l.c.t, func() bool { return l.Callers()[i].Ended() >= before.Ended()+n }, patience, poll, "requests of caller %d", i)
 	}
-	return whole, cut
 }
 
 // requireUncut ends the load and requires that it was served and nothing cut.
 func (l *load) requireUncut() {
 	l.c.t.Helper()
-	whole, cut := l.stop()
-	require.Positive(l.c.t, whole)
-	require.Zero(l.c.t, cut)
+	total := l.Stop()
+	require.Positive(l.c.t, total.Complete)
+	require.Zero(l.c.t, total.Cut+total.Unknown)
 }
 
 // everywhere waits until the view of each daemon holds.
 func (c *cluster) everywhere(what string, holds func(api.View) bool) {
 	c.t.Helper()
 	for _, p := range c.processes {
-		require.Eventually(c.t, func() bool { return holds(c.dump(p).Entry.View) }, patience, poll, "%s at %s", what, p.name)
+		require.Eventually(c.t, func() bool {
+			dump, err := c.readDump(p)
+			return err == nil && holds(dump.Entry.View)
+		}, patience, poll, "%s at %s", what, p.name)
 	}
 }
 
--- a/internal/e2e/recovery_test.go
+++ b/internal/e2e/recovery_test.go
@@ -16,7 +16,7 @@
 func (p *process) recover(args ...string) recovery.Report {
 	p.t.Helper()
 	cmd := exec.Command(binary, append([]string{"recover", "--json", "--data-dir", p.dataDir, "--name", p.name, "--operator", "amal"}, args...)...)
-	out, err := cmd.Output()
+	out, err := output(cmd)
 	require.NoError(p.t, err)
 	var report recovery.Report
 	require.NoError(p.t, json.Unmarshal(out, &report))
--- a/internal/e2e/region_test.go
+++ b/internal/e2e/region_test.go
@@ -10,6 +10,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/config"
+	"github.com/crocusway/crocusway/internal/local"
 	"github.com/crocusway/crocusway/internal/region"
 )
 
@@ -17,22 +19,12 @@
 func smallRegion(t *testing.T, name string, addresses []string) *process {
 	t.Helper()
 	dir := t.TempDir()
-	return &process{
-		t: t, name: name, peer: addresses[0], callers: addresses[1],
-		dataDir: filepath.Join(dir, "data"), log: filepath.Join(dir, "log"),
-		env: []string{
-			"CROCUSWAY_NAME=" + name,
-			"CROCUSWAY_ROLES=control,entry",
-			"CROCUSWAY_DOMAIN=" + name,
-			"CROCUSWAY_DATA_DIR=" + filepath.Join(dir, "data"),
-			"CROCUSWAY_PEER_LISTEN=" + addresses[0],
-			"CROCUSWAY_CALLER_LISTEN=" + addresses[1],
-			"CROCUSWAY_VOTERS=" + name + "=" + addresses[0],
-			"CROCUSWAY_PEER_SECRET=" + peerSecret,
-			"CROCUSWAY_OPERATOR_TOKEN=" + operatorToken,
-			"CROCUSWAY_BACKEND_TOKEN=" + backendToken,
-		},
-	}
+	d := &local.Process{Name: name, Peer: addresses[0], Callers: addresses[1], Program: binary}
+	voter := config.Voter{ID: api.VoterID(name), Address: d.Peer}
+	d.Configure(api.FailureDomain(name), []config.Voter{voter}, secrets(), config.RoleControl, config.RoleEntry)
+	d.Settings["data-dir"] = dir
+	d.Settings["bootstrap"] = "true"
+	return &process{Process: d, t: t, name: name, callers: d.Callers, dataDir: dir}
 }
 
 // regionClient runs "crocusway ctl region" in a folder with its files.
@@ -45,7 +37,7 @@
 	cmd := exec.Command(binary, append([]string{"ctl", "region"}, args...)...)
 	cmd.Dir = c.dir
 	cmd.Env = []string{"CROCUSWAY_OPERATOR_TOKEN=" + operatorToken}
-	out, err := cmd.Output()
+	out, err := output(cmd)
 	if err != nil {
 		return err
 	}
@@ -75,9 +67,10 @@
 // TestChangeReachesRegionsOneByOne states a change while one region is away. The
 // other accepts it; the lost one gets it once it is back.
 func TestChangeReachesRegionsOneByOne(t *testing.T) {
-	free := freeAddresses(t, 4)
+	free, err := local.FreeAddresses(4)
+	require.NoError(t, err)
 	near, far := smallRegion(t, "delta", free[:2]), smallRegion(t, "oasis", free[2:])
-	near.start("CROCUSWAY_BOOTSTRAP=true")
+	near.start()
 	client := &regionClient{t: t, dir: t.TempDir()}
 	client.write("regions.json", region.Regions{Regions: []region.Region{
 		{Name: "delta", Entries: []string{near.callers}}, {Name: "oasis", Entries: []string{far.callers}},
@@ -93,7 +86,7 @@
 	client.await(&change, states(region.Planned, region.Pending), "plan", "--json")
 	client.await(&change, states(region.Accepted, region.Pending), "confirm", "--json")
 
-	far.start("CROCUSWAY_BOOTSTRAP=true")
+	far.start()
 	client.await(&change, states(region.Accepted, region.Planned), "plan", "--json")
 	client.await(&change, states(region.Accepted, region.Accepted), "confirm", "--json")
 	var overview region.Overview
--- a/internal/local/process.go
+++ b/internal/local/process.go
@@ -79,7 +79,7 @@
 	p.cmd = exec.Command(program, "serve")
 	p.cmd.Env = p.environment()
 	p.cmd.Stderr = p.Log
-	if err := p.cmd.Start(); err != nil {
+	if err := StartCommand(p.cmd); err != nil {
 		return errors.Wrapf(err, "start %s", p.Name)
 	}
 	p.exited = make(chan struct{})
@@ -159,12 +159,23 @@
 	}
 }
 
-// drawn holds every address that FreeAddresses has returned.
+// drawn holds every address that FreeAddresses has returned. Its lock also keeps
+// the start of a process apart from the listeners of FreeAddresses: until it runs
+// its program, a new process holds every open listener as well, and would go on
+// listening on a port that was given out.
 var drawn = struct {
 	sync.Mutex
 	addresses map[string]bool
 }{addresses: make(map[string]bool)}
 
+// StartCommand starts a command. Programs that use FreeAddresses start every
+// process with it.
+func StartCommand(cmd *exec.Cmd) error {
+	drawn.Lock()
+	defer drawn.Unlock()
+	return cmd.Start()
+}
+
 // FreeAddresses returns n addresses "ip:port" with ports that the kernel chose,
 // none of which this process was given before. The kernel may give a closed port
 // out again, so all are held until the last is known. They stay free until a
