A load of callers in package caller

Cause: the demonstration and the process tests each kept callers going and sorted the ends of their requests.

Change: caller.Load and caller.Tally; both use it.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -55,7 +55,7 @@
 type Report struct {
 	Steps []Step `json:"steps"`
 	// Service counts the calls during the drain and the restore.
-	Service ServiceCount `json:"service_during_domain_change"`
+	Service caller.Tally `json:"service_during_domain_change"`
 	// DepositRuns is how often the service ran the deposit that was sent twice.
 	DepositRuns int `json:"deposit_runs"`
 	// DrainedWork is the number of requests that reached the drained domain
@@ -64,14 +64,6 @@
 	TotalMillis int64 `json:"total_millis"`
 }
 
-// ServiceCount sorts calls by how they ended.
-type ServiceCount struct {
-	Complete int `json:"complete"`
-	NotRun   int `json:"not_run"`
-	Unknown  int `json:"unknown"`
-	Cut      int `json:"cut"`
-}
-
 // Demo is a running demonstration.
 type Demo struct {
 	System *local.System
--- a/internal/demo/domain.go
+++ b/internal/demo/domain.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,43 +15,21 @@
 // underLoad runs change while callers stream answers, and counts how their
 // calls ended.
 func (d *Demo) underLoad(ctx context.Context, change func(context.Context) error) error {
-	loadCtx, stop := context.WithCancel(ctx)
-	defer stop()
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	for range callers {
-		wg.Go(func() {
-			client := caller.New(apiKey, d.System.Entries())
-			for loadCtx.Err() == nil {
-				answer, err := client.Chat(ctx, model, "summarise the order history of tin 42", maxTokens)
-				mu.Lock()
-				d.report.Service.add(answer, err)
-				mu.Unlock()
-			}
-		})
+	clients := make([]*caller.Client, callers)
+	for i := range clients {
+		clients[i] = caller.New(apiKey, d.System.Entries())
 	}
+	load := caller.StartLoad(callers, func(i, _ int) (caller.Answer, error) {
+		return clients[i].Chat(ctx, model, "summarise the order history of tin 42", maxTokens)
+	})
 	err := change(ctx)
 	if err == nil {
 		wait(ctx, settleTime)
 	}
-	stop()
-	wg.Wait()
+	d.report.Service = d.report.Service.Add(load.Stop())
 	return err
 }
 
-func (c *ServiceCount) add(a caller.Answer, err error) {
-	switch {
-	case err == nil && a.Whole():
-		c.Complete++
-	case a.Outcome == api.OutcomeNotRun:
-		c.NotRun++
-	case a.Status == http.StatusOK:
-		c.Cut++
-	default:
-		c.Unknown++
-	}
-}
-
 func (d *Demo) drain(ctx context.Context) (string, error) {
 	domain := domains[2]
 	err := d.underLoad(ctx, func(ctx context.Context) error {
