The answer to an announcement names at most eight entries

Cause: each of some 4,000 hosts announces itself twice a second, and each answer listed every entry: 83 in a region of the planned size.

Change: at most 8 live entries, other ones for each host, so that the hosts of a lost entry spread over the rest.

--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -72,10 +72,31 @@
 	r.agent.Announce(ann)
 	r.shards.ObserveLoad(ann)
 	response := api.AnnounceResponse{NextMillis: r.announceInterval.Milliseconds()}
-	for _, e := range r.state.Snapshot().Entries {
+	response.Entries = alternatives(r.state.Snapshot().Entries, ann.Host)
+	return response
+}
+
+// maxAlternatives bounds the entries that the answer to an announcement names.
+// Every host asks about twice a second, so that a list of all entries would cost
+// more than all else.
+const maxAlternatives = 8
+
+// alternatives returns the addresses of some entries that take announcements.
+// Hosts get different ones, so that those of a lost entry spread over the others.
+func alternatives(entries []api.EntryInfo, host api.HostID) []string {
+	var live []string
+	for _, e := range entries {
 		if e.Live && !e.Leaving {
-			response.Entries = append(response.Entries, e.CallerAddress)
+			live = append(live, e.CallerAddress)
 		}
 	}
-	return response
+	if len(live) <= maxAlternatives {
+		return live
+	}
+	first := int(seedOf(string(host)) % uint64(len(live)))
+	out := make([]string, 0, maxAlternatives)
+	for i := range maxAlternatives {
+		out = append(out, live[(first+i)%len(live)])
+	}
+	return out
 }
