The running system measures service during failure domain changes

Change: each entry counts the requests that arrive while a failure domain is drained, or within a minute after the last one was restored, by whether they ended whole with the first token within 0.51 s; requests at fault themselves are left out. The counts are exported as a metric and travel with the renewals; the leader sums the last hour, and ctl status shows it.

Ruled out: what the remaining capacity could bear as the denominator (a running system can't know it); a message of its own.

Figures: a renewal grows by some 40 bytes while there are counts, by nothing else.

A new leader starts the hour anew, as for the other measures.

--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -44,6 +44,17 @@
 	Release bool `json:"release,omitempty"`
 	// Finished is set with Release when no grant of the entry is in use.
 	Finished bool `json:"finished,omitempty"`
+	// Service counts the requests during failure domain changes since the start
+	// of the entry; nil while there were none.
+	Service *ServiceCount `json:"service,omitempty"`
+}
+
+// ServiceCount counts the requests that arrived while a failure domain was
+// leaving or returning. Requests that are at fault themselves are left out.
+type ServiceCount struct {
+	Ended int64 `json:"ended"`
+	// Served ended whole, their first token in time.
+	Served int64 `json:"served"`
 }
 
 // RenewResponse grants a work lease. The entry counts LeaseMillis from the
@@ -163,6 +174,8 @@
 	// NotServing is the time in which replicas were missing and hosts beyond the
 	// spares did not serve, in host-seconds.
 	NotServing float64 `json:"not_serving_host_seconds"`
+	// Service counts the requests during failure domain changes.
+	Service ServiceCount `json:"service_during_domain_changes"`
 }
 
 // StatusResponse is the leader's summary for operators.
--- a/internal/control/entry_calls.go
+++ b/internal/control/entry_calls.go
@@ -43,6 +43,7 @@
 		return none, err
 	}
 	s.renewed.wake()
+	lead.measures.count(s.cfg.Clock.Now(), lead.service.grown(r.Entry, r.Service))
 	return api.RenewResponse{
 		LeaseMillis: length.Milliseconds(),
 		Stretch:     stretch,
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -18,6 +18,7 @@
 	hosts    *hostTable
 	slots    *slotTable
 	measures *measures
+	service  *serviceCounts
 	marks    *revisionMarks
 	// slowRound is when the slow duties ran last.
 	slowRound time.Time
@@ -91,6 +92,7 @@
 		hosts:    newHostTable(s.cfg.Limits.MaxHosts, s.cfg.DetectionBound, now.Add(s.vouchTime(stretch))),
 		slots:    newSlotTable(),
 		measures: newMeasures(now),
+		service:  newServiceCounts(),
 		marks:    &revisionMarks{},
 		ctx:      ctx,
 		cancel:   cancel,
--- a/internal/control/measures.go
+++ b/internal/control/measures.go
@@ -38,12 +38,16 @@
 	downtime   float64
 	stranded   float64
 	notServing float64
+	// service counts requests during failure domain changes.
+	service api.ServiceCount
 }
 
 func (a *measureAmount) add(b measureAmount) {
 	a.downtime += b.downtime
 	a.stranded += b.stranded
 	a.notServing += b.notServing
+	a.service.Ended += b.service.Ended
+	a.service.Served += b.service.Served
 }
 
 func newMeasures(now time.Time) *measures { return &measures{began: now, sampled: now} }
@@ -61,13 +65,25 @@
 		stranded:   seconds * float64(shown.Stranded),
 		notServing: seconds * float64(shown.NotServing),
 	}
+	m.add(now, amount)
+	return amount
+}
+
+// count adds requests that entries counted.
+func (m *measures) count(now time.Time, service api.ServiceCount) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.add(now, measureAmount{service: service})
+}
+
+// add puts an amount into the bucket of a moment. The lock is held.
+func (m *measures) add(now time.Time, amount measureAmount) {
 	number := m.number(now)
 	bucket := &m.buckets[number%measureBuckets]
 	if bucket.number != number {
 		*bucket = measureSum{number: number}
 	}
 	bucket.amount.add(amount)
-	return amount
 }
 
 func (m *measures) number(now time.Time) int64 { return int64(now.Sub(m.began) / measureBucket) }
@@ -83,6 +99,8 @@
 			out.GroupDowntime += bucket.amount.downtime
 			out.Stranded += bucket.amount.stranded
 			out.NotServing += bucket.amount.notServing
+			out.Service.Ended += bucket.amount.service.Ended
+			out.Service.Served += bucket.amount.service.Served
 		}
 	}
 	return out
--- /dev/null
+++ b/internal/control/service_counts.go
@@ -0,0 +1,46 @@
+package control
+
+import (
+	"sync"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+// serviceCounts follows the counters that entries send with their renewals. They
+// count since the start of an entry process.
+type serviceCounts struct {
+	mu   sync.Mutex
+	last map[api.EntryID]serviceRow
+}
+
+type serviceRow struct {
+	incarnation api.Incarnation
+	count       api.ServiceCount
+}
+
+func newServiceCounts() *serviceCounts {
+	return &serviceCounts{last: make(map[api.EntryID]serviceRow)}
+}
+
+// grown returns what an entry has counted since its last renewal under this
+// leader. The first renewal of an entry process that started earlier only sets
+// the base, since its counts may be older than the leadership.
+func (s *serviceCounts) grown(e api.EntryInfo, count *api.ServiceCount) api.ServiceCount {
+	if count == nil {
+		count = &api.ServiceCount{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row, known := s.last[e.ID]
+	s.last[e.ID] = serviceRow{incarnation: e.Incarnation, count: *count}
+	switch {
+	case !known:
+		return api.ServiceCount{}
+	case row.incarnation != e.Incarnation:
+		return *count
+	}
+	return api.ServiceCount{
+		Ended:  max(0, count.Ended-row.count.Ended),
+		Served: max(0, count.Served-row.count.Served),
+	}
+}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -21,8 +21,10 @@
 
 func printSummary(w io.Writer, s api.StatusResponse) error {
 	_, err := fmt.Fprintf(w, "Leader %s, term %d, revision %d\n"+
-		"Last hour: group downtime %.0f replica-seconds, stranded %.0f host-seconds, not serving %.0f host-seconds\n",
-		s.Leader, s.Term, s.View.Revision, s.Measures.GroupDowntime, s.Measures.Stranded, s.Measures.NotServing)
+		"Last hour: group downtime %.0f replica-seconds, stranded %.0f host-seconds, not serving %.0f host-seconds\n"+
+		"Last hour, during failure domain changes: %d of %d requests served\n",
+		s.Leader, s.Term, s.View.Revision, s.Measures.GroupDowntime, s.Measures.Stranded, s.Measures.NotServing,
+		s.Measures.Service.Served, s.Measures.Service.Ended)
 	return err
 }
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -69,6 +69,7 @@
 		// A watch that hangs on a lost leader ends when a renewal finds another.
 		WatchWait:      d.cfg.RenewInterval * renewalsPerWatch,
 		DetectionBound: d.cfg.DetectionBound,
+		Service:        r.pipeline.ServiceCount,
 		OnSnapshot:     r.apply,
 		ApplyUpdate:    control.ApplyUpdate,
 	})
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -31,6 +31,9 @@
 	// DetectionBound is the silence after which a backend server is reported as
 	// silent; 0 reports none.
 	DetectionBound time.Duration
+	// Service returns the requests counted during failure domain changes; nil
+	// counts none.
+	Service func() api.ServiceCount
 	// OnSnapshot is called after each applied snapshot, in order.
 	OnSnapshot func(*Snapshot)
 	// ApplyUpdate brings a view up to date; it fails on a gap.
@@ -102,7 +105,19 @@
 	info := a.cfg.State.Info
 	info.Live = true
 	info.Leaving = a.cfg.State.Leaving()
-	return api.RenewRequest{Entry: info, Applied: a.cfg.State.Snapshot().Revision}
+	return api.RenewRequest{Entry: info, Applied: a.cfg.State.Snapshot().Revision, Service: a.service()}
+}
+
+// service returns what the renewal tells of failure domain changes.
+func (a *Agent) service() *api.ServiceCount {
+	if a.cfg.Service == nil {
+		return nil
+	}
+	count := a.cfg.Service()
+	if count.Ended == 0 {
+		return nil
+	}
+	return &count
 }
 
 // Release gives the work lease back at the end of a graceful shutdown, so that
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -30,6 +30,7 @@
 	services       map[string]*api.Service
 	drained        map[api.FailureDomain]bool
 	quarantines    map[string]api.Quarantine
+	anyDrained     bool
 }
 
 // NewSnapshot indexes a view, which the caller must not change afterwards.
@@ -98,6 +99,7 @@
 	}
 	for _, d := range s.Domains {
 		s.drained[d.Name] = d.State == api.DomainDrained
+		s.anyDrained = s.anyDrained || s.drained[d.Name]
 	}
 	for _, q := range s.Quarantines {
 		s.quarantines[q.Fingerprint] = q
@@ -161,6 +163,8 @@
 	snapshot atomic.Pointer[Snapshot]
 	lease    atomic.Pointer[time.Time]
 	leaving  atomic.Bool
+	// returned is when the last drained failure domain was restored.
+	returned atomic.Pointer[time.Time]
 }
 
 // NewState returns a state without a view and without a lease.
@@ -180,7 +184,9 @@
 		if v.Revision < old.Revision {
 			return false
 		}
-		if s.snapshot.CompareAndSwap(old, NewSnapshot(v)) {
+		next := NewSnapshot(v)
+		if s.snapshot.CompareAndSwap(old, next) {
+			s.noteReturn(old, next)
 			return true
 		}
 	}
--- a/internal/pipeline/call.go
+++ b/internal/pipeline/call.go
@@ -60,6 +60,9 @@
 	// delivered is the number of tokens passed on to the caller.
 	delivered  int
 	firstToken time.Duration
+	// domainChanging is set when a failure domain was leaving or returning at
+	// the receipt.
+	domainChanging bool
 	// firstTokenAt is when the first token of the whole answer arrived.
 	firstTokenAt time.Time
 	// dispatches counts the attempts over all resumptions.
--- a/internal/pipeline/config.go
+++ b/internal/pipeline/config.go
@@ -22,6 +22,8 @@
 	// HasLease reports whether the work lease is valid, also while leaving.
 	HasLease() bool
 	Leaving() bool
+	// DomainChanging reports whether a failure domain is leaving or returning.
+	DomainChanging() bool
 }
 
 // Granter admits requests to replicas. It is implemented by shard.Client.
--- a/internal/pipeline/receive.go
+++ b/internal/pipeline/receive.go
@@ -15,6 +15,7 @@
 func (f receive) apply(c *call) error {
 	c.snapshot = f.cfg.State.Snapshot()
 	c.received = f.cfg.Clock.Now()
+	c.domainChanging = f.cfg.State.DomainChanging()
 	c.body = c.http.PostBody()
 	timeout, err := f.timeout(c)
 	if err != nil {
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -26,6 +26,8 @@
 	limits   serviceLimits
 	// metrics are the instruments of the request path.
 	metrics metrics
+	// domainChange counts requests during failure domain changes.
+	domainChange *domainChange
 	// next rotates between the servers of plain services.
 	next atomic.Uint64
 	// active counts the calls that have not ended.
@@ -66,6 +68,9 @@
 	if s.metrics, err = newMetrics(cfg.Meter); err != nil {
 		level.Warn(s.logger).Log("msg", "metrics incomplete", "err", err)
 	}
+	if s.domainChange, err = newDomainChange(cfg.Meter); err != nil {
+		level.Warn(s.logger).Log("msg", "metrics incomplete", "err", err)
+	}
 	s.endLater = s.endInBackground
 	s.order = newOrder(s)
 	s.router = s.routes()
--- a/internal/pipeline/settle.go
+++ b/internal/pipeline/settle.go
@@ -39,5 +39,6 @@
 		c.cancel()
 	}
 	s.metrics.ended(c, s.cfg.Clock.Now())
+	s.domainChange.count(c)
 	s.active.done()
 }
