--- a/internal/daemon/http_test.go
+++ b/internal/daemon/http_test.go
@@ -11,10 +11,11 @@
 
 // TestAlternativesAreBounded asks for many hosts at the planned size of a region.
 func TestAlternativesAreBounded(t *testing.T) {
-	entries := []api.EntryInfo{{CallerAddress: "gone"}, {CallerAddress: "leaving", Live: true, Leaving: true}}
-	for i := range 83 {
-		entries = append(entries, api.EntryInfo{CallerAddress: fmt.Sprint(i), Live: true})
+	entries := make([]api.EntryInfo, 85)
+	for i := range entries {
+		entries[i] = api.EntryInfo{CallerAddress: fmt.Sprint(i), Live: true}
 	}
+	entries[0].Live, entries[1].Leaving = false, true
 	named := make(map[string]bool)
 	for i := range 1000 {
 		some := alternatives(entries, api.HostID(fmt.Sprintf("host-%d", i)))
