A refusal of a suspect waits until every entry knows of the death

Cause: The report of a death was answered once it was committed. The caller got its refusal while other entries still had the view before, so that its next send, to one of them, ran as an unknown request beside others and took a third replica. A call that waited for its place was not judged again either. Shown by TestPoisonFuzz with a view that reaches each entry late: "poison b died on 3 replicas" on the first case; with the view shown to all at once the same test passed.

Ruled out: The rule of the quarantine table (TestQuarantine; the model counts the same deaths). A claim at control before each run alone: it would delay every suspect, innocent ones too, and does nothing for the first death.

Change: A refusal of a call whose replica died is held back while the entry reports the death again with wait_millis; control answers once every entry that may work has applied the row, or its lease ran out. Retries, ordinary requests and suspects that complete wait for nothing. A report that failed is thereby sent again, too. Right before dispatch a call is judged by the newest view: a new suspect changes its place for a replica of its own.

Tests: poisonWorld shows views late and counts a death once, however often it is reported; new variant "next send overtakes the view". The fake control answers wait_millis; the path fuzz bounds the wait by 1 ms of real time.

--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -257,11 +257,16 @@
 	Fencing     Fencing   `json:"fencing"`
 	// Alone is set when no other request ran on the replica.
 	Alone bool `json:"alone"`
+	// WaitMillis is how long the answer may wait until the state is in force at
+	// every entry that may work, 0 not to wait.
+	WaitMillis int64 `json:"wait_millis,omitempty"`
 }
 
 // SuspectResponse returns the state of the fingerprint.
 type SuspectResponse struct {
 	Quarantine Quarantine `json:"quarantine"`
+	// InForce is set once every entry that may work has applied the state.
+	InForce bool `json:"in_force,omitempty"`
 }
 
 // AcquireRequest asks a shard owner for a grant and waits in its queue.
--- a/internal/control/contract_test.go
+++ b/internal/control/contract_test.go
@@ -254,6 +254,26 @@
 	require.Equal(t, "f3", s.View().Quarantines[0].Fingerprint)
 }
 
+func TestSuspectIsInForceOnceEveryEntryKnows(t *testing.T) {
+	f := newFixture()
+	require.NoError(t, f.renew("e1", 1))
+	require.NoError(t, f.renew("e2", 1))
+	suspect := func() api.SuspectResponse {
+		r := api.SuspectRequest{Fingerprint: "f", Request: "r", Group: "g", Fencing: 1, WaitMillis: 1000}
+		res, err := f.service().suspect(noWait(), r)
+		require.NoError(t, err)
+		require.Equal(t, api.Quarantine{Fingerprint: "f", Deaths: 1}, res.Quarantine)
+		return res
+	}
+	require.False(t, suspect().InForce)
+	require.NoError(t, f.renew("e1", 1))
+	require.False(t, suspect().InForce, "e2 does not know")
+	f.advance(DefaultLeaseDuration + DefaultDriftMargin + time.Millisecond)
+	require.NoError(t, f.renew("e1", 1), "e1 is registered again")
+	require.NoError(t, f.renew("e1", 1))
+	require.True(t, suspect().InForce, "e2 may not work")
+}
+
 func TestReleasedLeaseEndsAtOnce(t *testing.T) {
 	f := newFixture()
 	require.NoError(t, f.renew("e1", 1))
--- a/internal/control/record_calls.go
+++ b/internal/control/record_calls.go
@@ -67,18 +67,29 @@
 	return response, s.confirmLeading(lead)
 }
 
-// suspect answers control.suspect.
+// suspect answers control.suspect. If asked to it waits until the state is in
+// force: every entry that may work has applied it.
 func (s *Service) suspect(ctx context.Context, r api.SuspectRequest) (api.SuspectResponse, error) {
 	var none api.SuspectResponse
 	if err := checkSuspect(r); err != nil {
 		return none, err
 	}
-	if _, err := s.lead(ctx); err != nil {
+	lead, err := s.lead(ctx)
+	if err != nil {
 		return none, err
 	}
+	until := s.deadline(r.WaitMillis)
+	wait := r.WaitMillis > 0
+	r.WaitMillis = 0
 	cmd := &suspectCommand{Suspect: r, Limits: s.cfg.Limits.Quarantine}
 	q, err := propose[api.Quarantine](ctx, s, cmd)
-	return api.SuspectResponse{Quarantine: q}, err
+	if err != nil || !wait {
+		return api.SuspectResponse{Quarantine: q}, err
+	}
+	revision := s.state.Revision()
+	inForce := func() bool { return len(lead.leases.heldOut(revision, s.cfg.Clock.Now())) == 0 }
+	done := s.wait(ctx, until, s.renewed, inForce)
+	return api.SuspectResponse{Quarantine: q, InForce: done}, s.confirmLeading(lead)
 }
 
 func checkRecord(step string, r api.Record) error {
@@ -112,5 +123,8 @@
 	if r.Fencing == 0 {
 		f.Add("fencing", r.Fencing, "1 or more")
 	}
+	if r.WaitMillis < 0 {
+		f.Add("wait_millis", r.WaitMillis, "0 or more")
+	}
 	return f.Err("suspect request", "")
 }
--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -80,6 +80,8 @@
 		return time.Duration(p.WaitMillis) * time.Millisecond
 	case api.DecideRequest:
 		return time.Duration(p.WaitMillis) * time.Millisecond
+	case api.SuspectRequest:
+		return time.Duration(p.WaitMillis) * time.Millisecond
 	case api.RecordGetRequest:
 		return time.Duration(p.WaitMillis) * time.Millisecond
 	default:
--- a/internal/pipeline/call.go
+++ b/internal/pipeline/call.go
@@ -46,7 +46,9 @@
 	repeatable  bool
 	fingerprint string
 	// alone is set for a suspect, which shares its replica with nothing.
-	alone    bool
+	alone bool
+	// suspect is the last report that a replica died under the call.
+	suspect  *api.SuspectRequest
 	record   *api.Record
 	replayed bool
 
--- a/internal/pipeline/choose.go
+++ b/internal/pipeline/choose.go
@@ -16,6 +16,11 @@
 	if c.kind == callService && !c.target.granted {
 		return f.server(c)
 	}
+	if c.isModel() {
+		if err := f.judgeAgain(c); err != nil {
+			return err
+		}
+	}
 	return f.replica(c)
 }
 
--- a/internal/pipeline/config.go
+++ b/internal/pipeline/config.go
@@ -74,6 +74,9 @@
 	QueueWait time.Duration
 	// ControlTimeout bounds one call to control.
 	ControlTimeout time.Duration
+	// SuspectWait bounds how long the refusal of a request whose replica died is
+	// held back until every entry knows of it. Longer work leases raise it.
+	SuspectWait time.Duration
 	// EntriesTTL is how long callers may keep the list of entries.
 	EntriesTTL time.Duration
 	// RecordRetention is how long an idempotency record is kept.
@@ -105,6 +108,7 @@
 		RequestTimeout:  2 * time.Minute,
 		QueueWait:       10 * time.Second,
 		ControlTimeout:  2 * time.Second,
+		SuspectWait:     10 * time.Second,
 		EntriesTTL:      5 * time.Second,
 		RecordRetention: 24 * time.Hour,
 		MaxStoredAnswer: 64 << 10,
@@ -128,6 +132,7 @@
 	fill(&s.RequestTimeout, d.RequestTimeout)
 	fill(&s.QueueWait, d.QueueWait)
 	fill(&s.ControlTimeout, d.ControlTimeout)
+	fill(&s.SuspectWait, d.SuspectWait)
 	fill(&s.EntriesTTL, d.EntriesTTL)
 	fill(&s.RecordRetention, d.RecordRetention)
 	fill(&s.MaxStoredAnswer, d.MaxStoredAnswer)
--- a/internal/pipeline/fakes_test.go
+++ b/internal/pipeline/fakes_test.go
@@ -179,13 +179,16 @@
 		*result.(*api.RecordGetResponse) = f.get(ctx, params.(api.RecordGetRequest))
 	case api.MethodSuspect:
 		fp := params.(api.SuspectRequest).Fingerprint
-		f.suspects++
-		f.deaths[fp]++
+		inForce := params.(api.SuspectRequest).WaitMillis > 0
+		if !inForce {
+			f.suspects++
+			f.deaths[fp]++
+		}
 		q := api.Quarantine{Fingerprint: fp, Deaths: f.deaths[fp]}
 		if q.Deaths > 1 {
 			q.UntilUnixMillis = time.Now().Add(time.Hour).UnixMilli()
 		}
-		*result.(*api.SuspectResponse) = api.SuspectResponse{Quarantine: q}
+		*result.(*api.SuspectResponse) = api.SuspectResponse{Quarantine: q, InForce: inForce}
 	}
 	return nil
 }
--- a/internal/pipeline/fuzz_world_test.go
+++ b/internal/pipeline/fuzz_world_test.go
@@ -71,7 +71,7 @@
 		ran: map[api.RequestID]int{}, ranByKey: map[string]int{}, stopped: map[*harness]bool{},
 	}
 	for range 2 {
-		h := newHarness(Settings{RequestTimeout: time.Minute, RetryBurst: 1000})
+		h := newHarness(Settings{RequestTimeout: time.Minute, RetryBurst: 1000, SuspectWait: time.Millisecond})
 		h.server.cfg.Control = w.control
 		h.server.cfg.Backends = &pathBackend{w: w, entry: h}
 		h.control = w.control
--- a/internal/pipeline/poison_test.go
+++ b/internal/pipeline/poison_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -35,8 +36,8 @@
 	entries []*harness
 	pick    pick
 	// crowded breaks the promise that a request runs alone; forgetful doesn't count
-	// the first death.
-	crowded, forgetful bool
+	// the first death; hasty doesn't wait until a suspect is in force.
+	crowded, forgetful, hasty bool
 
 	mu sync.Mutex
 	// idle wakes the scheduler once active, the number of requests that don't wait
@@ -49,6 +50,7 @@
 	dead     map[string]bool
 	suspects map[string]api.Quarantine
 	reported map[string]bool
+	counted  map[string]bool
 	// deaths counts the replicas that a content crashed.
 	deaths map[string]int
 	err    error
@@ -68,7 +70,7 @@
 func newPoisonWorld(p pick, mutate func(*poisonWorld, *Server)) *poisonWorld {
 	w := &poisonWorld{
 		pick: p, held: map[api.GroupID][]api.Grant{}, dead: map[string]bool{},
-		suspects: map[string]api.Quarantine{}, reported: map[string]bool{}, deaths: map[string]int{},
+		suspects: map[string]api.Quarantine{}, reported: map[string]bool{}, counted: map[string]bool{}, deaths: map[string]int{},
 	}
 	w.idle = sync.NewCond(&w.mu)
 	view := testView()
@@ -111,24 +113,37 @@
 	q.Fingerprint = r.Fingerprint
 	first := !w.reported[r.Fingerprint]
 	w.reported[r.Fingerprint] = true
-	if (!known || r.Alone) && (!first || !w.forgetful) {
+	// A death is counted once, however often it is reported.
+	death := fmt.Sprint(r.Fingerprint, r.Request, r.Group, r.Alone)
+	if (!known || r.Alone) && (!first || !w.forgetful) && !w.counted[death] {
+		w.counted[death] = true
 		q.Deaths++
-		w.suspects[r.Fingerprint] = q
 	}
 	if q.Deaths >= poisonBound {
 		q.UntilUnixMillis = time.Now().Add(time.Hour).UnixMilli()
 	}
+	w.suspects[r.Fingerprint] = q
+	inForce := r.WaitMillis > 0
 	for _, h := range w.entries {
-		view := h.state.Snapshot().View
-		view.Revision++
-		view.Quarantines = slices.DeleteFunc(slices.Clone(view.Quarantines), func(o api.Quarantine) bool { return o.Fingerprint == r.Fingerprint })
-		view.Quarantines = append(view.Quarantines, q)
-		h.state.Apply(view)
+		if inForce && !w.hasty {
+			w.show(h)
+		}
 	}
-	*result.(*api.SuspectResponse) = api.SuspectResponse{Quarantine: q}
+	*result.(*api.SuspectResponse) = api.SuspectResponse{Quarantine: q, InForce: inForce}
 	return nil
 }
 
+// show brings the view of one entry up to date.
+func (w *poisonWorld) show(h *harness) {
+	view := h.state.Snapshot().View
+	view.Revision++
+	view.Quarantines = nil
+	for _, fingerprint := range slices.Sorted(maps.Keys(w.suspects)) {
+		view.Quarantines = append(view.Quarantines, w.suspects[fingerprint])
+	}
+	h.state.Apply(view)
+}
+
 // rest makes a request wait for the scheduler.
 func (w *poisonWorld) rest(queue *[]*poisonRun, r *poisonRun) {
 	w.mu.Lock()
@@ -208,6 +223,9 @@
 	if len(w.waiting) == 0 && len(w.running) == 0 {
 		return false
 	}
+	if w.pick(8) == 0 {
+		w.show(w.entries[w.pick(len(w.entries))])
+	}
 	if len(w.running) == 0 || w.pick(3) > 0 {
 		if w.grant() {
 			return true
@@ -337,6 +355,7 @@
 		{"suspect is not isolated", "died on 3 replicas", func(_ *poisonWorld, s *Server) { s.order.attempt[0] = crowdedAdmit{admit{s}} }},
 		{"replica of a suspect is shared", "innocent", func(w *poisonWorld, _ *Server) { w.crowded = true }},
 		{"first death is not counted", "died on 3 replicas", func(w *poisonWorld, _ *Server) { w.forgetful = true }},
+		{"next send overtakes the view", "died on 3 replicas", func(w *poisonWorld, _ *Server) { w.hasty = true }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var found error
--- a/internal/pipeline/tokens.go
+++ b/internal/pipeline/tokens.go
@@ -144,6 +144,7 @@
 		return
 	}
 	t.metrics.cuts.Add(context.Background(), 1)
+	t.awaitSuspicion(t.call)
 	r := refusalOf(err)
 	t.call.refusal = r.code
 	t.close(api.OutcomeUnknown)
