A crash counts also if the view tells of it first

Cause: stop took a refused connection for "stopped" once the view no longer had the replica as ready. If control found the loss before the entry asked the engine, the death was not reported and the next attempt ran beside others. Shown by TestDeathIsCountedAfterTheViewTellsOfIt, which failed before (0 reports, 1 wanted).

Change: A refused connection of a broken replica counts. One that was released or formed anew does not, as before.

--- a/internal/pipeline/dispatch.go
+++ b/internal/pipeline/dispatch.go
@@ -155,14 +155,23 @@
 	defer cancel()
 	err := s.cfg.Backends.Cancel(ctx, t.address, c.id)
 	switch {
-	case err == nil, errs.Is(err, errs.NotFound), !s.isServing(t.grant):
+	case err == nil, errs.Is(err, errs.NotFound):
 		return stopResult{stopped: true}
-	case errors.Is(err, syscall.ECONNREFUSED):
+	case errors.Is(err, syscall.ECONNREFUSED) && !s.isReleased(t.grant):
 		return stopResult{dead: true}
+	case !s.isServing(t.grant):
+		return stopResult{stopped: true}
 	}
 	return stopResult{}
 }
 
+// isReleased reports whether the newest view has given up the granted replica. A
+// broken one still counts: control may learn of a crash before the entry asks.
+func (s *Server) isReleased(g api.Grant) bool {
+	group := s.cfg.State.Snapshot().Group(g.Group)
+	return group == nil || group.Fencing != g.Fencing || group.Phase == api.GroupReleasing
+}
+
 // isServing reports whether the newest view still has the granted replica.
 func (s *Server) isServing(g api.Grant) bool {
 	group := s.cfg.State.Snapshot().Group(g.Group)
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -314,6 +314,24 @@
 	}
 }
 
+// TestDeathIsCountedAfterTheViewTellsOfIt lets control find the loss of the replica
+// before the entry asks the engine.
+func TestDeathIsCountedAfterTheViewTellsOfIt(t *testing.T) {
+	for phase, want := range map[api.GroupPhase]int{api.GroupBroken: 1, api.GroupReleasing: 0} {
+		h := newHarness(Settings{MaxAttempts: 1})
+		h.backends.cancelErr = errRefused
+		h.backends.do = func(context.Context, backend.Request) (*backend.Response, error) {
+			v := testView()
+			v.Revision++
+			v.Groups[0].Phase = phase
+			h.state.Apply(v)
+			return nil, errBroken
+		}
+		send(t, h.listen(t), "POST", "/v1/chat/completions", testKey, chatBody)
+		require.Equal(t, want, h.control.suspects, phase)
+	}
+}
+
 func TestSilentReplicaIsNoReasonForSuspicion(t *testing.T) {
 	h := newHarness(Settings{MaxAttempts: 2})
 	h.backends.cancelErr = errors.Mark(context.DeadlineExceeded, backend.ErrNotSent)
