An expiry whose outcome was unknown ends

Cause: when the proposal that ends a work lease committed but its outcome was lost (a timeout while the log was slow, as after a change of leader), the lease stayed marked as expiring: the next round skips entries that are not live, so nothing took the mark away, and that leader refused each renewal of that entry for as long as it led. The entry, also a newer incarnation of it, then took no work.

Change: every round, and every finished expiry, forgets the expiring leases of entries that are not live in the applied state. It is decided by the state and not by who proposed, so that a late answer can't forget a lease that was granted since.

--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -64,6 +64,7 @@
 
 // expireEntries marks the entries whose work lease has run out.
 func (s *Service) expireEntries(ctx context.Context, lead *leadership) {
+	lead.leases.endExpiries(s.isLive)
 	for _, row := range s.state.entries.list() {
 		if !row.Info.Live || !lead.leases.beginExpiry(row.Info.ID, s.cfg.Clock.Now()) {
 			continue
@@ -73,8 +74,8 @@
 }
 
 // expireEntry commits that a lease has run out. When the outcome is unknown the
-// lease stays marked, so that it can't be renewed, and the next round tries
-// again.
+// lease stays marked, so that it can't be renewed, until the next round finds the
+// entry not live or tries again.
 func (s *Service) expireEntry(ctx context.Context, lead *leadership, row entryRow, finished bool) error {
 	cmd := &entryExpireCommand{
 		ID:              row.Info.ID,
@@ -86,12 +87,18 @@
 	if _, err := propose[entryRow](ctx, s, cmd); err != nil {
 		return err
 	}
-	lead.leases.endExpiry(row.Info.ID)
+	lead.leases.endExpiries(s.isLive)
 	s.renewed.wake()
 	level.Info(s.logger).Log("msg", "Entry lease ended", "entry", row.Info.ID, "incarnation", row.Info.Incarnation)
 	return nil
 }
 
+// isLive reports whether an entry is registered as live.
+func (s *Service) isLive(id api.EntryID) bool {
+	row, ok := s.state.entries.get(id)
+	return ok && row.Info.Live
+}
+
 // assignShards leases shards that have no owner which can work.
 func (s *Service) assignShards(ctx context.Context) {
 	cmd := assignShards(s.state.View())
--- a/internal/control/lease_table.go
+++ b/internal/control/lease_table.go
@@ -126,9 +126,14 @@
 	return nil
 }
 
-// endExpiry forgets an entry whose expiry is committed.
-func (t *leaseTable) endExpiry(id api.EntryID) {
+// endExpiries forgets the expiring leases of entries that are not live in the
+// state: their expiry is committed, also if no proposal learned of it.
+func (t *leaseTable) endExpiries(live func(api.EntryID) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.rows, id)
+	for id, row := range t.rows {
+		if row.expiring && !live(id) {
+			delete(t.rows, id)
+		}
+	}
 }
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -140,6 +140,31 @@
 	require.Empty(t, f.state().View().Entries)
 }
 
+// The expiry of a lease commits while the leader does not learn the outcome. The
+// entry gets a lease again from the same leader.
+func TestExpiryOfUnknownOutcomeEnds(t *testing.T) {
+	for name, end := range map[string]func(f *fixture){
+		"run out": func(f *fixture) { f.advance(DefaultLeaseDuration + DefaultDriftMargin + time.Millisecond) },
+		"given back": func(f *fixture) {
+			info := entryInfo("e1", 1)
+			info.Leaving = true
+			_, err := f.service().renew(ctx, api.RenewRequest{Entry: info, Release: true})
+			requireCode(t, errs.Timeout, err)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			require.NoError(t, f.renew("e1", 1))
+			f.setFaults(true, false)
+			end(f)
+			require.False(t, f.state().View().Entries[0].Live)
+			f.advance(slowInterval)
+			require.NoError(t, f.renew("e1", 2))
+			require.True(t, f.state().View().Entries[0].Live)
+		})
+	}
+}
+
 func TestDumpHidesKeys(t *testing.T) {
 	f := newFixture()
 	f.configure(t, api.Intent{Accounts: []api.Account{{ID: "shop", KeyHashes: []string{digest}}}})
