A cut-off entry refuses announcements

Cause: an entry said 200 to announcements whether or not it could pass them on, and named the entries of its old view. A host that keeps to its entry until a call fails, as docs/BACKENDS.md asks, then counted as lost at the leader for as long as the entry was cut off. The stand-in fleet hides this: its hosts share one list of entries, which the other entries' answers replace.

Ruled out: the work lease as the measure. After a restart of all daemons an entry waits for the lease of its earlier incarnation (3.3 s and more) longer than the detection bound (2 s); all hosts would count as lost.

Change: the agent notes whether its last renewal or delivery found a leader, refusals of a leader included; while it did not, announcements are answered with 503 Unavailable.

--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -67,8 +67,12 @@
 	return nil
 }
 
-// announce takes an announcement and tells the entries that take the next.
-func (r *entryRole) announce(ann api.Announcement) api.AnnounceResponse {
+// announce takes an announcement and tells the entries that take the next. While
+// the entry finds no leader it takes none, so that the host goes to another entry.
+func (r *entryRole) announce(ann api.Announcement) (api.AnnounceResponse, error) {
+	if r.agent.CutOff() {
+		return api.AnnounceResponse{}, errs.New(errs.Unavailable, "announce", "", "no control leader is found")
+	}
 	r.agent.Announce(ann)
 	r.shards.ObserveLoad(ann)
 	response := api.AnnounceResponse{NextMillis: r.announceInterval.Milliseconds()}
@@ -77,5 +81,5 @@
 			response.Entries = append(response.Entries, e.CallerAddress)
 		}
 	}
-	return response
+	return response, nil
 }
--- a/internal/e2e/partition_test.go
+++ b/internal/e2e/partition_test.go
@@ -1,9 +1,11 @@
 package e2e
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"syscall"
 	"testing"
 
@@ -140,6 +142,9 @@
 				require.Equal(t, api.OutcomeNotRun, a.Outcome, "status %d", a.Status)
 			}
 			require.Len(t, c.fleet.Runs(), all)
+			require.Eventually(t, func() bool {
+				return announceTo(t, cut) == http.StatusServiceUnavailable
+			}, patience, poll, "hosts must go to another entry")
 			c.awaitAnswer()
 			require.Equal(t, inTanta, c.runsIn(domains[2]))
 			c.network.Heal()
@@ -149,6 +154,23 @@
 	}
 }
 
+// announceTo returns the status of a host's announcement to one entry.
+func announceTo(t *testing.T, p *process) int {
+	t.Helper()
+	body, err := json.Marshal(api.Announcement{
+		Version: api.AnnouncementVersion, Host: "late", Incarnation: 1, Sequence: 1,
+		Address: "127.0.0.1:1", Kind: api.BackendEngine, Fabric: "f1", Domain: domains[0],
+	})
+	require.NoError(t, err)
+	request, err := http.NewRequest(http.MethodPost, "http://"+p.callers+"/v1/backends/announce", bytes.NewReader(body))
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+backendToken)
+	answer, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	require.NoError(t, answer.Body.Close())
+	return answer.StatusCode
+}
+
 // from and to return the paths out of and into a daemon.
 func from(name string, others []string) []network.Path {
 	paths := make([]network.Path, 0, len(others))
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -56,6 +57,8 @@
 	stretchedBefore bool
 	// applied wakes the renewal loop after a new view.
 	applied chan struct{}
+	// cutOff is set while calls find no leader.
+	cutOff atomic.Bool
 }
 
 // NewAgent returns an agent that does nothing until Run.
@@ -76,6 +79,16 @@
 // keeps only the newest announcement of a host.
 func (a *Agent) Announce(ann api.Announcement) { a.batch.put(ann, a.cfg.Clock.Now()) }
 
+// CutOff reports whether the last renewal or delivery of announcements found no
+// leader. What hosts announce meanwhile reaches nobody; they should go to another
+// entry. A leader that refuses a renewal is found.
+func (a *Agent) CutOff() bool { return a.cutOff.Load() }
+
+// noteLeader notes whether a call found the leader.
+func (a *Agent) noteLeader(err error) {
+	a.cutOff.Store(err != nil && errs.RetryAfterOf(err) == 0)
+}
+
 // Renew asks for one extension of the work lease. The lease is counted from
 // before the request was sent, so that the entry never believes longer in it
 // than the leader does.
@@ -87,6 +100,7 @@
 	}
 	var response api.RenewResponse
 	err := a.cfg.Control.Call(ctx, api.MethodRenew, request, &response)
+	a.noteLeader(err)
 	// A leader that refuses the renewal has counted the heartbeats.
 	if request.Announce != nil && errs.RetryAfterOf(err) == 0 {
 		a.batch.acknowledge(response.Session)
--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -251,6 +251,27 @@
 	require.False(t, agent.renewalsCarry())
 }
 
+// refusingControl answers every call with an error.
+type refusingControl struct{ err error }
+
+func (r *refusingControl) Call(context.Context, api.Method, any, any) error { return r.err }
+
+func TestAgentKnowsThatItIsCutOff(t *testing.T) {
+	control := &refusingControl{}
+	agent := NewAgent(AgentConfig{State: NewState(api.EntryInfo{ID: "e1"}, clock.System{}), Control: control, Clock: clock.System{}, Logger: logging.Discard()})
+	require.False(t, agent.CutOff(), "before the first call")
+	unreached := errs.New(errs.Timeout, "find control leader", "", "no answer")
+	refused := &errs.Error{Code: errs.Unavailable, Step: "renew", RetryAfterMillis: 50, Err: unreached}
+	for i, err := range []error{unreached, refused, unreached, nil} {
+		cutOff := i%2 == 0
+		control.err = err
+		_ = agent.Renew(context.Background())
+		require.Equal(t, cutOff, agent.CutOff(), "renewal: %v", err)
+		agent.sendAnnouncements(context.Background(), api.AnnounceBatch{})
+		require.Equal(t, cutOff, agent.CutOff(), "announcements: %v", err)
+	}
+}
+
 // frozenLeader holds every watch until its call is given up.
 type frozenLeader struct{ watching chan struct{} }
 
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -221,6 +221,7 @@
 	batch.Incarnation = a.cfg.State.Info.Incarnation
 	var response api.AnnounceBatchResponse
 	err := a.cfg.Control.Call(ctx, api.MethodAnnounce, batch, &response)
+	a.noteLeader(err)
 	if err != nil {
 		a.batch.acknowledge(0)
 		if ctx.Err() == nil {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -38,8 +38,9 @@
 	OperatorToken config.Secret
 	BackendToken  config.Secret
 	Logger        log.Logger
-	// Announce takes a validated announcement; nil refuses announcements.
-	Announce func(api.Announcement) api.AnnounceResponse
+	// Announce takes a validated announcement or says why it can't; nil refuses
+	// announcements.
+	Announce func(api.Announcement) (api.AnnounceResponse, error)
 	// DecodeAnnouncement reads and validates the body of an announcement.
 	DecodeAnnouncement func([]byte) (api.Announcement, error)
 	// Dump returns the state of this process for /debug/state.
@@ -116,7 +117,12 @@
 		writeError(ctx, err)
 		return
 	}
-	writeJSON(ctx, s.cfg.Announce(ann))
+	response, err := s.cfg.Announce(ann)
+	if err != nil {
+		writeError(ctx, err)
+		return
+	}
+	writeJSON(ctx, response)
 }
 
 func (s *Server) plan(ctx *fasthttp.RequestCtx) {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"testing"
 
 	"github.com/fasthttp/router"
@@ -41,9 +42,12 @@
 		BackendToken:       backendToken,
 		Logger:             logging.Discard(),
 		DecodeAnnouncement: backend.DecodeAnnouncement,
-		Announce: func(a api.Announcement) api.AnnounceResponse {
+		Announce: func(a api.Announcement) (api.AnnounceResponse, error) {
+			if a.Host == "unheard" {
+				return api.AnnounceResponse{}, errs.New(errs.Unavailable, "announce", "", "no control leader")
+			}
 			*announced = append(*announced, a)
-			return api.AnnounceResponse{NextMillis: 500}
+			return api.AnnounceResponse{NextMillis: 500}, nil
 		},
 		Dump:    func() any { return struct{ Name string }{"entry1"} },
 		Ready:   func() error { return errs.New(errs.Unavailable, "check readiness", "", "no work lease") },
@@ -136,6 +140,7 @@
 		says              string
 	}{
 		{"valid", backendToken, valid, 200, "500"},
+		{"cut off", backendToken, strings.Replace(valid, "h1", "unheard", 1), 503, "no control leader"},
 		{"no token", "", valid, 401, "token refused"},
 		{"operator's token", operatorToken, valid, 401, "token refused"},
 		{"wrong version", backendToken, `{"version":2}`, 400, "version"},
