A call moves on from a lost leader to another voter

Cause: after a timeout the next voter in turn could be the one that had just timed out, since a leader found by a hint does not move the turn. Each such attempt costs up to 2 s; renewals of live entries come back about 2 s after an election as it is, and the new leader ends leases 3.3 s after it, so that a live entry could lose its lease and its shards.

Change: the turn skips the voter that failed.

Figures: go test -race -count=1 ./internal/entry: the new case of TestLeaderClientFollows called a, b, b, c before, and a, b, c now; the package passes.

--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -168,6 +168,7 @@
 		{"no hint", api.MethodRenew, map[string]error{"a": notLeader("")}, []string{"a", "b"}, ""},
 		{"voter down", api.MethodRenew, map[string]error{"a": errs.New(errs.Unavailable, "dial", "a", "refused")}, []string{"a", "b"}, ""},
 		{"unknown outcome is repeated", api.MethodRenew, map[string]error{"a": errs.New(errs.Timeout, "call", "a", "late")}, []string{"a", "b"}, ""},
+		{"a lost leader is not tried twice", api.MethodRenew, map[string]error{"a": notLeader("b"), "b": errs.New(errs.Timeout, "call", "b", "late")}, []string{"a", "b", "c"}, ""},
 		{"unknown outcome of a record", api.MethodRecordOpen, map[string]error{"a": errs.New(errs.Timeout, "call", "a", "late")}, []string{"a"}, errs.Timeout},
 		{"refusal with a hint when to retry", api.MethodRenew, map[string]error{"a": &errs.Error{Code: errs.Unavailable, Step: "renew", RetryAfterMillis: 50, Err: errs.New(errs.Unavailable, "renew", "", "lagging")}}, []string{"a"}, errs.Unavailable},
 		{"refusal", api.MethodPlan, map[string]error{"a": errs.New(errs.Invalid, "plan", "a", "bad")}, []string{"a"}, errs.Invalid},
--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -137,8 +137,17 @@
 		c.current = hint
 		return
 	}
-	c.current = c.voters[c.next%len(c.voters)]
+	c.current = c.turn()
+	if c.current == failed {
+		c.current = c.turn()
+	}
+}
+
+// turn returns the next voter in turn. The lock is held.
+func (c *LeaderClient) turn() string {
+	voter := c.voters[c.next%len(c.voters)]
 	c.next++
+	return voter
 }
 
 // wait pauses for d or until ctx ends.
