An assign order names the incarnation that it is meant for

Cause: a server that checks fencing refuses lower numbers only. A repeat of an assign order bears the number that it accepted before its restart; if the leader decided on the repeat before it heard of the restart, the new incarnation took it and began the load again, unpaid for. Ruled out: refusing an equal number after a restart, since a new leader that finds the group loading would then need three refusals and a new generation. Change: api.Order bears the incarnation of the view on which an assign order was decided, absent for any; the two stand-ins refuse another one if they check fencing. Release orders are unchanged.

--- a/internal/api/backend.go
+++ b/internal/api/backend.go
@@ -88,9 +88,11 @@
 	Host    HostID    `json:"host"`
 	Group   GroupID   `json:"group"`
 	Fencing Fencing   `json:"fencing"`
-	Rank    int       `json:"rank,omitempty"`
-	Members []HostID  `json:"members,omitempty"`
-	Model   string    `json:"model,omitempty"`
+	// Incarnation is the one that an assign order is meant for; 0 stands for any.
+	Incarnation Incarnation `json:"incarnation,omitempty"`
+	Rank        int         `json:"rank,omitempty"`
+	Members     []HostID    `json:"members,omitempty"`
+	Model       string      `json:"model,omitempty"`
 }
 
 // OrderResult answers an order.
--- a/internal/bench/fleet_host.go
+++ b/internal/bench/fleet_host.go
@@ -13,7 +13,8 @@
 	Fabric api.FabricDomain
 	Domain api.FailureDomain
 	// ChecksFencing makes the host refuse orders with a lower number than the
-	// highest it accepted. It remembers that number across restarts.
+	// highest it accepted, and those for another incarnation. It remembers that
+	// number across restarts.
 	ChecksFencing bool
 	Up            bool
 	Paused        bool
@@ -54,6 +55,10 @@
 		res.Reason = "old fencing number"
 		return res, false
 	}
+	if h.ChecksFencing && o.Incarnation != 0 && o.Incarnation != h.Incarnation {
+		res.Reason = "order for another incarnation"
+		return res, false
+	}
 	h.highest = max(h.highest, o.Fencing)
 	res.Accepted, res.Fencing = true, h.highest
 	if o.Kind == api.OrderRelease {
--- a/internal/group/orders.go
+++ b/internal/group/orders.go
@@ -38,12 +38,13 @@
 		return
 	}
 	pl.order(h, api.Order{
-		Kind:    api.OrderAssign,
-		Group:   r.ID,
-		Fencing: r.Fencing,
-		Rank:    rank,
-		Members: r.Members,
-		Model:   r.Model,
+		Kind:        api.OrderAssign,
+		Group:       r.ID,
+		Fencing:     r.Fencing,
+		Incarnation: h.incarnation,
+		Rank:        rank,
+		Members:     r.Members,
+		Model:       r.Model,
 	})
 }
 
--- a/internal/standin/order.go
+++ b/internal/standin/order.go
@@ -54,6 +54,8 @@
 		return "unknown kind"
 	case h.fleet.cfg.Engine.ChecksFencing && o.Fencing < h.member.highest:
 		return "old fencing number"
+	case h.fleet.cfg.Engine.ChecksFencing && o.Incarnation != 0 && o.Incarnation != h.incarnation:
+		return "order for another incarnation"
 	default:
 		return ""
 	}
