--- a/internal/e2e/request_test.go
+++ b/internal/e2e/request_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -15,6 +17,7 @@
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/caller"
 	"github.com/crocusway/crocusway/internal/standin"
+	"github.com/crocusway/crocusway/internal/standin/network"
 )
 
 // shardOwner returns an owner of a shard other than the leader if there is one,
@@ -188,6 +191,26 @@
 	c.awaitAnswer()
 }
 
+// TestCrashingRequestMeetsAnOldView sends a crashing request through an entry whose
+// view is late, once another entry refused it.
+func TestCrashingRequestMeetsAnOldView(t *testing.T) {
+	const poison, viewDelay = "crash this engine", 400 * time.Millisecond
+	c := startCluster(t)
+	c.serve(6)
+	leader := c.leader()
+	others := slices.DeleteFunc(slices.Clone(c.processes), func(p *process) bool { return p == leader })
+	c.fleet.CrashOn(poison)
+	c.network.Delay(viewDelay, network.Between(others[0].name, leader.name)...)
+	send := func(p *process) caller.Answer {
+		a, err := caller.Pinned(apiKey, p.callers).Chat(context.Background(), model, poison, 16)
+		require.NoError(t, err)
+		return a
+	}
+	require.False(t, send(others[1]).Whole())
+	require.Equal(t, api.OutcomeNotRun, send(others[0]).Outcome)
+	require.Equal(t, 2, c.fleet.Falls())
+}
+
 // TestColdStartBearsItsLoad offers far more than cold replicas bear, through
 // all entries at once, right after they became ready.
 func TestColdStartBearsItsLoad(t *testing.T) {
