A handler cut short by its context answers timeout

Cause: a node that closes cancels its handlers before it closes its links. A handler that returns the error of its context was answered with it, an error without a code, hence `internal`; whether the caller read that answer or lost the link first was a race. The same goes for a handler at the caller's deadline. Ruled out: a frame handed to the event loop whose link closes before the write is confirmed: the event loop writes and confirms in one step, and a write that fails leaves at most a part of the frame, which no acceptor runs; so `unavailable` is right there. Change: once the context of a call has ended, a context error without another code is answered as `timeout`: the caller can't know how far the handler came. Typed errors stay. TestCancelledHandlerIsATimeout cancels the handlers and keeps the link, so that the answer is always read.

--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -145,6 +145,30 @@
 	require.Equal(t, errs.Timeout, errs.CodeOf(<-done))
 }
 
+// TestCancelledHandlerIsATimeout: a node that closes cancels its handlers before
+// its links; the answer may still be read.
+func TestCancelledHandlerIsATimeout(t *testing.T) {
+	for name, wrap := range map[string]func(error) error{
+		"plain":   func(err error) error { return err },
+		"wrapped": func(err error) error { return errs.Wrap(err, "hang", "") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := startNode(t, nil), startNode(t, nil)
+			entered := make(chan struct{})
+			b.Handle("test.hang", func(ctx context.Context, _ json.RawMessage) (any, error) {
+				close(entered)
+				<-ctx.Done()
+				return nil, wrap(ctx.Err())
+			})
+			done := make(chan error, 1)
+			go func() { done <- a.Call(context.Background(), b.Addr(), "test.hang", nil, nil) }()
+			<-entered
+			b.cancel()
+			require.Equal(t, errs.Timeout, errs.CodeOf(<-done))
+		})
+	}
+}
+
 func TestHandlerSeesCallersDeadline(t *testing.T) {
 	a, b := startNode(t, nil), startNode(t, nil)
 	seen := make(chan time.Duration, 1)
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -133,7 +133,21 @@
 	if m.request.Params != nil {
 		params = *m.request.Params
 	}
-	return h(ctx, params)
+	result, err := h(ctx, params)
+	if ctx.Err() != nil {
+		err = cutShort(err)
+	}
+	return result, err
+}
+
+// cutShort gives the error of a handler whose context ended its code: the caller
+// can't know how far it came, as when the link is lost. Other codes stay.
+func cutShort(err error) error {
+	ended := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+	if !ended || !errs.Is(err, errs.Internal) {
+		return err
+	}
+	return &errs.Error{Code: errs.Timeout, Step: stepCall, Err: err}
 }
 
 // answer sends a result. A result over the frame limit becomes an error.
