--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -80,6 +80,8 @@
 		return time.Duration(p.WaitMillis) * time.Millisecond
 	case api.DecideRequest:
 		return time.Duration(p.WaitMillis) * time.Millisecond
+	case api.SuspectRequest:
+		return time.Duration(p.WaitMillis) * time.Millisecond
 	case api.RecordGetRequest:
 		return time.Duration(p.WaitMillis) * time.Millisecond
 	default:
@@ -137,8 +139,17 @@
 		c.current = hint
 		return
 	}
-	c.current = c.voters[c.next%len(c.voters)]
+	c.current = c.turn()
+	if c.current == failed {
+		c.current = c.turn()
+	}
+}
+
+// turn returns the next voter in turn. The lock is held.
+func (c *LeaderClient) turn() string {
+	voter := c.voters[c.next%len(c.voters)]
 	c.next++
+	return voter
 }
 
 // wait pauses for d or until ctx ends.
--- a/internal/pipeline/call.go
+++ b/internal/pipeline/call.go
@@ -46,7 +46,9 @@
 	repeatable  bool
 	fingerprint string
 	// alone is set for a suspect, which shares its replica with nothing.
-	alone    bool
+	alone bool
+	// suspect is the last report that a replica died under the call.
+	suspect  *api.SuspectRequest
 	record   *api.Record
 	replayed bool
 
@@ -60,6 +62,9 @@
 	// delivered is the number of tokens passed on to the caller.
 	delivered  int
 	firstToken time.Duration
+	// domainChanging is set when a failure domain was leaving or returning at
+	// the receipt.
+	domainChanging bool
 	// firstTokenAt is when the first token of the whole answer arrived.
 	firstTokenAt time.Time
 	// dispatches counts the attempts over all resumptions.
