A new leader waits for the first contact before it takes hosts for lost

Cause: hosts that a new leader had not heard of counted as lost after the detection bound of 2 s from its election. Live entries, which pass on what hosts announce, reach a new leader only when their calls to the lost one have timed out, about 2 s after the election. Whoever was later by a little broke every replica: in failed runs of TestCutLeaderAndKilledEntry the new leader set all 6 replicas to broken, "a member was lost", 2.1 s after it began to lead.

Ruled out: a shorter timeout of the entries' calls alone (a slow answer of a live leader would be given up, and the race stays).

Change: the bound begins once every entry has renewed with the new leader or has lost its lease.

TestGroupsShardsAndServers now waits for the first contact as well before it requires the unheard host to be lost: the host was never announced, so that the former moment was the fault itself.

--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -41,8 +41,8 @@
 	// limit bounds the rows of one shard.
 	limit int
 	bound time.Duration
-	// since is when the leadership began: a host that has not announced itself
-	// yet counts as seen then.
+	// since is when the first contact of the leadership is over: a host that has
+	// not announced itself yet counts as seen then.
 	since time.Time
 }
 
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -89,7 +89,7 @@
 		term:     term,
 		pace:     leasePace{granted: stretch},
 		leases:   leases,
-		hosts:    newHostTable(s.cfg.Limits.MaxHosts, s.cfg.DetectionBound, now.Add(s.vouchTime(stretch))),
+		hosts:    newHostTable(s.cfg.Limits.MaxHosts, s.cfg.DetectionBound, now.Add(s.firstContact(stretch))),
 		slots:    newSlotTable(),
 		measures: newMeasures(now),
 		service:  newServiceCounts(),
@@ -99,6 +99,15 @@
 	}
 }
 
+// firstContact is how long a new leader takes hosts that it has not heard of for
+// alive, before the detection bound begins: by then every entry, which passes
+// their announcements on, has renewed here or has lost its lease. Entries look
+// for a new leader only after their calls to the lost one have timed out, and a
+// host that is wrongly taken for lost costs a load of its replica.
+func (s *Service) firstContact(stretch int) time.Duration {
+	return max(s.leaseLength(), s.vouchTime(stretch))
+}
+
 // leaseLength is the longest time for which the leader takes a lease as valid.
 func (s *Service) leaseLength() time.Duration { return s.longestLease() + s.cfg.DriftMargin }
 
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -81,6 +81,7 @@
 	require.Len(t, fleet.Hosts, 3, "the assigned hosts count as seen")
 	f.advance(DefaultDetectionBound + time.Millisecond)
 	require.Empty(t, f.state().View().Servers)
+	f.advance(DefaultLeaseDuration + DefaultDriftMargin)
 	fleet, err = f.service().Fleet(ctx)
 	require.NoError(t, err)
 	require.False(t, fleet.Hosts[0].Alive)
