Process tests bear a machine that is held up

All six replicas broke at once, 2 s after they were formed, "a member was lost", and were whole again 0.1 s later: for 2 s, the detection bound, no announcement of any stand-in host arrived. The hosts of three clusters share the test's process, beside the race tests of other packages. The streams that the test had just sent were refused as not run, which is right, and were not sent again, so that the test waited in vain for six runs.

Ruled out: a loss at the new leader (the leader was the same throughout); a stuck lease (all four entries were live).

No check is eased: what must be whole, borne and uncut stays.

--- a/internal/e2e/request_test.go
+++ b/internal/e2e/request_test.go
@@ -39,14 +39,21 @@
 	return owner, other
 }
 
-// chats sends n streamed requests to one entry at the same time.
+// chats sends n streamed requests to one entry at the same time, each again
+// while it is refused as not run.
 func (c *cluster) chats(entry *process, n, tokens int) func() ([]caller.Answer, []error) {
 	client := caller.Pinned(apiKey, entry.callers)
 	answers, failures := make([]caller.Answer, n), make([]error, n)
 	var wg sync.WaitGroup
 	for i := range n {
 		wg.Go(func() {
-			answers[i], failures[i] = client.Chat(context.Background(), model, fmt.Sprintf("prompt %d", i), tokens)
+			for began := time.Now(); time.Since(began) < patience; {
+				answers[i], failures[i] = client.Chat(context.Background(), model, fmt.Sprintf("prompt %d", i), tokens)
+				if answers[i].Outcome != api.OutcomeNotRun {
+					return
+				}
+				<-time.After(poll)
+			}
 		})
 	}
 	return func() ([]caller.Answer, []error) {
