--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -183,9 +183,10 @@
 	require.Greater(t, <-seen, DefaultCallTimeout)
 }
 
-func TestWorkersAreBounded(t *testing.T) {
-	a := startNode(t, nil)
-	b := startNode(t, func(c *Config) { c.Workers = 1 })
+// requireFullBeside requires that a call is refused as full while another one
+// from a to b is held.
+func requireFullBeside(t *testing.T, a, b *Node) {
+	t.Helper()
 	entered, leave := make(chan struct{}), make(chan struct{})
 	b.Handle("test.hold", func(context.Context, json.RawMessage) (any, error) {
 		close(entered)
@@ -198,24 +199,19 @@
 	require.Equal(t, errs.Full, errs.CodeOf(a.Call(t.Context(), b.Addr(), methodEcho, echo{}, nil)))
 	close(leave)
 	require.NoError(t, <-done)
+}
+
+func TestWorkersAreBounded(t *testing.T) {
+	a := startNode(t, nil)
+	b := startNode(t, func(c *Config) { c.Workers = 1 })
+	requireFullBeside(t, a, b)
 	require.Equal(t, int64(1), b.Stats().WorkersFull)
 }
 
 func TestCallsInFlightAreBounded(t *testing.T) {
 	a := startNode(t, func(c *Config) { c.InFlight = 1 })
 	b := startNode(t, nil)
-	entered, leave := make(chan struct{}), make(chan struct{})
-	b.Handle("test.hold", func(context.Context, json.RawMessage) (any, error) {
-		close(entered)
-		<-leave
-		return api.Empty{}, nil
-	})
-	done := make(chan error, 1)
-	go func() { done <- a.Call(context.Background(), b.Addr(), "test.hold", nil, nil) }()
-	<-entered
-	require.Equal(t, errs.Full, errs.CodeOf(a.Call(t.Context(), b.Addr(), methodEcho, echo{}, nil)))
-	close(leave)
-	require.NoError(t, <-done)
+	requireFullBeside(t, a, b)
 }
 
 func TestIdleLinksAreKeptAlive(t *testing.T) {
