Replicas are laid out by share, and not before their fabric domain is known

Change: a replica that needs loads waits until its fabric domain has gained no host for 1.3 s; one that waits for the weight store holds smaller ones back; without traffic the store bears any number of loads.

--- a/internal/api/fleet.go
+++ b/internal/api/fleet.go
@@ -11,6 +11,9 @@
 	Hosts         []HostStatus   `json:"hosts"`
 	// Progress is what entries see of the groups that they have requests on.
 	Progress []GroupProgress `json:"progress,omitempty"`
+	// Traffic is set once an entry has reported requests to this leadership. Before,
+	// loads from the weight store cost no one anything.
+	Traffic bool `json:"traffic,omitempty"`
 }
 
 // GroupChangeKind tells what a GroupChange does.
--- a/internal/api/intent.go
+++ b/internal/api/intent.go
@@ -56,6 +56,8 @@
 	// Share is the part of the hosts that the serving group gets, relative to the
 	// other serving groups of its service. Above 0 it replaces Replicas.
 	Share float64 `json:"share,omitempty" validate:"min=0,max=1000000"`
+	// LoadsAtOnce is the number of hosts that load at full speed together, 0 unknown.
+	LoadsAtOnce int `json:"loads_at_once,omitempty" validate:"min=0,max=100000"`
 }
 
 // Account describes a client account.
--- a/internal/api/publication.go
+++ b/internal/api/publication.go
@@ -172,6 +172,7 @@
 				ChecksFencing:   true,
 				LoadBytes:       LoadUnit,
 				Share:           model.Share,
+				LoadsAtOnce:     service.Engine.LoadsAtOnce,
 			})
 		}
 	}
--- a/internal/control/progress.go
+++ b/internal/control/progress.go
@@ -12,8 +12,9 @@
 // that stand still are an early sign of a lost member. It belongs to one
 // leadership and is safe for concurrent use.
 type progressTable struct {
-	mu   sync.Mutex
-	rows map[api.GroupID]progressRow
+	mu      sync.Mutex
+	rows    map[api.GroupID]progressRow
+	reports int
 }
 
 // progressRow is the newest evidence on one generation of a group.
@@ -33,6 +34,7 @@
 func (t *progressTable) note(r api.ProgressReport, now time.Time) (news bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.reports++
 	for _, g := range r.Groups {
 		row := t.rows[g.Group]
 		if g.Fencing < row.fencing {
@@ -83,6 +85,13 @@
 	return out
 }
 
+// hasReports reports whether any entry had requests.
+func (t *progressTable) hasReports() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reports > 0
+}
+
 // forget drops the rows of groups that are gone.
 func (t *progressTable) forget(exists func(api.GroupID) bool) {
 	t.mu.Lock()
--- a/internal/control/publish_command.go
+++ b/internal/control/publish_command.go
@@ -85,7 +85,7 @@
 // sameServingGroup compares what a publication tells of a serving group.
 func sameServingGroup(a, b *api.ServingGroup) bool {
 	return a.Service == b.Service && a.Model == b.Model && a.Share == b.Share &&
-		a.HostsPerReplica == b.HostsPerReplica && a.LoadBytes == b.LoadBytes
+		a.HostsPerReplica == b.HostsPerReplica && a.LoadBytes == b.LoadBytes && a.LoadsAtOnce == b.LoadsAtOnce
 }
 
 // domainCommand sets the state of a failure domain without a plan.
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -182,6 +182,7 @@
 	now := s.cfg.Clock.Now()
 	fleet.Hosts = lead.hosts.withAssumed(fleet, now)
 	fleet.Progress = lead.progress.evidence(fleet.Groups, now)
+	fleet.Traffic = lead.progress.hasReports()
 	s.markDepartures(fleet.Hosts)
 	return fleet
 }
--- a/internal/group/policy.go
+++ b/internal/group/policy.go
@@ -75,8 +75,12 @@
 	// ConvertAfter is how long a free host waits for a replica of the model that it
 	// holds before it loads another one.
 	ConvertAfter time.Duration
-	// MaxHostLoads is the number of hosts of a service that load weights at once.
+	// MaxHostLoads is the number of hosts of a service that load weights at once, if
+	// its serving groups don't say.
 	MaxHostLoads int
+	// SettleTime is how long a fabric domain must have gained no free host before a
+	// replica that needs loads is formed there: hosts announce themselves one by one.
+	SettleTime time.Duration
 	// StragglerFactor times the usual load time of a serving group is how long
 	// a member may load; 0 leaves only LoadTimeout.
 	StragglerFactor float64
@@ -109,6 +113,7 @@
 		LostHostMemory:   time.Minute,
 		ConvertAfter:     5 * time.Second,
 		MaxHostLoads:     8,
+		SettleTime:       1300 * time.Millisecond,
 		StragglerFactor:  4,
 	}
 }
--- a/internal/group/shared.go
+++ b/internal/group/shared.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -142,12 +143,30 @@
 		byService[sg.Service] = append(byService[sg.Service], sg)
 	}
 	for _, name := range names {
-		l := &layout{planner: pl, sgs: byService[name], limit: pl.policy.MaxHostLoads}
+		l := &layout{planner: pl, sgs: byService[name]}
+		l.limit = l.loadLimit()
 		l.loading = l.countLoading()
 		l.plan()
 	}
 }
 
+// loadLimit is the number of hosts that may load at once. A third more than run at
+// full speed keeps the weight store busy while replicas of several hosts wait for
+// their slowest one.
+func (l *layout) loadLimit() int {
+	if !l.view.Traffic {
+		return math.MaxInt
+	}
+	limit := 0
+	for _, sg := range l.sgs {
+		limit = max(limit, sg.LoadsAtOnce*4/3)
+	}
+	if limit == 0 {
+		return l.policy.MaxHostLoads
+	}
+	return limit
+}
+
 // countLoading counts the hosts that load weights for a replica or as a spare.
 func (l *layout) countLoading() int {
 	n := 0
@@ -188,6 +207,8 @@
 	wasted int
 	// spread is the number of replicas of the serving group in the failure domain.
 	spread int
+	// blocked is set while the weight store is busy with other loads.
+	blocked bool
 }
 
 // plan forms replicas as long as hosts allow, first those that need no load, then
@@ -198,6 +219,10 @@
 		if !ok {
 			break
 		}
+		if best.blocked {
+			// A smaller replica that goes ahead would keep this one waiting for good.
+			return
+		}
 		l.form(best)
 	}
 	l.stageSpares()
@@ -257,13 +282,24 @@
 		}
 		c.loads++
 	}
-	if c.loads > 0 && l.loading > 0 && l.loading+c.loads > l.limit {
+	if c.loads > 0 && !l.settled(f) {
 		return candidate{}, false
 	}
+	c.blocked = c.loads > 0 && l.loading > 0 && l.loading+c.loads > l.limit
 	c.wasted = l.unused(len(f.free)-size) - l.unused(len(f.free))
 	return c, true
 }
 
+// settled reports whether the fabric domain has gained no free host lately.
+func (l *layout) settled(f *fabric) bool {
+	for _, id := range f.free {
+		if l.now.Sub(l.mem.hosts[id].freeSince) < l.policy.SettleTime {
+			return false
+		}
+	}
+	return true
+}
+
 // suits orders the hosts for a model: those with its weights, those without any,
 // then those with the weights of another one.
 func (l *layout) suits(id api.HostID, model string) int {
@@ -331,7 +367,7 @@
 		}
 		for _, id := range f.free {
 			h := l.mem.hosts[id]
-			if h.status.Announcement.Staged != "" || l.loading >= l.policy.MaxHostLoads {
+			if h.status.Announcement.Staged != "" || l.loading >= l.limit {
 				continue
 			}
 			if h.order.kind == api.OrderStage && l.now.Sub(h.order.sent) < stageMemory {
