--- a/internal/group/index.go
+++ b/internal/group/index.go
@@ -37,6 +37,11 @@
 	memberDead
 )
 
+// String names the state for the log.
+func (s memberState) String() string {
+	return [...]string{"unknown", "ready", "loading", "behind", "dead"}[s]
+}
+
 // replica is one group of the view with the state of its members.
 type replica struct {
 	*api.Group
@@ -187,6 +192,9 @@
 // isSilent reports whether a member of a group counts as lost. One of a replica
 // on which requests stand still is given less time.
 func (x *index) isSilent(g *api.Group, h *host) bool {
+	if x.drained[g.Domain] && g.Service != "" {
+		return time.Duration(h.status.AgeMillis)*time.Millisecond > x.policy.IdleSilence
+	}
 	if !isAlive(h.status, x.policy) {
 		return true
 	}
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -32,6 +33,8 @@
 type Change struct {
 	api.GroupChange
 	Reason Reason
+	// Detail lists what decided the change, for the log.
+	Detail string
 	// Bytes is the size of the weights that the change makes hosts load.
 	Bytes int64
 }
@@ -108,9 +111,27 @@
 		return
 	}
 	pl.change(api.GroupChange{Kind: api.GroupRelease, Fencing: r.Fencing, Group: *r.Group}, reason)
+	pl.plan.Changes[len(pl.plan.Changes)-1].Detail = pl.describe(r)
 	pl.touched[r.ID] = true
 }
 
+// describe lists the members of a replica with their states, the age of their
+// announcements and what entries see of the replica.
+func (pl *planner) describe(r *replica) string {
+	var b strings.Builder
+	for rank, h := range r.mem.members {
+		age := int64(-1)
+		if h.status != nil {
+			age = h.status.AgeMillis
+		}
+		fmt.Fprintf(&b, "%s=%s/%dms ", r.Members[rank], r.states[rank], age)
+	}
+	if p := pl.progress[r.ID]; p != nil {
+		fmt.Fprintf(&b, "answered=%dms stalled=%t", p.AnsweredMillis, p.Stalled)
+	}
+	return b.String()
+}
+
 // freeHosts ends the assignments whose release is proven.
 func (pl *planner) freeHosts() {
 	for i := range pl.view.Assignments {
--- a/internal/group/policy.go
+++ b/internal/group/policy.go
@@ -69,6 +69,10 @@
 	// AnswerBound is the age of an answer up to which it proves that every member
 	// of its replica works.
 	AnswerBound time.Duration
+	// IdleSilence replaces DetectionBound for members of shared replicas in a drained
+	// failure domain: they get no requests that could show that they work, and nobody
+	// misses them meanwhile.
+	IdleSilence time.Duration
 	// LostHostMemory is how long the membership of a lost host is remembered after
 	// the release of its shared replica.
 	LostHostMemory time.Duration
@@ -109,9 +113,10 @@
 		MaxDomainLoads:   24,
 		LoadTimeout:      20 * time.Minute,
 		StallBound:       5 * time.Second,
-		AnswerBound:      time.Second,
+		AnswerBound:      2500 * time.Millisecond,
 		LostHostMemory:   time.Minute,
-		ConvertAfter:     5 * time.Second,
+		ConvertAfter:     20 * time.Second,
+		IdleSilence:      8 * time.Second,
 		MaxHostLoads:     8,
 		SettleTime:       1300 * time.Millisecond,
 		StragglerFactor:  4,
--- a/internal/group/reconcile.go
+++ b/internal/group/reconcile.go
@@ -132,7 +132,7 @@
 		return errs.Wrap(err, "change group", "")
 	}
 	level.Info(r.logger).Log("msg", "Group changed.", "kind", c.Kind, "group", c.Group.ID,
-		"host", c.Host, "phase", c.Group.Phase, "reason", c.Reason)
+		"host", c.Host, "fencing", c.Fencing, "phase", c.Group.Phase, "reason", c.Reason, "detail", c.Detail)
 	return nil
 }
 
--- a/internal/group/shared.go
+++ b/internal/group/shared.go
@@ -150,16 +150,15 @@
 	}
 }
 
-// loadLimit is the number of hosts that may load at once. A third more than run at
-// full speed keeps the weight store busy while replicas of several hosts wait for
-// their slowest one.
+// loadLimit is the number of hosts that may load at once: as many as run at full
+// speed.
 func (l *layout) loadLimit() int {
 	if !l.view.Traffic {
 		return math.MaxInt
 	}
 	limit := 0
 	for _, sg := range l.sgs {
-		limit = max(limit, sg.LoadsAtOnce*4/3)
+		limit = max(limit, sg.LoadsAtOnce)
 	}
 	if limit == 0 {
 		return l.policy.MaxHostLoads
@@ -357,36 +356,59 @@
 }
 
 // stageSpares loads weights onto free hosts that have none, so that they can
-// replace a lost member within seconds. The model is the one of which the fabric
-// domain holds most hosts.
+// replace a lost member within seconds.
 func (l *layout) stageSpares() {
 	for _, f := range l.fabrics {
-		sg := l.mostHosts(f)
-		if sg == nil {
-			continue
-		}
+		spares := l.spares(f)
 		for _, id := range f.free {
 			h := l.mem.hosts[id]
-			if h.status.Announcement.Staged != "" || l.loading >= l.limit {
-				continue
-			}
-			if h.order.kind == api.OrderStage && l.now.Sub(h.order.sent) < stageMemory {
+			sg := l.leastCovered(f, spares)
+			if sg == nil || h.status.Announcement.Staged != "" || l.loading >= l.limit || isStaging(h, l.now) {
 				continue
 			}
 			l.loading++
+			spares[sg.Model]++
 			l.order(h, api.Order{Kind: api.OrderStage, Model: sg.Model, Incarnation: h.incarnation})
 		}
 	}
 }
 
-// mostHosts returns the serving group with most hosts in a fabric domain, nil if
-// none has a replica there.
-func (l *layout) mostHosts(f *fabric) *servingGroup {
+// isStaging reports whether a host loads weights as a spare.
+func isStaging(h *host, now time.Time) bool {
+	return h.order.kind == api.OrderStage && now.Sub(h.order.sent) < stageMemory
+}
+
+// spares counts the free hosts of a fabric domain by the model that they hold or
+// load.
+func (l *layout) spares(f *fabric) map[string]int {
+	out := make(map[string]int)
+	for _, id := range f.free {
+		h := l.mem.hosts[id]
+		if isStaging(h, l.now) {
+			out[h.order.model]++
+			continue
+		}
+		for _, sg := range l.sgs {
+			if hasWeights(h, sg.Model) {
+				out[sg.Model]++
+			}
+		}
+	}
+	return out
+}
+
+// leastCovered returns the serving group with the fewest spares for the hosts of its
+// replicas in a fabric domain, nil if none has a replica there.
+func (l *layout) leastCovered(f *fabric, spares map[string]int) *servingGroup {
 	var best *servingGroup
-	most := 0
+	var least float64
 	for _, sg := range l.sgs {
-		if n := sg.byFabric[f.name] * sg.HostsPerReplica; sg.Service == f.service && n > most {
-			best, most = sg, n
+		hosts := sg.byFabric[f.name] * sg.HostsPerReplica
+		if sg.Service != f.service || hosts == 0 {
+			continue
+		}
+		if covered := float64(spares[sg.Model]) / float64(hosts); best == nil || covered < least {
+			best, least = sg, covered
 		}
 	}
 	return best
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -10,6 +10,7 @@
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/backend"
 	"github.com/crocusway/crocusway/internal/entry"
+	"github.com/crocusway/crocusway/internal/placement"
 )
 
 // Notifier sends messages to other daemons. It is implemented by peer.Node.
@@ -72,10 +73,8 @@
 
 // Patience with a silent server, in the order in which it ends.
 const (
-	// targetSilence is the time without a byte from a replica, on any request of
-	// this entry, after which it counts as standing still. A pass of a loaded replica
-	// takes about a tenth of a second.
-	targetSilence = 450 * time.Millisecond
+	// targetSilence is when a replica counts as standing still.
+	targetSilence = placement.StandStill
 	// firstEventFactor times the expected time is the least wait for the first event.
 	firstEventFactor = 3
 	// ownSilence is the time without a byte on one request, although others go on.
--- a/internal/placement/report.go
+++ b/internal/placement/report.go
@@ -50,6 +50,16 @@
 	}
 }
 
+// StandStill is the time without a byte from a replica, on any request of an entry,
+// after which it counts as standing still. A pass of a loaded replica takes about a
+// tenth of a second.
+const StandStill = 450 * time.Millisecond
+
+// standsStill reports whether requests wait on a replica and nothing arrives.
+func (s *state) standsStill(now time.Time) bool {
+	return s.stalled || s.own.running > 0 && now.Sub(s.waitingSince) > StandStill
+}
+
 // Progress appends what this entry sees of the replicas on which it has requests,
 // or had some within a second.
 func (p *Pool) Progress(out []api.GroupProgress) []api.GroupProgress {
@@ -65,7 +75,7 @@
 			continue
 		}
 		out = append(out, api.GroupProgress{
-			Group: api.GroupID(id), Fencing: api.Fencing(s.Generation), AnsweredMillis: age, Stalled: s.stalled,
+			Group: api.GroupID(id), Fencing: api.Fencing(s.Generation), AnsweredMillis: age, Stalled: s.standsStill(now),
 		})
 	}
 	return out
