The first layout is chosen for all fabric domains together

Change: while no host holds weights, the numbers of replicas of each fabric domain are searched so that the serving group furthest below its share is as little below as possible, with few mixed domains, spread over failure domains.

--- a/internal/group/shared.go
+++ b/internal/group/shared.go
@@ -213,6 +213,9 @@
 // plan forms replicas as long as hosts allow, first those that need no load, then
 // those with the fewest loads within the limit of the weight store.
 func (l *layout) plan() {
+	if !l.view.Traffic && l.formEmpty() {
+		return
+	}
 	for {
 		best, ok := l.best()
 		if !ok {
