Blank hosts are staged, and replicas formed of hosts that hold the weights

Change: with traffic, only hosts that hold the weights form a replica; blank hosts are staged for the serving group that they complete, the one furthest below its share first. A line a second tells which hosts are idle.

--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -50,6 +50,9 @@
 type Plan struct {
 	Changes []Change
 	Orders  []Directive
+	// Idle describes the hosts of shared serving groups that serve nobody, for the
+	// log; empty if there are none.
+	Idle string
 }
 
 // Decide evaluates a view. It is deterministic and changes none of its
--- a/internal/group/reconcile.go
+++ b/internal/group/reconcile.go
@@ -51,6 +51,9 @@
 	mem    *Memory
 	last   time.Time
 	orders dispatcher
+	// idle and idleAt are the last line about idle hosts.
+	idle   string
+	idleAt time.Time
 }
 
 // New returns a Reconciler with an empty memory.
@@ -97,9 +100,22 @@
 	r.mem.Observe(&fleet, &r.cfg.Policy, now)
 	plan := r.cfg.Planner(fleet, r.mem, r.cfg.Policy, now)
 	r.dispatch(ctx, plan.Orders, now)
+	r.logIdle(plan.Idle, now)
 	return r.apply(ctx, plan.Changes, store)
 }
 
+// idleLogInterval is the shortest time between two lines about idle hosts.
+const idleLogInterval = time.Second
+
+// logIdle tells which hosts serve nobody, when that has changed.
+func (r *Reconciler) logIdle(idle string, now time.Time) {
+	if idle == r.idle || now.Sub(r.idleAt) < idleLogInterval {
+		return
+	}
+	r.idle, r.idleAt = idle, now
+	level.Info(r.logger).Log("msg", "Idle hosts.", "hosts", idle)
+}
+
 // maxMemoryGap is the time between two evaluations above which the memory of
 // the first is of no use.
 const maxMemoryGap = 15 * time.Second
--- a/internal/group/shared.go
+++ b/internal/group/shared.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -142,6 +144,9 @@
 		}
 		byService[sg.Service] = append(byService[sg.Service], sg)
 	}
+	if len(names) > 0 {
+		pl.plan.Idle = pl.describeIdle()
+	}
 	for _, name := range names {
 		l := &layout{planner: pl, sgs: byService[name]}
 		l.limit = l.loadLimit()
@@ -166,6 +171,23 @@
 	return limit
 }
 
+// describeIdle lists, for each fabric domain, the free hosts by the model that they
+// hold, those whose release is not proven and those that are silent.
+func (pl *planner) describeIdle() string {
+	var b strings.Builder
+	for _, f := range pl.fabrics {
+		if f.service == "" || len(f.free)+f.pending+f.lost == 0 {
+			continue
+		}
+		held := make(map[string]int)
+		for _, id := range f.free {
+			held[pl.mem.hosts[id].status.Announcement.Staged]++
+		}
+		fmt.Fprintf(&b, "%s:free=%v,releasing=%d,silent=%d ", f.name, held, f.pending, f.lost)
+	}
+	return b.String()
+}
+
 // countLoading counts the hosts that load weights for a replica or as a spare.
 func (l *layout) countLoading() int {
 	n := 0
@@ -206,12 +228,10 @@
 	wasted int
 	// spread is the number of replicas of the serving group in the failure domain.
 	spread int
-	// blocked is set while the weight store is busy with other loads.
-	blocked bool
 }
 
-// plan forms replicas as long as hosts allow, first those that need no load, then
-// those with the fewest loads within the limit of the weight store.
+// plan forms replicas as long as hosts allow. With traffic, only hosts that hold the
+// weights are used; others are staged.
 func (l *layout) plan() {
 	if !l.view.Traffic && l.formEmpty() {
 		return
@@ -221,10 +241,6 @@
 		if !ok {
 			break
 		}
-		if best.blocked {
-			// A smaller replica that goes ahead would keep this one waiting for good.
-			return
-		}
 		l.form(best)
 	}
 	l.stageSpares()
@@ -278,16 +294,19 @@
 		if hasWeights(h, sg.Model) {
 			continue
 		}
+		if isStaging(h, l.now) {
+			return candidate{}, false
+		}
 		if h.status.Announcement.Staged != "" && l.now.Sub(h.freeSince) < l.policy.ConvertAfter {
 			// The host is of more use to a replica of the model that it has.
 			return candidate{}, false
 		}
 		c.loads++
 	}
-	if c.loads > 0 && !l.settled(f) {
+	if c.loads > 0 && (l.view.Traffic || !l.settled(f)) {
+		// The host is staged first: the others stay free meanwhile.
 		return candidate{}, false
 	}
-	c.blocked = c.loads > 0 && l.loading > 0 && l.loading+c.loads > l.limit
 	c.wasted = l.unused(len(f.free)-size) - l.unused(len(f.free))
 	return c, true
 }
@@ -303,13 +322,15 @@
 }
 
 // suits orders the hosts for a model: those with its weights, those without any,
-// then those with the weights of another one.
+// those with the weights of another one, then those that load some.
 func (l *layout) suits(id api.HostID, model string) int {
-	a := &l.mem.hosts[id].status.Announcement
+	h := l.mem.hosts[id]
 	switch {
-	case a.HasStaged(model):
+	case hasWeights(h, model):
 		return 0
-	case a.Staged == "":
+	case isStaging(h, l.now):
+		return 3
+	case h.status.Announcement.Staged == "":
 		return 1
 	}
 	return 2
@@ -358,17 +379,22 @@
 	})
 }
 
-// stageSpares loads weights onto free hosts that have none, so that they can
-// replace a lost member within seconds.
+// stageSpares loads weights onto free hosts that are of no use as they are. While
+// they load, the other hosts of their fabric domain stay free for any replica.
 func (l *layout) stageSpares() {
 	for _, f := range l.fabrics {
+		if f.service != l.sgs[0].Service {
+			continue
+		}
 		spares := l.spares(f)
-		for _, id := range f.free {
-			h := l.mem.hosts[id]
-			sg := l.leastCovered(f, spares)
-			if sg == nil || h.status.Announcement.Staged != "" || l.loading >= l.limit || isStaging(h, l.now) {
-				continue
+		blank := l.blank(f)
+		for len(blank) > 0 {
+			sg := l.nextToStage(f, spares, len(blank))
+			if sg == nil || l.loading >= l.limit {
+				break
 			}
+			h := l.mem.hosts[blank[0]]
+			blank = blank[1:]
 			l.loading++
 			spares[sg.Model]++
 			l.order(h, api.Order{Kind: api.OrderStage, Model: sg.Model, Incarnation: h.incarnation})
@@ -376,6 +402,37 @@
 	}
 }
 
+// blank lists the free hosts of a fabric domain without weights, and those whose
+// weights have been of no use for long.
+func (l *layout) blank(f *fabric) []api.HostID {
+	var out []api.HostID
+	for _, id := range f.free {
+		h := l.mem.hosts[id]
+		useless := h.status.Announcement.Staged == "" || l.now.Sub(h.freeSince) >= l.policy.ConvertAfter
+		if useless && !isStaging(h, l.now) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// nextToStage returns the serving group whose weights a blank host gets: the one
+// furthest below its share of those that the blank hosts complete a replica of, else
+// the one with the fewest spares, nil if the fabric domain needs none.
+func (l *layout) nextToStage(f *fabric, spares map[string]int, blank int) *servingGroup {
+	var best *servingGroup
+	for _, sg := range l.sgs {
+		missing := sg.HostsPerReplica - spares[sg.Model]
+		if missing > 0 && missing <= blank && (best == nil || l.filled(sg) < l.filled(best)) {
+			best = sg
+		}
+	}
+	if best != nil {
+		return best
+	}
+	return l.leastCovered(f, spares)
+}
+
 // isStaging reports whether a host loads weights as a spare.
 func isStaging(h *host, now time.Time) bool {
 	return h.order.kind == api.OrderStage && now.Sub(h.order.sent) < stageMemory
