No work for callers that give up before the first event

Ruled out: the deadline (8 s), the work of resumed streams.

Change: a request is not placed where its first event would come after the caller's patience, and refused at once where no wait helps; waiting requests that can still be on time go first; Retry-After follows the queue and spreads.

--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -81,6 +81,13 @@
 	return defaultObjective
 }
 
+// patience is how long the caller of a stream waits for an event. Callers measure it
+// by the objectives of the route.
+func (c *call) patience() time.Duration {
+	gap := time.Duration(c.route.GapObjectiveMillis) * time.Millisecond
+	return max(minPatience, patiencePerObjective*c.objective(), patiencePerGap*gap) - patienceMargin
+}
+
 func (c *call) accountID() api.AccountID {
 	if c.account == nil {
 		return ""
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -85,6 +85,16 @@
 	busySuspicion = 150 * time.Millisecond
 )
 
+// Patience of the callers of streams, who give up without an event for the longest
+// of these.
+const (
+	minPatience          = 2 * time.Second
+	patiencePerObjective = 4
+	patiencePerGap       = 8
+	// patienceMargin is left for the way of an event, and for what estimates miss.
+	patienceMargin = 300 * time.Millisecond
+)
+
 // withTimeout is a context for calls in the background.
 func withTimeout(d time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), d)
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -76,6 +76,10 @@
 		c.demand.Prompt = c.head.PromptTokens
 		c.demand.Answer = c.head.answerTokens()
 	}
+	if c.isStream() {
+		c.demand.Objective = c.received.Add(c.objective())
+		c.demand.FirstBy = c.received.Add(c.patience())
+	}
 	s.budget(c.service.Name).count()
 	return nil
 }
--- a/internal/placement/filters.go
+++ b/internal/placement/filters.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/crocusway/crocusway/internal/api"
 )
 
 // query is one choice in progress.
@@ -11,8 +13,7 @@
 	now     time.Time
 	entries int
 	domain  string
-	// spare lets a choice pass over targets that are only suspected.
-	desperate bool
+	profile *api.EngineProfile
 }
 
 // filter tells whether a target may take a request, and names what spoke against
@@ -27,12 +28,13 @@
 	{"excluded", notExcluded},
 	{"suspected", notSuspected},
 	{"busy", hasSlot},
+	{"slow", isInTime},
 	{"cold", isWarmEnough},
 }
 
 func notExcluded(s *state, q *query) bool { return !slices.Contains(q.demand.Exclude, s.ID) }
 
-func notSuspected(s *state, q *query) bool { return q.desperate || !s.suspected(q.now) }
+func notSuspected(s *state, q *query) bool { return !s.suspected(q.now) }
 
 // hasSlot keeps requests out of the queue of the target itself, where they could
 // not be taken back.
@@ -43,4 +45,14 @@
 	return s.total(q.now).running < s.Slots
 }
 
+// isInTime keeps a request from a target that would send its first event only after
+// the caller has given up: the work would be in vain.
+func isInTime(s *state, q *query) bool {
+	if q.profile == nil || q.demand.FirstBy.IsZero() {
+		return true
+	}
+	expected := firstEvent(q.profile, s.paceOf(), s.total(q.now), q.demand.Prompt)
+	return !q.now.Add(expected).After(q.demand.FirstBy)
+}
+
 func isWarmEnough(s *state, q *query) bool { return s.coldAllows(q.now, q.entries) }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -98,7 +98,9 @@
 	case <-ctx.Done():
 		placement, err = p.leave(w), errs.New(errs.Timeout, "wait for a place", "", "the request ended: %w", ctx.Err())
 	case <-limit.C:
-		placement, err = p.leave(w), p.full("no place became free in time")
+		if placement = p.leave(w); placement == nil {
+			err = p.late()
+		}
 	}
 	if placement == nil {
 		return nil, err
@@ -111,6 +113,13 @@
 	return placement, nil
 }
 
+// late is the error of a request that waited in vain.
+func (p *Pool) late() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.full("no place became free in time")
+}
+
 // enter places the request at once, or puts it into the queue.
 func (p *Pool) enter(d *Demand) (*waiter, *Placement, error) {
 	p.mu.Lock()
@@ -124,9 +133,7 @@
 		return nil, nil, p.unavailable("no target can take the request")
 	}
 	if wait := p.expectedWait(); p.now().Add(wait).After(p.lastMoment(d)) {
-		err := p.full("the queue is too long for the time that is left")
-		err.RetryAfterMillis = max(err.RetryAfterMillis, wait.Milliseconds()/2)
-		return nil, nil, err
+		return nil, nil, p.full("the queue is too long for the time that is left")
 	}
 	w := &waiter{demand: d, since: p.now(), placed: make(chan *Placement, 1)}
 	at, _ := slices.BinarySearchFunc(p.waiting, w, compareWaiters)
@@ -178,15 +185,20 @@
 const minServing = 20 * time.Millisecond
 
 // lastMoment is when a place is of no more use: the time of the run itself is left
-// until the deadline, at most half of what the request has.
+// until the deadline, at most half of what the request has, and that until its first
+// event before the caller gives up.
 func (p *Pool) lastMoment(d *Demand) time.Time {
-	run := minServing
-	if p.profile != nil {
-		idle := load{running: 1, context: d.tokens()}
-		run = firstEvent(p.profile, 1, idle, d.Prompt) + writing(p.profile, 1, idle, d.Answer)
+	if p.profile == nil {
+		return d.Deadline.Add(-minServing)
+	}
+	idle := load{running: 1, context: d.tokens()}
+	first := firstEvent(p.profile, 1, idle, d.Prompt)
+	run := first + writing(p.profile, 1, idle, d.Answer)
+	last := d.Deadline.Add(-min(run, d.Deadline.Sub(p.now())/2))
+	if giveUp := d.FirstBy.Add(-first); !d.FirstBy.IsZero() && giveUp.Before(last) {
+		return giveUp
 	}
-	left := d.Deadline.Sub(p.now())
-	return d.Deadline.Add(-min(run, left/2))
+	return last
 }
 
 // expectedWait estimates the wait at the end of the queue from the rate at which
@@ -206,7 +218,7 @@
 
 // place chooses a target and takes a place on it, or returns nil. The lock is held.
 func (p *Pool) place(d *Demand) *Placement {
-	q := &query{demand: d, now: p.now(), entries: p.entries, domain: string(p.domain)}
+	q := p.query(d)
 	best, expected := p.choose(q)
 	if best == nil {
 		return nil
@@ -224,6 +236,10 @@
 	}
 }
 
+func (p *Pool) query(d *Demand) *query {
+	return &query{demand: d, now: p.now(), entries: p.entries, domain: string(p.domain), profile: p.profile}
+}
+
 // choose returns the target with the lowest score among those that every filter
 // admits, and its expected time to the first event.
 func (p *Pool) choose(q *query) (*state, time.Duration) {
@@ -287,10 +303,23 @@
 	return score + rand.N(jitter), expected
 }
 
-// pump places waiting requests as far as possible. The lock is held.
+// pump places waiting requests as far as possible, those first that can still be on
+// time: an older one is late anyway, and each that it delays would be late too. The
+// lock is held.
 func (p *Pool) pump() {
+	now := p.now()
+	onTime := func(w *waiter) bool { return w.demand.Begun || now.Before(w.demand.Objective) }
+	p.pumpThose(onTime)
+	p.pumpThose(func(w *waiter) bool { return !onTime(w) })
+}
+
+func (p *Pool) pumpThose(wanted func(*waiter) bool) {
 	kept := p.waiting[:0]
 	for _, w := range p.waiting {
+		if !wanted(w) {
+			kept = append(kept, w)
+			continue
+		}
 		if placement := p.place(w.demand); placement != nil {
 			w.placed <- placement
 			continue
@@ -383,7 +412,7 @@
 func (p *Pool) HasOther(d *Demand) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	q := &query{demand: d, now: p.now(), entries: p.entries, domain: string(p.domain)}
+	q := p.query(d)
 	for _, s := range p.targets {
 		if admitted(s, q) {
 			return true
@@ -402,17 +431,29 @@
 	return s
 }
 
-// retryHint is when a caller may try again if nothing better is known.
-const retryHint = 250 * time.Millisecond
+const (
+	// minRetryHint and maxRetryHint bound what refused callers are told to wait.
+	minRetryHint = 250 * time.Millisecond
+	maxRetryHint = 2 * time.Second
+)
+
+// hint is when a refused caller may try again: once the queue of now is served, and
+// not all callers at once.
+func (p *Pool) hint() int64 {
+	wait := min(max(p.expectedWait(), minRetryHint), maxRetryHint)
+	return (wait + rand.N(wait)).Milliseconds()
+}
 
+// full and unavailable are the errors of a request that gets no place. The lock is
+// held.
 func (p *Pool) full(reason string) *errs.Error {
 	err := errs.New(errs.Full, "place request", p.name, "%s", reason)
-	err.RetryAfterMillis = retryHint.Milliseconds()
+	err.RetryAfterMillis = p.hint()
 	return err
 }
 
 func (p *Pool) unavailable(reason string) *errs.Error {
 	err := errs.New(errs.Unavailable, "place request", p.name, "%s", reason)
-	err.RetryAfterMillis = 2 * retryHint.Milliseconds()
+	err.RetryAfterMillis = 2 * p.hint()
 	return err
 }
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -33,8 +33,12 @@
 	Answer int
 	// Urgency orders the waiting requests; 0 goes first.
 	Urgency int
-	// Deadline is when the answer is of no more use.
-	Deadline time.Time
+	// Deadline is when the answer is of no more use. FirstBy is when the caller gives
+	// up without a first event, Objective until when that is on time; both are zero
+	// for requests that are no streams.
+	Deadline  time.Time
+	FirstBy   time.Time
+	Objective time.Time
 	// Exclude lists targets that already failed the request.
 	Exclude []string
 	// Begun is set for a request that other targets have worked on.
