--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -194,6 +194,7 @@
 		"msg", "Request ended", "request", c.head.ID, "outcome", c.outcome, "status", c.status, "reason", c.reason,
 		"route", route, "service", service, "model", c.head.Model, "account", c.accountID(),
 		"publication", version, "revision", c.revision, "attempts", c.attempts, "ran", c.ran, "targets", joined(c.targetsTried),
+		"prompt", c.head.PromptTokens, "max_tokens", c.head.MaxTokens, "hint", c.head.LengthHint,
 		"queued_ms", c.queued.Milliseconds(), "first_ms", c.firstByte.Milliseconds(), "total_ms", now.Sub(c.received).Milliseconds(),
 		"events", c.events, "resumed", c.resumed,
 	}
