A stream on a dissolved replica goes on at once

Change: the patience counts from the last event; a dissolved replica is left at once; replicas that drain stay known as closed; the expected answer is the caller's estimate or the engine's usual one in place of the most allowed.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -168,7 +168,8 @@
 	if c.events == 0 && c.lastEvent == "" {
 		least = max(least, firstEventFactor*c.place.Expected)
 	}
-	if silent < least || c.pool.Silence(c.place) < targetSilence && silent < max(ownSilence, least) {
+	target, gone := c.pool.Silence(c.place)
+	if !gone && (silent < least || target < targetSilence && silent < max(ownSilence, least)) {
 		return false
 	}
 	demand := c.demand
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -81,6 +81,14 @@
 	return defaultObjective
 }
 
+// expectNext moves the moments of the next event: should the stream go on at another
+// server, the caller counts from the last event.
+func (c *call) expectNext() {
+	now := time.Now()
+	c.demand.Objective = now.Add(time.Duration(c.route.GapObjectiveMillis) * time.Millisecond)
+	c.demand.FirstBy = now.Add(c.patience())
+}
+
 // patience is how long the caller of a stream waits for an event. Callers measure it
 // by the objectives of the route.
 func (c *call) patience() time.Duration {
@@ -95,6 +103,19 @@
 	return c.account.ID
 }
 
+// answerTokens is the expected length of the answer: the caller's estimate, else the
+// usual one of the engine. The most that a caller allows says little.
+func (c *call) answerTokens() int {
+	expected := c.head.LengthHint
+	if expected == 0 {
+		expected = c.service.Engine.UsualAnswer
+	}
+	if c.head.MaxTokens > 0 && (expected == 0 || expected > c.head.MaxTokens) {
+		expected = c.head.MaxTokens
+	}
+	return expected
+}
+
 // urgency is the account's, or the route's.
 func (c *call) urgency() int {
 	if c.account != nil && c.account.Urgency != nil {
--- a/internal/ingress/dialect.go
+++ b/internal/ingress/dialect.go
@@ -44,14 +44,6 @@
 	LastEvent string
 }
 
-// answerTokens is the expected length of the answer.
-func (h *Head) answerTokens() int {
-	if h.LengthHint > 0 && (h.MaxTokens == 0 || h.LengthHint < h.MaxTokens) {
-		return h.LengthHint
-	}
-	return h.MaxTokens
-}
-
 // Outgoing is what the entry says in the head of a request to a backend server.
 type Outgoing struct {
 	// Deadline is the time that is left.
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -74,7 +74,7 @@
 	c.demand = placement.Demand{Urgency: c.urgency(), Deadline: c.deadline}
 	if c.service.Engine != nil {
 		c.demand.Prompt = c.head.PromptTokens
-		c.demand.Answer = c.head.answerTokens()
+		c.demand.Answer = c.answerTokens()
 	}
 	if c.isStream() {
 		c.demand.Objective = c.received.Add(c.objective())
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -132,6 +132,7 @@
 		c.pool.FirstEvent(c.place)
 	}
 	c.events, c.lastEvent = r.events.count, r.events.last
+	c.expectNext()
 	c.pool.Answered(c.place)
 	return nil
 }
--- a/internal/ingress/targets.go
+++ b/internal/ingress/targets.go
@@ -152,11 +152,13 @@
 	for i := range snapshot.Groups {
 		g := &snapshot.Groups[i]
 		service := s.board.table.Service(g.Service)
-		if service == nil || service.Engine == nil || !s.servesGroup(g, departed) {
+		if service == nil || service.Engine == nil || g.Phase != api.GroupReady || !g.Open || len(g.Members) == 0 {
 			continue
 		}
 		name := string(g.ServingGroup)
-		out[name] = append(out[name], s.groupTarget(service, g))
+		target := s.groupTarget(service, g)
+		target.Closed = s.isClosed(g, departed)
+		out[name] = append(out[name], target)
 	}
 	for i := range snapshot.Servers {
 		server := &snapshot.Servers[i]
@@ -172,13 +174,14 @@
 	return out
 }
 
-// servesGroup reports whether a replica takes new requests.
-func (s *Server) servesGroup(g *api.Group, departed map[api.HostID]api.Incarnation) bool {
-	if g.Phase != api.GroupReady || !g.Open || g.Leaving || len(g.Members) == 0 || s.board.drained[g.Domain] {
-		return false
+// isClosed reports whether a replica finishes its requests and takes no new ones: a
+// member leaves, or its failure domain is out.
+func (s *Server) isClosed(g *api.Group, departed map[api.HostID]api.Incarnation) bool {
+	if g.Leaving || s.board.drained[g.Domain] {
+		return true
 	}
 	at, ok := departed[g.Members[0]]
-	return !ok || g.HeadIncarnation > at
+	return ok && g.HeadIncarnation <= at
 }
 
 func (s *Server) groupTarget(service *api.PublishedService, g *api.Group) placement.Target {
--- a/internal/placement/filters.go
+++ b/internal/placement/filters.go
@@ -25,6 +25,7 @@
 
 // filters are passed in this order.
 var filters = []filter{
+	{"closed", isOpen},
 	{"excluded", notExcluded},
 	{"suspected", notSuspected},
 	{"busy", hasSlot},
@@ -32,6 +33,8 @@
 	{"cold", isWarmEnough},
 }
 
+func isOpen(s *state, _ *query) bool { return !s.Closed }
+
 func notExcluded(s *state, q *query) bool { return !slices.Contains(q.demand.Exclude, s.ID) }
 
 func notSuspected(s *state, q *query) bool { return !s.suspected(q.now) }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -173,8 +173,8 @@
 
 // hasAlternative reports whether a target exists that has not failed the request.
 func (p *Pool) hasAlternative(d *Demand) bool {
-	for id := range p.targets {
-		if !slices.Contains(d.Exclude, id) {
+	for id, s := range p.targets {
+		if !s.Closed && !slices.Contains(d.Exclude, id) {
 			return true
 		}
 	}
@@ -396,15 +396,19 @@
 }
 
 // Silence returns for how long nothing has arrived from a target on which this
-// entry has requests.
-func (p *Pool) Silence(pl *Placement) time.Duration {
+// entry has requests, and whether the target is gone: control has dissolved it, so
+// that nothing more will arrive.
+func (p *Pool) Silence(pl *Placement) (silent time.Duration, gone bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.current(pl)
-	if s == nil || s.waitingSince.IsZero() {
-		return 0
+	if s == nil {
+		return 0, true
+	}
+	if s.waitingSince.IsZero() {
+		return 0, false
 	}
-	return p.now().Sub(s.waitingSince)
+	return p.now().Sub(s.waitingSince), false
 }
 
 // HasOther reports whether a target other than those listed could take a request
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -19,6 +19,8 @@
 	Domain   api.FailureDomain
 	// Slots is the number of requests that it runs at once, 0 unknown.
 	Slots int
+	// Closed targets finish their requests and take no new ones.
+	Closed bool
 	// Cold targets take no more than ColdRate requests a second over all entries.
 	Cold     bool
 	ColdRate float64
