--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -206,6 +206,9 @@
 	// AgeMillis is the time since the last announcement.
 	AgeMillis int64 `json:"age_millis"`
 	Alive     bool  `json:"alive"`
+	// AssumedMillis is the age of the leadership if the host has not announced itself
+	// to it; 0 otherwise.
+	AssumedMillis int64 `json:"assumed_millis,omitempty"`
 }
 
 // MemberRequest changes the voters, one at a time.
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -44,10 +44,12 @@
 	// since is when the first contact of the leadership is over: a host that has
 	// not announced itself yet counts as seen then.
 	since time.Time
+	// began is when the leadership began.
+	began time.Time
 }
 
-func newHostTable(limit int, bound time.Duration, since time.Time) *hostTable {
-	t := &hostTable{limit: max(1, limit/hostShards), bound: bound, since: since}
+func newHostTable(limit int, bound time.Duration, began, since time.Time) *hostTable {
+	t := &hostTable{limit: max(1, limit/hostShards), bound: bound, began: began, since: since}
 	for i := range t.shards {
 		t.shards[i].rows = make(map[api.HostID]*hostRow)
 	}
@@ -196,6 +198,7 @@
 // is left out: its address is not known, and it serves nothing.
 func (t *hostTable) withAssumed(f api.FleetView, now time.Time) []api.HostStatus {
 	rows := t.all()
+	heard := len(rows)
 	var groups map[api.GroupID]*api.Group
 	for _, a := range f.Assignments {
 		if _, ok := t.get(a.Host); ok || a.Releasing {
@@ -206,7 +209,16 @@
 		}
 		rows = append(rows, &hostRow{announcement: assumed(a, groups[a.Group]), seen: t.since})
 	}
-	return t.statuses(rows, now)
+	out := t.statuses(rows, now)
+	if len(rows) == heard {
+		return out
+	}
+	for i := range out {
+		if out[i].Announcement.Incarnation == 0 {
+			out[i].AssumedMillis = now.Sub(t.began).Milliseconds()
+		}
+	}
+	return out
 }
 
 func groupsByID(groups []api.Group) map[api.GroupID]*api.Group {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -91,7 +91,7 @@
 		term:     term,
 		pace:     leasePace{granted: stretch},
 		leases:   leases,
-		hosts:    newHostTable(s.cfg.Limits.MaxHosts, s.cfg.DetectionBound, now.Add(s.firstContact(stretch))),
+		hosts:    newHostTable(s.cfg.Limits.MaxHosts, s.cfg.DetectionBound, now, now.Add(s.firstContact(stretch))),
 		slots:    newSlotTable(),
 		measures: newMeasures(now),
 		service:  newServiceCounts(),
@@ -109,6 +109,9 @@
 // for a new leader only after their calls to the lost one have timed out, and a
 // host that is wrongly taken for lost costs a load of its replica.
 func (s *Service) firstContact(stretch int) time.Duration {
+	if s.cfg.FirstContact > 0 {
+		return s.cfg.FirstContact
+	}
 	return max(s.leaseLength(), s.vouchTime(stretch))
 }
 
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -74,6 +74,9 @@
 	// DetectionBound is the silence after which a backend server counts as
 	// gone.
 	DetectionBound time.Duration
+	// FirstContact is how long a new leader takes hosts that it has not heard of for
+	// alive; 0 stands for the time until every entry has renewed its lease or lost it.
+	FirstContact time.Duration
 	// WithoutShards leases no shards: entries admit requests by themselves.
 	WithoutShards bool
 	// Voters is the number of voters that the leader keeps by promoting learners
--- a/internal/control/slots_test.go
+++ b/internal/control/slots_test.go
@@ -72,7 +72,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			table := newHostTable(100, bound, start)
+			table := newHostTable(100, bound, start, start)
 			table.note(api.Announcement{Host: "h1", Incarnation: 1, Sequence: 1}, vouched("e2", 0))
 			table.touch(h, vouched("e1", 0))
 			alive := func(seconds int) bool {
@@ -94,7 +94,7 @@
 // that has restarted since its whole announcement.
 func TestHeartbeatOfOlderIncarnation(t *testing.T) {
 	start := time.Unix(100, 0)
-	table := newHostTable(100, time.Second, start)
+	table := newHostTable(100, time.Second, start, start)
 	table.note(api.Announcement{Host: "h1", Incarnation: 2, Sequence: 1}, seenAt(start))
 	known, _ := table.touch(slotHost{"h1", 1}, seenAt(start.Add(time.Second)))
 	require.False(t, known)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -49,6 +49,9 @@
 	DataDir   string
 	Bootstrap bool
 	Voters    int
+	// FirstContact is the time within which every backend server reaches a new control
+	// leader.
+	FirstContact time.Duration
 	// Policy is that of the planner.
 	Policy group.Policy
 	// Orders sends orders to backend servers.
@@ -198,6 +201,7 @@
 			Meter:          g.telemetry.Meter(),
 			LeaseDuration:  gatewayWorkLease,
 			DetectionBound: g.cfg.Policy.DetectionBound,
+			FirstContact:   g.cfg.FirstContact,
 			WithoutShards:  true,
 			Voters:         g.cfg.Voters,
 		},
--- a/internal/group/index.go
+++ b/internal/group/index.go
@@ -202,6 +202,9 @@
 	if p == nil || !p.Stalled || x.policy.StalledSilence == 0 {
 		return false
 	}
+	if h.status.AssumedMillis > 0 {
+		return time.Duration(h.status.AssumedMillis)*time.Millisecond > 2*x.policy.StalledSilence
+	}
 	return time.Duration(h.status.AgeMillis)*time.Millisecond > x.policy.StalledSilence
 }
 
--- a/internal/group/phases.go
+++ b/internal/group/phases.go
@@ -81,6 +81,10 @@
 		return
 	}
 	a := &h.status.Announcement
+	if a.Incarnation == 0 {
+		// A new leader assumes the host as its group was; nothing is heard from it yet.
+		return
+	}
 	g := *r.Group
 	g.Address, g.Warm = a.Address, a.Warm
 	g.BearableLoad, g.WarmLoad = a.BearableLoad, a.WarmLoad
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -172,6 +172,9 @@
 	if !gone && (silent < least || target < targetSilence && silent < max(ownSilence, least)) {
 		return false
 	}
+	if gone || target >= hopelessSilence {
+		return true
+	}
 	demand := c.demand
 	demand.Exclude = append(slices.Clone(demand.Exclude), c.place.Target.ID)
 	return c.pool.HasOther(&demand)
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -79,6 +79,9 @@
 	firstEventFactor = 3
 	// ownSilence is the time without a byte on one request, although others go on.
 	ownSilence = 1500 * time.Millisecond
+	// hopelessSilence is the silence of a replica after which a request leaves it even
+	// if it has to wait for a place elsewhere.
+	hopelessSilence = time.Second
 	// suspicion is how long nothing new is placed on a replica that stands still.
 	suspicion = 1200 * time.Millisecond
 	// busySuspicion is the same for a server that refused a request.
