Waiting requests go first only while their first event can still be on time

Change: a waiting request goes first until its objective less the time to its first event on an idle replica.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -323,4 +323,3 @@
 	}
 	return unavailable("no_server", "no server can take the request now", err)
 }
-
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -86,4 +86,3 @@
 
 // joined lists the targets of a call for the log.
 func joined(targets []string) string { return strings.Join(targets, ",") }
-
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -203,4 +203,3 @@
 	}
 	level.Info(s.logger).Log(fields...)
 }
-
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -1,7 +1,6 @@
 package pipeline
 
 import (
-	"github.com/crocusway/crocusway/internal/inflight"
 	"runtime/debug"
 	"sync/atomic"
 
@@ -12,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/inflight"
 	"github.com/crocusway/crocusway/internal/logging"
 )
 
--- /dev/null
+++ b/internal/placement/overload_test.go
@@ -0,0 +1,214 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// played is one request of a load play.
+type played struct {
+	demand    Demand
+	arrived   time.Time
+	waiter    *waiter
+	place     *Placement
+	left      int
+	prompt    int
+	first     time.Time
+	done      bool
+	abandoned bool
+}
+
+// play runs requests against stand-in replicas with the pass model of the engines: a
+// pass reads one piece of a prompt or writes a stride of tokens for each request.
+type play struct {
+	*fakeTime
+	pool    *Pool
+	rng     *rand.Rand
+	busy    map[string]time.Time
+	running map[string][]*played
+	waiting []*played
+	all     []*played
+	refused int
+	// inOrder hides the objectives, so that the queue is served in order.
+	inOrder bool
+}
+
+const (
+	playTick = 5 * time.Millisecond
+	// playPatience is how long a caller waits for the next event.
+	playPatience = 2400 * time.Millisecond
+)
+
+func newPlay(replicas int) *play {
+	ids := []string{"a", "b", "c", "d"}[:replicas]
+	pool, clock := enginePool(ids...)
+	return &play{
+		fakeTime: clock, pool: pool, rng: rand.New(rand.NewPCG(1, 2)),
+		busy: make(map[string]time.Time), running: make(map[string][]*played),
+	}
+}
+
+func (p *play) arrive() {
+	d := p.demand(500 + p.rng.IntN(2000))
+	d.Answer = 40 + p.rng.IntN(160)
+	if p.inOrder {
+		d.Objective = p.now.Add(time.Hour)
+	}
+	r := &played{demand: d, arrived: p.now, left: d.Answer, prompt: d.Prompt}
+	p.all = append(p.all, r)
+	w, placement, err := p.pool.enter(&r.demand)
+	switch {
+	case err != nil:
+		p.refused++
+		r.done = true
+	case placement != nil:
+		p.start(r, placement)
+	default:
+		r.waiter = w
+		p.waiting = append(p.waiting, r)
+	}
+}
+
+func (p *play) start(r *played, placement *Placement) {
+	r.place = placement
+	p.running[placement.Target.ID] = append(p.running[placement.Target.ID], r)
+}
+
+// step runs every replica whose pass has ended.
+func (p *play) step() {
+	p.pool.Pump()
+	p.waiting = slices.DeleteFunc(p.waiting, func(r *played) bool {
+		switch {
+		case isPlaced(r.waiter):
+			p.start(r, <-r.waiter.placed)
+		case !p.now.Before(p.pool.lastMoment(&r.demand)):
+			if placement := p.pool.leave(r.waiter); placement != nil {
+				p.pool.Release(placement)
+			}
+			p.refused++
+			r.done = true
+		default:
+			return false
+		}
+		return true
+	})
+	for id := range p.pool.targets {
+		if !p.now.Before(p.busy[id]) {
+			p.pass(id)
+		}
+	}
+}
+
+func (p *play) pass(id string) {
+	list := p.running[id]
+	took := time.Duration(0)
+	writers := load{}
+	reading := false
+	for _, r := range list {
+		switch {
+		case r.prompt > 0 && !reading:
+			piece := min(r.prompt, p.pool.profile.Chunk)
+			took += readingTime(p, piece)
+			r.prompt -= piece
+			reading = true
+		case r.prompt == 0:
+			writers.add(load{running: 1, context: r.demand.Prompt})
+		}
+	}
+	if writers.running > 0 {
+		took += time.Duration(p.pool.profile.Stride) * step(p.pool.profile, 1, writers)
+	}
+	end := p.now.Add(took)
+	p.busy[id] = end
+	kept := list[:0]
+	for _, r := range list {
+		if r.prompt == 0 && writers.running > 0 {
+			r.left -= p.pool.profile.Stride
+			if r.first.IsZero() {
+				r.first = end
+				p.pool.FirstEvent(r.place)
+			}
+			p.pool.Answered(r.place)
+		}
+		switch {
+		case r.left <= 0:
+			r.done = true
+		case r.first.IsZero() && end.Sub(r.arrived) > playPatience, end.After(r.demand.Deadline):
+			r.abandoned = true
+		default:
+			kept = append(kept, r)
+			continue
+		}
+		p.pool.Release(r.place)
+	}
+	p.running[id] = kept
+}
+
+func readingTime(p *play, tokens int) time.Duration { return reading(p.pool.profile, 1, tokens) }
+
+// run plays requests at a rate for a time and returns the shares of them that were
+// on time, served at all, and abandoned after work was spent on them.
+func (p *play) run(perSecond float64, d time.Duration) (onTime, served, wasted float64) {
+	next := p.now
+	for end := p.now.Add(d); p.now.Before(end); p.advance(playTick) {
+		for !p.now.Before(next) {
+			p.arrive()
+			next = next.Add(time.Duration(p.rng.ExpFloat64() / perSecond * float64(time.Second)))
+		}
+		p.step()
+	}
+	for _, r := range p.all {
+		switch {
+		case r.abandoned:
+			wasted++
+		case r.first.IsZero():
+		default:
+			served++
+			if r.first.Sub(r.arrived) <= 300*time.Millisecond {
+				onTime++
+			}
+		}
+	}
+	n := float64(len(p.all))
+	return onTime / n, served / n, wasted / n
+}
+
+// TestOverloadOrder is the broken variant of the queue's order: first come, first
+// served makes nearly every request late.
+func TestOverloadOrder(t *testing.T) {
+	p := newPlay(2)
+	p.inOrder = true
+	onTime, served, _ := p.run(20, 20*time.Second)
+	require.Less(t, onTime, 0.4*served, "the play finds the fault")
+}
+
+// TestOverloadKeepsServing plays twice what two replicas bear. The load is that of a
+// model whose replicas were lost faster than they came back.
+func TestOverloadKeepsServing(t *testing.T) {
+	onTime, served, wasted := newPlay(2).run(20, 20*time.Second)
+	t.Logf("on time %.2f, served %.2f, wasted %.2f", onTime, served, wasted)
+	require.Less(t, wasted, 0.02, "work for callers that give up")
+	require.Greater(t, served, 0.3, "the replicas go on serving what they bear")
+	require.Greater(t, onTime, 0.5*served, "those that can be on time go first")
+}
+
+// TestOverloadWithoutPatience is the broken variant: without the moment at which
+// callers give up, the replicas work for callers that are gone.
+func TestOverloadWithoutPatience(t *testing.T) {
+	old := filters
+	defer func() { filters = old }()
+	filters = slices.DeleteFunc(slices.Clone(old), func(f filter) bool { return f.name == "slow" || f.name == "busy" })
+	_, _, wasted := newPlay(2).run(36, 20*time.Second)
+	require.Greater(t, wasted, 0.1, "the play finds the fault")
+}
+
+// TestLightLoadIsOnTime plays a third of what two replicas bear.
+func TestLightLoadIsOnTime(t *testing.T) {
+	onTime, served, _ := newPlay(2).run(3, 20*time.Second)
+	require.Greater(t, served, 0.98)
+	require.Greater(t, onTime, 0.95)
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -54,7 +54,9 @@
 type waiter struct {
 	demand *Demand
 	since  time.Time
-	placed chan *Placement
+	// startBy is until when a place makes the first event on time.
+	startBy time.Time
+	placed  chan *Placement
 }
 
 // Update replaces the targets. Work in progress on targets that stay is kept; one
@@ -135,7 +137,7 @@
 	if wait := p.expectedWait(); p.now().Add(wait).After(p.lastMoment(d)) {
 		return nil, nil, p.full("the queue is too long for the time that is left")
 	}
-	w := &waiter{demand: d, since: p.now(), placed: make(chan *Placement, 1)}
+	w := &waiter{demand: d, since: p.now(), startBy: p.startBy(d), placed: make(chan *Placement, 1)}
 	at, _ := slices.BinarySearchFunc(p.waiting, w, compareWaiters)
 	p.waiting = slices.Insert(p.waiting, at, w)
 	return w, nil, nil
@@ -201,6 +203,14 @@
 	return last
 }
 
+// startBy is until when a request must get a place to be on time.
+func (p *Pool) startBy(d *Demand) time.Time {
+	if p.profile == nil || d.Objective.IsZero() {
+		return d.Objective
+	}
+	return d.Objective.Add(-firstEvent(p.profile, 1, load{running: 1, context: d.tokens()}, d.Prompt))
+}
+
 // expectedWait estimates the wait at the end of the queue from the rate at which
 // places become free. The lock is held.
 func (p *Pool) expectedWait() time.Duration {
@@ -308,7 +318,7 @@
 // lock is held.
 func (p *Pool) pump() {
 	now := p.now()
-	onTime := func(w *waiter) bool { return w.demand.Begun || now.Before(w.demand.Objective) }
+	onTime := func(w *waiter) bool { return w.demand.Begun || now.Before(w.startBy) }
 	p.pumpThose(onTime)
 	p.pumpThose(func(w *waiter) bool { return !onTime(w) })
 }
--- /dev/null
+++ b/internal/placement/pool_test.go
@@ -0,0 +1,261 @@
+package placement
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/errs"
+)
+
+// place takes a place without waiting.
+func place(t *testing.T, p *Pool, d Demand) *Placement {
+	t.Helper()
+	w, placement, err := p.enter(&d)
+	require.NoError(t, err)
+	require.Nil(t, w, "a place is free")
+	return placement
+}
+
+func TestFiltersKeepRequestsOff(t *testing.T) {
+	cases := []struct {
+		name    string
+		spoil   func(*Pool, *fakeTime, *Demand)
+		because string
+	}{
+		{"closed", func(p *Pool, _ *fakeTime, _ *Demand) { p.targets["a"].Closed = true }, "closed"},
+		{"excluded", func(_ *Pool, _ *fakeTime, d *Demand) { d.Exclude = []string{"a"} }, "excluded"},
+		{"suspected", func(p *Pool, c *fakeTime, _ *Demand) { p.targets["a"].suspectUntil = c.now.Add(time.Second) }, "suspected"},
+		{"suspected by another entry", func(p *Pool, _ *fakeTime, _ *Demand) {
+			p.Remote("e2", map[string]api.Load{"a": {Target: "a", SuspectMillis: 500}})
+		}, "suspected"},
+		{"full", func(p *Pool, _ *fakeTime, _ *Demand) { p.targets["a"].own.running = 4 }, "busy"},
+		{"full with the work of others", func(p *Pool, _ *fakeTime, _ *Demand) {
+			p.targets["a"].own.running = 1
+			p.Remote("e2", map[string]api.Load{"a": {Target: "a", Running: 3}})
+		}, "busy"},
+		{"first event too late", func(p *Pool, _ *fakeTime, _ *Demand) { p.targets["a"].own.prefill = 120_000 }, "slow"},
+		{"cold", func(p *Pool, c *fakeTime, _ *Demand) {
+			s := p.targets["a"]
+			s.Cold, s.ColdRate, s.placed = true, 2, []time.Time{c.now, c.now}
+		}, "cold"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p, clock := enginePool("a")
+			d := clock.demand(1000)
+			require.True(t, p.HasOther(&d))
+			c.spoil(p, clock, &d)
+			q := p.query(&d)
+			for _, f := range filters {
+				require.Equal(t, f.name != c.because, f.admit(p.targets["a"], q), f.name)
+			}
+			require.False(t, p.HasOther(&d))
+		})
+	}
+}
+
+func TestPlacesGoToTheReplicaThatAnswersSoonest(t *testing.T) {
+	p, clock := enginePool("a", "b", "c")
+	p.targets["a"].own.prefill = 20_000
+	p.targets["b"].own.running = 3
+	p.targets["b"].own.context = 6000
+	p.Remote("e2", map[string]api.Load{"b": {Target: "b", Prefill: 8000}})
+	require.Equal(t, "c", place(t, p, clock.demand(1000)).Target.ID)
+}
+
+func TestOwnFailureDomainFirst(t *testing.T) {
+	p, clock := enginePool("a", "b")
+	far := replica("a")
+	far.Domain = "z"
+	p.Update([]Target{far, replica("b")}, profile(), 1)
+	require.Equal(t, "b", place(t, p, clock.demand(100)).Target.ID)
+	p.targets["b"].own.prefill = 20_000
+	require.Equal(t, "a", place(t, p, clock.demand(100)).Target.ID, "a busy one costs more than the way")
+}
+
+func TestReleaseGivesBackWhatWasTaken(t *testing.T) {
+	p, clock := enginePool("a")
+	first := place(t, p, clock.demand(1000))
+	second := place(t, p, clock.demand(500))
+	require.Equal(t, 1500, p.targets["a"].own.prefill)
+	p.FirstEvent(first)
+	p.FirstEvent(first)
+	require.Equal(t, 500, p.targets["a"].own.prefill, "a prompt is read once")
+	p.Release(first)
+	p.Release(second)
+	require.Equal(t, load{}, p.targets["a"].own)
+}
+
+func TestGenerationsDontShareCounts(t *testing.T) {
+	p, clock := enginePool("a")
+	old := place(t, p, clock.demand(1000))
+	next := replica("a")
+	next.Generation = 2
+	p.Update([]Target{next}, profile(), 1)
+	require.Equal(t, load{}, p.targets["a"].own)
+	_, gone := p.Silence(old)
+	require.True(t, gone)
+	p.Release(old)
+	require.Equal(t, load{}, p.targets["a"].own, "the old place is not taken off the new generation")
+}
+
+func TestColdRateHoldsOverAllEntries(t *testing.T) {
+	const rate, entries = 28, 4
+	clock := newFakeTime()
+	var pools []*Pool
+	cold := replica("a")
+	cold.Slots, cold.Cold, cold.ColdRate = 1000, true, rate
+	for range entries {
+		p := NewPool("m", "a", clock.Now)
+		p.Update([]Target{cold}, profile(), entries)
+		pools = append(pools, p)
+	}
+	var placed []time.Time
+	for range 500 {
+		for _, p := range pools {
+			if d := clock.demand(1); p.HasOther(&d) {
+				place(t, p, d)
+				placed = append(placed, clock.now)
+			}
+		}
+		clock.advance(7 * time.Millisecond)
+	}
+	require.Greater(t, len(placed), rate, "some requests pass")
+	for i := range placed {
+		n := 0
+		for j := i; j < len(placed) && placed[j].Sub(placed[i]) < time.Second; j++ {
+			n++
+		}
+		require.LessOrEqual(t, n, rate, "requests in the second from %s", placed[i])
+	}
+}
+
+func TestRetryBudget(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewRetryBudget(0.2, 40, 10*time.Second)
+	taken := 0
+	for b.Take(now, 4) {
+		taken++
+	}
+	require.Equal(t, 8, taken, "four fifths of this entry's part of the allowance")
+	for range 100 {
+		b.Count(now)
+	}
+	for b.Take(now, 4) {
+		taken++
+	}
+	require.Equal(t, 24, taken, "and of a fifth of the requests")
+	now = now.Add(10 * time.Second)
+	require.True(t, b.Take(now, 4), "the window has moved on")
+}
+
+// waitInQueue starts n requests that wait for a place, in order.
+func waitInQueue(t *testing.T, p *Pool, demands ...Demand) []*waiter {
+	t.Helper()
+	out := make([]*waiter, 0, len(demands))
+	for i := range demands {
+		w, placement, err := p.enter(&demands[i])
+		require.NoError(t, err)
+		require.Nil(t, placement)
+		out = append(out, w)
+	}
+	return out
+}
+
+// isPlaced reports whether a waiter got a place.
+func isPlaced(w *waiter) bool { return len(w.placed) > 0 }
+
+func TestQueueOrder(t *testing.T) {
+	p, clock := enginePool("a")
+	var held []*Placement
+	for range 4 {
+		held = append(held, place(t, p, clock.demand(10)))
+	}
+	late := clock.demand(10)
+	late.Objective = clock.now.Add(-time.Millisecond)
+	later := clock.demand(10)
+	urgent := clock.demand(10)
+	later.Urgency, late.Urgency = 1, 1
+	begun := clock.demand(10)
+	begun.Begun, begun.Urgency = true, 1
+	w := waitInQueue(t, p, late, later, urgent, begun)
+	order := []*waiter{w[3], w[2], w[1], w[0]}
+	for i, next := range order {
+		p.Release(held[i])
+		require.True(t, isPlaced(next), "place %d", i)
+		for _, other := range order[i+1:] {
+			require.False(t, isPlaced(other), "place %d", i)
+		}
+	}
+}
+
+func TestRefusedAtOnceWhatCantBeServed(t *testing.T) {
+	p, clock := enginePool("a")
+	d := clock.demand(10)
+	d.Exclude = []string{"a"}
+	_, _, err := p.enter(&d)
+	require.Equal(t, errs.Unavailable, errs.CodeOf(err), "no target is left")
+	for range 4 {
+		place(t, p, clock.demand(10))
+	}
+	p.took = 2 * time.Second
+	refused := false
+	for range 20 {
+		d := clock.demand(10)
+		w, _, err := p.enter(&d)
+		if refused = w == nil; refused {
+			require.Equal(t, errs.Full, errs.CodeOf(err))
+			require.GreaterOrEqual(t, errs.RetryAfterOf(err), minRetryHint.Milliseconds())
+			require.LessOrEqual(t, errs.RetryAfterOf(err), 2*maxRetryHint.Milliseconds())
+			break
+		}
+	}
+	require.True(t, refused, "a queue that takes longer than the callers wait")
+}
+
+func TestAcquireEndsWithItsContext(t *testing.T) {
+	p, clock := enginePool("a")
+	for range 4 {
+		place(t, p, clock.demand(10))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	d := clock.demand(10)
+	d.Deadline, d.FirstBy = time.Now().Add(time.Hour), time.Time{}
+	_, err := p.Acquire(ctx, d)
+	require.Equal(t, errs.Timeout, errs.CodeOf(err))
+	require.Empty(t, p.waiting)
+}
+
+func TestSilenceAndProgress(t *testing.T) {
+	p, clock := enginePool("a")
+	pl := place(t, p, clock.demand(10))
+	clock.advance(300 * time.Millisecond)
+	require.False(t, p.Progress(nil)[0].Stalled)
+	clock.advance(200 * time.Millisecond)
+	progress := p.Progress(nil)
+	require.True(t, progress[0].Stalled, "half a second without a byte")
+	require.Equal(t, int64(-1), progress[0].AnsweredMillis)
+	p.Suspect(pl, time.Second, true)
+	d := clock.demand(10)
+	require.False(t, p.HasOther(&d))
+	p.Answered(pl)
+	require.True(t, p.HasOther(&d), "an answer ends the suspicion")
+	require.False(t, p.Progress(nil)[0].Stalled)
+	p.Release(pl)
+	clock.advance(2 * time.Second)
+	require.Empty(t, p.Progress(nil))
+}
+
+func TestReportsOfEntriesThatAreGoneRunOut(t *testing.T) {
+	p, clock := enginePool("a")
+	p.Remote("e2", map[string]api.Load{"a": {Target: "a", Running: 4}})
+	d := clock.demand(10)
+	require.False(t, p.HasOther(&d))
+	clock.advance(remoteLifetime)
+	require.True(t, p.HasOther(&d))
+}
