--- /dev/null
+++ b/internal/ingress/path_test.go
@@ -0,0 +1,270 @@
+package ingress
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+func echo(r *received) { r.ok(string(r.header.Method()) + " " + r.body) }
+
+func TestRequestsPassUnchanged(t *testing.T) {
+	r := newRig(t)
+	ledger := newStandIn(t, "l1", echo)
+	r.ledger(ledger)
+	res := r.send("POST", "/post/a%2Fb?x=1&y=%20", "deposit", "Deadline", "900")
+	body, whole := text(res)
+	require.True(t, whole)
+	require.Equal(t, "POST deposit", body)
+	require.Equal(t, 200, res.StatusCode)
+	require.Equal(t, "l1", res.Header.Get("Seal"))
+	seen := ledger.seen[0]
+	require.Equal(t, "/post/a%2Fb?x=1&y=%20", string(seen.header.RequestURI()))
+	require.Equal(t, "shop", string(seen.header.Peek("Account")))
+	require.Equal(t, "l1", string(seen.header.Peek("Instance")))
+	require.Empty(t, seen.header.Peek("Key"), "keys stay here")
+	var left int
+	_, err := fmt.Sscan(string(seen.header.Peek("Deadline")), &left)
+	require.NoError(t, err)
+	require.LessOrEqual(t, left, 900)
+	require.Greater(t, left, 100)
+}
+
+func TestRefusalsOfTheEntry(t *testing.T) {
+	cases := []struct {
+		name   string
+		setUp  func(*testing.T, *rig)
+		path   string
+		header []string
+		status int
+		code   string
+	}{
+		{"no publication", func(_ *testing.T, r *rig) { r.view.Publication = nil }, "/read/1", nil, 503, "no_publication"},
+		{"no route", nil, "/nowhere/1", nil, 404, "no_route"},
+		{"prefix without its slash", nil, "/read", nil, 404, "no_route"},
+		{"unknown key", nil, "/read/1", []string{"Key", "other"}, 401, "unknown_key"},
+		{"no key", nil, "/read/1", []string{"Key", ""}, 401, "unknown_key"},
+		{"no server", nil, "/read/1", nil, 503, "no_server"},
+		{"no replica of the model", nil, "/draft/1", []string{"Model", "other"}, 503, "no_model"},
+		{"failure domain out", func(t *testing.T, r *rig) {
+			r.ledger(newStandIn(t, "l1", echo))
+			r.view.Domains = []api.Domain{{Name: "cairo", State: api.DomainDrained}}
+		}, "/read/1", nil, 503, "no_server"},
+		{"server left", func(t *testing.T, r *rig) {
+			r.ledger(newStandIn(t, "l1", echo))
+			r.view.Departures = []api.Departure{{Host: "l1", Incarnation: 1}}
+		}, "/read/1", nil, 503, "no_server"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t)
+			if c.setUp != nil {
+				c.setUp(t, r)
+			}
+			r.apply()
+			res := r.send("GET", c.path, "", c.header...)
+			body, whole := text(res)
+			require.True(t, whole)
+			require.Equal(t, c.status, res.StatusCode, body)
+			require.Contains(t, body, c.code)
+			require.NotEmpty(t, res.Header.Get("Id"))
+			require.Equal(t, c.status == 503, res.Header.Get("Retry-After") != "", "when to come back")
+		})
+	}
+}
+
+func TestNewLifeOfADepartedServerServes(t *testing.T) {
+	r := newRig(t)
+	r.ledger(newStandIn(t, "l1", echo))
+	r.view.Departures = []api.Departure{{Host: "l1", Incarnation: 1}}
+	r.view.Servers[0].Incarnation = 2
+	r.apply()
+	require.Equal(t, 200, r.send("GET", "/read/1", "").StatusCode)
+}
+
+// TestOnceMeansOnce lets the first server fail after it has read a request.
+func TestOnceMeansOnce(t *testing.T) {
+	cases := []struct {
+		name string
+		fail func(*received)
+		// status is that of a request that may run once, repeated that of one that may
+		// run again.
+		status, repeated int
+	}{
+		{"closed without an answer", func(r *received) { _ = r.conn.Close() }, 502, 200},
+		{"cut answer", func(r *received) {
+			r.write("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: 9\r\n\r\nhalf", r.header.Peek("Id"))
+			_ = r.conn.Close()
+		}, 502, 200},
+		{"no protocol", func(r *received) { r.write("rubbish\r\n\r\n"); _ = r.conn.Close() }, 502, 200},
+		{"answer without a seal", func(r *received) { r.status(200, "") }, 502, 200},
+		{"its own failure", func(r *received) { r.status(500, "Seal: s\r\n") }, 500, 200},
+		{"refused", func(r *received) { r.status(503, "Refused: 1\r\n") }, 200, 200},
+		{"another server at the address", func(r *received) { r.status(421, "") }, 200, 200},
+	}
+	for _, c := range cases {
+		for _, path := range []string{"/post/1", "/read/1"} {
+			t.Run(c.name+path, func(t *testing.T) {
+				r := newRig(t)
+				bad, good := newStandIn(t, "a-bad", c.fail), newStandIn(t, "b-good", echo)
+				r.ledger(bad, good)
+				// The bad one is preferred: the good one has work.
+				pool := r.server.board.pool("ledger")
+				for range 3 {
+					busy := placeOn(t, pool, "b-good", 0)
+					defer pool.Release(busy)
+				}
+				res := r.send("POST", path, "x")
+				want := c.status
+				if path == "/read/1" {
+					want = c.repeated
+				}
+				require.Equal(t, want, res.StatusCode, r.logs.String())
+				require.Equal(t, int64(1), bad.arrived.Load())
+				if want == 502 {
+					require.Zero(t, good.arrived.Load(), "it may have run")
+				}
+			})
+		}
+	}
+}
+
+// TestFailureOfEveryServer passes on the answer of the last server, not one of the
+// entry.
+func TestFailureOfEveryServer(t *testing.T) {
+	r := newRig(t)
+	fail := func(r *received) { r.status(500, "Seal: "+r.name+"\r\n") }
+	r.ledger(newStandIn(t, "l1", fail), newStandIn(t, "l2", fail))
+	res := r.send("GET", "/read/1", "")
+	require.Equal(t, 500, res.StatusCode)
+	require.NotEmpty(t, res.Header.Get("Seal"))
+}
+
+func TestRefusedEverywhereIsRefused(t *testing.T) {
+	r := newRig(t)
+	refuse := func(r *received) { r.status(503, "Refused: 1\r\n") }
+	r.ledger(newStandIn(t, "l1", refuse), newStandIn(t, "l2", refuse))
+	res := r.send("POST", "/post/1", "x")
+	require.Equal(t, 503, res.StatusCode, "no server ran it")
+}
+
+// TestRouteTimeout answers in time although the server doesn't.
+func TestRouteTimeout(t *testing.T) {
+	r := newRig(t)
+	slow := newStandIn(t, "l1", hang)
+	r.ledger(slow)
+	began := time.Now()
+	res := r.send("GET", "/open/1", "", "Key", "")
+	require.Equal(t, 504, res.StatusCode)
+	require.Less(t, time.Since(began), 900*time.Millisecond, "the route allows 400 ms")
+	requireGone(t, slow)
+}
+
+// requireGone requires that the work of the only request at a server was stopped.
+func requireGone(t *testing.T, s *standIn) {
+	t.Helper()
+	require.Eventually(t, func() bool { return s.arrived.Load() == 1 }, waitFor, time.Millisecond)
+	s.mu.Lock()
+	seen := s.seen[0]
+	s.mu.Unlock()
+	select {
+	case <-seen.gone:
+	case <-time.After(waitFor):
+		t.Fatal("the server still works on the request")
+	}
+}
+
+// TestCallerThatLeavesStopsTheWork closes the caller's connection before the first
+// byte of the answer, and in the middle of a stream.
+func TestCallerThatLeavesStopsTheWork(t *testing.T) {
+	stream := func(r *received) {
+		r.beginStream()
+		r.events(2)
+		<-r.gone
+	}
+	for _, c := range []struct {
+		name, path string
+		answer     func(*received)
+		read       string
+	}{
+		{"before the answer", "/read/1", hang, ""},
+		{"before the first event", "/draft/1", hang, ""},
+		{"within a stream", "/draft/1", stream, "word 2"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t)
+			server := newStandIn(t, "s1", c.answer)
+			r.ledger(server)
+			r.scribe(server)
+			conn, err := net.Dial("tcp", r.ln.Addr().String())
+			require.NoError(t, err)
+			_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nId: r\r\nKey: %s\r\nModel: %s\r\n\r\n", c.path, testHost, testKey, testModel)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return server.arrived.Load() == 1 }, waitFor, time.Millisecond)
+			readUntil(t, conn, c.read)
+			left := time.Now()
+			require.NoError(t, conn.Close())
+			requireGone(t, server)
+			require.Less(t, time.Since(left), 500*time.Millisecond)
+			require.Eventually(t, func() bool { return r.server.Active() == 0 }, waitFor, time.Millisecond)
+			require.Contains(t, r.logs.String(), "outcome=left")
+		})
+	}
+}
+
+func readUntil(t *testing.T, conn net.Conn, wanted string) {
+	t.Helper()
+	var got strings.Builder
+	buffer := make([]byte, 4096)
+	for !strings.Contains(got.String(), wanted) {
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(waitFor)))
+		n, err := conn.Read(buffer)
+		require.NoError(t, err)
+		got.Write(buffer[:n])
+	}
+}
+
+// TestConnectionGoesOnAfterARequest sends several requests on one connection, which
+// the watch for the caller's close must leave intact.
+func TestConnectionGoesOnAfterARequest(t *testing.T) {
+	r := newRig(t)
+	r.ledger(newStandIn(t, "l1", echo))
+	r.scribe(newStandIn(t, "s1", func(r *received) { r.beginStream(); r.events(3); r.endStream() }))
+	transport := &http.Transport{MaxConnsPerHost: 1}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport, Timeout: waitFor}
+	for i := range 6 {
+		path := "/read/1"
+		if i%2 == 1 {
+			path = "/draft/1"
+		}
+		req, err := http.NewRequestWithContext(t.Context(), "GET", "http://"+r.ln.Addr().String()+path, nil)
+		require.NoError(t, err)
+		req.Host = testHost
+		req.Header.Set("Id", fmt.Sprint("k", i))
+		req.Header.Set("Key", testKey)
+		req.Header.Set("Model", testModel)
+		res, err := client.Do(req)
+		require.NoError(t, err)
+		_, whole := text(res)
+		require.True(t, whole)
+		require.Equal(t, 200, res.StatusCode)
+		require.NoError(t, res.Body.Close())
+	}
+}
+
+func TestLeavingEntryClosesConnections(t *testing.T) {
+	r := newRig(t)
+	r.ledger(newStandIn(t, "l1", echo))
+	r.state.SetLeaving()
+	res := r.send("GET", "/read/1", "")
+	require.Equal(t, 200, res.StatusCode, "what arrives is served")
+	require.True(t, res.Close)
+}
--- /dev/null
+++ b/internal/ingress/rig_test.go
@@ -0,0 +1,330 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/backend"
+	"github.com/crocusway/crocusway/internal/clock"
+	"github.com/crocusway/crocusway/internal/entry"
+	"github.com/crocusway/crocusway/internal/logging"
+	"github.com/crocusway/crocusway/internal/routing"
+	"github.com/crocusway/crocusway/internal/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m) }
+
+const waitFor = 10 * time.Second
+
+// testDialect names headers as the tests do.
+type testDialect struct{}
+
+func (testDialect) DecodeRequest(h *fasthttp.RequestHeader) Head {
+	ms, _ := strconv.Atoi(string(h.Peek("Deadline")))
+	prompt, _ := strconv.Atoi(string(h.Peek("Prompt")))
+	return Head{
+		ID: string(h.Peek("Id")), Key: string(h.Peek("Key")), Model: string(h.Peek("Model")),
+		Deadline: time.Duration(ms) * time.Millisecond, PromptTokens: prompt, LastEvent: string(h.Peek("Last-Event-Id")),
+	}
+}
+
+func (testDialect) AppendRequest(dst []byte, h *fasthttp.RequestHeader, out Outgoing) []byte {
+	last := string(h.Peek("Last-Event-Id"))
+	if out.LastEvent != "" {
+		last = out.LastEvent
+	}
+	dst = fmt.Appendf(dst, "Id: %s\r\nDeadline: %d\r\nInstance: %s\r\nAccount: %s\r\nLast-Event-Id: %s\r\n",
+		h.Peek("Id"), out.Deadline.Milliseconds(), out.Instance, out.Account, last)
+	if out.BodyBytes >= 0 {
+		dst = fmt.Appendf(dst, "Content-Length: %d\r\n", out.BodyBytes)
+	}
+	return dst
+}
+
+func (testDialect) DecodeAnswer(h *fasthttp.ResponseHeader) Answer {
+	return Answer{
+		RequestID: string(h.Peek("Id")), Refused: len(h.Peek("Refused")) > 0,
+		OtherInstance: h.StatusCode() == fasthttp.StatusMisdirectedRequest, Sealed: len(h.Peek("Seal")) > 0,
+	}
+}
+
+func (testDialect) CopyAnswer(to, from *fasthttp.ResponseHeader) {
+	to.SetBytesV("Seal", from.Peek("Seal"))
+	to.SetContentTypeBytes(from.ContentType())
+}
+
+func (testDialect) SetRefusal(h *fasthttp.ResponseHeader, id string) { h.Set("Id", id) }
+
+// standIn is a backend server whose answers a test writes byte for byte.
+type standIn struct {
+	name    string
+	ln      net.Listener
+	answer  func(r *received)
+	arrived atomic.Int64
+	mu      sync.Mutex
+	seen    []*received
+}
+
+// received is one request at a stand-in.
+type received struct {
+	*standIn
+	header fasthttp.RequestHeader
+	body   string
+	conn   net.Conn
+	// gone is closed once the entry has closed the connection.
+	gone chan struct{}
+}
+
+func (r *received) write(format string, args ...any) {
+	_, _ = fmt.Fprintf(r.conn, format, args...)
+}
+
+// ok answers with a sealed body.
+func (r *received) ok(body string) {
+	r.write("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: %s\r\nContent-Length: %d\r\n\r\n%s", r.header.Peek("Id"), r.name, len(body), body)
+}
+
+func (r *received) status(code int, extra string) {
+	r.write("HTTP/1.1 %d X\r\nId: %s\r\n%sContent-Length: 0\r\n\r\n", code, r.header.Peek("Id"), extra)
+}
+
+// beginStream sends the head of a stream.
+func (r *received) beginStream() {
+	r.write("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		r.header.Peek("Id"), r.name)
+}
+
+func (r *received) chunk(text string) { r.write("%x\r\n%s\r\n", len(text), text) }
+
+// events sends events from the one behind the last that the caller has to a number.
+func (r *received) events(to int) {
+	last, _ := strconv.Atoi(string(r.header.Peek("Last-Event-Id")))
+	for i := last + 1; i <= to; i++ {
+		r.chunk(event(i))
+	}
+}
+
+func (r *received) endStream() { r.write("0\r\n\r\n") }
+
+func event(i int) string { return fmt.Sprintf("id: %d\ndata: word %d\n\n", i, i) }
+
+func newStandIn(t *testing.T, name string, answer func(r *received)) *standIn {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &standIn{name: name, ln: ln, answer: answer}
+	var conns sync.WaitGroup
+	conns.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = c.Close() })
+			conns.Go(func() { s.serve(c) })
+		}
+	})
+	t.Cleanup(func() { _ = ln.Close() })
+	return s
+}
+
+func (s *standIn) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		var req fasthttp.Request
+		if err := req.Read(reader); err != nil {
+			return
+		}
+		r := &received{standIn: s, body: string(req.Body()), conn: c, gone: make(chan struct{})}
+		req.Header.CopyTo(&r.header)
+		s.mu.Lock()
+		s.seen = append(s.seen, r)
+		s.mu.Unlock()
+		s.arrived.Add(1)
+		finished := make(chan struct{})
+		go func() {
+			s.answer(r)
+			close(finished)
+		}()
+		// The entry sends nothing before it has the answer: bytes or an end tell the
+		// next request or a close.
+		_, err := reader.Peek(1)
+		if err != nil {
+			close(r.gone)
+		}
+		<-finished
+		if err != nil {
+			return
+		}
+	}
+}
+
+// hang answers nothing until the entry closes the connection.
+func hang(r *received) { <-r.gone }
+
+// rig is an entry with its backend servers.
+type rig struct {
+	t      *testing.T
+	server *Server
+	state  *entry.State
+	ln     net.Listener
+	view   api.View
+	logs   *lockedBuffer
+}
+
+// lockedBuffer collects the log.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// noControl stands for control; the request path needs no answer of it.
+type noControl struct{}
+
+func (noControl) Call(context.Context, api.Method, any, any) error { return nil }
+
+// noPeers drops load reports.
+type noPeers struct{}
+
+func (noPeers) Notify(string, api.Method, any) error { return nil }
+
+const (
+	testHost  = "api.example"
+	testModel = "m"
+	testKey   = "secret"
+)
+
+func publication() *api.Publication {
+	split := func(name string) []api.RouteShare { return []api.RouteShare{{Service: name, Weight: 1}} }
+	return &api.Publication{
+		Version: 1,
+		Routes: []api.Route{
+			{Name: "read", Host: testHost, PathPrefix: "/read/", Kind: api.CallIdempotent, TimeoutMillis: 2000, MaxAttempts: 2, Split: split("ledger")},
+			{Name: "post", Host: testHost, PathPrefix: "/post/", Kind: api.CallOnce, TimeoutMillis: 2000, MaxAttempts: 2, Split: split("ledger")},
+			{Name: "open", Host: testHost, PathPrefix: "/open/", Kind: api.CallIdempotent, TimeoutMillis: 400, MaxAttempts: 1, Public: true, Split: split("ledger")},
+			{
+				Name: "draft", Host: testHost, PathPrefix: "/draft/", Kind: api.CallStream, Resumable: true, TimeoutMillis: 5000,
+				ObjectiveMillis: 300, GapObjectiveMillis: 200, MaxAttempts: 2, Split: split("scribe"),
+			},
+			{
+				Name: "once", Host: testHost, PathPrefix: "/once/", Kind: api.CallStream, TimeoutMillis: 5000,
+				ObjectiveMillis: 300, GapObjectiveMillis: 200, MaxAttempts: 2, Split: split("scribe"),
+			},
+		},
+		Services: []api.PublishedService{
+			{Name: "ledger"},
+			{Name: "scribe", Engine: &api.EngineProfile{
+				Slots: 8, Stride: 7, StepMillis: 6, PrefillRate: 50_000, Chunk: 2048,
+				Models: []api.EngineModel{{Name: testModel, Hosts: 1, Share: 1}},
+			}},
+		},
+		Accounts: []api.PublishedAccount{{ID: "shop", KeyHashes: []string{routing.HashKey(testKey)}}},
+	}
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	info := api.EntryInfo{ID: "e1", Incarnation: 1, Domain: "cairo"}
+	forwarder := backend.NewForwarder(backend.Config{DialTimeout: time.Second})
+	t.Cleanup(forwarder.Close)
+	r := &rig{t: t, state: entry.NewState(info, clock.System{}), logs: &lockedBuffer{}}
+	r.server = New(Config{
+		Self: info, State: r.state, Control: noControl{}, Peers: noPeers{}, Backends: forwarder, Dialect: testDialect{},
+		Logger: logging.New(r.logs, "debug"),
+		Settings: Settings{
+			RetryRatio: 0.2, RetryAllowance: 100, RetryWindow: 10 * time.Second,
+			MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, IdleTimeout: time.Minute,
+		},
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r.ln = ln
+	front := r.server.HTTP()
+	go func() { _ = front.Serve(ln) }()
+	t.Cleanup(func() { _ = ln.Close() })
+	r.view = api.View{Revision: 1, Publication: publication()}
+	return r
+}
+
+// ledger adds servers of the plain service.
+func (r *rig) ledger(servers ...*standIn) {
+	for _, s := range servers {
+		r.view.Servers = append(r.view.Servers, api.ServiceServer{
+			Host: api.HostID(s.name), Service: "ledger", Domain: "cairo", Address: s.ln.Addr().String(), Incarnation: 1, Warm: true, Slots: 4,
+		})
+	}
+	r.apply()
+}
+
+// scribe adds replicas of the model.
+func (r *rig) scribe(servers ...*standIn) {
+	for _, s := range servers {
+		r.view.Groups = append(r.view.Groups, api.Group{
+			ID: api.GroupID("g-" + s.name), ServingGroup: api.EngineGroupName("scribe", testModel), Service: "scribe", Model: testModel,
+			Domain: "cairo", Members: []api.HostID{api.HostID(s.name)}, Fencing: 1, Phase: api.GroupReady, Open: true, Warm: true,
+			Address: s.ln.Addr().String(), HeadIncarnation: 1,
+		})
+	}
+	r.apply()
+}
+
+func (r *rig) apply() {
+	r.view.Revision++
+	r.state.Apply(r.view)
+	r.server.Apply(r.state.Snapshot())
+}
+
+// send makes one request on a connection of its own.
+func (r *rig) send(method, path, body string, header ...string) *http.Response {
+	r.t.Helper()
+	req, err := http.NewRequestWithContext(r.t.Context(), method, "http://"+r.ln.Addr().String()+path, strings.NewReader(body))
+	require.NoError(r.t, err)
+	req.Host = testHost
+	req.Header.Set("Id", fmt.Sprintf("r%d", requestNumber.Add(1)))
+	req.Header.Set("Key", testKey)
+	req.Header.Set("Model", testModel)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: waitFor}
+	res, err := client.Do(req)
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { _ = res.Body.Close() })
+	return res
+}
+
+var requestNumber atomic.Int64
+
+// text reads a body and reports whether it was whole.
+func text(res *http.Response) (string, bool) {
+	body, err := io.ReadAll(res.Body)
+	return string(body), err == nil
+}
