--- a/internal/consensus/server.go
+++ b/internal/consensus/server.go
@@ -50,6 +50,7 @@
 	compactions []chan<- error
 	encoders    sync.WaitGroup
 	lastRole    role
+	lastMembers string
 }
 
 // NewServer recovers the state from the Store and returns a server that Run
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -1,6 +1,8 @@
 package consensus
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -37,11 +39,28 @@
 		s.lastRole = s.core.role
 		level.Info(s.logger).Log("msg", "Role changed.", "role", s.lastRole, "term", s.core.term)
 	}
+	if text := p.membership.describe(); text != s.lastMembers {
+		s.lastMembers = text
+		level.Info(s.logger).Log("msg", "Members changed.", "members", text, "term", s.core.term)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.status = p
 }
 
+// describe lists the members with their parts, for the log.
+func (m Membership) describe() string {
+	var b strings.Builder
+	for _, member := range m.Members {
+		part := "voter"
+		if member.Learner {
+			part = "learner"
+		}
+		fmt.Fprintf(&b, "%s=%s ", member.ID, part)
+	}
+	return strings.TrimSpace(b.String())
+}
+
 func (s *Server) voters() []api.VoterStatus {
 	members := s.core.Membership().Members
 	out := make([]api.VoterStatus, 0, len(members))
