--- a/internal/group/shared_initial.go
+++ b/internal/group/shared_initial.go
@@ -102,10 +102,10 @@
 	from   *reached
 }
 
-// search chooses a combination for each fabric domain. As few domains as possible
-// hold replicas of several serving groups: the survivors of a loss, and spares, are
-// of use to replicas of their own model only. Then the serving group that is furthest
-// below its share is as little below as possible.
+// search chooses a combination for each fabric domain, so that the serving group
+// that is furthest below its share is as little below as possible. Among equal ones as
+// few domains as possible hold replicas of several serving groups: the survivors of a
+// loss, and spares, are of use to replicas of their own model only.
 func (l *layout) search(fabrics []*fabric) []combination {
 	states := map[string]*reached{"": {counts: make(combination, len(l.sgs))}}
 	for _, f := range fabrics {
@@ -160,7 +160,7 @@
 }
 
 func (l *layout) better(a, b *reached) bool {
-	return cmp.Or(cmp.Compare(a.mixed, b.mixed), cmp.Compare(l.least(b), l.least(a))) < 0
+	return cmp.Or(cmp.Compare(l.least(b), l.least(a)), cmp.Compare(a.mixed, b.mixed)) < 0
 }
 
 // least is the number of hosts of the serving group that is furthest below its
