ingress: refuse requests whose content took three servers down

Cause: a request that crashes its backend server was offered again elsewhere, and could take down one replica after the other; entries counted crashes each for itself and forgot them. Change: a crash while a request runs is noted under the fingerprint of its content and shared among entries with the load reports; after three the request is refused as quarantined. Ruled out: quarantine after one crash, because most members that die do so with innocent requests on board.

--- a/internal/api/publication.go
+++ b/internal/api/publication.go
@@ -254,6 +254,16 @@
 	Incarnation Incarnation `json:"incarnation"`
 	Sequence    uint64      `json:"sequence"`
 	Loads       []Load      `json:"loads,omitempty"`
+	// Crashes are those that no earlier report named.
+	Crashes []Crash `json:"crashes,omitempty"`
+}
+
+// Crash is a server that went down under a request. Content is a hash of what the
+// request asks for.
+type Crash struct {
+	Content    uint64 `json:"c"`
+	Target     string `json:"t"`
+	Generation uint64 `json:"g"`
 }
 
 // Load is the work of one entry on one replica or server.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -19,8 +19,9 @@
 type attemptError struct {
 	// ran is set when the server may have run the request.
 	ran bool
-	// stalled is set when the server stood still.
+	// stalled is set when the server stood still, closed when it ended the connection.
 	stalled bool
+	closed  bool
 	// suspicion is for how long the target gets nothing new.
 	suspicion time.Duration
 	cause     error
@@ -155,7 +156,7 @@
 	if c.ctx.Err() != nil {
 		return &attemptError{ran: true, cause: err}
 	}
-	return &attemptError{ran: true, suspicion: busySuspicion, cause: err}
+	return &attemptError{ran: true, closed: true, suspicion: busySuspicion, cause: err}
 }
 
 // isStalled judges a server that has been silent for a time on this request. Only
@@ -254,6 +255,7 @@
 	if failed.stalled {
 		s.share.urge()
 	}
+	s.noteCrash(c, failed, place.Target.ID, place.Target.Generation)
 	s.release(c)
 	c.demand.Exclude = append(c.demand.Exclude, place.Target.ID)
 	s.instruments.attempted("failed")
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -23,6 +23,8 @@
 	cancel   context.CancelCauseFunc
 	watch    *callerWatch
 
+	// content identifies what the request asks for.
+	content  uint64
 	table    *routing.Table
 	revision api.Revision
 	route    *api.Route
--- /dev/null
+++ b/internal/ingress/crashes_test.go
@@ -0,0 +1,63 @@
+package ingress
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+func TestCrashesCountServersOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	k := newCrashes()
+	k.note(1, "a", 1, now)
+	k.note(1, "a", 1, now)
+	require.Equal(t, 1, k.count(1, now), "one life of one server")
+	k.note(1, "a", 2, now)
+	k.learn([]api.Crash{{Content: 1, Target: "b", Generation: 1}, {Content: 1, Target: "a", Generation: 2}}, now)
+	require.Equal(t, 3, k.count(1, now))
+	require.Zero(t, k.count(2, now))
+	require.Len(t, k.take(), 2, "what others don't know yet")
+	require.Empty(t, k.take())
+	require.Zero(t, k.count(1, now.Add(crashMemory)), "crashes are forgotten")
+}
+
+func TestCrashesAreBounded(t *testing.T) {
+	k := newCrashes()
+	for i := range uint64(3 * maxCrashContents) {
+		k.note(i, "a", 1, time.Unix(1000, 0))
+	}
+	require.LessOrEqual(t, len(k.contents), maxCrashContents)
+}
+
+// TestCrashingRequestIsRefused sends one content again and again, under new ids. Each
+// server that runs it goes down.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	r := newRig(t)
+	crashing := func(r *received) {
+		if r.body == "poison" {
+			_ = r.conn.Close()
+			return
+		}
+		echo(r)
+	}
+	var servers []*standIn
+	for i := range 6 {
+		servers = append(servers, newStandIn(t, fmt.Sprint("l", i), crashing))
+	}
+	r.ledger(servers...)
+	for range 12 {
+		res := r.send("POST", "/read/1", "poison")
+		require.Contains(t, []int{502, 503}, res.StatusCode)
+	}
+	arrived := int64(0)
+	for _, s := range servers {
+		arrived += s.arrived.Load()
+	}
+	require.LessOrEqual(t, arrived, int64(crashLimit+1), "no more than one beyond the limit: two attempts ran at once")
+	require.Equal(t, 200, r.send("POST", "/read/1", "wholesome").StatusCode)
+	require.Equal(t, 503, r.send("POST", "/read/1", "poison").StatusCode)
+}
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -156,7 +156,7 @@
 	c := r.call
 	var failed *attemptError
 	if !errors.As(cause, &failed) {
-		failed = &attemptError{ran: true, suspicion: busySuspicion, cause: cause}
+		failed = &attemptError{ran: true, closed: true, suspicion: busySuspicion, cause: cause}
 	}
 	r.events.restart()
 	if err := r.afterFailure(c, failed); err != nil {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -22,15 +22,17 @@
 	active      *inflight.Counter
 	instruments instruments
 	share       *share
+	crashes     *crashes
 }
 
 // New returns a server. Hand it every view with Apply and run its Run loop.
 func New(cfg Config) *Server {
 	s := &Server{
-		cfg:    cfg,
-		logger: logging.For(cfg.Logger, "ingress"),
-		board:  newBoard(),
-		active: inflight.NewCounter(),
+		cfg:     cfg,
+		logger:  logging.For(cfg.Logger, "ingress"),
+		board:   newBoard(),
+		active:  inflight.NewCounter(),
+		crashes: newCrashes(),
 	}
 	var err error
 	if s.instruments, err = newInstruments(cfg.Meter); err != nil {
@@ -109,7 +111,7 @@
 
 // prepare lists the filters in the order in which a request passes them.
 func (s *Server) prepare() []filter {
-	return []filter{s.receive, s.route, s.authenticate, s.bound, s.classify}
+	return []filter{s.receive, s.route, s.authenticate, s.quarantine, s.bound, s.classify}
 }
 
 func run(c *call, filters []filter) error {
--- a/internal/ingress/share.go
+++ b/internal/ingress/share.go
@@ -72,11 +72,13 @@
 	for _, pool := range h.server.board.all() {
 		loads = pool.Loads(loads)
 	}
-	if !h.due(loads) {
+	crashed := h.server.crashes.take()
+	if !h.due(loads) && len(crashed) == 0 {
 		return
 	}
 	report := api.LoadReport{
 		Entry: h.server.cfg.Self.ID, Incarnation: h.server.cfg.Self.Incarnation, Sequence: h.next(loads), Loads: loads,
+		Crashes: crashed,
 	}
 	for _, e := range h.server.cfg.State.Snapshot().Entries {
 		if !e.Live || e.ID == h.server.cfg.Self.ID {
@@ -126,6 +128,7 @@
 
 // receive takes the report of another entry. Reports may overtake each other.
 func (h *share) receive(_ context.Context, r api.LoadReport) (api.Empty, error) {
+	h.server.crashes.learn(r.Crashes, time.Now())
 	h.mu.Lock()
 	if r.Sequence <= h.newest[r.Entry] {
 		h.mu.Unlock()
