peer: keep links alive that carry only one-way calls

Links from the leader to its followers closed as idle every 2 s: they carry notifications, which are never answered, so nothing is received on them, and the keep-alive call is only sent on links on which nothing was written. Ruled out: lost hosts and a lost majority; the log shows one term and five voters. Change: a keep-alive call is due too when nothing was received for a third of the idle timeout. TestOneWayLinksAreKeptAlive failed before.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -30,6 +30,8 @@
 	ready   atomic.Bool
 	readAt  atomic.Int64
 	wroteAt atomic.Int64
+	// pingedAt is when the last keep-alive call was sent.
+	pingedAt atomic.Int64
 
 	// queued counts bytes handed to the event loop, buffered those that the
 	// event loop could not yet hand to the kernel when last observed.
@@ -254,11 +256,18 @@
 		l.close(errors.New("idle timeout"))
 		return
 	}
-	if l.dialer && now.UnixNano()-l.wroteAt.Load() > int64(cfg.IdleTimeout/keepAliveFraction) {
-		l.wroteAt.Store(now.UnixNano())
+	if l.dialer && l.keepAliveDue(now) {
+		l.pingedAt.Store(now.UnixNano())
 		l.ping()
 	}
 }
 
+// keepAliveDue reports whether one end may soon take the link for idle. Calls that
+// are never answered keep only the other end from doing so.
+func (l *link) keepAliveDue(now time.Time) bool {
+	oldest := min(l.readAt.Load(), l.wroteAt.Load())
+	return now.UnixNano()-max(oldest, l.pingedAt.Load()) > int64(l.node.cfg.IdleTimeout/keepAliveFraction)
+}
+
 // keepAliveFraction divides the idle timeout into keep-alive intervals.
 const keepAliveFraction = 3
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -222,6 +222,19 @@
 	require.Eventually(t, func() bool { return b.Stats().ReceivedMessages >= before+3 }, waitFor, pollAt)
 }
 
+// TestOneWayLinksAreKeptAlive sends notifications, which are never answered, for many
+// idle timeouts.
+func TestOneWayLinksAreKeptAlive(t *testing.T) {
+	idle := func(c *Config) { c.IdleTimeout = 60 * time.Millisecond }
+	a, b := startNode(t, idle), startNode(t, idle)
+	b.Handle("test.note", Typed(func(context.Context, echo) (api.Empty, error) { return api.Empty{}, nil }))
+	require.NoError(t, a.Call(t.Context(), b.Addr(), methodEcho, echo{}, nil))
+	require.Equal(t, int64(1), a.Stats().Dials)
+	require.Never(t, func() bool {
+		return a.Notify(b.Addr(), "test.note", echo{}) != nil || a.Stats().Dials > 1
+	}, 600*time.Millisecond, pollAt)
+}
+
 func TestSettingsAreChecked(t *testing.T) {
 	for name, change := range map[string]func(*Config){
 		"short secret": func(c *Config) { c.Secret = []byte("short") },
