--- a/internal/backend/forward_test.go
+++ b/internal/backend/forward_test.go
@@ -32,24 +32,24 @@
 }
 
 // exchange sends a request and reads its answer.
-func exchange(ctx context.Context, f *Forwarder, r Forward) (*Exchange, string, error) {
+func exchange(ctx context.Context, f *Forwarder, r Forward) (string, error) {
 	e, err := f.Send(ctx, r)
 	if err != nil {
-		return nil, "", err
+		return "", err
 	}
 	defer e.Close()
 	if err := e.AwaitHead(time.Now().Add(waitFor)); err != nil {
-		return e, "", err
+		return "", err
 	}
 	var body []byte
 	for {
 		part, err := e.Next(time.Now().Add(waitFor))
 		body = append(body, part...)
 		if errors.Is(err, io.EOF) {
-			return e, string(body), nil
+			return string(body), nil
 		}
 		if err != nil {
-			return e, string(body), err
+			return string(body), err
 		}
 	}
 }
@@ -82,7 +82,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			server := serveScript(t, func(int) string { return c.answer })
 			f := newTestForwarder(t)
-			_, body, err := exchange(t.Context(), f, forwardTo(server.addr(), "r", "body"))
+			body, err := exchange(t.Context(), f, forwardTo(server.addr(), "r", "body"))
 			require.Equal(t, c.whole, err == nil, "%v", err)
 			require.Equal(t, c.body, body)
 			if err != nil {
@@ -98,12 +98,12 @@
 	require.NoError(t, err)
 	address := ln.Addr().String()
 	require.NoError(t, ln.Close())
-	_, _, err = exchange(t.Context(), newTestForwarder(t), forwardTo(address, "r", ""))
+	_, err = exchange(t.Context(), newTestForwarder(t), forwardTo(address, "r", ""))
 	require.ErrorIs(t, err, ErrNotSent)
 
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, _, err = exchange(ctx, newTestForwarder(t), forwardTo(address, "r", ""))
+	_, err = exchange(ctx, newTestForwarder(t), forwardTo(address, "r", ""))
 	require.ErrorIs(t, err, ErrNotSent)
 }
 
@@ -114,7 +114,7 @@
 	for i := 1; i <= 3; i++ {
 		r := forwardTo(server.addr(), fmt.Sprint("r", i), "")
 		r.Fresh = i == 3
-		_, _, err := exchange(t.Context(), f, r)
+		_, err := exchange(t.Context(), f, r)
 		require.NoError(t, err)
 	}
 	require.Equal(t, int64(2), f.Dialed(), "the second request used the first connection")
@@ -172,7 +172,7 @@
 		<-release
 	}()
 	f := newTestForwarder(t)
-	_, body, err := exchange(t.Context(), f, forwardTo(ln.Addr().String(), "r", strings.Repeat("b", 32<<20)))
+	body, err := exchange(t.Context(), f, forwardTo(ln.Addr().String(), "r", strings.Repeat("b", 32<<20)))
 	require.NoError(t, err)
 	require.Equal(t, "no", body)
 	require.Nil(t, f.pool.pop(ln.Addr().String()))
--- a/internal/ingress/crashes_test.go
+++ b/internal/ingress/crashes_test.go
@@ -44,14 +44,13 @@
 		}
 		echo(r)
 	}
-	var servers []*standIn
+	servers := make([]*standIn, 0, 6)
 	for i := range 6 {
 		servers = append(servers, newStandIn(t, fmt.Sprint("l", i), crashing))
 	}
 	r.ledger(servers...)
 	for range 12 {
-		res := r.send("POST", "/read/1", "poison")
-		require.Contains(t, []int{502, 503}, res.StatusCode)
+		require.Contains(t, []int{502, 503}, r.send("POST", "/read/1", "poison").StatusCode)
 	}
 	arrived := int64(0)
 	for _, s := range servers {
--- a/internal/ingress/path_test.go
+++ b/internal/ingress/path_test.go
@@ -253,7 +253,7 @@
 		req.Header.Set("Model", testModel)
 		res, err := client.Do(req)
 		require.NoError(t, err)
-		_, whole := text(res)
+		_, whole := textOf(res.Body)
 		require.True(t, whole)
 		require.Equal(t, 200, res.StatusCode)
 		require.NoError(t, res.Body.Close())
--- a/internal/ingress/rig_test.go
+++ b/internal/ingress/rig_test.go
@@ -302,8 +302,17 @@
 	r.server.Apply(r.state.Snapshot())
 }
 
+// answer is an answer whose body the rig closes at the end of the test.
+type answer struct {
+	StatusCode int
+	Header     http.Header
+	Body       io.Reader
+	// Close is whether the entry closes the connection.
+	Close bool
+}
+
 // send makes one request on a connection of its own.
-func (r *rig) send(method, path, body string, header ...string) *http.Response {
+func (r *rig) send(method, path, body string, header ...string) answer {
 	r.t.Helper()
 	req, err := http.NewRequestWithContext(r.t.Context(), method, "http://"+r.ln.Addr().String()+path, strings.NewReader(body))
 	require.NoError(r.t, err)
@@ -318,13 +327,15 @@
 	res, err := client.Do(req)
 	require.NoError(r.t, err)
 	r.t.Cleanup(func() { _ = res.Body.Close() })
-	return res
+	return answer{StatusCode: res.StatusCode, Header: res.Header, Body: res.Body, Close: res.Close}
 }
 
 var requestNumber atomic.Int64
 
 // text reads a body and reports whether it was whole.
-func text(res *http.Response) (string, bool) {
-	body, err := io.ReadAll(res.Body)
+func text(res answer) (string, bool) { return textOf(res.Body) }
+
+func textOf(r io.Reader) (string, bool) {
+	body, err := io.ReadAll(r)
 	return string(body), err == nil
 }
--- a/internal/ingress/stream_test.go
+++ b/internal/ingress/stream_test.go
@@ -28,10 +28,10 @@
 	}
 }
 
-// preferOver makes another replica the last choice by giving it a prompt to read.
-func (r *rig) preferOver(other string) {
+// preferOver makes the replica b-good the last choice by giving it a prompt to read.
+func (r *rig) preferOver() {
 	pool := r.server.board.pool("scribe/" + testModel)
-	pl := placeOn(r.t, pool, "g-"+other, 10_000)
+	pl := placeOn(r.t, pool, "g-b-good", 10_000)
 	r.t.Cleanup(func() { pool.Release(pl) })
 }
 
@@ -95,7 +95,7 @@
 			bad := newStandIn(t, "a-bad", func(r *received) { r.beginStream(); c.fail(r) })
 			good := newStandIn(t, "b-good", serveEvents(6))
 			r.scribe(bad, good)
-			r.preferOver("b-good")
+			r.preferOver()
 			res := r.send("POST", "/draft/1", "prompt", "Prompt", "10")
 			body, whole := text(res)
 			require.True(t, whole, r.logs.String())
@@ -115,7 +115,7 @@
 	bad := newStandIn(t, "a-bad", func(r *received) { r.beginStream(); r.events(3); _ = r.conn.Close() })
 	good := newStandIn(t, "b-good", serveEvents(6))
 	r.scribe(bad, good)
-	r.preferOver("b-good")
+	r.preferOver()
 	body, whole := text(r.send("POST", "/once/1", "prompt"))
 	require.False(t, whole, "a cut stream must not look complete")
 	require.Equal(t, wholeStream(3), body)
@@ -160,7 +160,7 @@
 		r.endStream()
 	})
 	r.scribe(bad, good)
-	r.preferOver("b-good")
+	r.preferOver()
 	body, whole := text(r.send("POST", "/draft/1", "prompt"))
 	require.True(t, whole)
 	require.Equal(t, wholeStream(5), body)
@@ -195,7 +195,7 @@
 	bad := newStandIn(t, "a-bad", func(r *received) { r.beginStream(); r.events(3); <-r.gone })
 	good := newStandIn(t, "b-good", serveEvents(6))
 	r.scribe(bad, good)
-	r.preferOver("b-good")
+	r.preferOver()
 	res := r.send("POST", "/draft/1", "prompt")
 	began := time.Now()
 	r.view.Groups = r.view.Groups[1:]
--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -38,14 +38,14 @@
 }
 
 const (
-	playTick = 5 * time.Millisecond
+	playLength = 20 * time.Second
+	playTick   = 5 * time.Millisecond
 	// playPatience is how long a caller waits for the next event.
 	playPatience = 2400 * time.Millisecond
 )
 
-func newPlay(replicas int) *play {
-	ids := []string{"a", "b", "c", "d"}[:replicas]
-	pool, clock := enginePool(ids...)
+func newPlay() *play {
+	pool, clock := enginePool("a", "b")
 	return &play{
 		fakeTime: clock, pool: pool, rng: rand.New(rand.NewPCG(1, 2)),
 		busy: make(map[string]time.Time), running: make(map[string][]*played),
@@ -150,11 +150,11 @@
 
 func readingTime(p *play, tokens int) time.Duration { return reading(p.pool.profile, 1, tokens) }
 
-// run plays requests at a rate for a time and returns the shares of them that were
+// run plays requests at a rate for playLength and returns the shares of them that were
 // on time, served at all, and abandoned after work was spent on them.
-func (p *play) run(perSecond float64, d time.Duration) (onTime, served, wasted float64) {
+func (p *play) run(perSecond float64) (onTime, served, wasted float64) {
 	next := p.now
-	for end := p.now.Add(d); p.now.Before(end); p.advance(playTick) {
+	for end := p.now.Add(playLength); p.now.Before(end); p.advance(playTick) {
 		for !p.now.Before(next) {
 			p.arrive()
 			next = next.Add(time.Duration(p.rng.ExpFloat64() / perSecond * float64(time.Second)))
@@ -180,16 +180,16 @@
 // TestOverloadOrder is the broken variant of the queue's order: first come, first
 // served makes nearly every request late.
 func TestOverloadOrder(t *testing.T) {
-	p := newPlay(2)
+	p := newPlay()
 	p.inOrder = true
-	onTime, served, _ := p.run(20, 20*time.Second)
+	onTime, served, _ := p.run(20)
 	require.Less(t, onTime, 0.4*served, "the play finds the fault")
 }
 
 // TestOverloadKeepsServing plays twice what two replicas bear. The load is that of a
 // model whose replicas were lost faster than they came back.
 func TestOverloadKeepsServing(t *testing.T) {
-	onTime, served, wasted := newPlay(2).run(20, 20*time.Second)
+	onTime, served, wasted := newPlay().run(20)
 	t.Logf("on time %.2f, served %.2f, wasted %.2f", onTime, served, wasted)
 	require.Less(t, wasted, 0.02, "work for callers that give up")
 	require.Greater(t, served, 0.3, "the replicas go on serving what they bear")
@@ -202,13 +202,13 @@
 	old := filters
 	defer func() { filters = old }()
 	filters = slices.DeleteFunc(slices.Clone(old), func(f filter) bool { return f.name == "slow" || f.name == "busy" })
-	_, _, wasted := newPlay(2).run(36, 20*time.Second)
+	_, _, wasted := newPlay().run(36)
 	require.Greater(t, wasted, 0.1, "the play finds the fault")
 }
 
 // TestLightLoadIsOnTime plays a third of what two replicas bear.
 func TestLightLoadIsOnTime(t *testing.T) {
-	onTime, served, _ := newPlay(2).run(3, 20*time.Second)
+	onTime, served, _ := newPlay().run(3)
 	require.Greater(t, served, 0.98)
 	require.Greater(t, onTime, 0.95)
 }
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -106,7 +106,7 @@
 func TestColdRateHoldsOverAllEntries(t *testing.T) {
 	const rate, entries = 28, 4
 	clock := newFakeTime()
-	var pools []*Pool
+	pools := make([]*Pool, 0, entries)
 	cold := replica("a")
 	cold.Slots, cold.Cold, cold.ColdRate = 1000, true, rate
 	for range entries {
@@ -171,7 +171,7 @@
 
 func TestQueueOrder(t *testing.T) {
 	p, clock := enginePool("a")
-	var held []*Placement
+	held := make([]*Placement, 0, 4)
 	for range 4 {
 		held = append(held, place(t, p, clock.demand(10)))
 	}
