ingress: refusals log what they were decided on

Change: the wait counts in queued_ms when it was in vain; the line carries cause with targets, suspected ones, requests on them, queue and expected wait. Broken streams carry why they were not resumed.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -63,8 +63,10 @@
 
 // acquire takes a place on a target.
 func (s *Server) acquire(c *call) error {
+	began := time.Now()
 	place, err := c.pool.Acquire(c.ctx, c.demand)
 	if err != nil {
+		c.queued += time.Since(began)
 		return err
 	}
 	c.place = place
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -43,17 +43,19 @@
 	// fallback is a server's own failure, passed on if no other server answers.
 	fallback *fallback
 
-	queued       time.Duration
-	firstByte    time.Duration
-	lastEvent    string
-	events       int
-	resumed      int
-	status       int
-	outcome      string
-	reason       string
-	ended        bool
-	callerLeft   bool
-	lastFailure  error
+	queued      time.Duration
+	firstByte   time.Duration
+	lastEvent   string
+	events      int
+	resumed     int
+	status      int
+	outcome     string
+	reason      string
+	ended       bool
+	callerLeft  bool
+	lastFailure error
+	// cause is why the entry itself ended the call.
+	cause        error
 	targetsTried []string
 }
 
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -184,7 +184,7 @@
 func (r *relay) Close() error {
 	c := r.call
 	if c.outcome == "" {
-		c.outcome, c.reason = "broken", "stream_broken"
+		c.outcome, c.reason, c.cause = "broken", "stream_broken", r.end
 		if c.ctx.Err() != nil {
 			r.noteDeadline(c)
 		}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
@@ -135,6 +136,7 @@
 
 // finish answers a call that no server's answer is passed on for.
 func (s *Server) finish(c *call, err error) {
+	c.cause = err
 	s.refuse(c, s.refusalOf(c, err))
 	if c.callerLeft {
 		c.outcome, c.reason = "left", "caller_left"
@@ -203,5 +205,8 @@
 	if c.lastFailure != nil {
 		fields = append(fields, "failure", c.lastFailure)
 	}
+	if c.cause != nil && (c.lastFailure == nil || !errors.Is(c.cause, c.lastFailure)) {
+		fields = append(fields, "cause", c.cause)
+	}
 	level.Info(s.logger).Log(fields...)
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -461,13 +462,27 @@
 // full and unavailable are the errors of a request that gets no place. The lock is
 // held.
 func (p *Pool) full(reason string) *errs.Error {
-	err := errs.New(errs.Full, "place request", p.name, "%s", reason)
+	err := errs.New(errs.Full, "place request", p.name, "%s: %s", reason, p.situation())
 	err.RetryAfterMillis = p.hint()
 	return err
 }
 
 func (p *Pool) unavailable(reason string) *errs.Error {
-	err := errs.New(errs.Unavailable, "place request", p.name, "%s", reason)
+	err := errs.New(errs.Unavailable, "place request", p.name, "%s: %s", reason, p.situation())
 	err.RetryAfterMillis = 2 * p.hint()
 	return err
 }
+
+// situation tells what a refusal was decided on. The lock is held.
+func (p *Pool) situation() string {
+	now := p.now()
+	running, suspected := 0, 0
+	for _, s := range p.targets {
+		running += s.total(now).running
+		if s.suspected(now) {
+			suspected++
+		}
+	}
+	return fmt.Sprintf("%d targets, %d of them suspected, %d requests on them, %d waiting here, expected wait %d ms",
+		len(p.targets), suspected, running, len(p.waiting), p.expectedWait().Milliseconds())
+}
