control: calls wait out a short lapse of the leader lease

Cause: a leader that misses its lease for a moment refused every call. Each caller then went from voter to voter until it was back at the same leader, and cancelled its watch on the way. With 34 entries and 9 control daemons that is some hundred calls for each lapse, sent to a leader that is short of processor time already.

Change: a call waits up to 400 ms for the lease to come back, within its term only; a voter that was voted out or that knows no leader refuses at once as before.

--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -26,7 +26,7 @@
 	defer s.ticks.wake()
 	ctx, cancel := context.WithTimeout(ctx, dutyTimeout)
 	defer cancel()
-	lead, err := s.lead(ctx)
+	lead, err := s.leadNow(ctx)
 	if err != nil {
 		return
 	}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -31,10 +31,27 @@
 	cancel context.CancelFunc
 }
 
-// lead returns the present leadership. The first call of a term waits for a
+// lapseWait is how long a call waits for a lapsed leader lease to come back. It is
+// under the second after which callers of control go on to another daemon: calls
+// that are refused in a short lapse come back as a search of every caller for a
+// leader, which keeps a busy leader from its heartbeats.
+const lapseWait = 400 * time.Millisecond
+
+// lead returns the present leadership for a call, which waits out a short lapse of
+// the lease.
+func (s *Service) lead(ctx context.Context) (*leadership, error) {
+	lead, err := s.leadNow(ctx)
+	if err == nil || !s.isLapsed(s.log.Status()) {
+		return lead, err
+	}
+	s.wait(ctx, s.cfg.Clock.Now().Add(lapseWait), s.ticks, func() bool { return !s.isLapsed(s.log.Status()) })
+	return s.leadNow(ctx)
+}
+
+// leadNow returns the present leadership. The first call of a term waits for a
 // read barrier, so that the state holds every accepted change, and commits the
 // term.
-func (s *Service) lead(ctx context.Context) (*leadership, error) {
+func (s *Service) leadNow(ctx context.Context) (*leadership, error) {
 	if err := s.state.Err(); err != nil {
 		s.stepDown()
 		return nil, errs.Wrap(err, "lead", "")
@@ -53,16 +70,21 @@
 
 // loseLease steps down, unless this voter leads its term and may get its lease back.
 func (s *Service) loseLease(status LogStatus) {
-	lead := s.leading.Load()
-	if lead == nil || lead.term != status.Term || status.Leader != status.ID {
+	if !s.isLapsed(status) {
 		s.stepDown()
 		return
 	}
-	if lead.lapse.lost() {
-		level.Warn(s.logger).Log("msg", "Leader lease lapsed", "term", lead.term)
+	if lead := s.leading.Load(); lead != nil && lead.lapse.lost() {
+		level.Warn(s.logger).Log("msg", "Leader lease lapsed", "term", status.Term)
 	}
 }
 
+// isLapsed reports whether this voter leads its term and only lacks the lease.
+func (s *Service) isLapsed(status LogStatus) bool {
+	lead := s.leading.Load()
+	return !status.Leading && lead != nil && lead.term == status.Term && status.Leader == status.ID
+}
+
 // regainLease goes on with the leadership of the same term.
 func (s *Service) regainLease(lead *leadership) {
 	lead.lapse.regained(s.cfg.Clock.Now(), func(length time.Duration) {
