ingress: load reports between failure domains go through relays

Cause: every entry reported its work to every other one every 50 ms.

Change: from 9 entries on, an entry reports to those of its own failure domain. Two relays a domain send the sum of its work to the relays of the others, which pass it on with their own reports. Few entries report directly as before. Crashes still go to all.

--- a/internal/api/publication.go
+++ b/internal/api/publication.go
@@ -253,11 +253,21 @@
 	Entry       EntryID     `json:"entry"`
 	Incarnation Incarnation `json:"incarnation"`
 	Sequence    uint64      `json:"sequence"`
-	Loads       []Load      `json:"loads,omitempty"`
+	// Domain is the failure domain of the entry.
+	Domain FailureDomain `json:"domain,omitempty"`
+	Loads  []Load        `json:"loads,omitempty"`
+	// Sums are the work of all entries of other failure domains than the receiver's.
+	Sums []DomainLoads `json:"sums,omitempty"`
 	// Crashes are those that no earlier report named.
 	Crashes []Crash `json:"crashes,omitempty"`
 }
 
+// DomainLoads is what all entries of a failure domain have in progress together.
+type DomainLoads struct {
+	Domain FailureDomain `json:"domain"`
+	Loads  []Load        `json:"loads"`
+}
+
 // Crash is a server that went down under a request. Content is a hash of what the
 // request asks for.
 type Crash struct {
--- a/internal/ingress/share.go
+++ b/internal/ingress/share.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -18,16 +17,11 @@
 	// urgent wakes the progress loop.
 	urgent chan struct{}
 
-	mu       sync.Mutex
-	sequence uint64
-	// newest is the newest report of each entry process.
-	newest map[api.EntryID]uint64
-	last   []api.Load
-	sentAt time.Time
+	exchange *exchange
 }
 
 func newShare(s *Server) *share {
-	return &share{server: s, urgent: make(chan struct{}, 1), newest: make(map[api.EntryID]uint64)}
+	return &share{server: s, urgent: make(chan struct{}, 1), exchange: newExchange(s.cfg.Self)}
 }
 
 // Register adds the handler of other entries' reports.
@@ -65,83 +59,33 @@
 	}
 }
 
-// sendLoads sends a report if the work has changed since the last one, or while
-// work goes on.
+// sendLoads sends the reports that are due.
 func (h *share) sendLoads() {
 	var loads []api.Load
 	for _, pool := range h.server.board.all() {
 		loads = pool.Loads(loads)
 	}
-	crashed := h.server.crashes.take()
-	if !h.due(loads) && len(crashed) == 0 {
-		return
-	}
-	report := api.LoadReport{
-		Entry: h.server.cfg.Self.ID, Incarnation: h.server.cfg.Self.Incarnation, Sequence: h.next(loads), Loads: loads,
-		Crashes: crashed,
-	}
-	for _, e := range h.server.cfg.State.Snapshot().Entries {
-		if !e.Live || e.ID == h.server.cfg.Self.ID {
-			continue
-		}
+	entries := h.server.cfg.State.Snapshot().Entries
+	for _, d := range h.exchange.outgoing(time.Now(), loads, h.server.crashes.take(), entries) {
 		// A lost report is made up for by the next one.
-		if err := h.server.cfg.Peers.Notify(e.PeerAddress, api.MethodLoads, report); err != nil {
-			level.Debug(h.server.logger).Log("msg", "load report not sent", "entry", e.ID, "err", err)
-		}
-	}
-}
-
-// due reports whether a report tells something new, or the last one is about to
-// run out.
-func (h *share) due(loads []api.Load) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if len(loads) == 0 && len(h.last) == 0 {
-		return false
-	}
-	return !sameLoads(loads, h.last) || time.Since(h.sentAt) >= shareRefresh
-}
-
-func sameLoads(a, b []api.Load) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	old := make(map[string]api.Load, len(b))
-	for _, l := range b {
-		old[l.Target] = l
-	}
-	for _, l := range a {
-		if old[l.Target] != l {
-			return false
+		if err := h.server.cfg.Peers.Notify(d.to.PeerAddress, api.MethodLoads, d.report); err != nil {
+			level.Debug(h.server.logger).Log("msg", "load report not sent", "entry", d.to.ID, "err", err)
 		}
 	}
-	return true
-}
-
-func (h *share) next(loads []api.Load) uint64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.sequence++
-	h.last, h.sentAt = loads, time.Now()
-	return h.sequence
 }
 
-// receive takes the report of another entry. Reports may overtake each other.
+// receive takes the report of another entry.
 func (h *share) receive(_ context.Context, r api.LoadReport) (api.Empty, error) {
-	h.server.crashes.learn(r.Crashes, time.Now())
-	h.mu.Lock()
-	if r.Sequence <= h.newest[r.Entry] {
-		h.mu.Unlock()
-		return api.Empty{}, nil
-	}
-	h.newest[r.Entry] = r.Sequence
-	h.mu.Unlock()
-	loads := make(map[string]api.Load, len(r.Loads))
-	for _, l := range r.Loads {
-		loads[l.Target] = l
-	}
-	for _, pool := range h.server.board.all() {
-		pool.Remote(r.Entry, loads)
+	now := time.Now()
+	h.server.crashes.learn(r.Crashes, now)
+	for _, work := range h.exchange.incoming(now, &r) {
+		loads := make(map[string]api.Load, len(work.loads))
+		for _, l := range work.loads {
+			loads[l.Target] = l
+		}
+		for _, pool := range h.server.board.all() {
+			pool.Remote(work.source, loads)
+		}
 	}
 	return api.Empty{}, nil
 }
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -76,6 +76,8 @@
 	Target
 	own    load
 	remote map[api.EntryID]remoteLoad
+	// coldQuota is this entry's part of ColdRate.
+	coldQuota int
 	// placed are the moments at which this entry placed requests while the target
 	// was cold, within the last second.
 	placed []time.Time
@@ -89,15 +91,15 @@
 	stalled bool
 }
 
-// remoteLifetime is how long a load report counts. Reports come several times a
+// ReportLifetime is how long a load report counts. Reports come several times a
 // second; an entry that is gone reports no more.
-const remoteLifetime = 1500 * time.Millisecond
+const ReportLifetime = 1500 * time.Millisecond
 
 // total is the work of all entries.
 func (s *state) total(now time.Time) load {
 	sum := s.own
 	for _, r := range s.remote {
-		if now.Sub(r.at) < remoteLifetime {
+		if now.Sub(r.at) < ReportLifetime {
 			sum.add(r.load)
 		}
 	}
