placement: more entries than a cold server's rate share it exactly

Cause: each entry took an equal part of a cold server's rate, at least one request a second.

Change: all entries compute the same order for a target, those of its failure domain first, then by hash; what does not divide evenly goes to the first of them. TestColdRateHoldsOverAllEntries gains 5 of 28, 15 over 34, 1 over 4 and 40 over 34; the second and third fail before.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -280,7 +280,7 @@
 	if c.attempts >= c.maxAttempts()+spareAttempts {
 		return failed
 	}
-	if !s.budget(c.service.Name).take(liveEntries(s.cfg.State.Snapshot())) {
+	if !s.budget(c.service.Name).take(len(liveEntries(s.cfg.State.Snapshot()))) {
 		level.Info(s.logger).Log("msg", "Retry budget spent", "request", c.head.ID, "service", c.service.Name)
 		return failed
 	}
--- a/internal/ingress/targets.go
+++ b/internal/ingress/targets.go
@@ -87,7 +87,7 @@
 		return
 	}
 	targets := s.targets(snapshot)
-	entries := liveEntries(snapshot)
+	entries := placement.Entries{Self: s.cfg.Self.ID, Live: liveEntries(snapshot)}
 	services := b.table.Services()
 	for i := range services {
 		s.updatePools(&services[i], targets, entries)
@@ -110,19 +110,19 @@
 	}
 }
 
-// liveEntries counts the entries that may have work in progress.
-func liveEntries(snapshot *entry.Snapshot) int {
-	n := 0
+// liveEntries lists the entries that may have work in progress.
+func liveEntries(snapshot *entry.Snapshot) []api.EntryInfo {
+	out := make([]api.EntryInfo, 0, len(snapshot.Entries))
 	for _, e := range snapshot.Entries {
 		if e.Live {
-			n++
+			out = append(out, e)
 		}
 	}
-	return max(1, n)
+	return out
 }
 
 // updatePools replaces the targets of one service. The lock of the board is held.
-func (s *Server) updatePools(service *api.PublishedService, targets map[string][]placement.Target, entries int) {
+func (s *Server) updatePools(service *api.PublishedService, targets map[string][]placement.Target, entries placement.Entries) {
 	if service.Engine == nil {
 		s.updatePool(service, "", targets, entries)
 		return
@@ -132,7 +132,7 @@
 	}
 }
 
-func (s *Server) updatePool(service *api.PublishedService, model string, targets map[string][]placement.Target, entries int) {
+func (s *Server) updatePool(service *api.PublishedService, model string, targets map[string][]placement.Target, entries placement.Entries) {
 	name := poolName(service, model)
 	pool := s.board.pools[name]
 	if pool == nil {
--- a/internal/placement/filters.go
+++ b/internal/placement/filters.go
@@ -11,7 +11,6 @@
 type query struct {
 	demand  *Demand
 	now     time.Time
-	entries int
 	domain  string
 	profile *api.EngineProfile
 }
@@ -58,4 +57,4 @@
 	return !q.now.Add(expected).After(q.demand.FirstBy)
 }
 
-func isWarmEnough(s *state, q *query) bool { return s.coldAllows(q.now, q.entries) }
+func isWarmEnough(s *state, q *query) bool { return s.coldAllows(q.now) }
--- a/internal/placement/main_test.go
+++ b/internal/placement/main_test.go
@@ -38,7 +38,7 @@
 	for _, id := range ids {
 		targets = append(targets, replica(id))
 	}
-	p.Update(targets, profile(), 1)
+	p.Update(targets, profile(), Entries{})
 	return p, clock
 }
 
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -60,12 +60,12 @@
 	placed  chan *Placement
 }
 
-// Update replaces the targets. Work in progress on targets that stay is kept; one
+// Update replaces the targets; entries are those that share them. Work in progress on targets that stay is kept; one
 // that returns under a new generation starts anew.
-func (p *Pool) Update(targets []Target, profile *api.EngineProfile, entries int) {
+func (p *Pool) Update(targets []Target, profile *api.EngineProfile, entries Entries) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.profile, p.entries = profile, max(1, entries)
+	p.profile, p.entries = profile, max(1, len(entries.Live))
 	next := make(map[string]*state, len(targets))
 	for _, t := range targets {
 		old := p.targets[t.ID]
@@ -73,6 +73,7 @@
 			old = &state{remote: make(map[api.EntryID]remoteLoad)}
 		}
 		old.Target = t
+		old.coldQuota = coldQuota(&t, entries)
 		next[t.ID] = old
 	}
 	p.targets = next
@@ -248,7 +249,7 @@
 }
 
 func (p *Pool) query(d *Demand) *query {
-	return &query{demand: d, now: p.now(), entries: p.entries, domain: string(p.domain), profile: p.profile}
+	return &query{demand: d, now: p.now(), domain: string(p.domain), profile: p.profile}
 }
 
 // choose returns the target with the lowest score among those that every filter
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -40,7 +41,7 @@
 		{"first event too late", func(p *Pool, _ *fakeTime, _ *Demand) { p.targets["a"].own.prefill = 120_000 }, "slow"},
 		{"cold", func(p *Pool, c *fakeTime, _ *Demand) {
 			s := p.targets["a"]
-			s.Cold, s.ColdRate, s.placed = true, 2, []time.Time{c.now, c.now}
+			s.Cold, s.ColdRate, s.coldQuota, s.placed = true, 2, 2, []time.Time{c.now, c.now}
 		}, "cold"},
 	}
 	for _, c := range cases {
@@ -71,7 +72,7 @@
 	p, clock := enginePool("a", "b")
 	far := replica("a")
 	far.Domain = "z"
-	p.Update([]Target{far, replica("b")}, profile(), 1)
+	p.Update([]Target{far, replica("b")}, profile(), Entries{})
 	require.Equal(t, "b", place(t, p, clock.demand(100)).Target.ID)
 	p.targets["b"].own.prefill = 20_000
 	require.Equal(t, "a", place(t, p, clock.demand(100)).Target.ID, "a busy one costs more than the way")
@@ -95,7 +96,7 @@
 	old := place(t, p, clock.demand(1000))
 	next := replica("a")
 	next.Generation = 2
-	p.Update([]Target{next}, profile(), 1)
+	p.Update([]Target{next}, profile(), Entries{})
 	require.Equal(t, load{}, p.targets["a"].own)
 	_, gone := p.Silence(old)
 	require.True(t, gone)
@@ -103,15 +104,33 @@
 	require.Equal(t, load{}, p.targets["a"].own, "the old place is not taken off the new generation")
 }
 
+// TestColdRateHoldsOverAllEntries lets every entry place as much as it may on a cold
+// target, with fewer and with more entries than the rate has requests.
 func TestColdRateHoldsOverAllEntries(t *testing.T) {
-	const rate, entries = 28, 4
+	for _, c := range []struct{ rate, entries int }{{28, 4}, {28, 5}, {15, 34}, {1, 4}, {40, 34}} {
+		t.Run(fmt.Sprintf("%d a second, %d entries", c.rate, c.entries), func(t *testing.T) {
+			placed := placeOnCold(t, c.rate, c.entries)
+			require.Greater(t, len(placed), c.rate, "some requests pass")
+			for i := range placed {
+				n := 0
+				for j := i; j < len(placed) && placed[j].Sub(placed[i]) < time.Second; j++ {
+					n++
+				}
+				require.LessOrEqual(t, n, c.rate, "requests in the second from %s", placed[i])
+			}
+		})
+	}
+}
+
+// placeOnCold returns when requests were placed within 3.5 s.
+func placeOnCold(t *testing.T, rate, entries int) []time.Time {
 	clock := newFakeTime()
 	pools := make([]*Pool, 0, entries)
 	cold := replica("a")
-	cold.Slots, cold.Cold, cold.ColdRate = 1000, true, rate
-	for range entries {
+	cold.Slots, cold.Cold, cold.ColdRate = 1000, true, float64(rate)
+	for _, self := range manyEntries(entries) {
 		p := NewPool("m", "a", clock.Now)
-		p.Update([]Target{cold}, profile(), entries)
+		p.Update([]Target{cold}, profile(), Entries{Self: self.ID, Live: manyEntries(entries)})
 		pools = append(pools, p)
 	}
 	var placed []time.Time
@@ -124,13 +143,29 @@
 		}
 		clock.advance(7 * time.Millisecond)
 	}
-	require.Greater(t, len(placed), rate, "some requests pass")
-	for i := range placed {
-		n := 0
-		for j := i; j < len(placed) && placed[j].Sub(placed[i]) < time.Second; j++ {
-			n++
+	return placed
+}
+
+// manyEntries are entries in three failure domains.
+func manyEntries(n int) []api.EntryInfo {
+	out := make([]api.EntryInfo, n)
+	for i := range out {
+		out[i] = api.EntryInfo{ID: api.EntryID(fmt.Sprint("e", i)), Domain: api.FailureDomain("abc"[i%3 : i%3+1]), Live: true}
+	}
+	return out
+}
+
+// TestColdTargetIsLeftToItsDomain gives a rate that is too small for all entries to
+// those of the target's failure domain.
+func TestColdTargetIsLeftToItsDomain(t *testing.T) {
+	cold := replica("a")
+	cold.Domain, cold.ColdRate = "b", 9
+	for _, e := range manyEntries(34) {
+		quota := coldQuota(&cold, Entries{Self: e.ID, Live: manyEntries(34)})
+		if e.Domain != "b" {
+			require.Zero(t, quota, "%s", e.ID)
 		}
-		require.LessOrEqual(t, n, rate, "requests in the second from %s", placed[i])
+		require.LessOrEqual(t, quota, 1, "%s", e.ID)
 	}
 }
 
@@ -256,6 +291,6 @@
 	p.Remote("e2", map[string]api.Load{"a": {Target: "a", Running: 4}})
 	d := clock.demand(10)
 	require.False(t, p.HasOther(&d))
-	clock.advance(remoteLifetime)
+	clock.advance(ReportLifetime)
 	require.True(t, p.HasOther(&d))
 }
--- a/internal/placement/rate.go
+++ b/internal/placement/rate.go
@@ -1,20 +1,68 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
 
 // coldWindow is the span in which the requests to a cold target are counted.
 const coldWindow = time.Second
 
-// coldAllows reports whether this entry may place one more request on a cold
-// target. Each entry gets an equal part of the rate, at least one request.
-func (s *state) coldAllows(now time.Time, entries int) bool {
+// Entries are the entries that place requests, as this one knows them.
+type Entries struct {
+	Self api.EntryID
+	Live []api.EntryInfo
+}
+
+// coldQuota is this entry's part of the rate of a cold target, in requests a second.
+// All entries compute the same order: those of the target's failure domain first,
+// then by a hash that differs for each target. What does not divide evenly goes to
+// the first of them, so that no more entries than requests get a part.
+func coldQuota(t *Target, e Entries) int {
+	rate := max(1, int(t.ColdRate))
+	n := len(e.Live)
+	if n <= 1 {
+		return rate
+	}
+	var self api.EntryInfo
+	for _, other := range e.Live {
+		if other.ID == e.Self {
+			self = other
+		}
+	}
+	rank := 0
+	for _, other := range e.Live {
+		if other.ID != e.Self && precedes(t, &other, &self) {
+			rank++
+		}
+	}
+	quota := rate / n
+	if rank < rate%n {
+		quota++
+	}
+	return quota
+}
+
+func precedes(t *Target, a, b *api.EntryInfo) bool {
+	if near := a.Domain == t.Domain; near != (b.Domain == t.Domain) {
+		return near
+	}
+	x, y := xxhash.Sum64String(t.ID+"/"+string(a.ID)), xxhash.Sum64String(t.ID+"/"+string(b.ID))
+	return x < y || x == y && a.ID < b.ID
+}
+
+// coldAllows reports whether this entry may place one more request on a cold target.
+func (s *state) coldAllows(now time.Time) bool {
 	if !s.Cold || s.ColdRate <= 0 {
 		return true
 	}
 	for len(s.placed) > 0 && now.Sub(s.placed[0]) >= coldWindow {
 		s.placed = s.placed[1:]
 	}
-	return len(s.placed) < max(1, int(s.ColdRate)/max(1, entries))
+	return len(s.placed) < s.coldQuota
 }
 
 // RetryBudget bounds the repeats that one entry sends to a service: in any window
