group: survivors of large replicas go on

Cause: on the grown sites two members of one replica of 16 hosts die together every few seconds. Each fabric domain had one spare, mostly with the weights of the small model, so that 14 hosts stood idle until their weights were converted: the 7 large replicas were 3 to 4 from the 10th second on, while 25 small ones had room. A spare that was idle for 20 s was reloaded with the other model, back and forth.

Ruled out: late detection (1.5 s); too few hosts (2,400 host-seconds served nobody).

--- a/internal/api/fleet.go
+++ b/internal/api/fleet.go
@@ -29,7 +29,7 @@
 	GroupReform GroupChangeKind = "reform"
 	// GroupSetPhase sets Group.Phase.
 	GroupSetPhase GroupChangeKind = "phase"
-	// GroupUpdate sets Address, Warm, BearableLoad, WarmLoad, Leaving and
+	// GroupUpdate sets Address, Warm, BearableLoad, WarmLoad, Leaving, Retiring and
 	// Capabilities.
 	GroupUpdate GroupChangeKind = "update"
 	// GroupRelease marks every member as releasing and the group with it, at a
--- a/internal/api/view.go
+++ b/internal/api/view.go
@@ -34,8 +34,11 @@
 	BearableLoad int `json:"bearable_load"`
 	// WarmLoad is the number of concurrent requests borne when warm; 0 unknown.
 	WarmLoad int `json:"warm_load"`
-	// Leaving is set when a member announced that it leaves.
+	// Leaving is set when a member announced that it leaves, or when the replica
+	// retires: it finishes its requests and gets no new ones.
 	Leaving bool `json:"leaving,omitempty"`
+	// Retiring is set once other replicas need the hosts more.
+	Retiring bool `json:"retiring,omitempty"`
 	// Service is the engine service of a shared serving group, empty otherwise.
 	Service string `json:"service,omitempty"`
 	// Previous is the fencing number that the members of a releasing group hold.
--- a/internal/control/group_table.go
+++ b/internal/control/group_table.go
@@ -198,6 +198,7 @@
 	group.BearableLoad = to.BearableLoad
 	group.WarmLoad = to.WarmLoad
 	group.Leaving = to.Leaving
+	group.Retiring = to.Retiring
 	group.Capabilities = to.Capabilities
 	group.Open = to.Open
 	group.HeadIncarnation = to.HeadIncarnation
--- a/internal/group/memory.go
+++ b/internal/group/memory.go
@@ -83,7 +83,9 @@
 	phase      api.GroupPhase
 	phaseSince time.Time
 	loadSince  time.Time
-	members    []*host
+	// retiringSince is when a view first showed the group as retiring.
+	retiringSince time.Time
+	members       []*host
 	// held marks the members that announced this generation.
 	held []bool
 }
@@ -254,6 +256,9 @@
 			m.learnLoadTime(g, gm, now)
 			gm.phase, gm.phaseSince = g.Phase, now
 		}
+		if g.Retiring && gm.retiringSince.IsZero() {
+			gm.retiringSince = now
+		}
 		m.observeMembers(g, gm)
 	}
 	if len(m.groups) > len(v.Groups) {
--- a/internal/group/phases.go
+++ b/internal/group/phases.go
@@ -89,7 +89,7 @@
 	g.Address, g.Warm = a.Address, a.Warm
 	g.BearableLoad, g.WarmLoad = a.BearableLoad, a.WarmLoad
 	g.Capabilities = a.Capabilities
-	g.Leaving = r.leaving > 0
+	g.Leaving = r.leaving > 0 || g.Retiring
 	g.Open = a.Stage == api.StageOpen
 	g.HeadIncarnation = a.Incarnation
 	g.Release = a.Release
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -27,6 +27,7 @@
 	ReasonSurplus  Reason = "more replicas than wanted"
 	ReasonRetired  Reason = "the configuration no longer wants the group"
 	ReasonLeaving  Reason = "a member leaves"
+	ReasonRetiring Reason = "survivors of a larger replica need the hosts"
 )
 
 // Change is one planned change of groups or assignments.
--- a/internal/group/shared.go
+++ b/internal/group/shared.go
@@ -37,6 +37,8 @@
 			pl.release(r, ReasonLost)
 		case r.leaving > 0 && pl.leaveDrained(r):
 			pl.release(r, ReasonLeaving)
+		case r.Retiring && pl.now.Sub(r.mem.retiringSince) >= pl.policy.LeaveDrain:
+			pl.release(r, ReasonRetiring)
 		default:
 			pl.update(r)
 		}
@@ -195,6 +197,7 @@
 	if !l.view.Traffic && l.formEmpty() {
 		return
 	}
+	l.completeStranded()
 	for {
 		best, ok := l.best()
 		if !ok {
@@ -240,16 +243,19 @@
 
 func (l *layout) candidate(sg *servingGroup, f *fabric) (candidate, bool) {
 	size := sg.HostsPerReplica
-	if f.service != sg.Service || len(f.free) < size {
+	if f.service != sg.Service || len(f.free) < size || !l.leavesReserve(f, sg) {
 		return candidate{}, false
 	}
 	hosts := slices.Clone(f.free)
 	slices.SortStableFunc(hosts, func(a, b api.HostID) int {
-		return cmp.Compare(l.suits(a, sg.Model), l.suits(b, sg.Model))
+		return cmp.Compare(l.suits(a, sg), l.suits(b, sg))
 	})
 	c := candidate{sg: sg, fabric: f, hosts: hosts[:size], spread: sg.byDomain[f.domain]}
 	for _, id := range c.hosts {
 		h := l.mem.hosts[id]
+		if l.isReserved(h, sg) {
+			return candidate{}, false
+		}
 		if hasWeights(h, sg.Model) {
 			continue
 		}
@@ -282,10 +288,12 @@
 
 // suits orders the hosts for a model: those with its weights, those without any,
 // those with the weights of another one, then those that load some.
-func (l *layout) suits(id api.HostID, model string) int {
+func (l *layout) suits(id api.HostID, sg *servingGroup) int {
 	h := l.mem.hosts[id]
 	switch {
-	case hasWeights(h, model):
+	case l.isReserved(h, sg):
+		return 3
+	case hasWeights(h, sg.Model):
 		return 0
 	case isStaging(h, l.now):
 		return 3
@@ -347,13 +355,17 @@
 		}
 		spares := l.spares(f)
 		blank := l.blank(f)
-		for len(blank) > 0 {
-			sg := l.nextToStage(f, spares, len(blank))
-			if sg == nil || l.loading >= l.limit {
+		for i, id := range blank {
+			if l.loading >= l.limit {
 				break
 			}
-			h := l.mem.hosts[blank[0]]
-			blank = blank[1:]
+			h := l.mem.hosts[id]
+			l.countSpare(spares, h, -1)
+			sg := l.nextToStage(f, spares, len(blank)-i)
+			if sg == nil || hasWeights(h, sg.Model) {
+				l.countSpare(spares, h, 1)
+				continue
+			}
 			l.loading++
 			spares[sg.Model]++
 			l.order(h, api.Order{Kind: api.OrderStage, Model: sg.Model, Incarnation: h.incarnation})
@@ -367,29 +379,50 @@
 	var out []api.HostID
 	for _, id := range f.free {
 		h := l.mem.hosts[id]
-		useless := h.status.Announcement.Staged == "" || l.now.Sub(h.freeSince) >= l.policy.ConvertAfter
-		if useless && !isStaging(h, l.now) {
+		if !isStaging(h, l.now) && (h.status.Announcement.Staged == "" || l.isIdle(f, h)) {
 			out = append(out, id)
 		}
 	}
 	return out
 }
 
+// isIdle reports whether nothing has come of the weights of a free host for long: no
+// host of its fabric domain with the same ones became free lately, is about to, or
+// loads them.
+func (l *layout) isIdle(f *fabric, h *host) bool {
+	if f.pending > 0 {
+		return false
+	}
+	for _, id := range f.free {
+		other := l.mem.hosts[id]
+		for _, sg := range l.sgs {
+			if !hasWeights(h, sg.Model) {
+				continue
+			}
+			loads := isStaging(other, l.now) && other.order.model == sg.Model
+			if loads || hasWeights(other, sg.Model) && l.now.Sub(other.freeSince) < l.policy.ConvertAfter {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // nextToStage returns the serving group whose weights a blank host gets: the one
 // furthest below its share of those that the blank hosts complete a replica of, else
-// the one with the fewest spares, nil if the fabric domain needs none.
+// the one that a spare is worth most to, nil if the fabric domain needs none.
 func (l *layout) nextToStage(f *fabric, spares map[string]int, blank int) *servingGroup {
 	var best *servingGroup
 	for _, sg := range l.sgs {
 		missing := sg.HostsPerReplica - spares[sg.Model]
-		if missing > 0 && missing <= blank && (best == nil || l.filled(sg) < l.filled(best)) {
+		if missing > 0 && missing <= blank && l.leavesReserve(f, sg) && (best == nil || l.filled(sg) < l.filled(best)) {
 			best = sg
 		}
 	}
 	if best != nil {
 		return best
 	}
-	return l.leastCovered(f, spares)
+	return l.bestSpare(f, spares)
 }
 
 // isStaging reports whether a host loads weights as a spare.
@@ -407,28 +440,16 @@
 			out[h.order.model]++
 			continue
 		}
-		for _, sg := range l.sgs {
-			if hasWeights(h, sg.Model) {
-				out[sg.Model]++
-			}
-		}
+		l.countSpare(out, h, 1)
 	}
 	return out
 }
 
-// leastCovered returns the serving group with the fewest spares for the hosts of its
-// replicas in a fabric domain, nil if none has a replica there.
-func (l *layout) leastCovered(f *fabric, spares map[string]int) *servingGroup {
-	var best *servingGroup
-	var least float64
+// countSpare adds n to the spares of each model whose weights a host holds.
+func (l *layout) countSpare(spares map[string]int, h *host, n int) {
 	for _, sg := range l.sgs {
-		hosts := sg.byFabric[f.name] * sg.HostsPerReplica
-		if sg.Service != f.service || hosts == 0 {
-			continue
-		}
-		if covered := float64(spares[sg.Model]) / float64(hosts); best == nil || covered < least {
-			best, least = sg, covered
+		if hasWeights(h, sg.Model) {
+			spares[sg.Model] += n
 		}
 	}
-	return best
 }
--- a/internal/group/shared_initial.go
+++ b/internal/group/shared_initial.go
@@ -70,14 +70,14 @@
 }
 
 // combinations lists the numbers of replicas that use as many of n hosts as
-// possible: no further one fits beside them.
+// possible: no further one fits beside them and the spares of large replicas.
 func (l *layout) combinations(n int) []combination {
 	var out []combination
 	present := make(combination, len(l.sgs))
 	var add func(m, left int)
 	add = func(m, left int) {
 		if m == len(l.sgs) {
-			if left < l.smallest() {
+			if l.isFull(present, left) {
 				out = append(out, slices.Clone(present))
 			}
 			return
@@ -92,6 +92,21 @@
 	return out
 }
 
+// isFull reports whether replicas leave room for the spares of the large ones among
+// them, and for no further replica.
+func (l *layout) isFull(c combination, left int) bool {
+	reserve, small := 0, 0
+	for m, sg := range l.sgs {
+		if c[m] > 0 {
+			reserve = max(reserve, l.largeSpares(sg))
+		}
+		if l.isOutweighed(sg) {
+			small += c[m]
+		}
+	}
+	return left-reserve < l.smallest() && (left >= reserve || small == 0)
+}
+
 // reached is a way to a sum of replicas over the fabric domains so far.
 type reached struct {
 	counts combination
--- a/internal/ingress/exchange_test.go
+++ b/internal/ingress/exchange_test.go
@@ -218,9 +218,7 @@
 func TestLeavingRelayIsReplaced(t *testing.T) {
 	w := newExchangeWorld(t, 4, 4, 4)
 	w.entries[0].Leaving = true
-	var names []api.EntryID
-	for _, e := range domainRelays(w.entries, "d0") {
-		names = append(names, e.ID)
-	}
-	require.Equal(t, []api.EntryID{"e-0-01", "e-0-02"}, names)
+	relays := domainRelays(w.entries, "d0")
+	require.Len(t, relays, relaysPerDomain)
+	require.Equal(t, []api.EntryID{"e-0-01", "e-0-02"}, []api.EntryID{relays[0].ID, relays[1].ID})
 }
