placement: a waiting request reads the pool under its lock

Cause: Acquire computed the last useful moment of a queued request from the profile without the lock, while a new view replaces the profile.

Ruled out: other unlocked reads of the pool (the methods that take no lock say so).

Change: the moment is computed when the request enters the queue and kept with it. TestPoolChangesWhileRequestsWait reports the race before.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -57,7 +57,9 @@
 	since  time.Time
 	// startBy is until when a place makes the first event on time.
 	startBy time.Time
-	placed  chan *Placement
+	// until is when a place is of no more use.
+	until  time.Time
+	placed chan *Placement
 }
 
 // Update replaces the targets; entries are those that share them. Work in progress on targets that stay is kept; one
@@ -95,7 +97,7 @@
 	if w == nil {
 		return placement, err
 	}
-	limit := time.NewTimer(time.Until(p.lastMoment(&d)))
+	limit := time.NewTimer(w.until.Sub(p.now()))
 	defer limit.Stop()
 	select {
 	case placement = <-w.placed:
@@ -136,10 +138,11 @@
 	if !p.hasAlternative(d) {
 		return nil, nil, p.unavailable("no target can take the request")
 	}
-	if wait := p.expectedWait(); p.now().Add(wait).After(p.lastMoment(d)) {
+	until := p.lastMoment(d)
+	if wait := p.expectedWait(); p.now().Add(wait).After(until) {
 		return nil, nil, p.full("the queue is too long for the time that is left")
 	}
-	w := &waiter{demand: d, since: p.now(), startBy: p.startBy(d), placed: make(chan *Placement, 1)}
+	w := &waiter{demand: d, since: p.now(), startBy: p.startBy(d), until: until, placed: make(chan *Placement, 1)}
 	at, _ := slices.BinarySearchFunc(p.waiting, w, compareWaiters)
 	p.waiting = slices.Insert(p.waiting, at, w)
 	return w, nil, nil
@@ -190,7 +193,7 @@
 
 // lastMoment is when a place is of no more use: the time of the run itself is left
 // until the deadline, at most half of what the request has, and that until its first
-// event before the caller gives up.
+// event before the caller gives up. The lock is held.
 func (p *Pool) lastMoment(d *Demand) time.Time {
 	if p.profile == nil {
 		return d.Deadline.Add(-minServing)
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -169,6 +170,26 @@
 	}
 }
 
+// TestPoolChangesWhileRequestsWait replaces the targets and the profile while requests
+// queue; the race detector watches.
+func TestPoolChangesWhileRequestsWait(*testing.T) {
+	p := NewPool("m", "a", time.Now)
+	busy := replica("a")
+	busy.Slots = 1
+	p.Update([]Target{busy}, profile(), Entries{})
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			d := Demand{Prompt: 100, Answer: 10, Deadline: time.Now().Add(200 * time.Millisecond)}
+			if place, err := p.Acquire(context.Background(), d); err == nil {
+				p.Release(place)
+			}
+		})
+		wg.Go(func() { p.Update([]Target{busy}, profile(), Entries{}) })
+	}
+	wg.Wait()
+}
+
 func TestRetryBudget(t *testing.T) {
 	now := time.Unix(1000, 0)
 	b := NewRetryBudget(0.2, 40, 10*time.Second)
