standin: replicas that work by the pass model, played through the whole system

The model (pieces of prompts, strides, slots, memory with preemption, pace, stalls) was spread over the load play of placement.

--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -3,10 +3,13 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/standin"
 )
 
 // played is one request of a load play.
@@ -15,20 +18,19 @@
 	arrived   time.Time
 	waiter    *waiter
 	place     *Placement
-	left      int
-	prompt    int
+	id        string
 	first     time.Time
 	done      bool
 	abandoned bool
 }
 
-// play runs requests against stand-in replicas with the pass model of the engines: a
-// pass reads one piece of a prompt or writes a stride of tokens for each request.
+// play runs requests against stand-in replicas with the pass model of the engines.
 type play struct {
 	*fakeTime
 	pool    *Pool
 	rng     *rand.Rand
-	busy    map[string]time.Time
+	engines map[string]*standin.Passes
+	byID    map[string]*played
 	running map[string][]*played
 	waiting []*played
 	all     []*played
@@ -46,10 +48,14 @@
 
 func newPlay() *play {
 	pool, clock := enginePool("a", "b")
-	return &play{
-		fakeTime: clock, pool: pool, rng: rand.New(rand.NewPCG(1, 2)),
-		busy: make(map[string]time.Time), running: make(map[string][]*played),
+	p := &play{
+		fakeTime: clock, pool: pool, rng: rand.New(rand.NewPCG(1, 2)), engines: make(map[string]*standin.Passes),
+		byID: make(map[string]*played), running: make(map[string][]*played),
+	}
+	for id := range pool.targets {
+		p.engines[id] = standin.NewPasses(pool.profile, 1)
 	}
+	return p
 }
 
 func (p *play) arrive() {
@@ -58,8 +64,9 @@
 	if p.inOrder {
 		d.Objective = p.now.Add(time.Hour)
 	}
-	r := &played{demand: d, arrived: p.now, left: d.Answer, prompt: d.Prompt}
+	r := &played{demand: d, arrived: p.now, id: strconv.Itoa(len(p.all))}
 	p.all = append(p.all, r)
+	p.byID[r.id] = r
 	w, placement, err := p.pool.enter(&r.demand)
 	switch {
 	case err != nil:
@@ -75,17 +82,18 @@
 
 func (p *play) start(r *played, placement *Placement) {
 	r.place = placement
+	p.engines[placement.Target.ID].Add(standin.Work{ID: r.id, Prompt: r.demand.Prompt, Answer: r.demand.Answer})
 	p.running[placement.Target.ID] = append(p.running[placement.Target.ID], r)
 }
 
-// step runs every replica whose pass has ended.
+// step runs the replicas up to now.
 func (p *play) step() {
 	p.pool.Pump()
 	p.waiting = slices.DeleteFunc(p.waiting, func(r *played) bool {
 		switch {
 		case isPlaced(r.waiter):
 			p.start(r, <-r.waiter.placed)
-		case !p.now.Before(p.pool.lastMoment(&r.demand)):
+		case !p.now.Before(r.waiter.until):
 			if placement := p.pool.leave(r.waiter); placement != nil {
 				p.pool.Release(placement)
 			}
@@ -97,59 +105,39 @@
 		return true
 	})
 	for id := range p.pool.targets {
-		if !p.now.Before(p.busy[id]) {
-			p.pass(id)
-		}
+		p.note(id, p.engines[id].Advance(p.now))
 	}
 }
 
-func (p *play) pass(id string) {
-	list := p.running[id]
-	took := time.Duration(0)
-	writers := load{}
-	reading := false
-	for _, r := range list {
-		switch {
-		case r.prompt > 0 && !reading:
-			piece := min(r.prompt, p.pool.profile.Chunk)
-			took += readingTime(p, piece)
-			r.prompt -= piece
-			reading = true
-		case r.prompt == 0:
-			writers.add(load{running: 1, context: r.demand.Prompt})
-		}
-	}
-	if writers.running > 0 {
-		took += time.Duration(p.pool.profile.Stride) * step(p.pool.profile, 1, writers)
-	}
-	end := p.now.Add(took)
-	p.busy[id] = end
-	kept := list[:0]
-	for _, r := range list {
-		if r.prompt == 0 && writers.running > 0 {
-			r.left -= p.pool.profile.Stride
+// note takes what a replica did for its requests, and lets callers give up.
+func (p *play) note(id string, outputs []standin.Output) {
+	for _, o := range outputs {
+		r := p.byID[o.ID]
+		if o.Tokens > 0 {
 			if r.first.IsZero() {
-				r.first = end
+				r.first = p.now
 				p.pool.FirstEvent(r.place)
 			}
 			p.pool.Answered(r.place)
 		}
-		switch {
-		case r.left <= 0:
-			r.done = true
-		case r.first.IsZero() && end.Sub(r.arrived) > playPatience, end.After(r.demand.Deadline):
-			r.abandoned = true
-		default:
+		r.done = r.done || o.Done
+	}
+	kept := p.running[id][:0]
+	for _, r := range p.running[id] {
+		late := r.first.IsZero() && p.now.Sub(r.arrived) > playPatience || p.now.After(r.demand.Deadline)
+		if !r.done && !late {
 			kept = append(kept, r)
 			continue
 		}
+		if !r.done {
+			r.abandoned = true
+			p.engines[id].Remove(r.id)
+		}
 		p.pool.Release(r.place)
 	}
 	p.running[id] = kept
 }
 
-func readingTime(p *play, tokens int) time.Duration { return reading(p.pool.profile, 1, tokens) }
-
 // run plays requests at a rate for playLength and returns the shares of them that were
 // on time, served at all, and abandoned after work was spent on them.
 func (p *play) run(perSecond float64) (onTime, served, wasted float64) {
