ingress: callers return when an entry usually knows its routes

Cause: after a loss of power everywhere entries listen about two seconds before they know any routes. They told callers to return after half a second; most callers return once, were refused again and gave up, though their deadlines of 5 and 8 s left time.

Ruled out: answering sooner (control elects a leader within 1.1 s of its start).

Change: an entry without routes says 1.5 to 2.5 s, spread out. A caller that finds one restarted entry is late by then anyway, or asks another entry. TestCallersReturnOnceRoutesAreKnown fails before.

--- a/internal/ingress/path_test.go
+++ b/internal/ingress/path_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -80,6 +81,29 @@
 	}
 }
 
+// TestCallersReturnOnceRoutesAreKnown plays a start after a loss of power everywhere:
+// callers that come while the entry knows no routes are told to return when control
+// usually leads again, and not all at once.
+func TestCallersReturnOnceRoutesAreKnown(t *testing.T) {
+	r := newRig(t)
+	r.view.Publication = nil
+	r.apply()
+	var soonest, latest float64
+	for range 40 {
+		res := r.send("GET", "/read/1", "")
+		require.Equal(t, 503, res.StatusCode)
+		wait, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		if soonest == 0 {
+			soonest = wait
+		}
+		soonest, latest = min(soonest, wait), max(latest, wait)
+	}
+	require.GreaterOrEqual(t, soonest, noRoutesRetryAfter.Seconds())
+	require.LessOrEqual(t, latest, (noRoutesRetryAfter + noRoutesSpread).Seconds())
+	require.Greater(t, latest-soonest, noRoutesSpread.Seconds()/4)
+}
+
 func TestNewLifeOfADepartedServerServes(t *testing.T) {
 	r := newRig(t)
 	r.ledger(newStandIn(t, "l1", echo))
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -11,13 +12,24 @@
 	"github.com/crocusway/crocusway/internal/routing"
 )
 
+// An entry that has just started knows no routes. If it alone was restarted, callers
+// find another one whenever they return; after a loss of power everywhere it takes
+// control about two seconds to elect a leader and to hand out the routes, and callers
+// that return sooner are refused again. They return spread out.
+const (
+	noRoutesRetryAfter = 1500 * time.Millisecond
+	noRoutesSpread     = time.Second
+)
+
 // receive reads the head of the request and takes the publication by which it is
 // judged.
 func (s *Server) receive(c *call) error {
 	c.head = s.cfg.Dialect.DecodeRequest(&c.http.Request.Header)
 	c.table, c.revision = s.board.current()
 	if c.table == nil {
-		return unavailable("no_publication", "this entry knows no routes yet", nil)
+		r := unavailable("no_publication", "this entry knows no routes yet", nil)
+		r.retryAfter = noRoutesRetryAfter + rand.N(noRoutesSpread)
+		return r
 	}
 	return nil
 }
