entry: a cut-off control daemon finds the leader again

Cause: a daemon that cannot deliver announcements refuses them with 503, so that hosts go to another daemon. A control daemon has no renewals: only a delivery clears that state, and with every announcement refused there was nothing to deliver. The timeouts were not logged.

Ruled out: the planner (it had no hosts); lapses of the lease (17, the longest 0.88 s).

Change: an announcement is queued also while it is refused, so that the next delivery shows that the leader is back. The first failure of a row of deliveries and the recovery are logged, timeouts too. TestCutOffDaemonFindsTheLeaderAgain fails before.

--- a/internal/daemon/gateway_calls.go
+++ b/internal/daemon/gateway_calls.go
@@ -13,13 +13,7 @@
 // Announce takes an announcement of a backend server. It fails with
 // errs.Unavailable while this daemon finds no control leader, so that the server
 // goes to another one.
-func (g *Gateway) Announce(ann api.Announcement) error {
-	if g.agent.CutOff() {
-		return errs.New(errs.Unavailable, "announce", "", "no control leader is found")
-	}
-	g.agent.Announce(ann)
-	return nil
-}
+func (g *Gateway) Announce(ann api.Announcement) error { return g.agent.Announce(ann) }
 
 // Depart takes the notice that a backend server leaves. It returns once the notice
 // is replicated.
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -70,10 +70,9 @@
 // announce takes an announcement and tells the entries that take the next. While
 // the entry finds no leader it takes none, so that the host goes to another entry.
 func (r *entryRole) announce(ann api.Announcement) (api.AnnounceResponse, error) {
-	if r.agent.CutOff() {
-		return api.AnnounceResponse{}, errs.New(errs.Unavailable, "announce", "", "no control leader is found")
+	if err := r.agent.Announce(ann); err != nil {
+		return api.AnnounceResponse{}, err
 	}
-	r.agent.Announce(ann)
 	r.shards.ObserveLoad(ann)
 	response := api.AnnounceResponse{NextMillis: r.announceInterval.Milliseconds()}
 	response.Entries = alternatives(r.state.Snapshot().Entries, ann.Host)
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -71,6 +71,8 @@
 	stretchedBefore bool
 	// applied wakes the renewal loop after a new view.
 	applied chan struct{}
+	// undelivered is set while batches of announcements are not delivered.
+	undelivered atomic.Bool
 	// cutOff is set while calls find no leader.
 	cutOff atomic.Bool
 }
@@ -95,8 +97,16 @@
 func (a *Agent) RunAnnouncements(ctx context.Context) error { return a.announceLoop(ctx) }
 
 // Announce queues an announcement for the control leader. It never blocks and
-// keeps only the newest announcement of a host.
-func (a *Agent) Announce(ann api.Announcement) { a.batch.put(ann, a.cfg.Clock.Now()) }
+// keeps only the newest announcement of a host. While the agent is cut off it fails
+// with errs.Unavailable, so that the host goes to another daemon; the announcement is
+// queued all the same, since only a delivery shows that the leader is back.
+func (a *Agent) Announce(ann api.Announcement) error {
+	a.batch.put(ann, a.cfg.Clock.Now())
+	if a.CutOff() {
+		return errs.New(errs.Unavailable, "announce", "", "no control leader is found")
+	}
+	return nil
+}
 
 // CutOff reports whether the last renewal or delivery of announcements found no
 // leader. What hosts announce meanwhile reaches nobody; they should go to another
--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -312,6 +312,43 @@
 	}
 }
 
+// flakyControl answers once it is up.
+type flakyControl struct{ up atomic.Bool }
+
+func (c *flakyControl) Call(context.Context, api.Method, any, any) error {
+	if c.up.Load() {
+		return nil
+	}
+	return errs.New(errs.Timeout, "find control leader", "", "no answer")
+}
+
+// TestCutOffDaemonFindsTheLeaderAgain plays a control daemon, which has no renewals: what
+// hosts announce is all that shows that the leader is back. Hosts are sent elsewhere
+// only until then.
+func TestCutOffDaemonFindsTheLeaderAgain(t *testing.T) {
+	control := &flakyControl{}
+	agent := NewAgent(AgentConfig{State: NewState(api.EntryInfo{ID: "c1"}, clock.System{}), Control: control, Clock: clock.System{}, Logger: logging.Discard()})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = agent.RunAnnouncements(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	sequence := uint64(0)
+	announce := func() bool {
+		sequence++
+		return agent.Announce(api.Announcement{Host: "h1", Incarnation: 1, Sequence: sequence}) == nil
+	}
+	require.True(t, announce(), "before the first call")
+	require.Eventually(t, func() bool { return !announce() }, 5*time.Second, time.Millisecond)
+	control.up.Store(true)
+	require.Eventually(t, announce, 5*time.Second, time.Millisecond)
+}
+
 // frozenLeader holds every watch until its call is given up.
 type frozenLeader struct{ watching chan struct{} }
 
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -222,11 +222,9 @@
 	var response api.AnnounceBatchResponse
 	err := a.cfg.Control.Call(ctx, api.MethodAnnounce, batch, &response)
 	a.noteLeader(err)
+	a.undelivered.Store(a.logChange("announcement batch", a.undelivered.Load(), err))
 	if err != nil {
 		a.batch.acknowledge(0)
-		if ctx.Err() == nil {
-			a.logChange("announcement batch", false, err)
-		}
 		return
 	}
 	a.batch.acknowledge(response.Session)
