ingress: an entry behind takes the view of an entry that is not

Cause: while the leader is busy some watches are answered seconds after others.

Ruled out: a lost update (its own watch brought it in the end).

Change: load reports name the publication that their sender obeys, at once when it changes.

--- a/internal/api/publication.go
+++ b/internal/api/publication.go
@@ -253,6 +253,8 @@
 	Entry       EntryID     `json:"entry"`
 	Incarnation Incarnation `json:"incarnation"`
 	Sequence    uint64      `json:"sequence"`
+	// Publication is the version that the entry obeys.
+	Publication uint64 `json:"publication,omitempty"`
 	// Domain is the failure domain of the entry.
 	Domain FailureDomain `json:"domain,omitempty"`
 	Loads  []Load        `json:"loads,omitempty"`
--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -32,8 +32,9 @@
 	MethodDepart      Method = "control.depart"
 	MethodEnroll      Method = "control.enroll"
 	MethodProgress    Method = "control.progress"
-	// MethodLoads is answered by entries.
+	// MethodLoads and MethodView are answered by entries.
 	MethodLoads Method = "entry.loads"
+	MethodView  Method = "entry.view"
 )
 
 // RenewRequest renews the work lease of an entry.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -259,6 +259,7 @@
 		Dialect:  g.cfg.Dialect,
 		Logger:   g.base,
 		Settings: g.cfg.Ingress,
+		Adopt:    g.agent.Adopt,
 		Meter:    g.telemetry.Meter(),
 	})
 	g.ingress.Register(g.node)
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -71,6 +71,8 @@
 	stretchedBefore bool
 	// applied wakes the renewal loop after a new view.
 	applied chan struct{}
+	// applying is held while a view is applied, so that OnSnapshot sees them in order.
+	applying sync.Mutex
 	// undelivered is set while batches of announcements are not delivered.
 	undelivered atomic.Bool
 	// cutOff is set while calls find no leader.
@@ -296,8 +298,23 @@
 	if err != nil {
 		return err
 	}
+	a.adopt(view)
+	return nil
+}
+
+// Adopt applies a whole view that another entry has from control. An older one than
+// the present is ignored.
+func (a *Agent) Adopt(view api.View) {
+	if view.Revision > a.cfg.State.Snapshot().Revision {
+		a.adopt(view)
+	}
+}
+
+func (a *Agent) adopt(view api.View) {
+	a.applying.Lock()
+	defer a.applying.Unlock()
 	if !a.cfg.State.Apply(view) {
-		return nil
+		return
 	}
 	if a.cfg.OnSnapshot != nil {
 		a.cfg.OnSnapshot(a.cfg.State.Snapshot())
@@ -306,7 +323,6 @@
 	case a.applied <- struct{}{}:
 	default:
 	}
-	return nil
 }
 
 // logChange logs the first failure of a row and the recovery from it.
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -10,25 +10,24 @@
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/backend"
 	"github.com/crocusway/crocusway/internal/entry"
+	"github.com/crocusway/crocusway/internal/peer"
 	"github.com/crocusway/crocusway/internal/placement"
 )
 
-// Notifier sends messages to other daemons. It is implemented by peer.Node.
-type Notifier interface {
-	Notify(address string, method api.Method, params any) error
-}
-
-// Config is what the request path needs. Every field but Meter is required.
+// Config is what the request path needs. Every field but Adopt and Meter is required.
 type Config struct {
 	// Self is the entry that this process runs.
 	Self     api.EntryInfo
 	State    *entry.State
 	Control  entry.ControlCaller
-	Peers    Notifier
+	Peers    peer.Caller
 	Backends *backend.Forwarder
 	Dialect  Dialect
 	Logger   log.Logger
 	Settings Settings
+	// Adopt applies the view of another entry that is newer than the own one; nil drops
+	// it.
+	Adopt func(api.View)
 	// Meter creates the instruments; nil measures nothing.
 	Meter metric.Meter
 }
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -39,9 +39,11 @@
 	// sums are those of other failure domains; fresh ones were not passed on yet.
 	sums  map[api.FailureDomain]timedLoads
 	fresh map[api.FailureDomain]bool
-	// sent and sentSum are the newest own report and the newest sum.
-	sent    timedLoads
-	sentSum timedLoads
+	// sent and sentSum are the newest own report and the newest sum, announced the
+	// publication that the former named.
+	sent      timedLoads
+	sentSum   timedLoads
+	announced uint64
 }
 
 type timedLoads struct {
@@ -111,27 +113,39 @@
 	return members[:min(relaysPerDomain, len(members))]
 }
 
-// outgoing returns the reports that are due, given this entry's own work and the
-// crashes that other entries don't know of.
-func (x *exchange) outgoing(now time.Time, own []api.Load, crashes []api.Crash, entries []api.EntryInfo) []delivery {
+// news is what an entry has to report.
+type news struct {
+	// loads is its own work.
+	loads []api.Load
+	// crashes are those that other entries don't know of.
+	crashes []api.Crash
+	// publication is the version that it obeys.
+	publication uint64
+}
+
+// outgoing returns the reports that are due.
+func (x *exchange) outgoing(now time.Time, n news, entries []api.EntryInfo) []delivery {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	routes := routeLoads(x.self, entries)
 	var out []delivery
 	sums := x.takeFresh(now)
-	if isDue(own, &x.sent, now) || len(sums) > 0 || len(crashes) > 0 {
-		x.sent = timedLoads{own, now}
-		out = x.deliver(out, routes.near, api.LoadReport{Loads: own, Sums: sums, Crashes: crashes})
+	if isDue(n.loads, &x.sent, now) || len(sums) > 0 || len(n.crashes) > 0 || n.publication != x.announced {
+		x.sent, x.announced = timedLoads{n.loads, now}, n.publication
+		out = x.deliver(out, routes.near, api.LoadReport{
+			Publication: n.publication, Loads: n.loads, Sums: sums, Crashes: n.crashes,
+		})
 	}
-	if len(crashes) > 0 {
-		out = x.deliver(out, routes.rest, api.LoadReport{Crashes: crashes})
+	if len(n.crashes) > 0 {
+		out = x.deliver(out, routes.rest, api.LoadReport{Publication: n.publication, Crashes: n.crashes})
 	}
 	if len(routes.relays) == 0 {
 		return out
 	}
-	if sum := x.sum(own, now); isDue(sum, &x.sentSum, now) {
+	if sum := x.sum(n.loads, now); isDue(sum, &x.sentSum, now) {
 		x.sentSum = timedLoads{sum, now}
-		out = x.deliver(out, routes.relays, api.LoadReport{Sums: []api.DomainLoads{{Domain: x.self.Domain, Loads: sum}}})
+		sums := []api.DomainLoads{{Domain: x.self.Domain, Loads: sum}}
+		out = x.deliver(out, routes.relays, api.LoadReport{Publication: n.publication, Sums: sums})
 	}
 	return out
 }
--- a/internal/ingress/exchange_test.go
+++ b/internal/ingress/exchange_test.go
@@ -56,7 +56,7 @@
 		}
 		crash := n.crash
 		n.crash = nil
-		for _, d := range n.outgoing(w.now, n.own, crash, w.entries) {
+		for _, d := range n.outgoing(w.now, news{loads: n.own, crashes: crash}, w.entries) {
 			w.deliver(e, d)
 		}
 	}
@@ -222,3 +222,15 @@
 	require.Len(t, relays, relaysPerDomain)
 	require.Equal(t, []api.EntryID{"e-0-01", "e-0-02"}, []api.EntryID{relays[0].ID, relays[1].ID})
 }
+
+// TestNewPublicationIsReportedAtOnce tells other entries of a publication without any
+// load.
+func TestNewPublicationIsReportedAtOnce(t *testing.T) {
+	w := newExchangeWorld(t, 2)
+	x, now := w.nodes["e-0-00"], w.now
+	require.Empty(t, x.outgoing(now, news{}, w.entries))
+	out := x.outgoing(now, news{publication: 5}, w.entries)
+	require.Len(t, out, 1)
+	require.Equal(t, uint64(5), out[0].report.Publication)
+	require.Empty(t, x.outgoing(now, news{publication: 5}, w.entries))
+}
--- a/internal/ingress/rig_test.go
+++ b/internal/ingress/rig_test.go
@@ -22,6 +22,7 @@
 	"github.com/crocusway/crocusway/internal/backend"
 	"github.com/crocusway/crocusway/internal/clock"
 	"github.com/crocusway/crocusway/internal/entry"
+	"github.com/crocusway/crocusway/internal/errs"
 	"github.com/crocusway/crocusway/internal/logging"
 	"github.com/crocusway/crocusway/internal/routing"
 	"github.com/crocusway/crocusway/internal/testkit"
@@ -216,6 +217,10 @@
 
 func (noPeers) Notify(string, api.Method, any) error { return nil }
 
+func (noPeers) Call(context.Context, string, api.Method, any, any) error { return errNoPeers }
+
+var errNoPeers = errs.New(errs.Unavailable, "call", "", "no peers")
+
 const (
 	testHost  = "api.example"
 	testModel = "m"
--- a/internal/ingress/share.go
+++ b/internal/ingress/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -18,15 +19,20 @@
 	urgent chan struct{}
 
 	exchange *exchange
+	// behind names an entry that obeys a newer publication.
+	behind chan ahead
 }
 
 func newShare(s *Server) *share {
-	return &share{server: s, urgent: make(chan struct{}, 1), exchange: newExchange(s.cfg.Self)}
+	return &share{
+		server: s, urgent: make(chan struct{}, 1), exchange: newExchange(s.cfg.Self), behind: make(chan ahead, 1),
+	}
 }
 
 // Register adds the handler of other entries' reports.
 func (s *Server) Register(r peer.Registrar) {
 	r.Handle(api.MethodLoads, peer.Typed(s.share.receive))
+	r.Handle(api.MethodView, peer.Typed(s.share.view))
 }
 
 // urge asks for a progress report soon.
@@ -40,12 +46,10 @@
 func (h *share) run(ctx context.Context) error {
 	loads := time.NewTicker(shareInterval)
 	defer loads.Stop()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		h.reportProgress(ctx)
-	}()
-	defer func() { <-done }()
+	var loops sync.WaitGroup
+	defer loops.Wait()
+	loops.Go(func() { h.reportProgress(ctx) })
+	loops.Go(func() { h.catchUpLoop(ctx) })
 	for {
 		select {
 		case <-ctx.Done():
@@ -65,8 +69,9 @@
 	for _, pool := range h.server.board.all() {
 		loads = pool.Loads(loads)
 	}
+	n := news{loads: loads, crashes: h.server.crashes.take(), publication: h.server.board.publication()}
 	entries := h.server.cfg.State.Snapshot().Entries
-	for _, d := range h.exchange.outgoing(time.Now(), loads, h.server.crashes.take(), entries) {
+	for _, d := range h.exchange.outgoing(time.Now(), n, entries) {
 		// A lost report is made up for by the next one.
 		if err := h.server.cfg.Peers.Notify(d.to.PeerAddress, api.MethodLoads, d.report); err != nil {
 			level.Debug(h.server.logger).Log("msg", "load report not sent", "entry", d.to.ID, "err", err)
@@ -78,6 +83,7 @@
 func (h *share) receive(_ context.Context, r api.LoadReport) (api.Empty, error) {
 	now := time.Now()
 	h.server.crashes.learn(r.Crashes, now)
+	h.compare(&r)
 	for _, work := range h.exchange.incoming(now, &r) {
 		loads := make(map[string]api.Load, len(work.loads))
 		for _, l := range work.loads {
--- a/internal/ingress/targets.go
+++ b/internal/ingress/targets.go
@@ -63,6 +63,14 @@
 	return b.table, b.revision
 }
 
+// publication returns the version of the publication in force, 0 without one.
+func (b *board) publication() uint64 {
+	if table, _ := b.current(); table != nil {
+		return table.Version()
+	}
+	return 0
+}
+
 // poolName names the pool of a service, or of one of its models.
 func poolName(service *api.PublishedService, model string) string {
 	if service.Engine == nil {
