--- a/internal/group/shared_strand.go
+++ b/internal/group/shared_strand.go
@@ -16,7 +16,8 @@
 const rescueGain = 2
 
 // spareHosts is the number of hosts that a fabric domain keeps free beside replicas
-// that are much larger than others: losses come in pairs where hosts share power.
+// that are much larger than others: on the users' platform members are mostly lost two
+// at a time.
 const spareHosts = 2
 
 // largeSpares is the number of spares that replicas of a serving group want.
