ingress: entries report directly up to 16

Change: the bound is 16. The grown sites have 34 entries. That a relay may be a former life of an entry stays open for them.

--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -13,8 +13,9 @@
 const (
 	// directEntries is the number of entries up to which each reports to every
 	// other one. Beyond it the messages, which grow with the square of the number,
-	// and the bytes between failure domains outweigh the delay of a relay.
-	directEntries = 8
+	// and the bytes between failure domains outweigh the delay of a relay. An entry that
+	// was restarted counts twice until the lease of its former life ends.
+	directEntries = 16
 	// relaysPerDomain are the entries of a failure domain that exchange reports with
 	// other domains: the loss of one is borne until the view shows it.
 	relaysPerDomain = 2
