--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -15,7 +15,10 @@
 	// roundDue requests a new round with the next Ready.
 	roundDue bool
 	sent     []sentRound
-	reads    []pendingRead
+	// roundTrip is the time from sending the newest confirmed round to its
+	// confirmation, until takeRoundTrip.
+	roundTrip time.Duration
+	reads     []pendingRead
 	// deferredReads are reads that wait for the first commit of the term.
 	deferredReads []uint64
 }
@@ -103,6 +106,7 @@
 	for _, s := range c.lease.sent {
 		if s.round == round {
 			c.lease.start = c.leaseStart(s.at, c.now)
+			c.lease.roundTrip = c.now - s.at
 		}
 		if s.round > round {
 			kept = append(kept, s)
@@ -112,6 +116,13 @@
 	c.confirmReads()
 }
 
+// takeRoundTrip returns the round trip of the newest confirmed round once, else 0.
+func (c *Core) takeRoundTrip() time.Duration {
+	d := c.lease.roundTrip
+	c.lease.roundTrip = 0
+	return d
+}
+
 // quorumValue returns the largest value that a majority reaches.
 func quorumValue(values []uint64) uint64 {
 	if len(values) == 0 {
--- a/internal/consensus/server.go
+++ b/internal/consensus/server.go
@@ -51,6 +51,7 @@
 	encoders        sync.WaitGroup
 	lastRole        role
 	lastMembers     string
+	rounds          *roundMeter
 }
 
 // NewServer recovers the state from the Store and returns a server that Start
@@ -70,6 +71,7 @@
 		reads:     map[uint64]chan<- error{},
 		routes:    map[api.VoterID]string{},
 	}
+	s.rounds = newRoundMeter(s.now, s.logger, cfg.Meter, cfg.Core.Heartbeat)
 	state, err := s.load()
 	if err != nil {
 		return nil, err
@@ -163,6 +165,7 @@
 		defer ticker.Stop()
 		ticks = ticker.C
 	}
+	s.rounds.begin()
 	s.processReady()
 	for s.Err() == nil && s.processEvents(ticks) {
 		s.processReady()
@@ -177,12 +180,16 @@
 	case <-s.stop:
 		return false
 	case <-ticks:
+		s.rounds.begin()
 		s.core.Tick(s.now())
 	case msgs := <-s.inbox:
+		s.rounds.begin()
 		s.step(msgs)
 	case f := <-s.calls:
+		s.rounds.begin()
 		f()
 	case e := <-s.encoded:
+		s.rounds.begin()
 		s.finishSnapshot(e)
 	}
 	for range maxBatch {
@@ -211,16 +218,21 @@
 // processReady executes the output of the core in the order that its guarantees
 // require: sync first, then acknowledge.
 func (s *Server) processReady() {
+	defer s.rounds.end()
+	s.rounds.lap(stageEvents)
 	for s.core.HasReady() {
 		rd := s.core.Ready()
 		s.publish()
 		s.send(rd.Messages)
+		s.rounds.lap(stageSend)
 		if err := s.persist(rd); err != nil {
 			s.fail(err)
 			return
 		}
+		s.rounds.lap(stageSync)
 		s.core.Advance()
 		s.send(rd.Responses)
+		s.rounds.lap(stageSend)
 		values := s.apply(rd.Committed)
 		// Published first, so that the status includes the results that callers get.
 		s.publish()
@@ -230,7 +242,9 @@
 			s.fail(err)
 			return
 		}
+		s.rounds.lap(stageApply)
 	}
+	s.rounds.recordHeartbeat(s.core.takeRoundTrip())
 	if s.core.Obsolete() {
 		s.rejoinAsLearner()
 	}
@@ -275,6 +289,7 @@
 		groups[m.To] = append(groups[m.To], m)
 	}
 	for id, group := range groups {
+		s.rounds.countSent(group)
 		to := s.route(id)
 		for len(group) > 0 {
 			n := batchLength(group)
--- a/internal/consensus/server_config.go
+++ b/internal/consensus/server_config.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/clock"
@@ -35,6 +36,9 @@
 	Clock clock.Clock
 	// Logger receives the log of the server; nil discards it.
 	Logger log.Logger
+	// Meter receives the duration of each stage of the server's loop; nil exports
+	// none.
+	Meter metric.Meter
 	// TickInterval is the interval of the timer; 0 stands for DefaultTick. The
 	// heartbeat and the election timeouts are multiples of it.
 	TickInterval time.Duration
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -37,7 +37,8 @@
 	p.leaseEnd, p.hasLease = s.core.LeaseEnd()
 	if s.core.role != s.lastRole {
 		s.lastRole = s.core.role
-		level.Info(s.logger).Log("msg", "Role changed.", "role", s.lastRole, "term", s.core.term)
+		level.Info(s.logger).Log("msg", "Role changed.", "role", s.lastRole, "term", s.core.term,
+			"since_leader_contact", s.core.now-s.core.lastLeaderContact)
 	}
 	if text := p.membership.describe(); text != s.lastMembers {
 		s.lastMembers = text
--- a/internal/control/gateway_calls.go
+++ b/internal/control/gateway_calls.go
@@ -31,7 +31,7 @@
 	s.requestReconcile()
 	level.Info(s.logger).Log("msg", "Publication processed", "version", r.Publication.Version, "stored", response.Stored,
 		"changed", response.Changed, "revision", response.Revision, "term", lead.term,
-		"took", s.cfg.Clock.Now().Sub(started))
+		"source_bytes", len(r.Source), "took", s.cfg.Clock.Now().Sub(started))
 	return response, nil
 }
 
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -100,6 +100,7 @@
 		StateMachine: r.state,
 		Clock:        clock.Boot{},
 		Logger:       c.logger,
+		Meter:        c.service.Meter,
 		Seed:         nameHash(string(c.voter)),
 
 		SnapshotBytes: c.snapshotBytes,
--- a/internal/daemon/gateway_calls.go
+++ b/internal/daemon/gateway_calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-kit/log/level"
 
@@ -33,9 +34,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*gatewayCallTimeout)
 	defer cancel()
+	started := time.Now()
 	err := g.leader.Call(ctx, api.MethodPublish, api.PublishRequest{Publication: p, Source: source}, &response)
 	if err != nil {
-		level.Warn(g.logger).Log("msg", "Publication not acknowledged", "version", p.Version, "leader", g.leader.Leader(), "err", err)
+		level.Warn(g.logger).Log("msg", "Publication not acknowledged", "version", p.Version, "routes", len(p.Routes),
+			"source_bytes", len(source), "took", time.Since(started), "leader", g.leader.Leader(), "err", err)
 	}
 	return response, err
 }
