control: a publication that is sent again is proposed once

An operator's call ends after 0.9 to 1.8 s, and is sent again unchanged to another daemon. Each copy went through the log of the leader, up to four times in the failing test, and on each next leader again.

A version in progress is now proposed once by each leader; resends wait for the same result. A stored or superseded version is acknowledged from the applied state of a leader that holds its lease, without a command: the stored version never falls. TestResentPublicationIsProposedOnce: 4 proposals before, 1 after.

--- a/internal/control/gateway_calls.go
+++ b/internal/control/gateway_calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -16,24 +17,49 @@
 const departureRetention = 2 * time.Minute
 
 // publish handles control.publish. The publication has been validated by the
-// daemon that received it from the operator.
+// daemon that received it from the operator. A stored or superseded version is
+// acknowledged without a command, and a version in progress is proposed once: operators
+// resend what was not acknowledged in time, and each copy in the log would delay it more.
 func (s *Service) publish(ctx context.Context, r api.PublishRequest) (api.PublishResponse, error) {
 	var none api.PublishResponse
 	lead, err := s.lead(ctx)
 	if err != nil {
 		return none, err
 	}
+	if row := s.state.publication.load(); row != nil && r.Publication.Version <= row.Publication.Version {
+		response := api.PublishResponse{Stored: row.Publication.Version, Revision: s.state.Revision()}
+		return response, s.confirmLeading(lead)
+	}
+	call := lead.publishing.DoChan(strconv.FormatUint(r.Publication.Version, 10), func() (any, error) {
+		return s.proposePublication(lead, r)
+	})
+	select {
+	case result := <-call:
+		if result.Err != nil {
+			return none, result.Err
+		}
+		return result.Val.(api.PublishResponse), nil
+	case <-ctx.Done():
+		return none, errs.New(errs.Timeout, "publish", "", "outcome unknown: %w", ctx.Err())
+	}
+}
+
+// proposePublication commits a publication. It does not end with the call that started
+// it, so that a resend can wait for it.
+func (s *Service) proposePublication(lead *leadership, r api.PublishRequest) (api.PublishResponse, error) {
 	started := s.cfg.Clock.Now()
-	response, err := propose[api.PublishResponse](ctx, s, &publishCommand{publicationRow{
-		Publication: r.Publication, ServingGroups: r.ServingGroups, Source: r.Source,
-	}})
+	cmd := &publishCommand{publicationRow{Publication: r.Publication, ServingGroups: r.ServingGroups, Source: r.Source}}
+	response, err := propose[api.PublishResponse](lead.ctx, s, cmd)
+	took := s.cfg.Clock.Now().Sub(started)
 	if err != nil {
-		return none, err
+		level.Warn(s.logger).Log("msg", "Publication not committed", "version", r.Publication.Version, "term", lead.term,
+			"bytes", len(r.Publication.Data)+len(r.Source), "took", took, "err", err)
+		return api.PublishResponse{}, err
 	}
 	s.requestReconcile()
 	level.Info(s.logger).Log("msg", "Publication processed", "version", r.Publication.Version, "stored", response.Stored,
 		"changed", response.Changed, "revision", response.Revision, "term", lead.term,
-		"bytes", len(r.Publication.Data)+len(r.Source), "took", s.cfg.Clock.Now().Sub(started))
+		"bytes", len(r.Publication.Data)+len(r.Source), "took", took)
 	return response, nil
 }
 
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
@@ -24,6 +25,8 @@
 	progress  *progressTable
 	enrolled  *enrolledTable
 	leaseGap  leaseGap
+	// publishing holds the publications that are being committed, by version.
+	publishing singleflight.Group
 	// lastSlowRound is when the slow duties last ran.
 	lastSlowRound time.Time
 	// ctx ends when this voter steps down.
