consensus: large entries leave room for heartbeats

A Ready now holds at most 256 KiB of appends (or one larger entry), members in turn, and the loop handles ticks and messages between two of them, so a due heartbeat waits for one message instead of one for each member. Also found with the failing test: the answer to each heartbeat sent the next large entry again or in addition, outside the bound; and a new leader repeated entries at every heartbeat until the logs were known to match. A probe has no entries now, and lost entries are looked for only after two heartbeat rounds without an acknowledgement.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -21,6 +21,9 @@
 	MaxAppendBytes int
 	// MaxInflight bounds the unacknowledged append messages to one member.
 	MaxInflight int
+	// MaxReadyBytes bounds the data of all append messages of one Ready, except that
+	// one message may exceed it.
+	MaxReadyBytes int
 	// ChunkBytes is the size of a snapshot chunk.
 	ChunkBytes int
 	// TrailingEntries and TrailingBytes bound the log kept in memory after a
@@ -37,6 +40,7 @@
 const (
 	defaultMaxAppendBytes  = 128 << 10
 	defaultMaxInflight     = 64
+	defaultMaxReadyBytes   = 256 << 10
 	defaultChunkBytes      = 128 << 10
 	defaultTrailingEntries = 1024
 	defaultTrailingBytes   = 4 << 20
@@ -48,6 +52,7 @@
 	setDefault(&c.ElectionMax, DefaultElectionMax)
 	setDefault(&c.MaxAppendBytes, defaultMaxAppendBytes)
 	setDefault(&c.MaxInflight, defaultMaxInflight)
+	setDefault(&c.MaxReadyBytes, defaultMaxReadyBytes)
 	setDefault(&c.ChunkBytes, defaultChunkBytes)
 	setDefault(&c.TrailingEntries, defaultTrailingEntries)
 	setDefault(&c.TrailingBytes, defaultTrailingBytes)
@@ -119,6 +124,10 @@
 	responses []Message
 	reads     []ReadState
 	ready     pendingReady
+	// appendBytes is the size of the append messages in messages, and nextMember the
+	// member that flush continues with once they have been sent.
+	appendBytes int
+	nextMember  int
 
 	// mayCommit reports whether counting replicas commits an entry of a term.
 	mayCommit func(term uint64) bool
@@ -353,6 +362,7 @@
 		rd.Responses = slices.Concat(c.messages, c.responses)
 	}
 	c.messages, c.responses, c.reads, c.receivedSnapshot = nil, nil, nil, nil
+	c.appendBytes = 0
 	c.ready = pendingReady{last: c.log.last(), applied: c.log.committed, hard: rd.HardState}
 	return rd
 }
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -8,7 +8,8 @@
 type progressState uint8
 
 const (
-	// probe sends one append at a time until the logs are known to match.
+	// probe sends one append without entries at a time until the logs are known to
+	// match.
 	probe progressState = iota
 	// replicate sends appends without waiting, up to the flow limit.
 	replicate
@@ -26,11 +27,17 @@
 	paused   bool
 	inflight []uint64
 	// round is the newest heartbeat round that the member answered.
-	round          uint64
+	round uint64
+	// entriesRound is the heartbeat round in which entries were last sent.
+	entriesRound   uint64
 	snapshotOffset uint64
 	snapshotIndex  uint64
 }
 
+// lostMessageRounds is the number of heartbeat rounds after which entries that are not
+// acknowledged may have been lost.
+const lostMessageRounds = 2
+
 func (p *progress) probeFrom(next uint64) {
 	p.state = probe
 	p.next = max(next, p.match+1)
@@ -47,7 +54,9 @@
 	p.inflight = p.inflight[n:]
 }
 
-// flush queues the heartbeat round and the appends that the leader has to send.
+// flush queues the heartbeat round and the appends that the leader has to send. It stops
+// at MaxReadyBytes of appends: a heartbeat that becomes due must not wait until large
+// entries have been encoded for every member.
 func (c *Core) flush() {
 	if c.role != leader {
 		return
@@ -55,11 +64,14 @@
 	if c.lease.roundDue {
 		c.sendRound()
 	}
-	for _, m := range c.membership().Members {
-		if m.ID == c.cfg.ID {
-			continue
+	members := c.membership().Members
+	for range members {
+		m := members[c.nextMember%len(members)]
+		for m.ID != c.cfg.ID && c.appendBytes < c.cfg.MaxReadyBytes && c.sendAppend(m.ID, false) {
 		}
-		for c.sendAppend(m.ID, false) {
+		c.nextMember = (c.nextMember + 1) % len(members)
+		if c.appendBytes >= c.cfg.MaxReadyBytes {
+			return
 		}
 	}
 }
@@ -79,11 +91,16 @@
 		c.startSnapshot(id)
 		return false
 	}
-	entries := c.log.slice(p.next, c.log.last(), c.cfg.MaxAppendBytes)
-	c.send(Message{
+	var entries []Entry
+	if p.state == replicate {
+		entries = c.log.slice(p.next, c.log.last(), c.cfg.MaxAppendBytes)
+	}
+	m := Message{
 		Kind: MsgAppend, To: id, Index: p.next - 1, LogTerm: prevTerm,
 		Commit: c.log.committed, Entries: entries,
-	})
+	}
+	c.appendBytes += m.size()
+	c.send(m)
 	if p.state == probe {
 		p.paused = true
 		return false
@@ -91,6 +108,7 @@
 	if len(entries) == 0 {
 		return false
 	}
+	p.entriesRound = c.lease.round
 	p.next += uint64(len(entries))
 	p.inflight = append(p.inflight, p.next-1)
 	return p.next <= c.log.last()
@@ -219,8 +237,8 @@
 		p.inflight = p.inflight[1:]
 	}
 	// An append after the last one sent reveals a lost message: the member
-	// rejects it.
-	if p.match < c.log.last() {
+	// rejects it. A large message may only be slow, and would be sent twice.
+	if p.match < c.log.last() && p.next > c.log.last() && m.Round > p.entriesRound+lostMessageRounds {
 		c.sendAppend(m.From, true)
 	}
 }
--- a/internal/consensus/server.go
+++ b/internal/consensus/server.go
@@ -173,15 +173,18 @@
 	s.failPending()
 }
 
-// processEvents waits for one event and processes it with those queued behind
-// it. It returns false when the server is to stop.
+// processEvents waits for one event, unless the core has more to send, and processes
+// it with those queued behind it. It returns false when the server is to stop.
 func (s *Server) processEvents(ticks <-chan time.Time) bool {
+	more := make(chan struct{})
+	if s.core.HasReady() {
+		close(more)
+	}
 	select {
 	case <-s.stop:
 		return false
 	case <-ticks:
 		s.rounds.begin()
-		s.core.Tick(s.now())
 	case msgs := <-s.inbox:
 		s.rounds.begin()
 		s.step(msgs)
@@ -191,7 +194,10 @@
 	case e := <-s.encoded:
 		s.rounds.begin()
 		s.finishSnapshot(e)
+	case <-more:
+		s.rounds.begin()
 	}
+	s.core.Tick(s.now())
 	for range maxBatch {
 		select {
 		case msgs := <-s.inbox:
@@ -215,12 +221,12 @@
 	}
 }
 
-// processReady executes the output of the core in the order that its guarantees
+// processReady executes one output of the core in the order that its guarantees
 // require: sync first, then acknowledge.
 func (s *Server) processReady() {
 	defer s.rounds.end()
 	s.rounds.lap(stageEvents)
-	for s.core.HasReady() {
+	if s.core.HasReady() {
 		rd := s.core.Ready()
 		s.publish()
 		s.send(rd.Messages)
