peer: parameters of a request are encoded once

The JSON-RPC library validates and copies the raw parameters twice for each request. They are JSON that was just made, so the frame is built around them, as it is for results.

--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"encoding/json"
 	"io"
 	"time"
@@ -99,21 +100,41 @@
 	return &raw
 }
 
-// encodeRequest returns the frame of a request, without an id if notif is set.
+// encodeRequest returns the frame of a request, without an id if notif is set. params
+// are JSON, which the library would validate and copy twice.
 func encodeRequest(id uint64, notif bool, method api.Method, params []byte, timeout time.Duration) ([]byte, error) {
-	req := jsonrpc2.Request{Method: string(method), ID: jsonrpc2.ID{Num: id}, Notif: notif}
-	if len(params) > 0 {
-		req.Params = (*json.RawMessage)(&params)
+	head := requestHead{JSONRPC: protocolName, Method: string(method)}
+	if !notif {
+		head.ID = &jsonrpc2.ID{Num: id}
 	}
 	if timeout > 0 {
-		millis := max(int64(timeout/time.Millisecond), 1)
-		if err := req.SetMeta(meta{TimeoutMillis: millis}); err != nil {
-			return nil, errors.Wrap(err, "encode meta")
-		}
+		head.Meta = &meta{TimeoutMillis: max(int64(timeout/time.Millisecond), 1)}
+	}
+	payload, err := json.Marshal(head)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode request")
+	}
+	frame := make([]byte, frameHeader, frameHeader+len(payload)+len(paramsMember)+len(params))
+	frame = append(frame, payload...)
+	if len(params) > 0 {
+		frame = append(frame[:len(frame)-1], paramsMember...)
+		frame = append(frame, params...)
+		frame = append(frame, '}')
 	}
-	return encodeFrame(req)
+	binary.BigEndian.PutUint32(frame, uint32(len(frame)-frameHeader))
+	return frame, nil
+}
+
+// requestHead holds the members of a request but its params.
+type requestHead struct {
+	JSONRPC string       `json:"jsonrpc"`
+	ID      *jsonrpc2.ID `json:"id,omitempty"`
+	Method  string       `json:"method"`
+	Meta    *meta        `json:"meta,omitempty"`
 }
 
+const paramsMember = `,"params":`
+
 // Encoded is a result that is already JSON. It is sent unchanged, so that a result
 // for many peers is encoded only once.
 type Encoded []byte
