ingress: leave servers that send bytes without end

The issue's last point: a server in trouble may send bytes that are no answer, in a head or a body, until its caller closes the connection.

Now a head is read only once it is whole, bytes that don't begin a response fail at once, at most 1 MiB is skipped before a response; only whole events with an id are progress of a resumable stream, others wait for the next one with an id and are dropped when the stream goes on elsewhere; all answers being read share 64 MiB; responses to orders are bounded. The search for the end of an event no longer starts at its beginning for each part.

--- a/internal/backend/forward.go
+++ b/internal/backend/forward.go
@@ -69,6 +69,10 @@
 	body   bodyDecoder
 	// pending is the number of buffered bytes handed out by Next.
 	pending int
+	// skipping is set while Header is that of a response to another request, and skipped
+	// counts the bytes skipped so far.
+	skipping bool
+	skipped  int
 	// writeResult receives the result of a concurrent write; nil if the request was
 	// written inline.
 	writeResult chan error
@@ -144,18 +148,18 @@
 // Reused reports whether the request used an idle connection of the pool.
 func (e *Exchange) Reused() bool { return e.reused }
 
-// AwaitHeader reads the response header. It returns ErrIdle if no part of it arrived
-// by until.
+// AwaitHeader reads the response header. It returns ErrIdle if it is not complete by
+// until; call it again to go on. Interim and late responses are skipped, up to
+// maxSkippedBytes. Bytes that are no response fail at once.
 func (e *Exchange) AwaitHeader(until time.Time) error {
 	for {
-		if err := e.wait(until, 1); err != nil {
-			if errors.Is(err, io.EOF) {
-				err = e.fail("wait for response", io.ErrUnexpectedEOF)
+		if e.skipping {
+			if err := e.skipBody(until); err != nil {
+				return err
 			}
-			return err
 		}
-		if err := e.readHeader(); err != nil {
-			return e.fail("read header", err)
+		if err := e.readHeader(until); err != nil {
+			return err
 		}
 		status := e.Header.StatusCode()
 		if status >= fasthttp.StatusContinue && status < fasthttp.StatusOK {
@@ -169,30 +173,73 @@
 			e.conn.keepAlive = parseKeepAlive(e.Header.Peek(fasthttp.HeaderKeepAlive))
 			return nil
 		}
-		if err := e.skipBody(); err != nil {
-			return e.fail("skip late response", err)
-		}
+		e.skipping = true
 	}
 }
 
-func (e *Exchange) readHeader() error {
-	if deadline, ok := e.ctx.Deadline(); ok {
-		_ = e.conn.SetReadDeadline(deadline)
+// maxSkippedBytes limits what is skipped before the response of an exchange, in bytes.
+const maxSkippedBytes = 1 << 20
+
+var responsePrefix = []byte("HTTP/1.")
+
+// readHeader reads one header once it is buffered as a whole.
+func (e *Exchange) readHeader(until time.Time) error {
+	for {
+		buffered, _ := e.conn.reader.Peek(e.conn.reader.Buffered())
+		if n := len(buffered) - len(bytes.TrimLeft(buffered, "\r\n")); n > 0 {
+			_, _ = e.conn.reader.Discard(n)
+			if err := e.countSkipped(n); err != nil {
+				return err
+			}
+			continue
+		}
+		if n := min(len(buffered), len(responsePrefix)); !bytes.Equal(buffered[:n], responsePrefix[:n]) {
+			return e.fail("read header", errors.Wrapf(ErrMalformed, "response begins with %q", buffered[:n]))
+		}
+		if end := headerEnd(buffered); end > 0 {
+			if err := e.countSkipped(end); err != nil {
+				return err
+			}
+			break
+		}
+		if len(buffered) >= maxHeaderBytes {
+			return e.fail("read header", errors.Wrapf(ErrTooLarge, "header over %d bytes", maxHeaderBytes))
+		}
+		if err := e.wait(until, len(buffered)+1); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = e.fail("wait for response", io.ErrUnexpectedEOF)
+			}
+			return err
+		}
 	}
 	e.Header.Reset()
-	return e.Header.Read(e.conn.reader)
+	if err := e.Header.Read(e.conn.reader); err != nil {
+		return e.fail("read header", err)
+	}
+	return nil
 }
 
-// maxSkippedBody limits the body of a late response that is skipped, in bytes.
-const maxSkippedBody = 1 << 20
+// headerEnd returns the length of a header with its empty line, or 0 while that is
+// missing.
+func headerEnd(b []byte) int {
+	for _, end := range [][]byte{[]byte("\n\r\n"), []byte("\n\n")} {
+		if i := bytes.Index(b, end); i >= 0 {
+			return i + len(end)
+		}
+	}
+	return 0
+}
 
-// skipBody reads and drops the body of a response to another request.
-func (e *Exchange) skipBody() error {
-	until, ok := e.ctx.Deadline()
-	if !ok {
-		until = time.Now().Add(e.forwarder.cfg.ResponseTimeout)
+// countSkipped counts bytes that are not part of the body of the response.
+func (e *Exchange) countSkipped(n int) error {
+	if e.skipped += n; e.skipped > maxSkippedBytes {
+		return e.fail("read header", errors.Wrapf(ErrWrongResponse, "over %d bytes before the response", maxSkippedBytes))
 	}
-	skipped := 0
+	return nil
+}
+
+// skipBody reads and drops the body of a response to another request.
+func (e *Exchange) skipBody(until time.Time) error {
 	for {
 		part, err := e.Next(until)
 		if errors.Is(err, io.EOF) {
@@ -201,13 +248,14 @@
 		if err != nil {
 			return err
 		}
-		if skipped += len(part); skipped > maxSkippedBody {
-			return errors.Wrap(ErrWrongResponse, "response to another request is too large to skip")
+		if err := e.countSkipped(len(part)); err != nil {
+			return err
 		}
 	}
 	if e.body.untilClose {
-		return errors.Wrap(ErrWrongResponse, "the connection ended with a response to another request")
+		return e.fail("skip late response", errors.Wrap(ErrWrongResponse, "the connection ended with a response to another request"))
 	}
+	e.skipping = false
 	return nil
 }
 
--- a/internal/backend/framing.go
+++ b/internal/backend/framing.go
@@ -14,9 +14,12 @@
 	lengthUntilClose = -2
 )
 
-// maxChunkLine limits the line before a chunk and each line of a trailer, in
-// bytes.
-const maxChunkLine = 4096
+const (
+	// maxChunkLine limits the line before a chunk and each line of a trailer, in bytes.
+	maxChunkLine = 4096
+	// maxTrailer limits the lines after the last chunk, in bytes.
+	maxTrailer = maxHeaderBytes
+)
 
 // bodyDecoder removes the framing of a response body incrementally. It buffers
 // nothing: bytes that it does not consume must be passed again, followed by more. The
@@ -29,7 +32,9 @@
 	// inChunk is set while remaining counts the bytes of a chunk, afterChunk until
 	// the line end after it is read, trailer after the last chunk.
 	inChunk, afterChunk, trailer bool
-	done                         bool
+	// trailerBytes is the size of the trailer so far.
+	trailerBytes int
+	done         bool
 }
 
 func newBodyDecoder(length int) bodyDecoder {
@@ -95,6 +100,9 @@
 		}
 	case d.trailer:
 		d.done = len(line) == 0
+		if d.trailerBytes += len(line); d.trailerBytes > maxTrailer {
+			return errors.Wrapf(ErrMalformed, "trailer over %d bytes", maxTrailer)
+		}
 	default:
 		text, _, _ := bytes.Cut(line, []byte{';'})
 		size, err := strconv.ParseInt(string(bytes.TrimSpace(text)), 16, 63)
--- a/internal/backend/helpers_test.go
+++ b/internal/backend/helpers_test.go
@@ -25,6 +25,9 @@
 	keepOpen  = "\x00hold"
 )
 
+// endless in a script repeats what follows it until the client closes the connection.
+const endless = "\x00endless"
+
 // scriptedServer responds to the requests of each connection with the exact bytes
 // of a script.
 type scriptedServer struct {
@@ -75,11 +78,17 @@
 		s.bodies = append(s.bodies, string(req.Body()))
 		s.mu.Unlock()
 		response := strings.ReplaceAll(s.respond(n), "{id}", string(req.Header.Peek("Crocusway-Request")))
+		response, repeated, _ := strings.Cut(response, endless)
 		text, closed := strings.CutSuffix(response, closeConn)
 		text, keptOpen := strings.CutSuffix(text, keepOpen)
 		if _, err := c.Write([]byte(text)); err != nil || closed {
 			return
 		}
+		for repeated != "" {
+			if _, err := c.Write([]byte(repeated)); err != nil {
+				return
+			}
+		}
 		if keptOpen {
 			_, _ = r.ReadByte()
 			return
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -214,6 +214,9 @@
 // the request may run again.
 func (s *Server) readAnswer(c *call) error {
 	var body []byte
+	if length := c.exchange.Header.ContentLength(); length > maxAnswerBytes {
+		return answerTooLarge(length)
+	}
 	for {
 		part, err := c.exchange.Next(time.Now().Add(pollInterval))
 		if errors.Is(err, io.EOF) {
@@ -230,9 +233,11 @@
 			c.pool.RecordFirstEvent(c.place)
 		}
 		c.pool.RecordBytes(c.place)
-		if body = append(body, part...); len(body) > maxAnswerBytes {
-			return &attemptError{ran: true, cause: errors.New("the answer is too large")}
+		if len(body)+len(part) > maxAnswerBytes || !s.answers.take(len(part)) {
+			return answerTooLarge(len(body) + len(part))
 		}
+		c.buffered += len(part)
+		body = append(body, part...)
 	}
 	f := &wholeAnswer{body: body}
 	c.exchange.Header.CopyTo(&f.header)
@@ -244,6 +249,15 @@
 	return nil
 }
 
+// answerTooLarge is the failure of an attempt whose answer is not read to its end.
+func answerTooLarge(bytes int) *attemptError {
+	return &attemptError{
+		ran: true, suspectFor: busySuspectDuration,
+		cause: errors.Newf("answer of %d bytes or more exceeds the limit of %d, or all buffered answers exceed %d",
+			bytes, maxAnswerBytes, maxBufferedAnswers),
+	}
+}
+
 // afterFailure releases what a failed attempt holds and decides whether another one
 // may follow.
 func (s *Server) afterFailure(c *call, failed *attemptError) error {
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -40,8 +41,10 @@
 	// attempts counts the requests sent, ran those that a server may have run.
 	attempts int
 	ran      int
-	// whole is the last answer that was read completely.
-	whole *wholeAnswer
+	// whole is the last answer that was read completely, and buffered the bytes that the
+	// answers of all attempts take from Server.answers.
+	whole    *wholeAnswer
+	buffered int
 
 	queued      time.Duration
 	firstByte   time.Duration
@@ -128,3 +131,20 @@
 	}
 	return c.route.Urgency
 }
+
+// byteBudget bounds a number of bytes that many requests share.
+type byteBudget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// take reserves n bytes, or reports false.
+func (b *byteBudget) take(n int) bool {
+	if b.used.Add(int64(n)) > b.limit {
+		b.used.Add(int64(-n))
+		return false
+	}
+	return true
+}
+
+func (b *byteBudget) release(n int) { b.used.Add(int64(-n)) }
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -58,6 +58,9 @@
 const (
 	// maxAnswerBytes bounds an answer that is not a stream.
 	maxAnswerBytes = 16 << 20
+	// maxBufferedAnswers bounds all answers together that are being read, so that faulty
+	// servers can't exhaust the memory of a small host.
+	maxBufferedAnswers = 64 << 20
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
 	// pollInterval is the time between two checks of a silent server.
--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -16,32 +16,53 @@
 	last string
 	// count is the number of forwarded events that have an id.
 	count int
+	// numbered is set for streams whose events have ids. Others are then no sign of
+	// progress, and wait in held for the next one with an id.
+	numbered bool
+	held     []byte
+	// received counts the whole events received, those forwarded before included.
+	received int
+	// scanned is the part of pending that holds no end of an event.
+	scanned int
 }
 
-var errEventTooLarge = errors.New("an event exceeds the limit")
+var errEventTooLarge = errors.New("the bytes between two events exceed the limit")
 
 // feed takes bytes of the stream and appends the events that they complete to dst.
 func (e *eventSplitter) feed(dst, part []byte) ([]byte, error) {
 	e.pending = append(e.pending, part...)
-	rest := e.pending
+	rest, scanned := e.pending, e.scanned
 	for {
-		end := eventEnd(rest)
+		end := eventEnd(rest, scanned)
 		if end < 0 {
 			break
 		}
 		dst = e.appendEvent(dst, rest[:end])
-		rest = rest[end:]
+		rest, scanned = rest[end:], 0
 	}
-	e.pending = append(e.pending[:0], rest...)
-	if len(e.pending) > maxEventBytes {
+	if len(rest) < len(e.pending) {
+		e.pending = append(e.pending[:0], rest...)
+	}
+	e.scanned = max(0, len(rest)-longestEventEnd)
+	if len(e.pending)+len(e.held) > maxEventBytes {
 		return dst, errEventTooLarge
 	}
 	return dst, nil
 }
 
+// longestEventEnd is the size of the end of an event, which may arrive in parts.
+const longestEventEnd = len("\n\r\n")
+
 // appendEvent appends one event unless it was forwarded before.
 func (e *eventSplitter) appendEvent(dst, event []byte) []byte {
 	id := eventID(event)
+	if id == "" && e.numbered {
+		e.held = append(e.held, event...)
+		return dst
+	}
+	e.received++
+	held := e.held
+	e.held = e.held[:0]
 	if id != "" && e.last != "" && !isAfter(id, e.last) {
 		return dst
 	}
@@ -49,18 +70,23 @@
 		e.last = id
 		e.count++
 	}
+	dst = append(dst, held...)
 	return append(dst, event...)
 }
 
-// rest returns the bytes after the last whole event; a whole stream may end with some.
-func (e *eventSplitter) rest() []byte { return e.pending }
+// rest returns the bytes after the last event that was forwarded; a whole stream may end
+// with some.
+func (e *eventSplitter) rest() []byte { return append(e.held, e.pending...) }
 
-// discardPending drops the beginning of an incomplete event.
-func (e *eventSplitter) discardPending() { e.pending = e.pending[:0] }
+// discardRest drops what rest returns.
+func (e *eventSplitter) discardRest() {
+	e.pending, e.held, e.scanned = e.pending[:0], e.held[:0], 0
+}
 
-// eventEnd returns the length of the first whole event with its empty line, or -1.
-func eventEnd(b []byte) int {
-	for at := 0; ; {
+// eventEnd returns the length of the first whole event with its empty line, or -1. The
+// first from bytes are known to hold no such end.
+func eventEnd(b []byte, from int) int {
+	for at := from; ; {
 		i := bytes.IndexByte(b[at:], '\n')
 		if i < 0 {
 			return -1
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -19,6 +19,7 @@
 	}
 	r := &relay{Server: s, call: c}
 	r.events.last = c.head.LastEvent
+	r.events.numbered = c.repeatable()
 	// The server's head is sent with the first event only: until then the request can
 	// move to another server with another head.
 	if err := r.awaitFirstEvent(); err != nil {
@@ -118,15 +119,23 @@
 	return r.resume(err)
 }
 
-// forward appends the whole events in new bytes to the output.
+// forward appends the whole events in new bytes to the output. Bytes that complete no
+// event are no progress: a faulty server may send them without end.
 func (r *relay) forward(part []byte) error {
 	c := r.call
-	r.idleSince = time.Time{}
+	received := r.events.received
 	out, err := r.events.feed(r.out, part)
 	r.out = out
 	if err != nil {
-		return err
+		return r.resume(&attemptError{ran: true, suspectFor: suspectDuration, cause: err})
+	}
+	if r.events.received == received {
+		if r.isStalled(c, time.Since(r.idleSince)) {
+			return r.resume(&attemptError{ran: true, stalled: true, suspectFor: suspectDuration, cause: errStalled})
+		}
+		return nil
 	}
+	r.idleSince = time.Time{}
 	if c.events == 0 && r.events.count > 0 {
 		c.pool.RecordFirstEvent(c.place)
 	}
@@ -140,11 +149,11 @@
 // delimited by the end of the connection must not end within an event.
 func (r *relay) endOfStream() error {
 	rest := r.events.rest()
-	if len(rest) > 0 && r.call.exchange.Header.ContentLength() < -1 {
+	if len(r.events.pending) > 0 && r.call.exchange.Header.ContentLength() < -1 {
 		return r.resume(&attemptError{ran: true, cause: io.ErrUnexpectedEOF})
 	}
 	r.out = append(r.out, rest...)
-	r.events.discardPending()
+	r.events.discardRest()
 	r.endErr = io.EOF
 	r.call.outcome = "answered"
 	return nil
@@ -157,7 +166,7 @@
 	if !errors.As(cause, &failed) {
 		failed = &attemptError{ran: true, closed: true, suspectFor: busySuspectDuration, cause: cause}
 	}
-	r.events.discardPending()
+	r.events.discardRest()
 	if err := r.afterFailure(c, failed); err != nil {
 		return err
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -24,6 +24,8 @@
 	instruments instruments
 	reporter    *reporter
 	crashes     *crashTracker
+	// answers bounds the answers that are being read.
+	answers byteBudget
 }
 
 // New returns a server. Pass every view to Apply, and call Run.
@@ -34,6 +36,7 @@
 		state:   newRoutingState(),
 		active:  inflight.NewCounter(),
 		crashes: newCrashTracker(),
+		answers: byteBudget{limit: maxBufferedAnswers},
 	}
 	var err error
 	if s.instruments, err = newInstruments(cfg.Meter); err != nil {
@@ -152,6 +155,7 @@
 	}
 	c.ended = true
 	s.release(c)
+	s.answers.release(c.buffered)
 	c.watch.stop()
 	if c.cancel != nil {
 		c.cancel(nil)
