soak: the daemons as processes under random faults

crocusway soak starts control daemons and entries as separate processes (those that it starts, by their ids), puts a proxy between them, and brings its own backend servers, callers and operators, which speak the platform's protocol. From the seed follow lanes of events that run beside each other, each a series: SIGTERM, SIGKILL, pauses, an eighth of the processor, SIGHUP, lost data folders, all control daemons killed at once; cuts, one-way cuts, isolation, delays, resets between daemons; servers that close, hang, garble, lose answers, send without end, carry out orders late, leave; changes, changes with 1,400 routes, races, invalid ones, failure domains taken out. Callers keep their connection until it ends, also while its entry shuts down. Every fourth seed has planned work only, so that lost requests and late ones at leaving servers count as findings.

Not played: clocks that step, disks that fill, stall or tear; bounds on rates.

--- a/cmd/crocusway/main.go
+++ b/cmd/crocusway/main.go
@@ -44,6 +44,7 @@
 			benchCommand(),
 			platformCommand(),
 			recoverCommand(),
+			soakCommand(),
 			versionCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- a/cmd/crocusway/platform.go
+++ b/cmd/crocusway/platform.go
@@ -19,6 +19,8 @@
 	fs.StringVar(&o.Settings, "settings", "", "settings file of the process; empty: taken from the environment")
 	fs.StringVar(&secretFile, "peer-secret-file", "", "file with the shared secret of the daemons; or "+config.EnvName("peer-secret")+" with the value")
 	fs.IntVar(&o.MetricsPort, "metrics-port", 0, "port of the metrics endpoint; 0 disables it")
+	fs.StringVar(&o.PeerListen, "peer-listen", "", "ip:port to listen on for links between daemons, if their address is forwarded to it")
+	fs.StringVar(&o.PeerSource, "peer-source", "", "local IP of dialed links; empty: any")
 	fs.StringVar(&o.LogLevel, "log-level", "info", "debug, info, warn or error")
 	return &ffcli.Command{
 		Name:       "platform",
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -41,6 +42,10 @@
 	// an entry for callers.
 	PeerAddress   string
 	CallerAddress string
+	// PeerListen is the address to listen on for links where it differs from
+	// PeerAddress, and PeerSource the local IP of dialed links, empty for any.
+	PeerListen string
+	PeerSource string
 	// Seeds are the peer addresses of some control daemons.
 	Seeds  []string
 	Secret config.Secret
@@ -133,7 +138,8 @@
 		return nil, err
 	}
 	g.node, err = peer.Start(peer.Config{
-		Address:          cfg.PeerAddress,
+		Address:          cmp.Or(cfg.PeerListen, cfg.PeerAddress),
+		Source:           cfg.PeerSource,
 		Secret:           []byte(cfg.Secret.Reveal()),
 		Logger:           cfg.Logger,
 		Meter:            provider.Meter(),
