--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -28,14 +28,14 @@
 	inflight []uint64
 	// round is the newest heartbeat round that the member answered.
 	round uint64
-	// entriesRound is the heartbeat round in which entries were last sent.
-	entriesRound   uint64
+	// dataRound is the heartbeat round in which entries or a chunk were last sent.
+	dataRound      uint64
 	snapshotOffset uint64
 	snapshotIndex  uint64
 }
 
-// lostMessageRounds is the number of heartbeat rounds after which entries that are not
-// acknowledged may have been lost.
+// lostMessageRounds is the number of heartbeat rounds after which entries or a chunk that
+// are not acknowledged may have been lost. They may only be slow, and would be sent twice.
 const lostMessageRounds = 2
 
 func (p *progress) probeFrom(next uint64) {
@@ -108,7 +108,7 @@
 	if len(entries) == 0 {
 		return false
 	}
-	p.entriesRound = c.lease.round
+	p.dataRound = c.lease.round
 	p.next += uint64(len(entries))
 	p.inflight = append(p.inflight, p.next-1)
 	return p.next <= c.log.last()
@@ -229,16 +229,19 @@
 	p.round = max(p.round, m.Round)
 	c.countRound()
 	p.paused = false
+	maybeLost := m.Round > p.dataRound+lostMessageRounds
 	if p.state == sendingSnapshot {
-		c.resendChunk(m.From, p)
+		if maybeLost {
+			c.sendChunk(m.From, p)
+		}
 		return
 	}
 	if len(p.inflight) >= c.cfg.MaxInflight {
 		p.inflight = p.inflight[1:]
 	}
 	// An append after the last one sent reveals a lost message: the member
-	// rejects it. A large message may only be slow, and would be sent twice.
-	if p.match < c.log.last() && p.next > c.log.last() && m.Round > p.entriesRound+lostMessageRounds {
+	// rejects it.
+	if p.match < c.log.last() && p.next > c.log.last() && maybeLost {
 		c.sendAppend(m.From, true)
 	}
 }
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -48,12 +48,10 @@
 	part := c.snapshot
 	part.Data = c.snapshot.Data[p.snapshotOffset:end]
 	chunk := &SnapshotChunk{Snapshot: part, Offset: p.snapshotOffset, Total: total}
+	p.dataRound = c.lease.round
 	c.send(Message{Kind: MsgSnapshot, To: id, Chunk: chunk})
 }
 
-// resendChunk sends the current chunk again in case it was lost.
-func (c *Core) resendChunk(id api.VoterID, p *progress) { c.sendChunk(id, p) }
-
 // handleSnapshot adds a chunk and installs the snapshot once it is complete.
 func (c *Core) handleSnapshot(m Message) {
 	c.follow(m)
@@ -114,7 +112,7 @@
 	}
 	progressed := m.Hint > p.snapshotOffset
 	// A member that restarted meanwhile has lost the chunks and reports a lower
-	// offset; the next heartbeat response sends the chunk there.
+	// offset; a later heartbeat response sends the chunk there.
 	p.snapshotOffset = m.Hint
 	if progressed {
 		c.sendChunk(m.From, p)
