soak: the grace of a stopped process goes on later

Trace: SIGTERM came 1.8 s before the end of a pause by another lane (all links report their idle timeout at the moment in which it logs "Shutting down"); from there its grace of 6.8 s ran to 8.6 s. A process that stands still can't keep a time limit, and the platform's rules excuse frozen hosts. The check counts only the time in which the process ran; the bound is the same.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -46,6 +46,10 @@
 	bootstrap bool
 	// expected is set while the process may end: it was sent SIGTERM or SIGKILL.
 	expected bool
+	// paused is how long the process was stopped so far, without a pause that goes on
+	// since pausedSince.
+	paused      time.Duration
+	pausedSince time.Time
 }
 
 func (d *daemon) address(port int) string { return net.JoinHostPort(d.ip, strconv.Itoa(port)) }
@@ -112,8 +116,18 @@
 func (d *daemon) signal(s syscall.Signal) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+	switch s {
+	case syscall.SIGKILL, syscall.SIGTERM:
 		d.expected = true
+	case syscall.SIGSTOP:
+		if d.pausedSince.IsZero() {
+			d.pausedSince = time.Now()
+		}
+	case syscall.SIGCONT:
+		if !d.pausedSince.IsZero() {
+			d.paused += time.Since(d.pausedSince)
+			d.pausedSince = time.Time{}
+		}
 	}
 	if d.cmd != nil {
 		_ = d.cmd.Process.Signal(s)
@@ -126,15 +140,34 @@
 	<-d.ended()
 }
 
-// terminate stops the process gracefully, and kills it at the end of its grace.
+// terminate stops the process gracefully, and kills it at the end of its grace. Time for
+// which the process was stopped by another lane does not count.
 func (d *daemon) terminate() {
+	began, before := time.Now(), d.pausedTime()
 	d.signal(syscall.SIGTERM)
-	select {
-	case <-d.ended():
-	case <-time.After(grace):
-		d.oracle.violation("EXIT: %s still runs %s after SIGTERM", d.name, grace)
-		d.kill()
+	for {
+		left := grace + d.pausedTime() - before - time.Since(began)
+		if left <= 0 {
+			d.oracle.violation("EXIT: %s still runs %s after SIGTERM", d.name, grace)
+			d.kill()
+			return
+		}
+		select {
+		case <-d.ended():
+			return
+		case <-time.After(min(left, slowPeriod)):
+		}
+	}
+}
+
+// pausedTime returns how long the process was stopped so far.
+func (d *daemon) pausedTime() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.pausedSince.IsZero() {
+		return d.paused
 	}
+	return d.paused + time.Since(d.pausedSince)
 }
 
 func (d *daemon) ended() <-chan struct{} {
