hangup: SIGHUP is handled from the initialization of the program on

What is left is the start of the Go runtime, where no program can handle a signal: the soak sends SIGHUP 50 ms after an exec at the earliest. Other commands keep the default.

--- a/cmd/crocusway/main.go
+++ b/cmd/crocusway/main.go
@@ -16,6 +16,7 @@
 
 	"github.com/crocusway/crocusway/internal/config"
 	"github.com/crocusway/crocusway/internal/ctl"
+	"github.com/crocusway/crocusway/internal/hangup"
 )
 
 // Exit codes.
@@ -30,6 +31,9 @@
 }
 
 func run(args []string) int {
+	if len(args) == 0 || args[0] != platformName {
+		hangup.Reset()
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &ffcli.Command{
--- a/cmd/crocusway/platform.go
+++ b/cmd/crocusway/platform.go
@@ -11,8 +11,11 @@
 	"github.com/crocusway/crocusway/platform"
 )
 
+// platformName is the command whose processes reload their settings on SIGHUP.
+const platformName = "platform"
+
 func platformCommand() *ffcli.Command {
-	fs := flag.NewFlagSet("platform", flag.ContinueOnError)
+	fs := flag.NewFlagSet(platformName, flag.ContinueOnError)
 	var o platform.Options
 	var role, secretFile string
 	fs.StringVar(&role, "role", "", "control or entry")
@@ -23,7 +26,7 @@
 	fs.StringVar(&o.PeerSource, "peer-source", "", "local IP of dialed links; empty: any")
 	fs.StringVar(&o.LogLevel, "log-level", "info", "debug, info, warn or error")
 	return &ffcli.Command{
-		Name:       "platform",
+		Name:       platformName,
 		ShortUsage: "crocusway platform --role=control|entry [flags]",
 		ShortHelp:  "run a daemon with the protocols and settings of the users' platform",
 		FlagSet:    fs,
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -44,6 +44,7 @@
 	cmd       *exec.Cmd
 	done      chan struct{}
 	bootstrap bool
+	started   time.Time
 	// expected is set while the process may end: it was sent SIGTERM or SIGKILL.
 	expected bool
 	// paused is how long the process was stopped so far, without a pause that goes on
@@ -99,7 +100,7 @@
 		return errors.Wrapf(err, "start %s", d.name)
 	}
 	done := make(chan struct{})
-	d.cmd, d.done, d.expected = cmd, done, false
+	d.cmd, d.done, d.started, d.expected = cmd, done, time.Now(), false
 	go func() {
 		err := cmd.Wait()
 		d.mu.Lock()
@@ -176,6 +177,18 @@
 	return d.done
 }
 
+// execTime is how long a program may take until its runtime handles signals.
+const execTime = 50 * time.Millisecond
+
+// hangUp sends SIGHUP. Right after the start no program can handle it.
+func (d *daemon) hangUp(ctx context.Context) {
+	d.mu.Lock()
+	started := d.started
+	d.mu.Unlock()
+	sleep(ctx, time.Until(started.Add(execTime)))
+	d.signal(syscall.SIGHUP)
+}
+
 // pause stops the process for a time.
 func (d *daemon) pause(ctx context.Context, length time.Duration) {
 	d.signal(syscall.SIGSTOP)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -313,7 +313,7 @@
 	case actionSlow:
 		d.slow(ctx, e.Length, 1.0/8)
 	case actionHup:
-		d.signal(syscall.SIGHUP)
+		d.hangUp(ctx)
 	case actionWipe:
 		d.kill()
 		if err := d.wipe(s.seeds); err != nil {
