--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/clock"
 	"github.com/crocusway/crocusway/internal/errs"
 	"github.com/crocusway/crocusway/internal/logging"
 	"github.com/crocusway/crocusway/internal/peer"
@@ -117,7 +118,7 @@
 		case <-s.reconcileRequests:
 		}
 		s.reconcile(ctx)
-		if !sleep(ctx, s.cfg.ReconcileInterval/reconcileGapDivisor) {
+		if !clock.Sleep(ctx, s.cfg.ReconcileInterval/reconcileGapDivisor) {
 			return
 		}
 	}
@@ -127,18 +128,6 @@
 // between two reconciliations.
 const reconcileGapDivisor = 4
 
-// sleep waits and reports whether ctx is still valid.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // requestReconcile triggers a reconciliation soon.
 func (s *Service) requestReconcile() {
 	select {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -396,7 +396,7 @@
 	if err := callWithTimeout(ctx, g.agent.Renew); err != nil {
 		level.Warn(g.logger).Log("msg", "Shutdown not reported to control", "err", err)
 	}
-	sleep(ctx, g.cfg.LameDuckPeriod)
+	clock.Sleep(ctx, g.cfg.LameDuckPeriod)
 	g.closeEndpoints(false)
 	g.awaitRequests(ctx)
 	release := func(ctx context.Context) error { return g.agent.Release(ctx, true) }
@@ -419,15 +419,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // closeEndpoints shuts down the callers' endpoints, or every endpoint if all is set.
 func (g *Gateway) closeEndpoints(all bool) {
 	for _, e := range g.endpoints {
--- a/internal/demo/domain.go
+++ b/internal/demo/domain.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/caller"
+	"github.com/crocusway/crocusway/internal/clock"
 	"github.com/crocusway/crocusway/internal/local"
 )
 
@@ -24,7 +24,7 @@
 	})
 	err := change(ctx)
 	if err == nil {
-		sleep(ctx, settleTime)
+		clock.Sleep(ctx, settleTime)
 	}
 	d.report.Service = d.report.Service.Add(load.Stop())
 	return err
@@ -37,7 +37,7 @@
 			return err
 		}
 		before := d.runsIn(domain)
-		sleep(ctx, settleTime)
+		clock.Sleep(ctx, settleTime)
 		d.report.DrainedWork = d.runsIn(domain) - before
 		return nil
 	})
@@ -96,12 +96,3 @@
 	}
 	return n
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -220,7 +220,7 @@
 // take effect without waiting for the regular renewal.
 func (a *Agent) awaitRenewal(ctx context.Context, d time.Duration) {
 	delay := min(d, a.cfg.ReportDelay)
-	wait(ctx, delay)
+	clock.Sleep(ctx, delay)
 	timer := time.NewTimer(d - delay)
 	defer timer.Stop()
 	for !a.hasUnreportedView() {
@@ -272,10 +272,10 @@
 		err := a.Watch(ctx)
 		failing = a.logTransition("watch", failing, err)
 		if err != nil {
-			wait(ctx, leaderRetryDelay)
+			clock.Sleep(ctx, leaderRetryDelay)
 			continue
 		}
-		wait(ctx, a.cfg.WatchDelay)
+		clock.Sleep(ctx, a.cfg.WatchDelay)
 	}
 	return nil
 }
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/clock"
 )
 
 const (
@@ -189,7 +190,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-a.batch.changed:
-			wait(ctx, changeDelay)
+			clock.Sleep(ctx, changeDelay)
 		case <-ticker.C:
 			a.reportSilentHosts()
 		}
--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/clock"
 	"github.com/crocusway/crocusway/internal/errs"
 	"github.com/crocusway/crocusway/internal/peer"
 )
@@ -63,7 +64,7 @@
 			return errs.Wrap(err, "find control leader", address)
 		}
 		if n := len(c.voters.Addresses()); attempt%n == n-1 {
-			wait(ctx, leaderRetryDelay)
+			clock.Sleep(ctx, leaderRetryDelay)
 		}
 	}
 }
@@ -165,13 +166,3 @@
 	c.next++
 	return voter
 }
-
-// wait pauses for d or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/ingress/catchup.go
+++ b/internal/ingress/catchup.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/clock"
 	"github.com/crocusway/crocusway/internal/errs"
 )
 
@@ -48,7 +49,7 @@
 		case <-ctx.Done():
 			return
 		case other := <-r.newer:
-			if !pause(ctx, catchUpDelay) {
+			if !clock.Sleep(ctx, catchUpDelay) {
 				return
 			}
 			if r.server.state.publication() < other.publication {
@@ -58,17 +59,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // fetchView fetches and applies the view of one entry.
 func (r *reporter) fetchView(ctx context.Context, id api.EntryID) {
 	other := r.server.cfg.State.Snapshot().Entry(id)
--- a/internal/pipeline/deduplicate.go
+++ b/internal/pipeline/deduplicate.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/clock"
 	"github.com/crocusway/crocusway/internal/errs"
 )
 
@@ -160,23 +161,12 @@
 		if res.Record.State != api.RecordRunning {
 			return res.Record, nil
 		}
-		if err := sleep(c.ctx, recordPollInterval); err != nil {
-			return api.Record{}, outcomeUnknown("the first call still runs", err)
+		if !clock.Sleep(c.ctx, recordPollInterval) {
+			return api.Record{}, outcomeUnknown("the first call still runs", c.ctx.Err())
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 func (f deduplicate) get(c *call, params api.RecordGetRequest) (api.RecordGetResponse, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, f.cfg.Settings.ControlTimeout)
 	defer cancel()
--- a/internal/shard/client.go
+++ b/internal/shard/client.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/clock"
 	"github.com/crocusway/crocusway/internal/entry"
 	"github.com/crocusway/crocusway/internal/errs"
 	"github.com/crocusway/crocusway/internal/logging"
@@ -107,8 +108,8 @@
 		if errs.Is(err, errs.Full) {
 			wait = retryDelay
 		}
-		if err := sleep(ctx, wait); err != nil {
-			return api.Grant{}, errs.Wrap(err, "acquire grant", "")
+		if !clock.Sleep(ctx, wait) {
+			return api.Grant{}, errs.Wrap(ctx.Err(), "acquire grant", "")
 		}
 	}
 }
@@ -123,17 +124,6 @@
 	return errs.Is(err, errs.Stale) || errs.Is(err, errs.Unavailable) || errs.Is(err, errs.Timeout)
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // acquireOnce tries every shard without waiting, and then waits in the queue of
 // the best one.
 func (c *Client) acquireOnce(ctx context.Context, r Request, deadline time.Time) (api.Grant, error) {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/crocusway/crocusway/internal/clock"
 )
 
 const (
@@ -66,7 +68,7 @@
 		if c.entry != "" {
 			c.request(kinds[c.rand.IntN(len(kinds))])
 		}
-		sleep(ctx, time.Duration(c.rand.Int64N(int64(2*callerPause))))
+		clock.Sleep(ctx, time.Duration(c.rand.Int64N(int64(2*callerPause))))
 	}
 	c.http.CloseIdleConnections()
 }
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/crocusway/crocusway/internal/clock"
 )
 
 // largeRoutes is the number of routes that a large change adds, up to maxRoutes.
@@ -82,7 +84,7 @@
 			p.system.oracle.violation("CONFIG: the valid version %d is refused with %d", version, status)
 			return false
 		}
-		sleep(ctx, 100*time.Millisecond)
+		clock.Sleep(ctx, 100*time.Millisecond)
 	}
 	return false
 }
@@ -112,7 +114,7 @@
 	r := rand.New(rand.NewPCG(seed, 1<<32))
 	for ctx.Err() == nil {
 		p.read(ctx, r)
-		sleep(ctx, time.Duration(r.Int64N(int64(100*time.Millisecond))))
+		clock.Sleep(ctx, time.Duration(r.Int64N(int64(100*time.Millisecond))))
 	}
 }
 
@@ -163,7 +165,7 @@
 	case actionZone:
 		zone := zones[r.IntN(len(zones))]
 		p.setZone(ctx, r, "/Evacuation.Start/"+zone, until)
-		sleep(ctx, e.Length)
+		clock.Sleep(ctx, e.Length)
 		p.setZone(context.WithoutCancel(ctx), r, "/Evacuation.Finish/"+zone, time.Now().Add(recovery))
 	}
 }
@@ -175,6 +177,6 @@
 			p.system.oracle.count("zones set")
 			return
 		}
-		sleep(ctx, 100*time.Millisecond)
+		clock.Sleep(ctx, 100*time.Millisecond)
 	}
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/crocusway/crocusway/internal/clock"
 )
 
 // Ports of every daemon. Links between daemons go to portPeer, which the network
@@ -185,14 +187,14 @@
 	d.mu.Lock()
 	started := d.started
 	d.mu.Unlock()
-	sleep(ctx, time.Until(started.Add(execTime)))
+	clock.Sleep(ctx, time.Until(started.Add(execTime)))
 	d.signal(syscall.SIGHUP)
 }
 
 // pause stops the process for a time.
 func (d *daemon) pause(ctx context.Context, length time.Duration) {
 	d.signal(syscall.SIGSTOP)
-	sleep(ctx, length)
+	clock.Sleep(ctx, length)
 	d.signal(syscall.SIGCONT)
 }
 
@@ -201,7 +203,7 @@
 	running := time.Duration(share * float64(slowPeriod))
 	for until := time.Now().Add(length); time.Now().Before(until) && ctx.Err() == nil; {
 		d.pause(ctx, slowPeriod-running)
-		sleep(ctx, running)
+		clock.Sleep(ctx, running)
 	}
 }
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/crocusway/crocusway/internal/clock"
 )
 
 // network forwards the links between daemons. Each daemon advertises an address of the
@@ -138,7 +140,7 @@
 		n.mu.Unlock()
 		if !r.silent {
 			if r.delay > 0 {
-				sleep(n.ctx, r.delay)
+				clock.Sleep(n.ctx, r.delay)
 			}
 			return n.ctx.Err() == nil
 		}
@@ -176,13 +178,3 @@
 	n.cancel()
 	n.wg.Wait()
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/crocusway/crocusway/internal/clock"
 )
 
 // Config configures one run.
@@ -216,11 +218,11 @@
 	}
 	s.heal()
 	healed := time.Now()
-	sleep(ctx, stableTime)
+	clock.Sleep(ctx, stableTime)
 	s.checkChange(ctx, p, r)
-	sleep(ctx, time.Until(healed.Add(recovery)))
+	clock.Sleep(ctx, time.Until(healed.Add(recovery)))
 	before := s.totals()
-	sleep(ctx, calmTime)
+	clock.Sleep(ctx, calmTime)
 	after := s.totals()
 	sent, served := after[0]-before[0], after[1]-before[1]
 	if 4*served < sent {
@@ -259,7 +261,7 @@
 		if counts["served streaming"] > 0 && counts["served unsafe"] > 0 && counts["served safe"] > 0 {
 			return true
 		}
-		sleep(ctx, 100*time.Millisecond)
+		clock.Sleep(ctx, 100*time.Millisecond)
 	}
 	return false
 }
@@ -271,7 +273,7 @@
 	for _, l := range planOf(s.cfg.Seed, s.cfg.Length) {
 		lanes.Go(func() {
 			for _, e := range l.Events {
-				sleep(ctx, time.Until(began.Add(e.At)))
+				clock.Sleep(ctx, time.Until(began.Add(e.At)))
 				if ctx.Err() != nil || time.Since(began) > s.cfg.Length {
 					return
 				}
@@ -306,7 +308,7 @@
 		s.restart(d)
 	case actionKill:
 		d.kill()
-		sleep(ctx, time.Duration(r.Int64N(int64(e.Length))))
+		clock.Sleep(ctx, time.Duration(r.Int64N(int64(e.Length))))
 		s.restart(d)
 	case actionPause:
 		d.pause(ctx, e.Length)
@@ -320,7 +322,7 @@
 			s.oracle.violation("soak: wipe %s: %v", d.name, err)
 		}
 		s.restart(d)
-		sleep(ctx, stableTime)
+		clock.Sleep(ctx, stableTime)
 	case actionKillAll:
 		var all sync.WaitGroup
 		for _, c := range s.controls() {
@@ -330,7 +332,7 @@
 		for _, c := range s.controls() {
 			s.restart(c)
 		}
-		sleep(ctx, e.Length)
+		clock.Sleep(ctx, e.Length)
 	}
 }
 
@@ -372,7 +374,7 @@
 	for _, d := range directions {
 		s.network.set(d, bad)
 	}
-	sleep(ctx, e.Length)
+	clock.Sleep(ctx, e.Length)
 	for _, d := range directions {
 		s.network.set(d, rule{})
 	}
@@ -401,7 +403,7 @@
 	k := faults[r.IntN(len(faults))]
 	s.oracle.count("server fault " + string(k))
 	b.setFault(k)
-	sleep(ctx, e.Length)
+	clock.Sleep(ctx, e.Length)
 	if k == faultClose || k == faultHang {
 		b.restart()
 		return
@@ -415,11 +417,11 @@
 		s.oracle.violation("soak: add server: %v", err)
 		return
 	}
-	sleep(ctx, heartbeatInterval)
+	clock.Sleep(ctx, heartbeatInterval)
 	b.mu.Lock()
 	b.state = "draining"
 	b.mu.Unlock()
-	sleep(context.WithoutCancel(ctx), drainTime+4*heartbeatInterval)
+	clock.Sleep(context.WithoutCancel(ctx), drainTime+4*heartbeatInterval)
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, control := range s.seeds {
 		if b.post(client, control, "/Instances.Deregister/", nil) {
@@ -427,7 +429,7 @@
 		}
 	}
 	// It serves on for a while, as servers do that leave.
-	sleep(context.WithoutCancel(ctx), drainTime)
+	clock.Sleep(context.WithoutCancel(ctx), drainTime)
 	close(b.died)
 	b.setFault(faultClose)
 }
@@ -455,7 +457,7 @@
 		s.oracle.violation("ACK: version %d, sent %s after the last fault, has no acknowledgement after %s", version, stableTime, ackTime)
 		return
 	}
-	sleep(ctx, configApply)
+	clock.Sleep(ctx, configApply)
 	var all sync.WaitGroup
 	for _, d := range s.entries() {
 		all.Go(func() {
@@ -465,7 +467,7 @@
 		})
 	}
 	all.Wait()
-	for until := time.Now().Add(ackTime); time.Now().Before(until); sleep(ctx, 100*time.Millisecond) {
+	for until := time.Now().Add(ackTime); time.Now().Before(until); clock.Sleep(ctx, 100*time.Millisecond) {
 		if p.read(ctx, r) == version {
 			return
 		}
