ingress: crash log lines name the parts of the prompt and the progress of the answer

The adapter decodes the IDs of the shared parts of a prompt; "Server may have crashed" names them and the events that had arrived, "Attempt failed" whether the server closed the connection. No decision changes.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -279,7 +279,7 @@
 	err := s.checkRetry(c, failed)
 	level.Info(s.logger).Log("msg", "Attempt failed", "request", c.head.ID, "target", place.Target.ID,
 		"generation", place.Target.Generation, "instance", place.Target.Instance, "ran", failed.ran, "stalled", failed.stalled,
-		"attempt", c.attempts, "events", c.events, "after_ms", time.Since(c.received).Milliseconds(),
+		"closed", failed.closed, "attempt", c.attempts, "events", c.events, "after_ms", time.Since(c.received).Milliseconds(),
 		"left_ms", c.remaining().Milliseconds(), "retry", err == nil, "revision", c.revision, "err", failed)
 	return err
 }
--- a/internal/ingress/crashes.go
+++ b/internal/ingress/crashes.go
@@ -141,5 +141,5 @@
 	}
 	s.crashes.record(c.content, target, generation, time.Now())
 	level.Info(s.logger).Log("msg", "Server may have crashed", "request", c.head.ID, "target", target, "generation", generation,
-		"crashes", s.crashes.count(c.content, time.Now()))
+		"parts", joined(c.head.PromptParts), "events", c.events, "crashes", s.crashes.count(c.content, time.Now()))
 }
--- a/internal/ingress/dialect.go
+++ b/internal/ingress/dialect.go
@@ -40,6 +40,9 @@
 	PromptTokens int
 	MaxTokens    int
 	LengthHint   int
+	// PromptParts are the IDs of the parts of the prompt that other requests may share, in
+	// their order.
+	PromptParts []string
 	// LastEvent is the id of the event after which a stream is to resume.
 	LastEvent string
 }
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -41,6 +41,7 @@
 	return Head{
 		ID: string(h.Peek("Id")), Key: string(h.Peek("Key")), Model: string(h.Peek("Model")),
 		Deadline: time.Duration(ms) * time.Millisecond, PromptTokens: prompt, LastEvent: string(h.Peek("Last-Event-Id")),
+		PromptParts: strings.Fields(string(h.Peek("Parts"))),
 	}
 }
 
