--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,8 +51,8 @@
 	if out.LastEvent != "" {
 		last = out.LastEvent
 	}
-	dst = fmt.Appendf(dst, "Id: %s\r\nDeadline: %d\r\nInstance: %s\r\nAccount: %s\r\nLast-Event-Id: %s\r\n",
-		h.Peek("Id"), out.Deadline.Milliseconds(), out.Instance, out.Account, last)
+	dst = fmt.Appendf(dst, "Id: %s\r\nParts: %s\r\nDeadline: %d\r\nInstance: %s\r\nAccount: %s\r\nLast-Event-Id: %s\r\n",
+		h.Peek("Id"), h.Peek("Parts"), out.Deadline.Milliseconds(), out.Instance, out.Account, last)
 	if out.BodyBytes >= 0 {
 		dst = fmt.Appendf(dst, "Content-Length: %d\r\n", out.BodyBytes)
 	}
@@ -92,6 +93,11 @@
 	gone chan struct{}
 }
 
+// hasPart reports whether a part is in the prompt of a request.
+func hasPart(r *received, part string) bool {
+	return slices.Contains(strings.Fields(string(r.header.Peek("Parts"))), part)
+}
+
 func (r *received) write(format string, args ...any) {
 	_, _ = fmt.Fprintf(r.conn, format, args...)
 }
