ingress: attribute crashes of servers to the parts of prompts

Cause: crashes were counted by a hash of account, method, URI and body. No two of the requests were alike, so that no count reached three. Class: evidence kept under a key narrower than its cause. Ruled out: evidence that is not seen ("Server may have crashed" appears for each broken connection; only unframed streams that end within an event were missed, now counted), and distribution (one entry alone fails the same test).

Change: internal/crashes counts under every shared part and the content, and attributes. An answer refutes its keys, keys that only came together are judged together, servers that end at the same moment count once, and a crash that a verdict explains counts against no bystander. Verdicts go to control's quarantine table, the one that the request path of serve uses: entries that start or were cut off have them with their view, and one trial at a time tells whether a quarantine is still right, after 30 s, then twice as long each time. Requests that wait in a queue or are sent again are checked again.

--- a/internal/api/publication.go
+++ b/internal/api/publication.go
@@ -272,6 +272,8 @@
 	Sums []DomainLoads `json:"sums,omitempty"`
 	// Crashes lists the crashes that no earlier report included.
 	Crashes []Crash `json:"crashes,omitempty"`
+	// Answers lists those to requests with keys under which servers had crashed.
+	Answers []HarmlessAnswer `json:"answers,omitempty"`
 }
 
 // DomainLoads is the total work in progress of all entries of a failure domain.
@@ -281,11 +283,23 @@
 }
 
 // Crash reports a replica or backend server that failed while it ran a request.
-// Content is a hash of the request, equal for every repetition of it.
 type Crash struct {
-	Content    uint64 `json:"c"`
-	Target     string `json:"t"`
-	Generation uint64 `json:"g"`
+	// Keys are what the request shares with others: the parts of its prompt, its content.
+	Keys       []string `json:"k"`
+	Target     string   `json:"t"`
+	Generation uint64   `json:"g"`
+	// AgeMillis is the time since the crash, HeldMillis that from the sending of the
+	// request to the crash.
+	AgeMillis  int64 `json:"a,omitempty"`
+	HeldMillis int64 `json:"h,omitempty"`
+}
+
+// HarmlessAnswer reports a complete answer to a request with the keys.
+type HarmlessAnswer struct {
+	Keys       []string `json:"k"`
+	Target     string   `json:"t"`
+	Generation uint64   `json:"g"`
+	AgeMillis  int64    `json:"a,omitempty"`
 }
 
 // Load is the work in progress on one replica or backend server.
--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -20,6 +20,7 @@
 	MethodRecordEnd  Method = "control.record.end"
 	MethodRecordGet  Method = "control.record.get"
 	MethodSuspect    Method = "control.suspect"
+	MethodQuarantine Method = "control.quarantine"
 	MethodAcquire    Method = "shard.acquire"
 	MethodSettle     Method = "shard.settle"
 	MethodReport     Method = "shard.report"
@@ -292,6 +293,40 @@
 	WaitMillis int64 `json:"wait_millis,omitempty"`
 }
 
+// QuarantineAction is what an entry asks of the quarantine of some keys.
+type QuarantineAction string
+
+// Actions on a quarantine.
+const (
+	// QuarantineImpose begins it: servers crashed under requests with the keys.
+	QuarantineImpose QuarantineAction = "impose"
+	// QuarantineTry asks to send one request with the keys, to see whether it is harmless.
+	QuarantineTry QuarantineAction = "try"
+	// QuarantineExtend reports that the trial crashed its server.
+	QuarantineExtend QuarantineAction = "extend"
+	// QuarantineLift reports that a server survived a request with the keys.
+	QuarantineLift QuarantineAction = "lift"
+)
+
+// QuarantineRequest changes the quarantine of requests that have every one of the keys.
+type QuarantineRequest struct {
+	Action      QuarantineAction `json:"action"`
+	Fingerprint string           `json:"fingerprint"`
+	Keys        []string         `json:"keys"`
+	Entry       EntryID          `json:"entry"`
+	// Deaths is the number of servers that crashed, for QuarantineImpose.
+	Deaths int `json:"deaths,omitempty"`
+}
+
+// QuarantineResponse returns the state of the quarantine.
+type QuarantineResponse struct {
+	Quarantine Quarantine `json:"quarantine"`
+	// Granted is set if the entry may send the one request that it asked for.
+	Granted bool `json:"granted,omitempty"`
+	// RetryAfterMillis is the time until the next trial may be asked for.
+	RetryAfterMillis int64 `json:"retry_after_millis,omitempty"`
+}
+
 // SuspectResponse returns the state of the fingerprint.
 type SuspectResponse struct {
 	Quarantine Quarantine `json:"quarantine"`
--- a/internal/api/view.go
+++ b/internal/api/view.go
@@ -138,12 +138,15 @@
 	}
 }
 
-// Quarantine refuses requests with a fingerprint until it expires.
+// Quarantine refuses requests that crash the servers that run them.
 type Quarantine struct {
 	Fingerprint string `json:"fingerprint"`
 	Deaths      int    `json:"deaths"`
 	// UntilUnixMillis is 0 for a suspect that is not yet quarantined.
 	UntilUnixMillis int64 `json:"until_unix_millis,omitempty"`
+	// Keys are set for a quarantine of all requests that have every one of them. It ends
+	// with a trial, not at a time.
+	Keys []string `json:"keys,omitempty"`
 }
 
 // View is the replicated state that an entry applies.
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -32,6 +32,7 @@
 	kindDomain      commandKind = 16
 	kindDepart      commandKind = 17
 	kindPublish     commandKind = 18
+	kindQuarantine  commandKind = 19
 
 	// kindPublishUnpacked was proposed by earlier releases.
 	kindPublishUnpacked commandKind = 15
@@ -132,6 +133,8 @@
 		return &recordEndCommand{}
 	case kindSuspect:
 		return &suspectCommand{}
+	case kindQuarantine:
+		return &quarantineCommand{}
 	case kindExpire:
 		return &expireCommand{}
 	case kindLead:
--- a/internal/control/command_gen_test.go
+++ b/internal/control/command_gen_test.go
@@ -13,7 +13,7 @@
 func drawCommand(t *rapid.T, s *State) command {
 	switch rapid.SampledFrom([]commandKind{
 		kindPlan, kindDecide, kindGroup, kindGroup, kindGroup, kindGroup, kindEntryPut, kindEntryExpire,
-		kindShards, kindServers, kindRecordOpen, kindRecordEnd, kindSuspect, kindExpire, kindLead,
+		kindShards, kindServers, kindRecordOpen, kindRecordEnd, kindSuspect, kindQuarantine, kindExpire, kindLead,
 		kindLease,
 	}).Draw(t, "kind") {
 	case kindPlan:
@@ -61,10 +61,23 @@
 			},
 			Limits: QuarantineLimits{MaxRows: 3, SuspectMillis: 2000, QuarantineMillis: 5000},
 		}
+	case kindQuarantine:
+		return drawQuarantine(t)
 	}
 	return &expireCommand{MaxRecords: 10}
 }
 
+func drawQuarantine(t *rapid.T) *quarantineCommand {
+	name := drawName(t, "k", 4)
+	actions := []api.QuarantineAction{api.QuarantineImpose, api.QuarantineTry, api.QuarantineExtend, api.QuarantineLift}
+	return &quarantineCommand{
+		Request: api.QuarantineRequest{
+			Action: rapid.SampledFrom(actions).Draw(t, "action"), Fingerprint: name, Keys: []string{name}, Entry: "e1", Deaths: 3,
+		},
+		Limits: QuarantineLimits{MaxRows: 3, SuspectMillis: 2000, QuarantineMillis: 5000, HoldMillis: 1000, TrialMillis: 500},
+	}
+}
+
 var fuzzRecordLimits = RecordLimits{MaxRecords: 6, MaxBytes: 1 << 20, MaxBody: 1 << 10, RetentionMillis: 1000}
 
 func drawName(t *rapid.T, prefix string, n int) string {
--- a/internal/control/command_test.go
+++ b/internal/control/command_test.go
@@ -71,6 +71,7 @@
 		&recordOpenCommand{Record: api.Record{Key: "k"}},
 		&recordEndCommand{Record: api.Record{Key: "k"}},
 		&suspectCommand{Suspect: api.SuspectRequest{Fingerprint: "f"}},
+		&quarantineCommand{Request: api.QuarantineRequest{Action: api.QuarantineImpose, Fingerprint: "part/1", Keys: []string{"part/1"}}},
 		&expireCommand{MaxRecords: 1},
 		&leadCommand{Term: 1},
 		&leaseCommand{Millis: 9000, Term: 1},
--- a/internal/control/contract_test.go
+++ b/internal/control/contract_test.go
@@ -75,6 +75,9 @@
 		{"get negative wait", api.MethodRecordGet, `{"account":"a","key":"k","wait_millis":-5}`, errs.Invalid},
 		{"get", api.MethodRecordGet, `{"account":"a","key":"k","wait_millis":0}`, ""},
 		{"suspect without fingerprint", api.MethodSuspect, `{"fingerprint":"","request":"r","group":"g","fencing":1,"alone":true}`, errs.Invalid},
+		{"quarantine without keys", api.MethodQuarantine, `{"action":"impose","fingerprint":"f","keys":[],"entry":"e1"}`, errs.Invalid},
+		{"quarantine with an unknown action", api.MethodQuarantine, `{"action":"x","fingerprint":"f","keys":["k"],"entry":"e1"}`, errs.Invalid},
+		{"quarantine", api.MethodQuarantine, `{"action":"impose","fingerprint":"f","keys":["k"],"entry":"e1"}`, ""},
 		{"suspect", api.MethodSuspect, `{"fingerprint":"f","request":"r","group":"g","fencing":1,"alone":true}`, ""},
 	}
 	f := newFixture()
--- a/internal/control/quarantine_table.go
+++ b/internal/control/quarantine_table.go
@@ -23,6 +23,10 @@
 	Deaths     []death        `cbor:"2,keyasint"`
 	// ExpiresUnixMillis is when the row is deleted.
 	ExpiresUnixMillis int64 `cbor:"3,keyasint"`
+	// TrialUntilUnixMillis is when a trial without a result ends, FailedTrials the number
+	// of trials that crashed a server. Both are used for quarantines of keys only.
+	TrialUntilUnixMillis int64 `cbor:"4,keyasint,omitempty"`
+	FailedTrials         int   `cbor:"5,keyasint,omitempty"`
 }
 
 func (s *State) quarantineList() []api.Quarantine {
@@ -37,6 +41,11 @@
 	SuspectMillis int64 `cbor:"2,keyasint"`
 	// QuarantineMillis is how long a quarantined request is refused.
 	QuarantineMillis int64 `cbor:"3,keyasint"`
+	// HoldMillis is the time until the first trial of quarantined keys. Each failed trial
+	// doubles it, up to QuarantineMillis.
+	HoldMillis int64 `cbor:"4,keyasint,omitempty"`
+	// TrialMillis is how long a trial may take.
+	TrialMillis int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // suspectCommand counts the death of a replica against a request.
@@ -54,7 +63,7 @@
 		return row.Quarantine, nil
 	}
 	if !known {
-		if err := c.evictSuspect(t); err != nil {
+		if err := t.makeQuarantineRoom(c.Limits.MaxRows); err != nil {
 			return nil, err
 		}
 	}
@@ -80,10 +89,10 @@
 	return !slices.Contains(row.Deaths, death{Group: c.Suspect.Group, Fencing: c.Suspect.Fencing})
 }
 
-// evictSuspect makes room by deleting the suspect that expires first. A
+// makeQuarantineRoom makes room by deleting the suspect that expires first. A
 // quarantined request is never deleted early.
-func (c *suspectCommand) evictSuspect(t *tx) error {
-	if t.quarantines.size() < c.Limits.MaxRows {
+func (t *tx) makeQuarantineRoom(maxRows int) error {
+	if t.quarantines.size() < maxRows {
 		return nil
 	}
 	var oldest *quarantineRow
@@ -96,7 +105,7 @@
 		}
 	}
 	if oldest == nil {
-		return refuse(errs.Full, "suspect request", "%d requests are quarantined", c.Limits.MaxRows)
+		return refuse(errs.Full, "quarantine request", "%d requests are quarantined", maxRows)
 	}
 	t.dropQuarantine(oldest.Quarantine.Fingerprint)
 	return nil
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -70,6 +70,7 @@
 	r.Handle(api.MethodRecordEnd, peer.Typed(s.recordEnd))
 	r.Handle(api.MethodRecordGet, peer.Typed(s.recordGet))
 	r.Handle(api.MethodSuspect, peer.Typed(s.suspect))
+	r.Handle(api.MethodQuarantine, peer.Typed(s.quarantine))
 	r.Handle(api.MethodPublish, peer.Typed(s.publish))
 	r.Handle(api.MethodPublication, peer.Typed(s.publicationInForce))
 	r.Handle(api.MethodDomain, peer.Typed(s.setDomain))
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -106,6 +106,8 @@
 	DefaultMaxQuarantines    = 10_000
 	DefaultSuspectTime       = 10 * time.Minute
 	DefaultQuarantineTime    = 10 * time.Minute
+	DefaultQuarantineHold    = 30 * time.Second
+	DefaultTrialTime         = 10 * time.Second
 	DefaultMaxPlans          = 256
 	DefaultMaxHosts          = 32_768
 	DefaultMaxBatch          = 4096
@@ -141,6 +143,8 @@
 	l.Quarantine.MaxRows = cmp.Or(l.Quarantine.MaxRows, DefaultMaxQuarantines)
 	l.Quarantine.SuspectMillis = cmp.Or(l.Quarantine.SuspectMillis, DefaultSuspectTime.Milliseconds())
 	l.Quarantine.QuarantineMillis = cmp.Or(l.Quarantine.QuarantineMillis, DefaultQuarantineTime.Milliseconds())
+	l.Quarantine.HoldMillis = cmp.Or(l.Quarantine.HoldMillis, DefaultQuarantineHold.Milliseconds())
+	l.Quarantine.TrialMillis = cmp.Or(l.Quarantine.TrialMillis, DefaultTrialTime.Milliseconds())
 	l.MaxPlans = cmp.Or(l.MaxPlans, DefaultMaxPlans)
 	l.MaxHosts = cmp.Or(l.MaxHosts, DefaultMaxHosts)
 	l.MaxBatch = cmp.Or(l.MaxBatch, DefaultMaxBatch)
--- /dev/null
+++ b/internal/crashes/judge.go
@@ -0,0 +1,193 @@
+package crashes
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// judge prepares a verdict on the keys of a request under which a server crashed. Keys
+// that had always been together in crashed requests are judged together: a request with
+// only some of them goes on and shows which is the cause. The lock is held.
+func (t *Table) judge(keys []Key, now time.Time) {
+	var guilty []Key
+	most := 0
+	for _, k := range keys {
+		list := t.unrefuted(k)
+		if independent(list, now) < Limit || len(list) < most {
+			continue
+		}
+		if len(list) > most {
+			guilty, most = nil, len(list)
+		}
+		guilty = append(guilty, k)
+	}
+	if len(guilty) == 0 || t.hasOtherCause(keys, guilty[0]) {
+		return
+	}
+	id := Fingerprint(guilty)
+	if v := t.verdicts[id]; v != nil {
+		v.until = now.Add(HoldTime)
+		return
+	}
+	v := &Verdict{Keys: slices.Sorted(slices.Values(guilty)), from: now.Add(verdictDelay), until: now.Add(verdictDelay + HoldTime)}
+	t.verdicts[id] = v
+	if slices.ContainsFunc(guilty, Key.isContent) {
+		t.pass(v)
+	}
+}
+
+// hasOtherCause reports whether every crash under a key was also one under a key that the
+// request does not have: all requests of a route may share a part with the cause.
+func (t *Table) hasOtherCause(keys []Key, guilty Key) bool {
+	list := t.unrefuted(guilty)
+	for other, all := range t.keys {
+		if len(all) < len(list) || slices.Contains(keys, other) {
+			continue
+		}
+		if all = t.unrefuted(other); !slices.ContainsFunc(list, func(c crash) bool { return !includesServer(all, c.server) }) {
+			return true
+		}
+	}
+	return false
+}
+
+func includesServer(list []crash, server Server) bool {
+	return slices.ContainsFunc(list, func(c crash) bool { return c.server == server })
+}
+
+// unrefuted returns the crashes under a key since the last answer to a request with it.
+func (t *Table) unrefuted(k Key) []crash {
+	var last time.Time
+	for _, a := range t.answers {
+		if _, crashed := t.ended[a.server]; !crashed && a.at.After(last) && slices.Contains(a.keys, k) {
+			last = a.at
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(t.keys[k]), func(c crash) bool { return c.at.Before(last) })
+}
+
+// passDue passes the verdicts that are due, for those of their keys that no answer has
+// refuted. The lock is held.
+func (t *Table) passDue(now time.Time) {
+	for id, v := range maps.Clone(t.verdicts) {
+		if v.passed || now.Before(v.from) {
+			continue
+		}
+		delete(t.verdicts, id)
+		v.Keys = slices.DeleteFunc(v.Keys, func(k Key) bool { return independent(t.unrefuted(k), now) < Limit })
+		if len(v.Keys) == 0 || t.hasOtherCause(v.Keys, v.Keys[0]) {
+			continue
+		}
+		if id = Fingerprint(v.Keys); t.verdicts[id] == nil || !t.verdicts[id].passed {
+			t.verdicts[id] = v
+			t.pass(v)
+		}
+	}
+}
+
+// pass puts a verdict in force and attributes the crashes to it.
+func (t *Table) pass(v *Verdict) {
+	v.passed = true
+	defer func() { t.passed = append(t.passed, *v) }()
+	for _, c := range slices.Clone(t.keys[v.Keys[0]]) {
+		t.explain(v, c.server)
+	}
+}
+
+// independent counts the crashes of a list in the order of time that have no cause in
+// common: the server of the next one was sent its request after the last one had ended,
+// and so outlived it, or ended well after it.
+func independent(list []crash, now time.Time) int {
+	n := 0
+	var last time.Time
+	for _, c := range list {
+		if now.Sub(c.at) >= Retention {
+			continue
+		}
+		if n == 0 || !c.sent.Before(last) || c.at.Sub(last) >= correlationTime {
+			n++
+			last = c.at
+		}
+	}
+	return n
+}
+
+// explain attributes the end of a server to a verdict, so that it counts against no other
+// request that was on it. The lock is held.
+func (t *Table) explain(v *Verdict, server Server) {
+	if !slices.Contains(v.Servers, server) {
+		v.Servers = append(v.Servers, server)
+	}
+	if t.explained[server] {
+		return
+	}
+	t.explained[server] = true
+	for _, k := range slices.Collect(maps.Keys(t.keys)) {
+		if !t.isJudged(k) {
+			t.forget(k, func(c crash) bool { return c.server == server })
+		}
+	}
+}
+
+// isJudged reports whether a key is part of a verdict. The lock is held.
+func (t *Table) isJudged(k Key) bool {
+	for _, v := range t.verdicts {
+		if slices.Contains(v.Keys, k) {
+			return true
+		}
+	}
+	return false
+}
+
+// Match returns the verdict that applies to a request with keys. If one may be passed
+// soon, it returns the time until then instead.
+func (t *Table) Match(keys func() []Key, now time.Time) (v Verdict, applies bool, wait time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.verdicts) == 0 {
+		return Verdict{}, false, 0
+	}
+	t.passDue(now)
+	own := keys()
+	for _, v := range t.verdicts {
+		switch {
+		case !now.Before(v.until) || !Includes(own, v.Keys):
+		case v.passed:
+			return *v, true, 0
+		default:
+			wait = max(wait, v.from.Sub(now))
+		}
+	}
+	return Verdict{}, false, wait
+}
+
+// Count returns the independent crashes under a key.
+func (t *Table) Count(k Key, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return independent(t.keys[k], now)
+}
+
+// Unconfirmed returns the verdicts that control has not confirmed, which hold meanwhile.
+func (t *Table) Unconfirmed(now time.Time) []Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Verdict
+	for _, v := range t.verdicts {
+		if v.passed && !v.confirmed && now.Before(v.until) {
+			v.until = now.Add(HoldTime)
+			out = append(out, *v)
+		}
+	}
+	return out
+}
+
+// Confirm records that control has a verdict.
+func (t *Table) Confirm(keys []Key) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if v := t.verdicts[Fingerprint(keys)]; v != nil {
+		v.confirmed = true
+	}
+}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,8 @@
 	services       map[string]*api.Service
 	drained        map[api.FailureDomain]bool
 	quarantines    map[string]api.Quarantine
+	// keyQuarantines are those of keys, each under its first key.
+	keyQuarantines map[string][]api.Quarantine
 	anyDrained     bool
 }
 
@@ -48,6 +51,7 @@
 		services:       make(map[string]*api.Service, len(v.Services)),
 		drained:        make(map[api.FailureDomain]bool, len(v.Domains)),
 		quarantines:    make(map[string]api.Quarantine, len(v.Quarantines)),
+		keyQuarantines: make(map[string][]api.Quarantine),
 	}
 	s.indexGroups()
 	s.indexMetadata()
@@ -103,6 +107,9 @@
 	}
 	for _, q := range s.Quarantines {
 		s.quarantines[q.Fingerprint] = q
+		if len(q.Keys) > 0 {
+			s.keyQuarantines[q.Keys[0]] = append(s.keyQuarantines[q.Keys[0]], q)
+		}
 	}
 }
 
@@ -155,6 +162,22 @@
 	return q, ok
 }
 
+// QuarantinesKeys reports whether any quarantine of keys is in force.
+func (s *Snapshot) QuarantinesKeys() bool { return len(s.keyQuarantines) > 0 }
+
+// QuarantinesOf returns the quarantines of which a request with keys has every key.
+func (s *Snapshot) QuarantinesOf(keys []string) []api.Quarantine {
+	var out []api.Quarantine
+	for _, k := range keys {
+		for _, q := range s.keyQuarantines[k] {
+			if !slices.ContainsFunc(q.Keys, func(other string) bool { return !slices.Contains(keys, other) }) {
+				out = append(out, q)
+			}
+		}
+	}
+	return out
+}
+
 // State holds the current snapshot and work lease of an entry. It is safe for
 // concurrent use, and reads take no lock.
 type State struct {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -47,6 +47,13 @@
 		if err := s.acquire(c); err != nil {
 			return err
 		}
+		if err := s.recheckQuarantine(c); err != nil {
+			s.release(c)
+			if c.ran > 0 {
+				return c.lastFailure
+			}
+			return err
+		}
 		err := s.exchange(c)
 		if err == nil {
 			s.instruments.recordAttempt("answered")
@@ -85,6 +92,7 @@
 // answer but a stream whole.
 func (s *Server) exchange(c *call) error {
 	target := &c.place.Target
+	c.sent = time.Now()
 	exchange, err := s.cfg.Backends.Send(c.ctx, backend.Forward{
 		Address:  target.Address,
 		Head:     s.requestHead(c),
@@ -101,6 +109,9 @@
 		return err
 	}
 	c.answer = s.cfg.Dialect.DecodeAnswer(&exchange.Header)
+	if c.answer.Sealed {
+		s.crashes.Survived(c.server(), c.sent)
+	}
 	return s.checkAnswer(c)
 }
 
@@ -272,7 +283,7 @@
 	if failed.stalled {
 		s.reporter.requestProgressReport()
 	}
-	s.recordCrash(c, failed, place.Target.ID, place.Target.Generation)
+	s.recordCrash(c, failed)
 	s.release(c)
 	c.demand.Exclude = append(c.demand.Exclude, place.Target.ID)
 	s.instruments.recordAttempt("failed")
@@ -295,6 +306,9 @@
 	if c.attempts >= c.maxAttempts()+extraAttempts {
 		return failed
 	}
+	if len(c.trials) > 0 {
+		return failed
+	}
 	if !s.budget(c.service.Name).take(len(liveEntries(s.cfg.State.Snapshot()))) {
 		level.Info(s.logger).Log("msg", "Retry budget exhausted", "request", c.head.ID, "service", c.service.Name)
 		return failed
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/backend"
+	"github.com/crocusway/crocusway/internal/crashes"
 	"github.com/crocusway/crocusway/internal/placement"
 	"github.com/crocusway/crocusway/internal/routing"
 )
@@ -24,8 +25,12 @@
 	cancel   context.CancelCauseFunc
 	watch    *callerWatch
 
-	// content is the hash by which retries of the same request are recognized.
-	content  uint64
+	// keys are what crashes are counted by; crashKeys fills them.
+	keys []crashes.Key
+	// trials are the quarantines that this request may break, as their trial.
+	trials []api.Quarantine
+	// crashed is set once a server has crashed under the request.
+	crashed  bool
 	table    *routing.Table
 	revision api.Revision
 	route    *api.Route
@@ -36,6 +41,7 @@
 
 	// place and exchange belong to the current attempt.
 	place    *placement.Placement
+	sent     time.Time
 	exchange *backend.Exchange
 	answer   Answer
 	// attempts counts the requests sent, ran those that a server may have run.
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/crashes"
 	"github.com/crocusway/crocusway/internal/placement"
 )
 
@@ -120,8 +121,8 @@
 type ownReport struct {
 	// loads is the entry's own work in progress.
 	loads []api.Load
-	// crashes are those not yet reported to other entries.
-	crashes []api.Crash
+	// crashes are those not yet reported to other entries, and the answers that refute them.
+	crashes crashes.Report
 	// publication is the version in force at the entry.
 	publication uint64
 }
@@ -133,14 +134,17 @@
 	receivers := receiversOf(x.self, entries)
 	var out []delivery
 	sums := x.takeUnforwarded(now)
-	if isDue(n.loads, &x.sent, now) || len(sums) > 0 || len(n.crashes) > 0 || n.publication != x.announced {
+	urgent := !n.crashes.Empty()
+	if isDue(n.loads, &x.sent, now) || len(sums) > 0 || urgent || n.publication != x.announced {
 		x.sent, x.announced = timedLoads{n.loads, now}, n.publication
 		out = x.appendDeliveries(out, receivers.direct, api.LoadReport{
-			Publication: n.publication, Loads: n.loads, Sums: sums, Crashes: n.crashes,
+			Publication: n.publication, Loads: n.loads, Sums: sums, Crashes: n.crashes.Crashes, Answers: n.crashes.Answers,
 		})
 	}
-	if len(n.crashes) > 0 {
-		out = x.appendDeliveries(out, receivers.indirect, api.LoadReport{Publication: n.publication, Crashes: n.crashes})
+	if urgent {
+		out = x.appendDeliveries(out, receivers.indirect, api.LoadReport{
+			Publication: n.publication, Crashes: n.crashes.Crashes, Answers: n.crashes.Answers,
+		})
 	}
 	if len(receivers.relays) == 0 {
 		return out
--- a/internal/ingress/exchange_test.go
+++ b/internal/ingress/exchange_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/crashes"
 	"github.com/crocusway/crocusway/internal/placement"
 )
 
@@ -26,9 +27,10 @@
 	*loadExchange
 	down            bool
 	ownLoads        []api.Load
-	ownCrashes      []api.Crash
+	ownCrashes      crashes.Report
 	received        map[api.EntryID]timedLoads
 	receivedCrashes []api.Crash
+	answers         []api.HarmlessAnswer
 }
 
 func newExchangeSim(t *testing.T, perDomain ...int) *exchangeSim {
@@ -55,7 +57,7 @@
 			continue
 		}
 		crash := n.ownCrashes
-		n.ownCrashes = nil
+		n.ownCrashes = crashes.Report{}
 		for _, d := range n.dueReports(sim.now, ownReport{loads: n.ownLoads, crashes: crash}, sim.entries) {
 			sim.deliver(e, d)
 		}
@@ -75,6 +77,7 @@
 		return
 	}
 	n.receivedCrashes = append(n.receivedCrashes, d.report.Crashes...)
+	n.answers = append(n.answers, d.report.Answers...)
 	for _, work := range n.applyReport(sim.now, d.report) {
 		n.received[work.source] = timedLoads{work.loads, sim.now}
 	}
@@ -190,10 +193,13 @@
 	}
 }
 
-// TestCrashesReachEveryEntry reports a crash to every entry once, relay or not.
+// TestCrashesReachEveryEntry reports a crash and an answer to every entry once, relay
+// or not.
 func TestCrashesReachEveryEntry(t *testing.T) {
 	sim := newExchangeSim(t, 12, 11, 11)
-	sim.byID["e-1-05"].ownCrashes = []api.Crash{{Content: 7, Target: "g1", Generation: 3}}
+	sim.byID["e-1-05"].ownCrashes = crashes.Report{
+		Crashes: []api.Crash{{Keys: []string{"part/7"}, Target: "g1", Generation: 3}}, Answers: []api.HarmlessAnswer{{Keys: []string{"part/8"}}},
+	}
 	sim.round()
 	sim.round()
 	for _, e := range sim.entries {
@@ -202,6 +208,7 @@
 			want = 0
 		}
 		require.Len(t, sim.byID[e.ID].receivedCrashes, want, "%s", e.ID)
+		require.Len(t, sim.byID[e.ID].answers, want, "%s", e.ID)
 	}
 }
 
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -37,6 +37,9 @@
 func (s *Server) sendWhole(c *call) {
 	f := c.whole
 	c.status, c.outcome = f.header.StatusCode(), "answered"
+	if c.status < fasthttp.StatusMultipleChoices {
+		s.recordAnswer(c)
+	}
 	response := &c.http.Response
 	response.SetStatusCode(c.status)
 	s.cfg.Dialect.CopyAnswer(&response.Header, &f.header)
@@ -150,12 +153,13 @@
 func (r *relay) endOfStream() error {
 	rest := r.events.rest()
 	if len(r.events.pending) > 0 && r.call.exchange.Header.ContentLength() < -1 {
-		return r.resume(&attemptError{ran: true, cause: io.ErrUnexpectedEOF})
+		return r.resume(&attemptError{ran: true, closed: true, suspectFor: busySuspectDuration, cause: io.ErrUnexpectedEOF})
 	}
 	r.out = append(r.out, rest...)
 	r.events.discardRest()
 	r.endErr = io.EOF
 	r.call.outcome = "answered"
+	r.recordAnswer(r.call)
 	return nil
 }
 
--- a/internal/ingress/reporter.go
+++ b/internal/ingress/reporter.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/crashes"
 	"github.com/crocusway/crocusway/internal/peer"
 )
 
@@ -18,7 +19,8 @@
 	// progressDue wakes the progress loop.
 	progressDue chan struct{}
 
-	loads *loadExchange
+	loads       *loadExchange
+	quarantines quarantineReports
 	// newer holds a reported newer publication until it is handled; further reports are
 	// dropped meanwhile.
 	newer chan newerPublication
@@ -51,6 +53,7 @@
 	defer loops.Wait()
 	loops.Go(func() { r.progressLoop(ctx) })
 	loops.Go(func() { r.catchUpLoop(ctx) })
+	loops.Go(func() { r.quarantineLoop(ctx) })
 	for {
 		select {
 		case <-ctx.Done():
@@ -70,7 +73,7 @@
 	for _, pool := range r.server.state.allPools() {
 		loads = pool.Loads(loads)
 	}
-	n := ownReport{loads: loads, crashes: r.server.crashes.takeUnreported(), publication: r.server.state.publication()}
+	n := ownReport{loads: loads, crashes: r.server.crashes.Take(time.Now()), publication: r.server.state.publication()}
 	entries := r.server.cfg.State.Snapshot().Entries
 	for _, d := range r.loads.dueReports(time.Now(), n, entries) {
 		// The next report makes up for a lost one.
@@ -83,7 +86,7 @@
 // handleLoads applies the report of another entry.
 func (r *reporter) handleLoads(_ context.Context, report api.LoadReport) (api.Empty, error) {
 	now := time.Now()
-	r.server.crashes.recordRemote(report.Crashes, now)
+	r.server.crashes.RecordRemote(crashes.Report{Crashes: report.Crashes, Answers: report.Answers}, now)
 	r.checkPublication(&report)
 	for _, work := range r.loads.applyReport(now, &report) {
 		loads := make(map[string]api.Load, len(work.loads))
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
 
+	"github.com/crocusway/crocusway/internal/crashes"
 	"github.com/crocusway/crocusway/internal/inflight"
 	"github.com/crocusway/crocusway/internal/logging"
 )
@@ -23,7 +24,8 @@
 	active      *inflight.Counter
 	instruments instruments
 	reporter    *reporter
-	crashes     *crashTracker
+	crashes     *crashes.Table
+	trials      trialClock
 	// answers bounds the answers that are being read.
 	answers byteBudget
 }
@@ -35,7 +37,8 @@
 		logger:  logging.For(cfg.Logger, "ingress"),
 		state:   newRoutingState(),
 		active:  inflight.NewCounter(),
-		crashes: newCrashTracker(),
+		crashes: crashes.NewTable(),
+		trials:  trialClock{next: make(map[string]time.Time)},
 		answers: byteBudget{limit: maxBufferedAnswers},
 	}
 	var err error
@@ -115,7 +118,7 @@
 
 // filters returns the filters in the order in which they run.
 func (s *Server) filters() []filter {
-	return []filter{s.decode, s.route, s.authenticate, s.quarantine, s.setDeadline, s.selectPool}
+	return []filter{s.decode, s.route, s.authenticate, s.setDeadline, s.quarantine, s.selectPool}
 }
 
 func runFilters(c *call, filters []filter) error {
