soak: one part of prompts crashes the servers that run it

With planned work alone no more than three requests with it may reach a server later than 4 s after the fifth crash, and half of the other streams must be served from 8 s after it. New lanes come last, so that the others of a seed stay as they were.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -37,6 +37,8 @@
 	name   string
 	rand   *rand.Rand
 	sent   int
+	// served is set once the current request is.
+	served bool
 	// entry is the address in use, conn its connection.
 	entry string
 	http  *http.Client
@@ -131,6 +133,14 @@
 	} {
 		out.Header.Set(name, value)
 	}
+	if k == kindStream {
+		var prompt string
+		prompt, r.poisoned = c.prompt(id)
+		out.Header.Set(headerPrompt, prompt)
+		part := c.system.fleet.currentPoison()
+		defer func() { c.system.oracle.sound(part, id, c.served) }()
+	}
+	c.served = false
 	c.conns.dialed = false
 	c.system.oracle.sending(id, r)
 	began := time.Now()
@@ -146,6 +156,7 @@
 		c.failed(ctx, id, began, err)
 		return
 	}
+	c.served = response.StatusCode == http.StatusOK
 	if response.Close {
 		c.entry = ""
 	}
@@ -167,7 +178,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if r := o.requests[id]; r.runs > 0 || time.Since(began) > lossSlack {
+	if r := o.requests[id]; !r.brokenOff && (r.runs > 0 || time.Since(began) > lossSlack) {
 		o.report("LOST: request %s (%s, %d runs) at %s ends after %s without a whole answer: %v",
 			id, r.kind, r.runs, entry, time.Since(began).Round(time.Millisecond), err)
 	}
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -41,6 +41,8 @@
 		s.disturbServer(ctx, r, e)
 	case "links":
 		s.disturbLinks(ctx, r, e)
+	case "poison":
+		s.poison(ctx, e)
 	default:
 		daemons := s.byRole(l.Role)
 		s.disturbDaemon(ctx, daemons[r.IntN(len(daemons))], r, e)
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -25,6 +25,10 @@
 	runs    int
 	refused int
 	sent    time.Time
+	// poisoned is set if the request crashes its servers.
+	poisoned bool
+	// brokenOff is set once a server has broken off its answer.
+	brokenOff bool
 }
 
 // oracle records what callers, operators and backend servers see, and the promises that
@@ -39,11 +43,14 @@
 	published    map[uint64]string
 	acknowledged uint64
 	counts       map[string]int
+	// poison holds the parts that crash servers.
+	poison map[string]*poisoned
 }
 
 func newOracle() *oracle {
 	return &oracle{
 		started: time.Now(), requests: make(map[string]*request), published: make(map[uint64]string), counts: make(map[string]int),
+		poison: make(map[string]*poisoned),
 	}
 }
 
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -58,6 +58,38 @@
 			run(o)
 			o.answered("r", 200, "seal", strings.Replace(half, "id: 2", "id: 3", 1), false)
 		}, "ORDER"},
+		{"part that crashes servers", func(o *oracle) {
+			for range crashesAllowed {
+				o.reached("p", "r", true)
+				o.crashed("p")
+			}
+			o.poison["p"].fifth = time.Now().Add(-2 * stableTime)
+			for range lateAllowed + 1 {
+				o.reached("p", "r", true)
+			}
+		}, "BUDGET"},
+		{"sound requests beside such a part", func(o *oracle) {
+			o.reached("p", "r", true)
+			for range crashesAllowed {
+				o.crashed("p")
+			}
+			o.poison["p"].fifth = time.Now().Add(-3 * stableTime)
+			for i := range minSound {
+				send(o, kindStream)
+				o.sound("p", "r", i < minSound/2-1)
+			}
+			o.checkSound("p")
+		}, "LOST"},
+		{"few requests with such a part", func(o *oracle) {
+			for range crashesAllowed {
+				o.reached("p", "r", true)
+				o.crashed("p")
+			}
+			o.poison["p"].fifth = time.Now().Add(-2 * stableTime)
+			for range lateAllowed {
+				o.reached("p", "r", true)
+			}
+		}, ""},
 		{"configuration reverts", func(o *oracle) { o.publishing(3, "a"); o.acknowledge(7); o.readBack("d", 3, "a", o.newest()) }, "CONFIG"},
 		{"configuration replaced", func(o *oracle) { o.publishing(3, "a"); o.readBack("d", 3, "b", 0) }, "CONFIG"},
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -37,6 +37,7 @@
 	actionRace    action = "race"     // two configurations at once
 	actionInvalid action = "invalid"  // a configuration that is invalid
 	actionZone    action = "zone"     // a failure domain is taken out for the length
+	actionPoison  action = "poison"   // one part of prompts crashes the servers that run it
 )
 
 // event is one action of a lane. Random choices while it is carried out come from seed.
@@ -95,20 +96,23 @@
 	control := laneKind{"control", roleControl, 1, controlSignals, 1500 * time.Millisecond}
 	entries := laneKind{"entries", roleEntry, 2, entrySignals, 800 * time.Millisecond}
 	links := laneKind{"links", "", 2, linkFaults, 700 * time.Millisecond}
+	// New lanes come last, so that the others of a seed stay as they were.
+	poison := laneKind{"poison", "", 1, []action{actionPoison}, 2 * time.Second}
 	switch m {
 	case modePlanned:
 		return []laneKind{
 			operators, drains,
 			{"control", roleControl, 1, []action{actionTerm, actionHup}, time.Second},
 			{"entries", roleEntry, 2, []action{actionTerm, actionHup}, time.Second},
+			poison,
 		}
 	case modeSignals:
-		return []laneKind{operators, drains, control, entries}
+		return []laneKind{operators, drains, control, entries, poison}
 	case modeLinks:
 		links.lanes = 3
-		return []laneKind{operators, faults, links}
+		return []laneKind{operators, faults, links, poison}
 	}
-	return []laneKind{operators, faults, control, entries, links}
+	return []laneKind{operators, faults, control, entries, links, poison}
 }
 
 const (
--- a/internal/soak/serve.go
+++ b/internal/soak/serve.go
@@ -65,7 +65,11 @@
 	ctx.Response.Header.Set(headerSeal, "sealed-by-"+s.id)
 	ctx.Response.Header.Set(headerID, id)
 	if s.engine {
-		s.stream(ctx, answerOf(kindStream, path, body), k == faultGarble && misbehave)
+		poison := s.poisonOf(string(h.Peek(headerPrompt)))
+		if poison != "" {
+			s.oracle.reached(poison, id, s.planned)
+		}
+		s.stream(ctx, answerOf(kindStream, path, body), k == faultGarble && misbehave, poison)
 		return
 	}
 	answer := answerOf(kindSafe, path, body)
@@ -129,12 +133,14 @@
 }
 
 // stream writes the events after the caller's last one. It stands still while a member of
-// the replica is lost, and breaks off with it.
-func (s *server) stream(ctx *fasthttp.RequestCtx, answer string, cut bool) {
+// the replica is lost, and breaks off with it. A poisoned one crashes the server.
+func (s *server) stream(ctx *fasthttp.RequestCtx, answer string, cut bool, poison string) {
 	ctx.SetContentType("text/event-stream")
 	after, _ := strconv.Atoi(string(ctx.Request.Header.Peek(headerLastEvent)))
 	events := strings.SplitAfter(answer, "\n\n")[:streamEvents]
 	conn := ctx.Conn()
+	id := string(ctx.Request.Header.Peek(headerID))
+	crashAfter := rand.IntN(maxPoisonEvents)
 	s.mu.Lock()
 	group := s.group
 	s.mu.Unlock()
@@ -147,7 +153,12 @@
 				return
 			}
 			time.Sleep(eventPause)
+			if poison != "" && i-after == crashAfter {
+				s.oracle.crashed(poison)
+				s.crash()
+			}
 			if !s.awaitProgress(group) {
+				s.oracle.brokeOff(id)
 				_ = conn.Close()
 				return
 			}
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -80,8 +80,10 @@
 	controls []string
 	// everReady holds the memberships under which each server was ever ready.
 	everReady map[string]map[string]bool
-	wg        sync.WaitGroup
-	stop      chan struct{}
+	// poison is the part of prompts that crashes servers, empty without one.
+	poison string
+	wg     sync.WaitGroup
+	stop   chan struct{}
 }
 
 // server is one stand-in backend server.
