crashes: an outage accuses nothing that was in use before

Cause: with every replica down no answer refutes anything, and servers that are down but take connections looked like further crashes. Entries that had just restarted judged on nothing else.

A server that had ended before the request was sent is no crash. A trial that ends after its quarantine was lifted no longer begins a new one.

The tests of the table that fail before: TestOutageAccusesNothing, TestCauseOfAnOutageIsFound, TestRestartedEntryAccusesNothing; the others now play answers to other requests beside the crashes, as any running system has.

--- a/internal/api/publication.go
+++ b/internal/api/publication.go
@@ -284,6 +284,8 @@
 
 // Crash reports a replica or backend server that failed while it ran a request.
 type Crash struct {
+	// Pool names the targets among which the server was chosen.
+	Pool string `json:"p"`
 	// Keys are what the request shares with others: the parts of its prompt, its content.
 	Keys       []string `json:"k"`
 	Target     string   `json:"t"`
@@ -296,6 +298,7 @@
 
 // HarmlessAnswer reports a complete answer to a request with the keys.
 type HarmlessAnswer struct {
+	Pool       string   `json:"p"`
 	Keys       []string `json:"k"`
 	Target     string   `json:"t"`
 	Generation uint64   `json:"g"`
--- a/internal/control/quarantine_keys.go
+++ b/internal/control/quarantine_keys.go
@@ -75,11 +75,11 @@
 	return api.QuarantineResponse{Quarantine: row.Quarantine, Granted: true}
 }
 
-// extend doubles the hold after a trial that crashed its server. Without a row, the trial
-// began before the quarantine was lifted or had expired.
+// extend doubles the hold after a trial that crashed its server. A quarantine that was
+// lifted meanwhile stays so: a request with the keys was harmless.
 func (c *quarantineCommand) extend(t *tx, row quarantineRow, known bool) api.QuarantineResponse {
 	if !known {
-		row.Quarantine = api.Quarantine{Fingerprint: c.Request.Fingerprint, Keys: c.Request.Keys}
+		return api.QuarantineResponse{}
 	}
 	row.FailedTrials++
 	row.Quarantine.Deaths++
@@ -114,7 +114,7 @@
 	switch {
 	case known && (r.Action == api.QuarantineImpose || r.Action == api.QuarantineTry && wait > 0):
 		return api.QuarantineResponse{Quarantine: row.Quarantine, RetryAfterMillis: wait}, s.confirmLeading(lead)
-	case !known && (r.Action == api.QuarantineLift || r.Action == api.QuarantineTry):
+	case !known && r.Action != api.QuarantineImpose:
 		return api.QuarantineResponse{Granted: true}, s.confirmLeading(lead)
 	}
 	return propose[api.QuarantineResponse](ctx, s, &quarantineCommand{Request: r, Limits: s.cfg.Limits.Quarantine})
--- a/internal/control/quarantine_keys_test.go
+++ b/internal/control/quarantine_keys_test.go
@@ -47,6 +47,8 @@
 	require.Empty(t, s.View().Quarantines)
 	require.True(t, act(5001, api.QuarantineTry).Granted, "nothing is quarantined")
 	act(5002, api.QuarantineLift)
+	act(5003, api.QuarantineExtend)
+	require.Empty(t, s.View().Quarantines, "a trial from before the quarantine was lifted")
 }
 
 // TestTrialsOfALongQuarantineAreFew counts the requests that a lasting cause gets through
--- a/internal/crashes/judge.go
+++ b/internal/crashes/judge.go
@@ -6,23 +6,11 @@
 	"time"
 )
 
-// judge prepares a verdict on the keys of a request under which a server crashed. Keys
-// that had always been together in crashed requests are judged together: a request with
-// only some of them goes on and shows which is the cause. The lock is held.
+// judge prepares a verdict on the keys of a request under which a server crashed. The lock
+// is held.
 func (t *Table) judge(keys []Key, now time.Time) {
-	var guilty []Key
-	most := 0
-	for _, k := range keys {
-		list := t.unrefuted(k)
-		if independent(list, now) < Limit || len(list) < most {
-			continue
-		}
-		if len(list) > most {
-			guilty, most = nil, len(list)
-		}
-		guilty = append(guilty, k)
-	}
-	if len(guilty) == 0 || t.hasOtherCause(keys, guilty[0]) {
+	guilty := t.suspects(keys, now)
+	if len(guilty) == 0 || t.hasOtherCause(keys, guilty[0], now) {
 		return
 	}
 	id := Fingerprint(guilty)
@@ -37,15 +25,47 @@
 	}
 }
 
+// suspects returns the keys of a request that explain the crashes under it: those with the
+// most crashes among the keys that no answer is known for, else among those without which
+// requests are answered meanwhile. If nothing is answered, keys that were in use before say
+// nothing: all requests may share them.
+func (t *Table) suspects(keys []Key, now time.Time) []Key {
+	var guilty []Key
+	most, unknown := 0, false
+	for _, k := range keys {
+		list := t.unrefuted(k)
+		if independent(list, now) < Limit {
+			continue
+		}
+		isNew := t.isNew(k, now)
+		switch {
+		case !isNew && (unknown || !t.keys[k].contrast), isNew == unknown && len(list) < most:
+			continue
+		case isNew != unknown || len(list) > most:
+			guilty, most, unknown = nil, len(list), isNew
+		}
+		guilty = append(guilty, k)
+	}
+	return guilty
+}
+
+// isNew reports whether no answer to a request with a key is known, though others are: an
+// entry that has just started knows nothing.
+func (t *Table) isNew(k Key, now time.Time) bool {
+	return t.answered >= minAnswers && now.Sub(t.lastAnswer[k]) >= Retention || k.isContent()
+}
+
 // hasOtherCause reports whether every crash under a key was also one under a key that the
-// request does not have: all requests of a route may share a part with the cause.
-func (t *Table) hasOtherCause(keys []Key, guilty Key) bool {
+// request does not have: all requests of a route may share a part with the cause. A key
+// that was in use before is no other cause of the crashes under a new one.
+func (t *Table) hasOtherCause(keys []Key, guilty Key, now time.Time) bool {
 	list := t.unrefuted(guilty)
-	for other, all := range t.keys {
-		if len(all) < len(list) || slices.Contains(keys, other) {
+	isNew := t.isNew(guilty, now)
+	for other, h := range t.keys {
+		if len(h.crashes) < len(list) || slices.Contains(keys, other) || isNew && !t.isNew(other, now) {
 			continue
 		}
-		if all = t.unrefuted(other); !slices.ContainsFunc(list, func(c crash) bool { return !includesServer(all, c.server) }) {
+		if all := t.unrefuted(other); !slices.ContainsFunc(list, func(c crash) bool { return !includesServer(all, c.server) }) {
 			return true
 		}
 	}
@@ -64,7 +84,11 @@
 			last = a.at
 		}
 	}
-	return slices.DeleteFunc(slices.Clone(t.keys[k]), func(c crash) bool { return c.at.Before(last) })
+	h := t.keys[k]
+	if h == nil {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(h.crashes), func(c crash) bool { return c.at.Before(last) })
 }
 
 // passDue passes the verdicts that are due, for those of their keys that no answer has
@@ -75,8 +99,8 @@
 			continue
 		}
 		delete(t.verdicts, id)
-		v.Keys = slices.DeleteFunc(v.Keys, func(k Key) bool { return independent(t.unrefuted(k), now) < Limit })
-		if len(v.Keys) == 0 || t.hasOtherCause(v.Keys, v.Keys[0]) {
+		v.Keys = t.suspects(v.Keys, now)
+		if len(v.Keys) == 0 || t.hasOtherCause(v.Keys, v.Keys[0], now) {
 			continue
 		}
 		if id = Fingerprint(v.Keys); t.verdicts[id] == nil || !t.verdicts[id].passed {
@@ -90,7 +114,7 @@
 func (t *Table) pass(v *Verdict) {
 	v.passed = true
 	defer func() { t.passed = append(t.passed, *v) }()
-	for _, c := range slices.Clone(t.keys[v.Keys[0]]) {
+	for _, c := range slices.Clone(t.keys[v.Keys[0]].crashes) {
 		t.explain(v, c.server)
 	}
 }
@@ -166,7 +190,7 @@
 func (t *Table) Count(k Key, now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return independent(t.keys[k], now)
+	return independent(t.unrefuted(k), now)
 }
 
 // Unconfirmed returns the verdicts that control has not confirmed, which hold meanwhile.
--- a/internal/crashes/table.go
+++ b/internal/crashes/table.go
@@ -30,6 +30,9 @@
 	// aliveTime is less than a crashed server takes to return. One that answers a new
 	// request sooner has only closed a connection.
 	aliveTime = time.Second
+	// minAnswers is the number of answers after which a part that all requests share is
+	// known.
+	minAnswers = 16
 	// maxKeys bounds the keys in the table, maxCrashes the crashes kept of each.
 	maxKeys    = 4096
 	maxCrashes = 16
@@ -41,8 +44,20 @@
 	Generation uint64
 }
 
+// history is what is known of one key.
+type history struct {
+	pool    string
+	crashes []crash
+	// contrast is set once a server of the same pool has answered a request without the
+	// key since the first crash: without it, all requests may be failing.
+	contrast bool
+	// with are the keys of the request that last crashed a server.
+	with []Key
+}
+
 // crash is the end of a server under a key. sent is when the request was sent to it.
 type crash struct {
+	pool     string
 	server   Server
 	sent, at time.Time
 }
@@ -60,22 +75,29 @@
 
 // answer is one whose server has not survived it for settleTime yet.
 type answer struct {
+	pool   string
 	keys   []Key
 	server Server
 	at     time.Time
+	// trial is set if the request was quarantined.
+	trial bool
 }
 
 // Table collects the crashes that this and other entries see. It is safe for concurrent
 // use.
 type Table struct {
 	mu   sync.Mutex
-	keys map[Key][]crash
+	keys map[Key]*history
 	// ended holds when each server crashed, explained those that crashed under a verdict:
 	// they count against no other key.
 	ended     map[Server]time.Time
 	explained map[Server]bool
 	verdicts  map[string]*Verdict
 	answers   []answer
+	// lastAnswer is when a request with each part was last answered.
+	lastAnswer map[Key]time.Time
+	// answered counts the answers that lastAnswer is made from.
+	answered int
 	// newCrashes and newAnswers are those that other entries have not been told yet.
 	newCrashes []unreported[api.Crash]
 	newAnswers []unreported[api.HarmlessAnswer]
@@ -101,19 +123,19 @@
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
-		keys: make(map[Key][]crash), ended: make(map[Server]time.Time), explained: make(map[Server]bool),
-		verdicts: make(map[string]*Verdict),
+		keys: make(map[Key]*history), ended: make(map[Server]time.Time), explained: make(map[Server]bool),
+		verdicts: make(map[string]*Verdict), lastAnswer: make(map[Key]time.Time),
 	}
 }
 
 // Record counts a crash that this entry saw under a request with keys, which was sent to
-// the server at the time sent.
-func (t *Table) Record(server Server, keys []Key, sent, now time.Time) {
+// the server of a pool at the time sent.
+func (t *Table) Record(pool string, server Server, keys []Key, sent, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	row := api.Crash{Keys: texts(keys), Target: server.Target, Generation: server.Generation, HeldMillis: now.Sub(sent).Milliseconds()}
+	row := api.Crash{Pool: pool, Keys: texts(keys), Target: server.Target, Generation: server.Generation, HeldMillis: now.Sub(sent).Milliseconds()}
 	t.newCrashes = append(t.newCrashes, unreported[api.Crash]{row, now})
-	t.add(crash{server: server, sent: sent, at: now}, keys, now)
+	t.add(crash{pool: pool, server: server, sent: sent, at: now}, keys, now)
 }
 
 // RecordRemote adds what another entry reported.
@@ -121,18 +143,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, a := range r.Answers {
-		t.addAnswer(answer{keys: keysOf(a.Keys), server: Server{a.Target, a.Generation}, at: now.Add(-millis(a.AgeMillis))})
+		t.addAnswer(answer{pool: a.Pool, keys: keysOf(a.Keys), server: Server{a.Target, a.Generation}, at: now.Add(-millis(a.AgeMillis))})
 	}
 	for _, c := range r.Crashes {
 		at := now.Add(-millis(c.AgeMillis))
-		k := crash{server: Server{c.Target, c.Generation}, sent: at.Add(-millis(c.HeldMillis)), at: at}
+		k := crash{pool: c.Pool, server: Server{c.Target, c.Generation}, sent: at.Add(-millis(c.HeldMillis)), at: at}
 		t.add(k, keysOf(c.Keys), now)
 	}
 }
 
 // add counts a crash. The lock is held.
 func (t *Table) add(c crash, keys []Key, now time.Time) {
-	if _, known := t.ended[c.server]; !known {
+	if at, known := t.ended[c.server]; known && at.Before(c.sent) {
+		return // It was down before the request was sent.
+	} else if !known {
 		t.ended[c.server] = c.at
 	}
 	for _, v := range t.verdicts {
@@ -145,32 +169,36 @@
 			continue
 		}
 		t.addTo(k, c, now)
+		t.keys[k].with = keys
 	}
 	t.judge(keys, now)
 }
 
 // addTo counts a crash against one key, once for each server.
 func (t *Table) addTo(k Key, c crash, now time.Time) {
-	list := slices.DeleteFunc(t.keys[k], func(old crash) bool { return now.Sub(old.at) >= Retention })
-	if includesServer(list, c.server) {
-		t.keys[k] = list
-		return
+	h := t.keys[k]
+	if h == nil {
+		if len(t.keys) >= maxKeys {
+			t.evict(now)
+		}
+		h = &history{pool: c.pool}
+		t.keys[k] = h
 	}
-	if len(list) == 0 && len(t.keys) >= maxKeys {
-		t.evict(now)
+	h.crashes = slices.DeleteFunc(h.crashes, func(old crash) bool { return now.Sub(old.at) >= Retention })
+	if includesServer(h.crashes, c.server) {
+		return
 	}
-	if len(list) >= maxCrashes {
-		list = list[1:]
+	if len(h.crashes) >= maxCrashes {
+		h.crashes = h.crashes[1:]
 	}
-	list = append(list, c)
-	slices.SortFunc(list, func(a, b crash) int { return a.at.Compare(b.at) })
-	t.keys[k] = list
+	h.crashes = append(h.crashes, c)
+	slices.SortFunc(h.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
 }
 
 // evict makes room for keys: expired ones go, and a quarter of the table if it stays full,
 // those with the fewest and oldest crashes first.
 func (t *Table) evict(now time.Time) {
-	newest := func(k Key) time.Time { return t.keys[k][len(t.keys[k])-1].at }
+	newest := func(k Key) time.Time { return t.keys[k].crashes[len(t.keys[k].crashes)-1].at }
 	for k := range t.keys {
 		if now.Sub(newest(k)) >= Retention {
 			delete(t.keys, k)
@@ -180,7 +208,7 @@
 		return
 	}
 	order := slices.SortedFunc(maps.Keys(t.keys), func(a, b Key) int {
-		return cmp.Or(cmp.Compare(len(t.keys[a]), len(t.keys[b])), newest(a).Compare(newest(b)))
+		return cmp.Or(cmp.Compare(len(t.keys[a].crashes), len(t.keys[b].crashes)), newest(a).Compare(newest(b)))
 	})
 	for _, k := range order[:maxKeys/4] {
 		delete(t.keys, k)
@@ -202,22 +230,23 @@
 	}
 }
 
-// Answered records that a server completed the answer to a request with keys.
-func (t *Table) Answered(server Server, keys []Key, now time.Time) {
+// Answered records that a server of a pool completed the answer to a request with keys.
+// trial is set for a request that was quarantined.
+func (t *Table) Answered(pool string, server Server, keys []Key, trial bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.isNews(keys) {
-		row := api.HarmlessAnswer{Keys: texts(keys), Target: server.Target, Generation: server.Generation}
+		row := api.HarmlessAnswer{Pool: pool, Keys: texts(keys), Target: server.Target, Generation: server.Generation}
 		t.newAnswers = append(t.newAnswers, unreported[api.HarmlessAnswer]{row, now})
 	}
-	t.addAnswer(answer{keys: keys, server: server, at: now})
+	t.addAnswer(answer{pool: pool, keys: keys, server: server, at: now, trial: trial})
 }
 
 // isNews reports whether an answer clears a key that no answer in the next report clears.
 func (t *Table) isNews(keys []Key) bool {
 	for _, k := range keys {
 		told := func(a unreported[api.HarmlessAnswer]) bool { return slices.Contains(a.row.Keys, string(k)) }
-		if (len(t.keys[k]) > 0 || t.isJudged(k)) && !slices.ContainsFunc(t.newAnswers, told) {
+		if (t.keys[k] != nil || t.isJudged(k)) && !slices.ContainsFunc(t.newAnswers, told) {
 			return true
 		}
 	}
@@ -227,10 +256,29 @@
 // addAnswer drops the verdicts that an answer refutes before they are passed. Those that
 // are passed end once the server has survived the answer.
 func (t *Table) addAnswer(a answer) {
+	for _, k := range a.keys {
+		if !k.isContent() {
+			t.lastAnswer[k] = a.at
+		}
+	}
+	if len(t.lastAnswer) > maxKeys {
+		clear(t.lastAnswer)
+		t.answered = 0
+	}
+	t.answered++
+	if len(t.keys) == 0 && len(t.verdicts) == 0 && !a.trial {
+		return
+	}
 	t.answers = append(t.answers, a)
 	if _, crashed := t.ended[a.server]; crashed {
 		return
 	}
+	for k, h := range t.keys {
+		if h.pool == a.pool && !h.contrast && len(h.crashes) > 1 && !slices.Contains(a.keys, k) {
+			h.contrast = true
+			t.judge(h.with, a.at)
+		}
+	}
 	for id, v := range t.verdicts {
 		if !v.passed && Includes(a.keys, v.Keys) {
 			delete(t.verdicts, id)
@@ -285,12 +333,13 @@
 
 // forget removes the crashes of a key that match.
 func (t *Table) forget(k Key, match func(crash) bool) {
-	list := slices.DeleteFunc(slices.Clone(t.keys[k]), match)
-	if len(list) == 0 {
-		delete(t.keys, k)
+	h := t.keys[k]
+	if h == nil {
 		return
 	}
-	t.keys[k] = list
+	if h.crashes = slices.DeleteFunc(h.crashes, match); len(h.crashes) == 0 {
+		delete(t.keys, k)
+	}
 }
 
 // expire drops what no longer counts.
@@ -308,13 +357,6 @@
 	}
 }
 
-// Watching reports whether answers are of interest: some crash or verdict is known.
-func (t *Table) Watching() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.keys) > 0 || len(t.verdicts) > 0
-}
-
 // Take returns what other entries have not been told yet.
 func (t *Table) Take(now time.Time) Report {
 	t.mu.Lock()
--- a/internal/crashes/table_test.go
+++ b/internal/crashes/table_test.go
@@ -9,12 +9,16 @@
 	"github.com/stretchr/testify/require"
 )
 
+const testPool = "scribe/m"
+
 // play drives tables of several entries on one logical clock.
 type play struct {
 	t       *testing.T
 	now     time.Time
 	entries []*Table
 	servers int
+	// outage is set while no other requests are answered.
+	outage bool
 }
 
 func newPlay(t *testing.T, entries int) *play {
@@ -38,6 +42,9 @@
 
 func (p *play) tick(d time.Duration) {
 	p.now = p.now.Add(d)
+	if !p.outage {
+		p.answerOthers()
+	}
 	for i, from := range p.entries {
 		from.Settle(p.now)
 		report := from.Take(p.now)
@@ -66,13 +73,20 @@
 	sent := p.now
 	p.pass(held)
 	for _, keys := range requests {
-		p.entries[entry].Record(server, keys, sent, p.now)
+		p.entries[entry].Record(testPool, server, keys, sent, p.now)
+	}
+}
+
+// answerOthers completes a request at each entry that shares nothing with the others.
+func (p *play) answerOthers() {
+	for _, e := range p.entries {
+		e.Answered(testPool, p.newServer(), []Key{"part/unrelated"}, false, p.now)
 	}
 }
 
 // serve completes a request on a new server.
 func (p *play) serve(entry int, keys ...Key) {
-	p.entries[entry].Answered(p.newServer(), keys, p.now)
+	p.entries[entry].Answered(testPool, p.newServer(), keys, false, p.now)
 	p.pass(settleTime)
 }
 
@@ -82,10 +96,10 @@
 	now := time.Unix(1000, 0)
 	k := NewTable()
 	for range 3 {
-		k.Record(Server{"a", 1}, []Key{"part/1"}, now, now)
+		k.Record(testPool, Server{"a", 1}, []Key{"part/1"}, now, now)
 	}
 	require.Equal(t, 1, k.Count("part/1", now))
-	k.Record(Server{"a", 2}, []Key{"part/1"}, now.Add(time.Second), now.Add(time.Second))
+	k.Record(testPool, Server{"a", 2}, []Key{"part/1"}, now.Add(time.Second), now.Add(time.Second))
 	require.Equal(t, 2, k.Count("part/1", now.Add(time.Second)), "another life")
 	report := k.Take(now.Add(3 * time.Second))
 	require.Len(t, report.Crashes, 4)
@@ -162,10 +176,10 @@
 		server, sent := p.newServer(), p.now
 		p.pass(held)
 		if i > 0 {
-			p.entries[1].Record(server, []Key{"part/base", "part/sound"}, sent, p.now)
+			p.entries[1].Record(testPool, server, []Key{"part/base", "part/sound"}, sent, p.now)
 		}
 		if p.admitted(0, "part/base", "part/bad") {
-			p.entries[0].Record(server, []Key{"part/base", "part/bad"}, sent, p.now)
+			p.entries[0].Record(testPool, server, []Key{"part/base", "part/bad"}, sent, p.now)
 		}
 		p.pass(verdictDelay + reportInterval)
 		require.True(t, p.admitted(1, "part/base", "part/sound"), "after %d crashes", i+1)
@@ -184,7 +198,7 @@
 	p.now = p.now.Add(time.Second)
 	for i := range 40 {
 		at := p.now.Add(time.Duration(i) * 5 * time.Millisecond)
-		p.entries[i%2].Record(p.newServer(), []Key{"part/sound"}, sent, at)
+		p.entries[i%2].Record(testPool, p.newServer(), []Key{"part/sound"}, sent, at)
 	}
 	p.pass(verdictDelay + reportInterval)
 	require.True(t, p.admitted(0, "part/sound"))
@@ -207,9 +221,9 @@
 	p := newPlay(t, 1)
 	for range Limit {
 		server, sent := p.newServer(), p.now
-		p.entries[0].Answered(server, []Key{"part/bad"}, p.now)
+		p.entries[0].Answered(testPool, server, []Key{"part/bad"}, false, p.now)
 		p.pass(settleTime / 2)
-		p.entries[0].Record(server, []Key{"part/bad"}, sent, p.now)
+		p.entries[0].Record(testPool, server, []Key{"part/bad"}, sent, p.now)
 		p.pass(settleTime)
 	}
 	p.pass(verdictDelay)
@@ -221,7 +235,7 @@
 	for range 3 * Limit {
 		server, sent := p.newServer(), p.now
 		p.pass(held)
-		p.entries[0].Record(server, []Key{"part/sound"}, sent, p.now)
+		p.entries[0].Record(testPool, server, []Key{"part/sound"}, sent, p.now)
 		p.pass(held)
 		p.entries[0].Survived(server, p.now)
 	}
@@ -230,13 +244,96 @@
 	for range Limit {
 		server, sent := p.newServer(), p.now
 		p.pass(held)
-		p.entries[0].Record(server, []Key{"part/bad"}, sent, p.now)
+		p.entries[0].Record(testPool, server, []Key{"part/bad"}, sent, p.now)
 		p.pass(aliveTime)
 		p.entries[0].Survived(server, p.now)
 	}
 	require.False(t, p.admitted(0, "part/bad"))
 }
 
+// TestOutageAccusesNothing fails every request of a pool for a while: servers end one
+// after the other, and those that are down close each connection.
+func TestOutageAccusesNothing(t *testing.T) {
+	p := newPlay(t, 2)
+	for i := range 4 {
+		p.serve(i%2, "part/base", Key(fmt.Sprint("part/", i)))
+		p.serve((i+1)%2, "part/base", Key(fmt.Sprint("part/", i)))
+	}
+	p.outage = true
+	var down []Server
+	for i := range 20 * Limit {
+		server, sent := p.newServer(), p.now
+		keys := []Key{"part/base", Key(fmt.Sprint("part/", i%4))}
+		p.pass(held)
+		p.entries[i%2].Record(testPool, server, keys, sent, p.now)
+		down = append(down, server)
+		for _, d := range down {
+			p.entries[i%2].Record(testPool, d, keys, p.now, p.now)
+		}
+	}
+	p.entries[0].Answered("ledger", p.newServer(), []Key{"content/1"}, false, p.now)
+	p.pass(verdictDelay + reportInterval)
+	for i := range 4 {
+		require.True(t, p.admitted(i%2, "part/base", Key(fmt.Sprint("part/", i))))
+	}
+}
+
+// TestCauseOfAnOutageIsFound crashes every server with one part, so that nothing else is
+// answered.
+func TestCauseOfAnOutageIsFound(t *testing.T) {
+	p := newPlay(t, 2)
+	for i := range p.entries {
+		for range minAnswers {
+			p.serve(i, "part/base", "part/sound")
+		}
+	}
+	p.outage = true
+	for i := range Limit + 1 {
+		p.crash(i%2, held, []Key{"part/base", "part/sound"}, []Key{"part/base", "part/bad"})
+		if i == 0 {
+			p.crash(0, held, []Key{"part/base", "part/sound"})
+		}
+	}
+	p.pass(verdictDelay + reportInterval)
+	for i := range p.entries {
+		require.False(t, p.admitted(i, "part/base", "part/bad"))
+		require.True(t, p.admitted(i, "part/base", "part/sound"))
+	}
+}
+
+// TestServerThatIsDownIsNoCrash has requests closed by servers that had crashed before.
+func TestServerThatIsDownIsNoCrash(t *testing.T) {
+	p := newPlay(t, 1)
+	var down []Server
+	for range Limit - 1 {
+		server, sent := p.newServer(), p.now
+		p.pass(held)
+		p.entries[0].Record(testPool, server, []Key{"part/other"}, sent, p.now)
+		down = append(down, server)
+	}
+	p.crash(0, held, []Key{"part/sound"})
+	for range 10 {
+		for _, d := range down {
+			p.pass(held)
+			p.entries[0].Record(testPool, d, []Key{"part/sound"}, p.now.Add(-time.Millisecond), p.now)
+		}
+	}
+	p.pass(verdictDelay + reportInterval)
+	require.True(t, p.admitted(0, "part/sound"))
+}
+
+// TestRestartedEntryAccusesNothing starts an entry in an outage, of which it sees servers
+// that close connections.
+func TestRestartedEntryAccusesNothing(t *testing.T) {
+	p := newPlay(t, 1)
+	p.outage = true
+	for range 3 * Limit {
+		p.crash(0, held, []Key{"part/base", "part/sound"}, []Key{"part/base", "part/other"})
+	}
+	p.pass(verdictDelay + reportInterval)
+	require.True(t, p.admitted(0, "part/base", "part/sound"))
+}
+
 func TestVerdictEndsWhenRefuted(t *testing.T) {
 	p := newPlay(t, 3)
 	for range Limit {
@@ -279,7 +376,7 @@
 			for part := range 32 {
 				many = append(many, Key(fmt.Sprint("part/", i, j, part)))
 			}
-			k.Record(p.newServer(), many, p.now, p.now)
+			k.Record(testPool, p.newServer(), many, p.now, p.now)
 			require.LessOrEqual(t, len(k.keys), maxKeys)
 		}
 		// The first crash may be evicted; it counts again with the next ones.
@@ -373,9 +470,9 @@
 				}
 			}
 			if on.crashes {
-				s.entries[on.entry].Record(on.server, keys, on.sent, s.now)
+				s.entries[on.entry].Record(testPool, on.server, keys, on.sent, s.now)
 			} else {
-				s.entries[on.entry].Answered(on.server, keys, s.now)
+				s.entries[on.entry].Answered(testPool, on.server, keys, false, s.now)
 			}
 		}
 	}
--- a/internal/ingress/quarantine.go
+++ b/internal/ingress/quarantine.go
@@ -189,7 +189,7 @@
 	}
 	c.crashed = true
 	server, now := c.server(), time.Now()
-	s.crashes.Record(server, c.crashKeys(), c.sent, now)
+	s.crashes.Record(c.pool.Name(), server, c.crashKeys(), c.sent, now)
 	level.Info(s.logger).Log("msg", "Server may have crashed", "request", c.head.ID, "target", server.Target, "generation", server.Generation,
 		"keys", joined(keyNames(c.crashKeys())), "events", c.events, "held_ms", now.Sub(c.sent).Milliseconds(), "trial", len(c.trials) > 0)
 	for _, q := range c.trials {
@@ -206,12 +206,15 @@
 		"targets", joined(targets))
 }
 
-// recordAnswer counts a complete answer as evidence that a request is harmless.
+// recordAnswer counts a complete answer as evidence that a request is harmless. A request
+// that was sent before its keys were quarantined is evidence too.
 func (s *Server) recordAnswer(c *call) {
-	if c.crashed || c.place == nil || !s.crashes.Watching() && !s.cfg.State.Snapshot().QuarantinesKeys() {
+	if c.crashed || c.place == nil {
 		return
 	}
-	s.crashes.Answered(c.server(), c.crashKeys(), time.Now())
+	snapshot := s.cfg.State.Snapshot()
+	quarantined := snapshot.QuarantinesKeys() && len(snapshot.QuarantinesOf(keyNames(c.crashKeys()))) > 0
+	s.crashes.Answered(c.pool.Name(), c.server(), c.crashKeys(), quarantined, time.Now())
 }
 
 // settleCrashes logs new verdicts, and lifts the quarantines that answers have refuted.
--- a/internal/ingress/quarantine_test.go
+++ b/internal/ingress/quarantine_test.go
@@ -232,6 +232,7 @@
 	h.scribe(servers.list...)
 	for i := range 5 {
 		h.send("POST", "/draft/1", fmt.Sprint("poison ", i), "Parts", "base worse")
+		_, _ = text(h.send("POST", "/draft/1", fmt.Sprint("sound ", i), "Parts", "base other"))
 	}
 	require.Eventually(t, func() bool { return control.count(api.QuarantineImpose) > 1 }, waitFor, 10*time.Millisecond)
 	control.mu.Lock()
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -35,6 +35,9 @@
 	return &Pool{name: name, domain: domain, now: now, entries: 1, targets: make(map[string]*targetState)}
 }
 
+// Name returns the name of the service, or of the service and model.
+func (p *Pool) Name() string { return p.name }
+
 // Placement is a slot on a target. Pool.Release gives it back.
 type Placement struct {
 	Target Target
