placement: the limit that a server names holds over all entries

Cause: nothing read the limit. Class: a bound for all entries that no entry can see alone; the rate of cold servers is another, and its split serves both now (quota and rank, without a change for cold servers).

Change: an answer's limit is recorded with the target's generation and travels with the load reports. Each entry places its part in any 4 s, at least one request over all entries; if all servers of a pool are limited, requests beyond are refused at once. What an entry heard itself holds for 8 s.

--- a/internal/api/publication.go
+++ b/internal/api/publication.go
@@ -316,6 +316,9 @@
 	Context int `json:"c,omitempty"`
 	// SuspectMillis is the remaining time in which the entry sends no requests there.
 	SuspectMillis int64 `json:"s,omitempty"`
+	// Limit is the rate over all entries that the target has named, in requests a second;
+	// nil without one.
+	Limit *float64 `json:"l,omitempty"`
 }
 
 // ProgressReport reports to the control leader the progress that an entry
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -112,9 +112,26 @@
 	if c.answer.Sealed {
 		s.crashes.Survived(c.server(), c.sent)
 	}
+	s.recordLimit(c)
 	return s.checkAnswer(c)
 }
 
+// recordLimit records the limit that an answer names. Only the answer to a request that
+// ran shows by its absence that the limit has ended.
+func (s *Server) recordLimit(c *call) {
+	a := &c.answer
+	if a.OtherInstance || a.LimitUnreadable || !a.HasLimit && !a.Sealed {
+		if a.LimitUnreadable {
+			level.Warn(s.logger).Log("msg", "Unreadable limit of a server ignored", "request", c.head.ID, "target", c.place.Target.ID)
+		}
+		return
+	}
+	if c.pool.RecordLimit(c.place, a.Limit, a.HasLimit) {
+		level.Info(s.logger).Log("msg", "Limit of a server changed", "request", c.head.ID, "target", c.place.Target.ID,
+			"generation", c.place.Target.Generation, "limited", a.HasLimit, "limit", a.Limit)
+	}
+}
+
 // answerMatches reports whether an answer has the ID of this request, or no ID.
 func (s *Server) answerMatches(c *call, h *fasthttp.ResponseHeader) bool {
 	id := s.cfg.Dialect.DecodeAnswer(h).RequestID
--- a/internal/ingress/dialect.go
+++ b/internal/ingress/dialect.go
@@ -73,6 +73,11 @@
 	OtherInstance bool
 	// Sealed is set if the answer carries the server's seal.
 	Sealed bool
+	// Limit is the rate that the server takes from all entries together, in requests a
+	// second. HasLimit is set if it names one; LimitUnreadable if it can't be read.
+	Limit           float64
+	HasLimit        bool
+	LimitUnreadable bool
 	// Fault names the member that made a replica refuse, empty without one.
 	Fault api.HostID
 }
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -175,13 +175,22 @@
 		old[l.Target] = l
 	}
 	for _, l := range a {
-		if old[l.Target] != l {
+		if !sameLoad(old[l.Target], l) {
 			return false
 		}
 	}
 	return true
 }
 
+// sameLoad compares loads by value.
+func sameLoad(a, b api.Load) bool {
+	if (a.Limit == nil) != (b.Limit == nil) || a.Limit != nil && *a.Limit != *b.Limit {
+		return false
+	}
+	a.Limit, b.Limit = nil, nil
+	return a == b
+}
+
 func (x *loadExchange) appendDeliveries(out []delivery, to []api.EntryInfo, r api.LoadReport) []delivery {
 	if len(to) == 0 {
 		return out
@@ -217,6 +226,7 @@
 			total[l.Target] = api.Load{
 				Target: l.Target, Running: t.Running + l.Running, Prefill: t.Prefill + l.Prefill,
 				Context: t.Context + l.Context, SuspectMillis: max(t.SuspectMillis, l.SuspectMillis),
+				Limit: placement.MergeLimits(t, l),
 			}
 		}
 	}
--- a/internal/placement/filters.go
+++ b/internal/placement/filters.go
@@ -13,6 +13,7 @@
 	now     time.Time
 	domain  string
 	profile *api.EngineProfile
+	pool    *Pool
 }
 
 // filter decides whether a target may take a request; name is the reason for a
@@ -30,6 +31,7 @@
 	{"busy", hasSlot},
 	{"slow", isInTime},
 	{"cold", isWarmEnough},
+	{"limited", isWithinLimit},
 }
 
 func isOpen(s *targetState, _ *query) bool { return !s.Closed }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -78,7 +78,7 @@
 			old = &targetState{remote: make(map[api.EntryID]remoteLoad)}
 		}
 		old.Target = t
-		old.coldQuota = coldQuota(&t, entries)
+		old.coldQuota, old.rank = coldQuota(&t, entries), rank(&t, entries)
 		next[t.ID] = old
 	}
 	p.targets = next
@@ -231,7 +231,7 @@
 	}
 	// The slots are divided evenly among the entries.
 	slots = max(1, slots/p.entries)
-	return time.Duration(len(p.waiting)) * p.holdTime / time.Duration(slots)
+	return max(p.limitedWait(now), time.Duration(len(p.waiting))*p.holdTime/time.Duration(slots))
 }
 
 // place reserves a slot on the best target, or returns nil. The lock is held.
@@ -243,9 +243,7 @@
 	}
 	l := best.total(q.now)
 	best.own.add(load{running: 1, prefill: d.Prompt, context: d.tokens()})
-	if best.Cold {
-		best.coldPlacements = append(best.coldPlacements, q.now)
-	}
+	best.recordPlacement(q.now)
 	if best.waitingSince.IsZero() {
 		best.waitingSince = q.now
 	}
@@ -255,7 +253,7 @@
 }
 
 func (p *Pool) query(d *Demand) *query {
-	return &query{demand: d, now: p.now(), domain: string(p.domain), profile: p.profile}
+	return &query{demand: d, now: p.now(), domain: string(p.domain), profile: p.profile, pool: p}
 }
 
 // choose returns the target with the lowest score among those that every filter
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -42,7 +42,7 @@
 		{"first event too late", func(p *Pool, _ *fakeTime, _ *Demand) { p.targets["a"].own.prefill = 120_000 }, "slow"},
 		{"cold", func(p *Pool, c *fakeTime, _ *Demand) {
 			s := p.targets["a"]
-			s.Cold, s.ColdRate, s.coldQuota, s.coldPlacements = true, 2, 2, []time.Time{c.now, c.now}
+			s.Cold, s.ColdRate, s.coldQuota, s.placements = true, 2, 2, []time.Time{c.now, c.now}
 		}, "cold"},
 	}
 	for _, c := range cases {
--- a/internal/placement/rate.go
+++ b/internal/placement/rate.go
@@ -18,32 +18,40 @@
 }
 
 // coldQuota is this entry's part of the rate of a cold target, in requests a second.
-// All entries compute the same order: those of the target's failure domain first,
-// then by a hash that differs for each target. The remainder of the division goes to
-// the first of them, so that no more entries than requests get a part.
 func coldQuota(t *Target, e Entries) int {
-	rate := max(1, int(t.ColdRate))
-	n := len(e.Live)
-	if n <= 1 {
-		return rate
+	return quota(max(1, int(t.ColdRate)), rank(t, e), len(e.Live))
+}
+
+// quota is this entry's part of a number of requests to one target. The remainder of the
+// division goes to the entries that come first, so that no more entries than requests get
+// a part.
+func quota(requests, rank, entries int) int {
+	if entries <= 1 {
+		return requests
 	}
+	part := requests / entries
+	if rank < requests%entries {
+		part++
+	}
+	return part
+}
+
+// rank is the place of this entry in an order that all entries compute alike: those of the
+// target's failure domain first, then by a hash that differs for each target.
+func rank(t *Target, e Entries) int {
 	var self api.EntryInfo
 	for _, other := range e.Live {
 		if other.ID == e.Self {
 			self = other
 		}
 	}
-	rank := 0
+	n := 0
 	for _, other := range e.Live {
 		if other.ID != e.Self && precedes(t, &other, &self) {
-			rank++
+			n++
 		}
 	}
-	quota := rate / n
-	if rank < rate%n {
-		quota++
-	}
-	return quota
+	return n
 }
 
 func precedes(t *Target, a, b *api.EntryInfo) bool {
@@ -56,13 +64,25 @@
 
 // coldAllows reports whether this entry may place one more request on a cold target.
 func (s *targetState) coldAllows(now time.Time) bool {
-	if !s.Cold || s.ColdRate <= 0 {
-		return true
+	return !s.Cold || s.ColdRate <= 0 || s.placedIn(now, coldWindow) < s.coldQuota
+}
+
+// placedIn counts the placements of this entry within a window.
+func (s *targetState) placedIn(now time.Time, window time.Duration) int {
+	n := 0
+	for i := len(s.placements) - 1; i >= 0 && now.Sub(s.placements[i]) < window; i-- {
+		n++
 	}
-	for len(s.coldPlacements) > 0 && now.Sub(s.coldPlacements[0]) >= coldWindow {
-		s.coldPlacements = s.coldPlacements[1:]
+	return n
+}
+
+// recordPlacement keeps the times of placements for the longest window.
+func (s *targetState) recordPlacement(now time.Time) {
+	n := 0
+	for n < len(s.placements) && now.Sub(s.placements[n]) >= limitWindow {
+		n++
 	}
-	return len(s.coldPlacements) < s.coldQuota
+	s.placements = append(s.placements[n:], now)
 }
 
 // RetryBudget bounds the retries that one entry sends to a service: in any window, a
--- a/internal/placement/report.go
+++ b/internal/placement/report.go
@@ -13,11 +13,12 @@
 	now := p.now()
 	for id, s := range p.targets {
 		suspect := max(0, s.suspectUntil.Sub(now).Milliseconds())
-		if s.own == (load{}) && suspect == 0 {
+		limit := s.limit.reported(now)
+		if s.own == (load{}) && suspect == 0 && limit == nil {
 			continue
 		}
 		out = append(out, api.Load{
-			Target: id, Running: s.own.running, Prefill: s.own.prefill, Context: s.own.context, SuspectMillis: suspect,
+			Target: id, Running: s.own.running, Prefill: s.own.prefill, Context: s.own.context, SuspectMillis: suspect, Limit: limit,
 		})
 	}
 	return out
@@ -43,6 +44,9 @@
 		if l.SuspectMillis > 0 {
 			row.suspectUntil = now.Add(time.Duration(l.SuspectMillis) * time.Millisecond)
 		}
+		if l.Limit != nil {
+			row.limit, row.limited = *l.Limit, true
+		}
 		s.remote[entry] = row
 	}
 	if freed {
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -69,6 +69,9 @@
 	load
 	suspectUntil time.Time
 	at           time.Time
+	// limit is in requests a second, if limited is set.
+	limit   float64
+	limited bool
 }
 
 // targetState is a target with the known work on it.
@@ -78,9 +81,12 @@
 	remote map[api.EntryID]remoteLoad
 	// coldQuota is this entry's part of ColdRate.
 	coldQuota int
-	// coldPlacements are the times at which this entry placed requests while the target
-	// was cold, within the last second.
-	coldPlacements []time.Time
+	// rank is this entry's place among those that share the rate of the target.
+	rank int
+	// limit is what the last answer from the target to this entry named.
+	limit limit
+	// placements are the times at which this entry placed requests, within limitWindow.
+	placements []time.Time
 	// suspectUntil is the time until which nothing new is placed here.
 	suspectUntil time.Time
 	// answeredAt is when a byte of any answer last arrived, waitingSince the start of the
