soak: backend servers that name a limit of their rate

A lane lets a server name a limit of 0 to 4 requests a second for up to 12 s. With planned work alone the limit must hold from 8 s after it was first named, whatever entries restart meanwhile.

--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -43,6 +43,8 @@
 		s.disturbLinks(ctx, r, e)
 	case "poison":
 		s.poison(ctx, e)
+	case "limits":
+		s.limit(ctx, r, e)
 	default:
 		daemons := s.byRole(l.Role)
 		s.disturbDaemon(ctx, daemons[r.IntN(len(daemons))], r, e)
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"github.com/crocusway/crocusway/internal/testkit"
 )
@@ -108,6 +109,26 @@
 	}
 }
 
+func TestServersDetectRequestsBeyondTheirLimit(t *testing.T) {
+	o := newOracle()
+	f := newFleet(o, nil)
+	f.planned = true
+	begin := time.Now()
+	s := &server{fleet: f, id: "i-1", named: &namedLimit{rate: 2, since: begin.Add(-stableTime - limitWindow)}}
+	for range s.named.allowed() {
+		s.nameLimit(&fasthttp.RequestCtx{}, begin)
+	}
+	s.nameLimit(&fasthttp.RequestCtx{}, begin.Add(limitWindow))
+	findings, _ := o.result()
+	require.Empty(t, findings)
+	for range s.named.allowed() {
+		s.nameLimit(&fasthttp.RequestCtx{}, begin.Add(limitWindow))
+	}
+	findings, _ = o.result()
+	require.Len(t, findings, 1)
+	require.Contains(t, findings[0], "LIMIT")
+}
+
 // TestServersDetectBrokenGroups sends orders that a correct leader never sends.
 func TestServersDetectBrokenGroups(t *testing.T) {
 	join := func(epoch uint64, members ...string) order {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -37,6 +37,7 @@
 	actionRace    action = "race"     // two configurations at once
 	actionInvalid action = "invalid"  // a configuration that is invalid
 	actionZone    action = "zone"     // a failure domain is taken out for the length
+	actionLimit   action = "limit"    // a backend server names a limit of its rate
 	actionPoison  action = "poison"   // one part of prompts crashes the servers that run it
 )
 
@@ -98,21 +99,22 @@
 	links := laneKind{"links", "", 2, linkFaults, 700 * time.Millisecond}
 	// New lanes come last, so that the others of a seed stay as they were.
 	poison := laneKind{"poison", "", 1, []action{actionPoison}, 2 * time.Second}
+	limits := laneKind{"limits", "", 1, []action{actionLimit}, time.Second}
 	switch m {
 	case modePlanned:
 		return []laneKind{
 			operators, drains,
 			{"control", roleControl, 1, []action{actionTerm, actionHup}, time.Second},
 			{"entries", roleEntry, 2, []action{actionTerm, actionHup}, time.Second},
-			poison,
+			poison, limits,
 		}
 	case modeSignals:
-		return []laneKind{operators, drains, control, entries, poison}
+		return []laneKind{operators, drains, control, entries, poison, limits}
 	case modeLinks:
 		links.lanes = 3
-		return []laneKind{operators, faults, links, poison}
+		return []laneKind{operators, faults, links, poison, limits}
 	}
-	return []laneKind{operators, faults, control, entries, links, poison}
+	return []laneKind{operators, faults, control, entries, links, poison, limits}
 }
 
 const (
--- a/internal/soak/serve.go
+++ b/internal/soak/serve.go
@@ -64,6 +64,7 @@
 	}
 	ctx.Response.Header.Set(headerSeal, "sealed-by-"+s.id)
 	ctx.Response.Header.Set(headerID, id)
+	s.nameLimit(ctx, time.Now())
 	if s.engine {
 		poison := s.poisonOf(string(h.Peek(headerPrompt)))
 		if poison != "" {
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -103,6 +103,8 @@
 	fence    uint64
 	epoch    uint64
 	group    *membership
+	// named is the limit that the server names, nil without one.
+	named *namedLimit
 	// brokenAt is when the replica of this head breaks, zero while it is whole.
 	brokenAt time.Time
 	// drainAcknowledged is when a daemon acknowledged that the server leaves.
