--- a/internal/crashes/table_test.go
+++ b/internal/crashes/table_test.go
@@ -67,8 +67,8 @@
 	return !refused && wait == 0
 }
 
-// crash ends a new server under requests of an entry, held after they were sent.
-func (p *play) crash(entry int, held time.Duration, requests ...[]Key) {
+// crash ends a new server under requests of an entry, some time after they were sent.
+func (p *play) crash(entry int, requests ...[]Key) {
 	server := p.newServer()
 	sent := p.now
 	p.pass(held)
@@ -112,7 +112,7 @@
 	p := newPlay(t, 34)
 	for i := range Limit {
 		require.True(t, p.admitted(33, "part/bad"))
-		p.crash(i, held, []Key{"part/bad", ContentKey(uint64(i))})
+		p.crash(i, []Key{"part/bad", ContentKey(uint64(i))})
 	}
 	p.pass(verdictDelay + reportInterval)
 	for i := range p.entries {
@@ -125,7 +125,7 @@
 func TestSharedPartStaysInUse(t *testing.T) {
 	p := newPlay(t, 2)
 	for i := range Limit {
-		p.crash(i%2, held, []Key{"part/base", "part/bad", ContentKey(uint64(i))})
+		p.crash(i%2, []Key{"part/base", "part/bad", ContentKey(uint64(i))})
 	}
 	p.pass(verdictDelay + reportInterval)
 	require.False(t, p.admitted(0, "part/base", "part/bad"))
@@ -140,12 +140,12 @@
 	for _, cause := range []Key{"part/a", "part/b"} {
 		p := newPlay(t, 1)
 		for i := range Limit {
-			p.crash(0, held, []Key{"part/a", "part/b", ContentKey(uint64(i))})
+			p.crash(0, []Key{"part/a", "part/b", ContentKey(uint64(i))})
 		}
 		p.pass(verdictDelay + reportInterval)
 		require.False(t, p.admitted(0, "part/a", "part/b"))
 		require.True(t, p.admitted(0, cause, "part/x"))
-		p.crash(0, held, []Key{cause, "part/x"})
+		p.crash(0, []Key{cause, "part/x"})
 		p.pass(verdictDelay + reportInterval)
 		require.False(t, p.admitted(0, cause, "part/y"), "one crash more")
 		for _, other := range []Key{"part/a", "part/b", "part/x"} {
@@ -158,7 +158,7 @@
 	p := newPlay(t, 3)
 	for i := range 2 * Limit {
 		bad := Key(fmt.Sprint("part/bad", i%2))
-		p.crash(i%3, held, []Key{"part/base", bad, ContentKey(uint64(i))}, []Key{"part/base", "part/sound"})
+		p.crash(i%3, []Key{"part/base", bad, ContentKey(uint64(i))}, []Key{"part/base", "part/sound"})
 		p.serve(0, "part/base", "part/other")
 		p.serve(1, "part/base", "part/sound")
 	}
@@ -210,7 +210,7 @@
 func TestServersThatEndOneByOneUnderASoundPart(t *testing.T) {
 	p := newPlay(t, 2)
 	for range 10 * Limit {
-		p.crash(0, held, []Key{"part/sound"})
+		p.crash(0, []Key{"part/sound"})
 		p.serve(1, "part/sound", "part/other")
 		require.True(t, p.admitted(0, "part/sound"))
 		require.True(t, p.admitted(1, "part/sound"))
@@ -260,7 +260,7 @@
 		p.serve((i+1)%2, "part/base", Key(fmt.Sprint("part/", i)))
 	}
 	p.outage = true
-	var down []Server
+	down := make([]Server, 0, 20*Limit)
 	for i := range 20 * Limit {
 		server, sent := p.newServer(), p.now
 		keys := []Key{"part/base", Key(fmt.Sprint("part/", i%4))}
@@ -289,9 +289,9 @@
 	}
 	p.outage = true
 	for i := range Limit + 1 {
-		p.crash(i%2, held, []Key{"part/base", "part/sound"}, []Key{"part/base", "part/bad"})
+		p.crash(i%2, []Key{"part/base", "part/sound"}, []Key{"part/base", "part/bad"})
 		if i == 0 {
-			p.crash(0, held, []Key{"part/base", "part/sound"})
+			p.crash(0, []Key{"part/base", "part/sound"})
 		}
 	}
 	p.pass(verdictDelay + reportInterval)
@@ -304,14 +304,14 @@
 // TestServerThatIsDownIsNoCrash has requests closed by servers that had crashed before.
 func TestServerThatIsDownIsNoCrash(t *testing.T) {
 	p := newPlay(t, 1)
-	var down []Server
+	down := make([]Server, 0, Limit)
 	for range Limit - 1 {
 		server, sent := p.newServer(), p.now
 		p.pass(held)
 		p.entries[0].Record(testPool, server, []Key{"part/other"}, sent, p.now)
 		down = append(down, server)
 	}
-	p.crash(0, held, []Key{"part/sound"})
+	p.crash(0, []Key{"part/sound"})
 	for range 10 {
 		for _, d := range down {
 			p.pass(held)
@@ -328,7 +328,7 @@
 	p := newPlay(t, 1)
 	p.outage = true
 	for range 3 * Limit {
-		p.crash(0, held, []Key{"part/base", "part/sound"}, []Key{"part/base", "part/other"})
+		p.crash(0, []Key{"part/base", "part/sound"}, []Key{"part/base", "part/other"})
 	}
 	p.pass(verdictDelay + reportInterval)
 	require.True(t, p.admitted(0, "part/base", "part/sound"))
@@ -337,7 +337,7 @@
 func TestVerdictEndsWhenRefuted(t *testing.T) {
 	p := newPlay(t, 3)
 	for range Limit {
-		p.crash(0, held, []Key{"part/sound"})
+		p.crash(0, []Key{"part/sound"})
 	}
 	p.pass(verdictDelay + reportInterval)
 	require.False(t, p.admitted(2, "part/sound"))
@@ -351,7 +351,7 @@
 func TestVerdictHoldsUntilControlHasIt(t *testing.T) {
 	p := newPlay(t, 1)
 	for range Limit {
-		p.crash(0, held, []Key{"part/bad"})
+		p.crash(0, []Key{"part/bad"})
 	}
 	p.pass(verdictDelay)
 	for range 10 {
@@ -370,9 +370,9 @@
 	p := newPlay(t, 1)
 	k := p.entries[0]
 	for i := range Limit {
-		p.crash(0, held, []Key{"part/bad"})
+		p.crash(0, []Key{"part/bad"})
 		for j := range 2 * maxKeys / 32 {
-			var many []Key
+			many := make([]Key, 0, 32)
 			for part := range 32 {
 				many = append(many, Key(fmt.Sprint("part/", i, j, part)))
 			}
@@ -381,7 +381,7 @@
 		}
 		// The first crash may be evicted; it counts again with the next ones.
 		if i == 0 {
-			p.crash(0, held, []Key{"part/bad"})
+			p.crash(0, []Key{"part/bad"})
 		}
 	}
 	p.pass(verdictDelay)
