standin: the test of concealed cold starts takes the lock of its host

Cause: the test set a field of the engine without the lock, beside the goroutine that announces the host. No code of the package had changed.

--- a/internal/standin/fault_test.go
+++ b/internal/standin/fault_test.go
@@ -62,7 +62,9 @@
 func TestColdStartIsConcealed(t *testing.T) {
 	f := startFleet(t, nil)
 	h := form(t, "g1", 1, f.Hosts()[0])
+	h.mu.Lock()
 	h.engine.warm = true
+	h.mu.Unlock()
 	h.TurnColdUnannounced(time.Hour)
 	require.False(t, h.isWarm())
 	a, ok := h.announcement()
