ingress: log lines tell a cut entry from failed servers

Attempt failed says whether anything was sent and how long ago any server was heard; the state of a pool in a refusal tells own suspicions from those of other entries. No logic changes.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -17,8 +17,10 @@
 
 // attemptError is the failure of one attempt. The call may continue with another one.
 type attemptError struct {
-	// ran is set when the server may have run the request.
-	ran bool
+	// ran is set when the server may have run the request, unsent when not a byte can have
+	// reached it.
+	ran    bool
+	unsent bool
 	// stalled is set when the server makes no progress, closed when it closed the
 	// connection.
 	stalled bool
@@ -102,12 +104,14 @@
 		Matches:  func(h *fasthttp.ResponseHeader) bool { return s.answerMatches(c, h) },
 	})
 	if err != nil {
-		return &attemptError{ran: !errors.Is(err, backend.ErrNotSent), suspectFor: suspectDuration, cause: err}
+		unsent := errors.Is(err, backend.ErrNotSent)
+		return &attemptError{ran: !unsent, unsent: unsent, suspectFor: suspectDuration, cause: err}
 	}
 	c.exchange = exchange
 	if err := s.awaitHeader(c); err != nil {
 		return err
 	}
+	s.heardAt.Store(time.Now().UnixNano())
 	c.answer = s.cfg.Dialect.DecodeAnswer(&exchange.Header)
 	if c.answer.Sealed {
 		s.crashes.Survived(c.server(), c.sent)
@@ -306,8 +310,8 @@
 	s.instruments.recordAttempt("failed")
 	err := s.checkRetry(c, failed)
 	level.Info(s.logger).Log("msg", "Attempt failed", "request", c.head.ID, "target", place.Target.ID,
-		"generation", place.Target.Generation, "instance", place.Target.Instance, "ran", failed.ran, "stalled", failed.stalled,
-		"closed", failed.closed, "attempt", c.attempts, "events", c.events, "after_ms", time.Since(c.received).Milliseconds(),
+		"generation", place.Target.Generation, "instance", place.Target.Instance, "ran", failed.ran, "unsent", failed.unsent,
+		"stalled", failed.stalled, "closed", failed.closed, "heard_ms", time.Since(time.Unix(0, s.heardAt.Load())).Milliseconds(), "attempt", c.attempts, "events", c.events, "after_ms", time.Since(c.received).Milliseconds(),
 		"left_ms", c.remaining().Milliseconds(), "retry", err == nil, "revision", c.revision, "err", failed)
 	return err
 }
--- a/internal/ingress/log_test.go
+++ b/internal/ingress/log_test.go
@@ -23,7 +23,7 @@
 	require.Equal(t, 503, res.StatusCode)
 	logs := h.logs.String()
 	require.Contains(t, logs, "reason=overloaded")
-	require.Contains(t, logs, "no slot became free in time: 1 targets, 0 suspected, 4 running requests")
+	require.Contains(t, logs, "no slot became free in time: 1 targets, 0 suspected here, 0 by other entries, 4 running requests")
 	require.Regexp(t, `reason=overloaded .* queued_ms=1[0-9][0-9] `, logs)
 	require.NotEmpty(t, res.Header.Get("Retry-After"))
 }
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -145,6 +145,7 @@
 	c.events, c.lastEvent = r.events.count, r.events.last
 	c.resetEventTimes()
 	c.pool.RecordBytes(c.place)
+	r.heardAt.Store(time.Now().UnixNano())
 	return nil
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,6 +29,8 @@
 	trials      trialClock
 	// answers bounds the answers that are being read.
 	answers byteBudget
+	// heardAt is when bytes last arrived from any server, in ns since 1970.
+	heardAt atomic.Int64
 }
 
 // New returns a server. Pass every view to Apply, and call Run.
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -483,13 +483,16 @@
 // describeState describes the state of the pool for a refusal. The lock is held.
 func (p *Pool) describeState() string {
 	now := p.now()
-	running, suspected := 0, 0
+	running, suspected, remote := 0, 0, 0
 	for _, s := range p.targets {
 		running += s.total(now).running
-		if s.suspected(now) {
+		switch {
+		case now.Before(s.suspectUntil):
 			suspected++
+		case s.suspected(now):
+			remote++
 		}
 	}
-	return fmt.Sprintf("%d targets, %d suspected, %d running requests, %d waiting at this entry, expected wait %d ms",
-		len(p.targets), suspected, running, len(p.waiting), p.expectedWait().Milliseconds())
+	return fmt.Sprintf("%d targets, %d suspected here, %d by other entries, %d running requests, %d waiting at this entry, expected wait %d ms",
+		len(p.targets), suspected, remote, running, len(p.waiting), p.expectedWait().Milliseconds())
 }
