--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -63,6 +64,8 @@
 	// IdlePerServer limits the idle connections to one backend server.
 	IdlePerServer int
 	Clock         clock.Clock
+	// Dial replaces the dialer of the net package.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 func (c Config) withDefaults() Config {
@@ -180,7 +183,7 @@
 			return newInFlight(ctx, c.pool, idle, r), nil
 		}
 	}
-	fresh, err := dial(ctx, r.Address, c.cfg.DialTimeout)
+	fresh, err := c.cfg.dial(ctx, r.Address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -30,9 +31,15 @@
 // maxHeaderBytes limits the header of a response, in bytes.
 const maxHeaderBytes = 16 << 10
 
-func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
-	dialer := net.Dialer{Timeout: timeout}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+// dial connects to a server within the dial timeout.
+func (c *Config) dial(ctx context.Context, address string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.DialTimeout)
+	defer cancel()
+	dial := c.Dial
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	raw, err := dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -45,11 +52,11 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
+	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/backend/forward.go
+++ b/internal/backend/forward.go
@@ -120,7 +120,7 @@
 		}
 	}
 	f.dialed.Add(1)
-	fresh, err := dial(ctx, request.Address, f.cfg.DialTimeout)
+	fresh, err := f.cfg.dial(ctx, request.Address)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/ingress/cut_test.go
@@ -0,0 +1,223 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/backend"
+)
+
+// cutMode is what happens to the links of an entry to all servers.
+type cutMode string
+
+const (
+	linksWork cutMode = ""
+	// linksSilent drops everything, linksRefused resets connections and refuses new ones,
+	// and linksKept refuses only new ones.
+	linksSilent  cutMode = "silent"
+	linksRefused cutMode = "refused"
+	linksKept    cutMode = "kept"
+)
+
+// serverLinks are the links of one entry to servers, through proxies that a test can cut.
+type serverLinks struct {
+	t       *testing.T
+	mu      sync.Mutex
+	changed *sync.Cond
+	mode    cutMode
+	proxies map[string]bool
+	conns   map[net.Conn]bool
+}
+
+func newServerLinks(t *testing.T) *serverLinks {
+	l := &serverLinks{t: t, proxies: make(map[string]bool), conns: make(map[net.Conn]bool)}
+	l.changed = sync.NewCond(&l.mu)
+	t.Cleanup(func() { l.set(linksRefused) })
+	return l
+}
+
+// set cuts the links, or joins them again.
+func (l *serverLinks) set(mode cutMode) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mode = mode
+	l.changed.Broadcast()
+	if mode != linksRefused {
+		return
+	}
+	for c := range l.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+	clear(l.conns)
+}
+
+// dial is the dialer of the entry.
+func (l *serverLinks) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	l.mu.Lock()
+	mode := l.mode
+	if !l.proxies[address] {
+		mode = linksWork
+	}
+	l.mu.Unlock()
+	switch mode {
+	case linksSilent:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case linksRefused, linksKept:
+		return nil, syscall.ECONNREFUSED
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, network, address)
+}
+
+// through returns a server that the entry reaches through a proxy.
+func (l *serverLinks) through(s *fakeServer) *fakeServer {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(l.t, err)
+	l.t.Cleanup(func() { _ = ln.Close() })
+	l.mu.Lock()
+	l.proxies[ln.Addr().String()] = true
+	l.mu.Unlock()
+	go func() {
+		for {
+			near, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", s.ln.Addr().String())
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			l.mu.Lock()
+			l.conns[near], l.conns[far] = true, true
+			l.mu.Unlock()
+			go l.copy(near, far)
+			go l.copy(far, near)
+		}
+	}()
+	return &fakeServer{name: s.name, ln: ln}
+}
+
+// copy moves bytes while the links are not silent.
+func (l *serverLinks) copy(to, from net.Conn) {
+	defer func() { _, _ = to.Close(), from.Close() }()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		l.mu.Lock()
+		for l.mode == linksSilent {
+			l.changed.Wait()
+		}
+		l.mu.Unlock()
+		if n > 0 {
+			if _, werr := to.Write(buffer[:n]); werr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// entryGroup is several entries of one system before the same servers.
+type entryGroup struct {
+	entries []*harness
+	links   []*serverLinks
+}
+
+// newEntryGroup starts entries that know each other.
+func newEntryGroup(t *testing.T, n int, servers func(h *harness, through func(*fakeServer) *fakeServer)) *entryGroup {
+	t.Helper()
+	g := &entryGroup{}
+	var infos []api.EntryInfo
+	for i := range n {
+		info := api.EntryInfo{ID: api.EntryID("e" + string(rune('1'+i))), Incarnation: 1, Domain: "cairo", Live: true}
+		links := newServerLinks(t)
+		h := newEntryAt(t, &info, backend.Config{DialTimeout: 400 * time.Millisecond, Dial: links.dial})
+		ctx, stop := context.WithCancel(context.Background())
+		var loop sync.WaitGroup
+		loop.Go(func() { _ = h.server.Run(ctx) })
+		t.Cleanup(func() { stop(); loop.Wait() })
+		infos = append(infos, info)
+		g.entries, g.links = append(g.entries, h), append(g.links, links)
+	}
+	for i, h := range g.entries {
+		h.view.Entries = infos
+		servers(h, g.links[i].through)
+	}
+	return g
+}
+
+// cutKinds are the requests of the tests: a repeatable call, one that runs once, a stream.
+var cutKinds = []struct{ method, path, want string }{
+	{"GET", "/read/1", "done"}, {"POST", "/post/1", "done"}, {"POST", "/draft/1", wholeStream(3)},
+}
+
+func serveDone(r *received) { r.ok("done") }
+
+// sound are three servers of each service, which answer at once.
+func sound(t *testing.T) func(*harness, func(*fakeServer) *fakeServer) {
+	var ledgers, scribes []*fakeServer
+	for _, name := range []string{"1", "2", "3"} {
+		ledgers = append(ledgers, newFakeServer(t, "l"+name, serveDone))
+		scribes = append(scribes, newFakeServer(t, "s"+name, serveEvents(3)))
+	}
+	return func(h *harness, through func(*fakeServer) *fakeServer) {
+		for i := range ledgers {
+			h.ledger(through(ledgers[i]))
+			h.scribe(through(scribes[i]))
+		}
+	}
+}
+
+// sendAll sends each kind of request several times at once and returns how many were served.
+func (h *harness) sendAll(rounds int) (served, sent int) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for range rounds {
+		for _, kind := range cutKinds {
+			sent++
+			wg.Go(func() {
+				res := h.send(kind.method, kind.path, "body", "Deadline", "1500")
+				body, err := io.ReadAll(res.Body)
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil && res.StatusCode == 200 && string(body) == kind.want {
+					served++
+				}
+			})
+		}
+	}
+	wg.Wait()
+	return served, sent
+}
+
+// TestCallersOfCutEntryAreServed guards against entries that fail their callers while they
+// have no links to any server.
+func TestCallersOfCutEntryAreServed(t *testing.T) {
+	for _, mode := range []cutMode{linksSilent, linksRefused, linksKept} {
+		t.Run(string(mode), func(t *testing.T) {
+			g := newEntryGroup(t, 2, sound(t))
+			served, sent := g.entries[0].sendAll(2)
+			require.Equal(t, sent, served, "before the cut")
+			g.links[0].set(mode)
+			// The first requests show that the links are lost.
+			for range 3 {
+				g.entries[0].sendAll(2)
+			}
+			served, sent = g.entries[0].sendAll(5)
+			require.Equal(t, sent, served, "served of those sent after detection")
+		})
+	}
+}
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -53,6 +53,7 @@
 	}
 	dst = fmt.Appendf(dst, "Id: %s\r\nParts: %s\r\nDeadline: %d\r\nInstance: %s\r\nAccount: %s\r\nLast-Event-Id: %s\r\n",
 		h.Peek("Id"), h.Peek("Parts"), out.Deadline.Milliseconds(), out.Instance, out.Account, last)
+	dst = fmt.Appendf(dst, "Model: %s\r\nPrompt: %s\r\n", h.Peek("Model"), h.Peek("Prompt"))
 	if out.BodyBytes >= 0 {
 		dst = fmt.Appendf(dst, "Content-Length: %d\r\n", out.BodyBytes)
 	}
@@ -264,8 +265,13 @@
 
 func newHarness(t *testing.T) *harness {
 	t.Helper()
-	info := api.EntryInfo{ID: "e1", Incarnation: 1, Domain: "cairo"}
-	forwarder := backend.NewForwarder(backend.Config{DialTimeout: time.Second})
+	return newEntry(t, api.EntryInfo{ID: "e1", Incarnation: 1, Domain: "cairo"}, backend.Config{DialTimeout: time.Second})
+}
+
+// newEntry returns an entry without backend servers.
+func newEntry(t *testing.T, info api.EntryInfo, cfg backend.Config) *harness {
+	t.Helper()
+	forwarder := backend.NewForwarder(cfg)
 	t.Cleanup(forwarder.Close)
 	h := &harness{t: t, state: entry.NewState(info, clock.System{}), logs: &lockedBuffer{}}
 	h.server = New(Config{
@@ -358,3 +364,9 @@
 	body, err := io.ReadAll(r)
 	return string(body), err == nil
 }
+
+// newEntryAt returns an entry of a group.
+func newEntryAt(t *testing.T, info *api.EntryInfo, cfg backend.Config) *harness {
+	t.Helper()
+	return newEntry(t, *info, cfg)
+}
