ingress: an entry without links to servers forwards its requests to another entry

Cause: the request path knows servers only. A cut looks like the failure of each server by itself, and an entry exchanges load reports with others, never requests.

While the links are lost, the entry that the caller chose still decides everything (route, key, service, attempts, retries, resuming a stream) and another entry places and sends the request, over HTTP between the entries and over one hop. Each run is counted once. Requests in queues and repeatable ones in progress move on; a request that may run once is never repeated. Two successful probes of one round end the state.

Ruled out: taking entries off the directory alone (callers keep addresses for seconds, and with all entries of a domain cut the others lose them too); a tunnel of connections through the other entry (what servers answer to a connection of that entry, a limit or a request to pause, would be unknown to it).

--- a/internal/api/publication.go
+++ b/internal/api/publication.go
@@ -267,7 +267,9 @@
 	Publication uint64 `json:"publication,omitempty"`
 	// Domain is the failure domain of the entry.
 	Domain FailureDomain `json:"domain,omitempty"`
-	Loads  []Load        `json:"loads,omitempty"`
+	// LinksLost is set while the entry has no links to any server.
+	LinksLost bool   `json:"links_lost,omitempty"`
+	Loads     []Load `json:"loads,omitempty"`
 	// Sums are the totals of failure domains other than the receiver's.
 	Sums []DomainLoads `json:"sums,omitempty"`
 	// Crashes lists the crashes that no earlier report included.
--- a/internal/api/view.go
+++ b/internal/api/view.go
@@ -70,6 +70,9 @@
 	// CallerAddress and PeerAddress are "ip:port".
 	CallerAddress string `json:"caller_address"`
 	PeerAddress   string `json:"peer_address"`
+	// ForwardAddress is the "ip:port" for requests that other entries forward, empty if it
+	// takes none.
+	ForwardAddress string `json:"forward_address,omitempty"`
 	// Live is false once the work lease has expired.
 	Live bool `json:"live"`
 	// Leaving is set during a graceful shutdown: no new work, no shards.
--- a/internal/backend/forward.go
+++ b/internal/backend/forward.go
@@ -50,6 +50,20 @@
 // Close closes the idle connections.
 func (f *Forwarder) Close() { f.pool.close() }
 
+// CloseIdle closes the idle connections.
+func (f *Forwarder) CloseIdle() { f.pool.closeIdle() }
+
+// Connect opens a connection to a server for a later request.
+func (f *Forwarder) Connect(ctx context.Context, address string) error {
+	f.dialed.Add(1)
+	fresh, err := f.cfg.dial(ctx, address)
+	if err != nil {
+		return failure("connect", address, false, err)
+	}
+	f.pool.put(address, fresh)
+	return nil
+}
+
 // Dialed returns the number of connections opened so far.
 func (f *Forwarder) Dialed() int64 { return f.dialed.Load() }
 
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -99,8 +99,15 @@
 
 func (p *pool) close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.closed = true
+	p.mu.Unlock()
+	p.closeIdle()
+}
+
+// closeIdle closes all idle connections.
+func (p *pool) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, list := range p.idle {
 		for _, c := range list {
 			_ = c.Close()
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -42,6 +42,9 @@
 	// an entry for callers.
 	PeerAddress   string
 	CallerAddress string
+	// ForwardAddress is the "ip:port" on which an entry takes requests that other entries
+	// forward; if empty, it takes none.
+	ForwardAddress string
 	// PeerListen is the address to listen on for links where it differs from
 	// PeerAddress, and PeerSource the local IP of dialed links, empty for any.
 	PeerListen string
@@ -168,6 +171,8 @@
 		Domain:        g.cfg.Domain,
 		CallerAddress: g.cfg.CallerAddress,
 		PeerAddress:   g.cfg.PeerAddress,
+
+		ForwardAddress: g.cfg.ForwardAddress,
 	}
 	g.state = entry.NewState(info, clock.Boot{})
 	g.agent = entry.NewAgent(entry.AgentConfig{
@@ -267,8 +272,13 @@
 		Settings:  g.cfg.Ingress,
 		ApplyView: g.agent.ApplyNewer,
 		Meter:     g.telemetry.Meter(),
+
+		ForwardSecret: []byte(g.cfg.Secret.Reveal()),
 	})
 	g.ingress.Register(g.node)
+	if g.cfg.ForwardAddress != "" {
+		g.Mount(Endpoint{Address: g.cfg.ForwardAddress, Server: g.ingress.ForwardedHTTP(), Callers: true})
+	}
 }
 
 // apply passes a new view to the request path.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -11,16 +11,19 @@
 	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
 
+	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/backend"
 	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/placement"
 )
 
 // attemptError is the failure of one attempt. The call may continue with another one.
 type attemptError struct {
 	// ran is set when the server may have run the request, unsent when not a byte can have
-	// reached it.
-	ran    bool
-	unsent bool
+	// reached it, and declined when another entry has not taken the request.
+	ran      bool
+	unsent   bool
+	declined bool
 	// stalled is set when the server makes no progress, closed when it closed the
 	// connection.
 	stalled bool
@@ -73,10 +76,20 @@
 
 // acquire gets a placement on a target from the pool.
 func (s *Server) acquire(c *call) error {
+	if s.links.Lost() {
+		return s.acquireEntry(c)
+	}
+	if !c.counted {
+		c.counted = true
+		s.budget(c.service.Name).count()
+	}
 	began := time.Now()
 	place, err := c.pool.Acquire(c.ctx, c.demand)
 	if err != nil {
 		c.queued += time.Since(began)
+		if s.links.Lost() && c.ctx.Err() == nil {
+			return s.acquireEntry(c)
+		}
 		return err
 	}
 	c.place = place
@@ -93,6 +106,9 @@
 // exchange sends the request, waits for the header of the answer and reads any
 // answer but a stream whole.
 func (s *Server) exchange(c *call) error {
+	if c.via != nil {
+		return s.exchangeForward(c)
+	}
 	target := &c.place.Target
 	c.sent = time.Now()
 	exchange, err := s.cfg.Backends.Send(c.ctx, backend.Forward{
@@ -103,15 +119,21 @@
 		HeadOnly: string(c.http.Method()) == fasthttp.MethodHead,
 		Matches:  func(h *fasthttp.ResponseHeader) bool { return s.answerMatches(c, h) },
 	})
+	notSent := errors.Is(err, backend.ErrNotSent)
+	if notSent && c.ctx.Err() == nil {
+		s.links.Dialed(target.Address, false, time.Now())
+	}
 	if err != nil {
-		unsent := errors.Is(err, backend.ErrNotSent)
-		return &attemptError{ran: !unsent, unsent: unsent, suspectFor: suspectDuration, cause: err}
+		return &attemptError{ran: !notSent, unsent: notSent, suspectFor: suspectDuration, cause: err}
+	}
+	if !exchange.Reused() {
+		s.links.Dialed(target.Address, true, time.Now())
 	}
 	c.exchange = exchange
 	if err := s.awaitHeader(c); err != nil {
 		return err
 	}
-	s.heardAt.Store(time.Now().UnixNano())
+	s.links.Heard(target.Address, time.Now())
 	c.answer = s.cfg.Dialect.DecodeAnswer(&exchange.Header)
 	if c.answer.Sealed {
 		s.crashes.Survived(c.server(), c.sent)
@@ -144,8 +166,13 @@
 
 // requestHead returns the request line and header lines for the current target.
 func (s *Server) requestHead(c *call) []byte {
+	return s.appendHead(make([]byte, 0, headSize), c, c.place.Target.Instance)
+}
+
+// appendHead appends the request line and header lines for an instance, or for another
+// entry if instance is empty.
+func (s *Server) appendHead(dst []byte, c *call, instance api.HostID) []byte {
 	h := &c.http.Request.Header
-	dst := make([]byte, 0, headSize)
 	dst = append(dst, h.Method()...)
 	dst = append(dst, ' ')
 	dst = append(dst, h.RequestURI()...)
@@ -154,7 +181,7 @@
 	dst = append(dst, "\r\n"...)
 	out := Outgoing{
 		Deadline:  max(c.remaining(), time.Millisecond),
-		Instance:  c.place.Target.Instance,
+		Instance:  instance,
 		Account:   c.accountID(),
 		LastEvent: c.lastEvent,
 		Urgency:   c.urgency(),
@@ -197,7 +224,14 @@
 // isStalled reports whether a server that has sent nothing on this request for a time
 // counts as stalled. It is true only for a stream that may resume at another server.
 func (s *Server) isStalled(c *call, silent time.Duration) bool {
-	if !c.isStream() || !c.mayRunAgain(1) {
+	switch {
+	case c.via != nil:
+		return c.isStream() && c.viaRuns > 0 && silent >= forwardStallTimeout && c.mayRunAgain(c.viaRuns)
+	case !c.mayRunAgain(1):
+		return false
+	case s.links.Lost():
+		return silent >= replicaStallTimeout
+	case !c.isStream():
 		return false
 	}
 	least := replicaStallTimeout
@@ -262,9 +296,9 @@
 		}
 		if c.firstByte == 0 {
 			c.firstByte = time.Since(c.received)
-			c.pool.RecordFirstEvent(c.place)
+			s.recordFirst(c)
 		}
-		c.pool.RecordBytes(c.place)
+		s.recordHeard(c)
 		if len(body)+len(part) > maxAnswerBytes || !s.answers.take(len(part)) {
 			return answerTooLarge(len(body) + len(part))
 		}
@@ -275,7 +309,7 @@
 	c.exchange.Header.CopyTo(&f.header)
 	c.whole = f
 	status := c.exchange.Header.StatusCode()
-	if status >= fasthttp.StatusInternalServerError && c.mayRunAgain(1) {
+	if status >= fasthttp.StatusInternalServerError && c.via == nil && c.mayRunAgain(1) {
 		return &attemptError{ran: true, cause: errors.Newf("the server answered %d", status)}
 	}
 	return nil
@@ -293,27 +327,39 @@
 // afterFailure releases what a failed attempt holds and decides whether another one
 // may follow.
 func (s *Server) afterFailure(c *call, failed *attemptError) error {
-	place := c.place
+	var target placement.Target
+	runs := 1
+	if c.via != nil {
+		s.afterForwardFailure(c, failed)
+		target.ID, runs = string(c.via.ID), c.viaRuns
+	} else {
+		target = c.place.Target
+		s.afterServerFailure(c, failed)
+	}
 	if failed.ran {
-		c.ran++
+		c.ran += runs
 	}
 	c.lastFailure = failed
+	s.release(c)
+	s.instruments.recordAttempt("failed")
+	err := s.checkRetry(c, failed)
+	level.Info(s.logger).Log("msg", "Attempt failed", "request", c.head.ID, "target", target.ID,
+		"generation", target.Generation, "instance", target.Instance, "ran", failed.ran, "unsent", failed.unsent, "stalled", failed.stalled,
+		"closed", failed.closed, "heard_ms", s.links.SinceHeard(time.Now()).Milliseconds(), "attempt", c.attempts, "events", c.events, "after_ms", time.Since(c.received).Milliseconds(),
+		"left_ms", c.remaining().Milliseconds(), "retry", err == nil, "revision", c.revision, "err", failed)
+	return err
+}
+
+// afterServerFailure records what a failed attempt tells about the server.
+func (s *Server) afterServerFailure(c *call, failed *attemptError) {
 	if failed.suspectFor > 0 && c.ctx.Err() == nil {
-		c.pool.Suspect(place, failed.suspectFor, failed.stalled)
+		c.pool.Suspect(c.place, placement.Suspicion{For: failed.suspectFor, Stalled: failed.stalled, DialFailed: failed.unsent})
 	}
 	if failed.stalled {
 		s.reporter.requestProgressReport()
 	}
 	s.recordCrash(c, failed)
-	s.release(c)
-	c.demand.Exclude = append(c.demand.Exclude, place.Target.ID)
-	s.instruments.recordAttempt("failed")
-	err := s.checkRetry(c, failed)
-	level.Info(s.logger).Log("msg", "Attempt failed", "request", c.head.ID, "target", place.Target.ID,
-		"generation", place.Target.Generation, "instance", place.Target.Instance, "ran", failed.ran, "unsent", failed.unsent,
-		"stalled", failed.stalled, "closed", failed.closed, "heard_ms", time.Since(time.Unix(0, s.heardAt.Load())).Milliseconds(), "attempt", c.attempts, "events", c.events, "after_ms", time.Since(c.received).Milliseconds(),
-		"left_ms", c.remaining().Milliseconds(), "retry", err == nil, "revision", c.revision, "err", failed)
-	return err
+	c.demand.Exclude = append(c.demand.Exclude, c.place.Target.ID)
 }
 
 // checkRetry returns the error that ends the call, or nil if another attempt may follow.
@@ -324,9 +370,15 @@
 	if c.ran > 0 && !c.mayRunAgain(0) {
 		return failed
 	}
+	if c.forwardedBy != "" && c.status != 0 {
+		return failed // The first entry resumes the stream.
+	}
 	if c.attempts >= c.maxAttempts()+extraAttempts {
 		return failed
 	}
+	if failed.declined {
+		return nil
+	}
 	if len(c.trials) > 0 {
 		return failed
 	}
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -47,6 +47,17 @@
 	// attempts counts the requests sent, ran those that a server may have run.
 	attempts int
 	ran      int
+	// counted is set once a retry budget has counted the request.
+	counted bool
+	// via is the entry that the current attempt is forwarded to, viaRuns the number of runs
+	// that it reports, and entriesTried those that this request was forwarded to.
+	via          *api.EntryInfo
+	viaRuns      int
+	entriesTried []api.EntryID
+	// forwardedBy is the entry that forwarded the request to this one, empty for a caller's,
+	// and ranElsewhere the runs that it reported.
+	forwardedBy  api.EntryID
+	ranElsewhere int
 	// whole is the last answer that was read completely, and buffered the bytes that the
 	// answers of all attempts take from Server.answers.
 	whole    *wholeAnswer
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -26,6 +26,8 @@
 	Dialect  Dialect
 	Logger   log.Logger
 	Settings Settings
+	// ForwardSecret is shared by all entries, which forward requests to each other.
+	ForwardSecret []byte
 	// ApplyView applies a newer view that was fetched from another entry; nil disables
 	// fetching.
 	ApplyView func(api.View)
--- a/internal/ingress/cut_test.go
+++ b/internal/ingress/cut_test.go
@@ -35,6 +35,8 @@
 	mode    cutMode
 	proxies map[string]bool
 	conns   map[net.Conn]bool
+	// forwards are the connections to other entries.
+	forwards []net.Conn
 }
 
 func newServerLinks(t *testing.T) *serverLinks {
@@ -76,7 +78,30 @@
 		return nil, syscall.ECONNREFUSED
 	}
 	var d net.Dialer
-	return d.DialContext(ctx, network, address)
+	c, err := d.DialContext(ctx, network, address)
+	if err == nil && !l.isProxy(address) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.forwards = append(l.forwards, c)
+	}
+	return c, err
+}
+
+func (l *serverLinks) isProxy(address string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.proxies[address]
+}
+
+// breakForwards closes the connections to other entries.
+func (l *serverLinks) breakForwards() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.forwards {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+	l.forwards = nil
 }
 
 // through returns a server that the entry reaches through a proxy.
--- a/internal/ingress/dialect.go
+++ b/internal/ingress/dialect.go
@@ -51,7 +51,8 @@
 type Outgoing struct {
 	// Deadline is the remaining time.
 	Deadline time.Duration
-	// Instance is the only backend server that may run the request.
+	// Instance is the only backend server that may run the request, empty for a request
+	// that another entry places.
 	Instance api.HostID
 	// Account is the client account, empty for a request without a key.
 	Account api.AccountID
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -48,6 +48,8 @@
 	sent      timedLoads
 	sentSum   timedLoads
 	announced uint64
+	// linksLost is what the last report said.
+	linksLost bool
 }
 
 type timedLoads struct {
@@ -125,6 +127,8 @@
 	crashes crashes.Report
 	// publication is the version in force at the entry.
 	publication uint64
+	// linksLost is set while the entry has no links to any server.
+	linksLost bool
 }
 
 // dueReports returns the reports that are due.
@@ -135,10 +139,11 @@
 	var out []delivery
 	sums := x.takeUnforwarded(now)
 	urgent := !n.crashes.Empty()
-	if isDue(n.loads, &x.sent, now) || len(sums) > 0 || urgent || n.publication != x.announced {
-		x.sent, x.announced = timedLoads{n.loads, now}, n.publication
+	linksDue := n.linksLost != x.linksLost || n.linksLost && now.Sub(x.sent.at) >= maxLoadReportInterval
+	if isDue(n.loads, &x.sent, now) || len(sums) > 0 || urgent || n.publication != x.announced || linksDue {
+		x.sent, x.announced, x.linksLost = timedLoads{n.loads, now}, n.publication, n.linksLost
 		out = x.appendDeliveries(out, receivers.direct, api.LoadReport{
-			Publication: n.publication, Loads: n.loads, Sums: sums, Crashes: n.crashes.Crashes, Answers: n.crashes.Answers,
+			Publication: n.publication, LinksLost: n.linksLost, Loads: n.loads, Sums: sums, Crashes: n.crashes.Crashes, Answers: n.crashes.Answers,
 		})
 	}
 	if urgent {
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -229,6 +229,8 @@
 
 var errNoPeers = errs.New(errs.Unavailable, "call", "", "no peers")
 
+var testForwardSecret = []byte("a secret of the entries")
+
 const (
 	testHost  = "api.example"
 	testModel = "m"
@@ -281,6 +283,7 @@
 			RetryRatio: 0.2, RetryAllowance: 100, RetryWindow: 10 * time.Second,
 			MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, IdleTimeout: time.Minute,
 		},
+		ForwardSecret: testForwardSecret,
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -365,8 +368,15 @@
 	return string(body), err == nil
 }
 
-// newEntryAt returns an entry of a group.
+// newEntryAt returns an entry that takes requests that other entries forward, and puts its
+// address into info.
 func newEntryAt(t *testing.T, info *api.EntryInfo, cfg backend.Config) *harness {
 	t.Helper()
-	return newEntry(t, *info, cfg)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	info.ForwardAddress = ln.Addr().String()
+	h := newEntry(t, *info, cfg)
+	go func() { _ = h.server.ForwardedHTTP().Serve(ln) }()
+	return h
 }
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -15,6 +15,7 @@
 	requests metric.Int64Counter
 	attempts metric.Int64Counter
 	resumed  metric.Int64Counter
+	links    metric.Int64Counter
 	queued   metric.Float64Histogram
 	first    metric.Float64Histogram
 	total    metric.Float64Histogram
@@ -26,6 +27,7 @@
 		requests: b.Counter("crocusway_ingress_requests_total", "requests by route, outcome and reason"),
 		attempts: b.Counter("crocusway_ingress_attempts_total", "requests sent to backend servers, by outcome"),
 		resumed:  b.Counter("crocusway_ingress_resumed_total", "streams resumed at another replica"),
+		links:    b.Counter("crocusway_ingress_links_total", "losses and returns of the links to all servers"),
 		queued:   b.Seconds("crocusway_ingress_queued_seconds", "wait for a placement on a backend server"),
 		first:    b.Seconds("crocusway_ingress_first_byte_seconds", "time to the first byte of the answer"),
 		total:    b.Seconds("crocusway_ingress_seconds", "time to the end of the answer"),
@@ -53,6 +55,10 @@
 	}
 }
 
+func (m *instruments) recordLinks(state string) {
+	m.links.Add(context.Background(), 1, metric.WithAttributes(attribute.String("state", state)))
+}
+
 func (m *instruments) recordAttempt(outcome string) {
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -27,7 +27,7 @@
 	c.head = s.cfg.Dialect.DecodeRequest(&c.http.Request.Header)
 	c.table, c.revision = s.state.current()
 	if c.table == nil {
-		r := unavailable("no_publication", "this entry knows no routes yet", nil)
+		r := unavailable(codeNoPublication, "this entry knows no routes yet", nil)
 		r.retryAfter = noRoutesRetryAfter + rand.N(noRoutesJitter)
 		return r
 	}
@@ -83,18 +83,23 @@
 	return nil
 }
 
-// selectPool selects the service and its pool, and fills in the demand.
-func (s *Server) selectPool(c *call) error {
+// selectService selects the service.
+func (s *Server) selectService(c *call) error {
 	name := routing.Pick(c.route)
 	c.service = c.table.Service(name)
 	if c.service == nil {
-		return unavailable("no_service", "the route has no service", nil)
+		return unavailable(codeNoService, "the route has no service", nil)
 	}
+	return nil
+}
+
+// selectPool selects the pool and fills in the demand.
+func (s *Server) selectPool(c *call) error {
 	c.pool = s.state.pool(poolName(c.service, c.head.Model))
 	if c.pool == nil {
 		return unavailable("no_model", "no replica serves the model", nil)
 	}
-	c.demand = placement.Demand{Urgency: c.urgency(), Deadline: c.deadline}
+	c.demand = placement.Demand{Urgency: c.urgency(), Deadline: c.deadline, Begun: c.ran > 0}
 	if c.service.Engine != nil {
 		c.demand.Prompt = c.head.PromptTokens
 		c.demand.Answer = c.answerTokens()
@@ -103,7 +108,6 @@
 		c.demand.Objective = c.received.Add(c.objective())
 		c.demand.FirstBy = c.received.Add(c.eventTimeout())
 	}
-	s.budget(c.service.Name).count()
 	return nil
 }
 
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -68,6 +68,10 @@
 		seconds := strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64)
 		response.Header.Set(fasthttp.HeaderRetryAfter, seconds)
 	}
+	setForwardedRuns(c, 0)
+	if c.forwardedBy != "" {
+		response.Header.Set(headerForwardedCode, r.code)
+	}
 	body, err := json.Marshal(refusalBody{Error: r.code, Message: r.message})
 	if err != nil {
 		body = []byte(`{"error":"internal"}`)
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -43,6 +43,7 @@
 	response := &c.http.Response
 	response.SetStatusCode(c.status)
 	s.cfg.Dialect.CopyAnswer(&response.Header, &f.header)
+	setForwardedRuns(c, 1)
 	response.SetBodyRaw(f.body)
 	s.closeIfLeaving(c)
 	s.end(c)
@@ -80,6 +81,7 @@
 	c.status = c.exchange.Header.StatusCode()
 	c.http.Response.SetStatusCode(c.status)
 	r.cfg.Dialect.CopyAnswer(&c.http.Response.Header, &c.exchange.Header)
+	setForwardedRuns(c, 1)
 	r.closeIfLeaving(c)
 	return nil
 }
@@ -140,12 +142,11 @@
 	}
 	r.idleSince = time.Time{}
 	if c.events == 0 && r.events.count > 0 {
-		c.pool.RecordFirstEvent(c.place)
+		r.recordFirst(c)
 	}
 	c.events, c.lastEvent = r.events.count, r.events.last
 	c.resetEventTimes()
-	c.pool.RecordBytes(c.place)
-	r.heardAt.Store(time.Now().UnixNano())
+	r.recordHeard(c)
 	return nil
 }
 
@@ -187,7 +188,7 @@
 	}
 	c.whole = nil
 	c.resumed++
-	level.Info(r.logger).Log("msg", "Stream resumed", "request", c.head.ID, "target", c.place.Target.ID,
+	level.Info(r.logger).Log("msg", "Stream resumed", "request", c.head.ID, "target", c.targetsTried[len(c.targetsTried)-1],
 		"behind", c.lastEvent, "after_ms", time.Since(c.received).Milliseconds())
 	return nil
 }
--- a/internal/ingress/reporter.go
+++ b/internal/ingress/reporter.go
@@ -10,6 +10,7 @@
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/crashes"
 	"github.com/crocusway/crocusway/internal/peer"
+	"github.com/crocusway/crocusway/internal/placement"
 )
 
 // reporter sends load reports to other entries and progress reports of replicas to
@@ -59,6 +60,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-loads.C:
+			r.server.checkLinks(ctx)
 			r.sendLoads()
 			for _, pool := range r.server.state.allPools() {
 				pool.PlaceWaiting()
@@ -71,9 +73,10 @@
 func (r *reporter) sendLoads() {
 	var loads []api.Load
 	for _, pool := range r.server.state.allPools() {
-		loads = pool.Loads(loads)
+		loads = pool.Loads(loads, r.server.links)
 	}
 	n := ownReport{loads: loads, crashes: r.server.crashes.Take(time.Now()), publication: r.server.state.publication()}
+	n.linksLost = r.server.links.Lost()
 	entries := r.server.cfg.State.Snapshot().Entries
 	for _, d := range r.loads.dueReports(time.Now(), n, entries) {
 		// The next report makes up for a lost one.
@@ -88,6 +91,9 @@
 	now := time.Now()
 	r.server.crashes.RecordRemote(crashes.Report{Crashes: report.Crashes, Answers: report.Answers}, now)
 	r.checkPublication(&report)
+	if report.LinksLost {
+		r.server.forwards.markLost(report.Entry, now.Add(placement.ReportLifetime))
+	}
 	for _, work := range r.loads.applyReport(now, &report) {
 		loads := make(map[string]api.Load, len(work.loads))
 		for _, l := range work.loads {
@@ -119,7 +125,7 @@
 func (r *reporter) sendProgress() {
 	report := api.ProgressReport{Entry: r.server.cfg.Self.ID}
 	for _, pool := range r.server.state.allPools() {
-		report.Groups = pool.Progress(report.Groups)
+		report.Groups = pool.Progress(report.Groups, r.server.links)
 	}
 	if len(report.Groups) == 0 {
 		return
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"runtime/debug"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +13,7 @@
 	"github.com/crocusway/crocusway/internal/crashes"
 	"github.com/crocusway/crocusway/internal/inflight"
 	"github.com/crocusway/crocusway/internal/logging"
+	"github.com/crocusway/crocusway/internal/reach"
 )
 
 // Server handles the callers' requests of a pass-through entry. It is safe for
@@ -26,11 +26,11 @@
 	instruments instruments
 	reporter    *reporter
 	crashes     *crashes.Table
+	links       *reach.Tracker
+	forwards    *forwardTable
 	trials      trialClock
 	// answers bounds the answers that are being read.
 	answers byteBudget
-	// heardAt is when bytes last arrived from any server, in ns since 1970.
-	heardAt atomic.Int64
 }
 
 // New returns a server. Pass every view to Apply, and call Run.
@@ -43,6 +43,9 @@
 		crashes: crashes.NewTable(),
 		trials:  trialClock{next: make(map[string]time.Time)},
 		answers: byteBudget{limit: maxBufferedAnswers},
+
+		links:    reach.NewTracker(),
+		forwards: newForwardTable(),
 	}
 	var err error
 	if s.instruments, err = newInstruments(cfg.Meter); err != nil {
@@ -101,14 +104,17 @@
 
 // Handle runs the filters on a request, sends it to a server and forwards the answer.
 func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
+	s.serve(&call{http: ctx, received: time.Now()}, s.filters())
+}
+
+func (s *Server) serve(c *call, filters []filter) {
 	s.active.Begin()
-	c := &call{http: ctx, received: time.Now()}
 	defer s.recoverCall(c)
-	if err := runFilters(c, s.filters()); err != nil {
+	if err := runFilters(c, filters); err != nil {
 		s.finish(c, err)
 		return
 	}
-	c.watch = watchCaller(ctx.Conn(), func() { c.cancel(errCallerLeft) })
+	c.watch = watchCaller(c.http.Conn(), func() { c.cancel(errCallerLeft) })
 	if err := s.attempt(c); err != nil {
 		s.finish(c, err)
 		return
@@ -121,7 +127,7 @@
 
 // filters returns the filters in the order in which they run.
 func (s *Server) filters() []filter {
-	return []filter{s.decode, s.route, s.authenticate, s.setDeadline, s.quarantine, s.selectPool}
+	return []filter{s.decode, s.route, s.authenticate, s.setDeadline, s.quarantine, s.selectService, s.selectPool}
 }
 
 func runFilters(c *call, filters []filter) error {
@@ -190,6 +196,10 @@
 		c.pool.Release(c.place)
 		c.place = nil
 	}
+	if c.via != nil {
+		s.forwards.done(c.via.ID)
+		c.via = nil
+	}
 }
 
 // logEnd logs the outcome of a request and its reason.
@@ -212,6 +222,9 @@
 		"queued_ms", c.queued.Milliseconds(), "first_ms", c.firstByte.Milliseconds(), "total_ms", now.Sub(c.received).Milliseconds(),
 		"events", c.events, "resumed", c.resumed,
 	}
+	if c.forwardedBy != "" {
+		fields = append(fields, "forwarded_by", c.forwardedBy)
+	}
 	if c.lastFailure != nil {
 		fields = append(fields, "failure", c.lastFailure)
 	}
--- a/internal/placement/limit_test.go
+++ b/internal/placement/limit_test.go
@@ -89,7 +89,7 @@
 	}
 	for i, from := range p.pools {
 		loads := make(map[string]api.Load)
-		for _, l := range from.Loads(nil) {
+		for _, l := range from.Loads(nil, linked{}) {
 			loads[l.Target] = l
 		}
 		for j, to := range p.pools {
@@ -103,7 +103,7 @@
 func (p *limitedPlay) relayReports() {
 	total := make(map[string]api.Load)
 	for _, pool := range p.pools {
-		for _, l := range pool.Loads(nil) {
+		for _, l := range pool.Loads(nil, linked{}) {
 			l.Limit = MergeLimits(total[l.Target], l)
 			total[l.Target] = l
 		}
--- a/internal/placement/main_test.go
+++ b/internal/placement/main_test.go
@@ -48,3 +48,8 @@
 		FirstBy: f.now.Add(2 * time.Second), Objective: f.now.Add(300 * time.Millisecond),
 	}
 }
+
+// linked are links that work.
+type linked struct{}
+
+func (linked) LinksShownSince(time.Time, bool) bool { return true }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -112,6 +112,9 @@
 		}
 	}
 	if placement == nil {
+		if err == nil {
+			err = errs.New(errs.Unavailable, "wait for placement", p.name, "the wait was interrupted")
+		}
 		return nil, err
 	}
 	if ctx.Err() != nil {
@@ -402,15 +405,46 @@
 	p.placeWaiting()
 }
 
-// Suspect keeps new requests off a target for a time, or until a byte of an answer
-// arrives from it.
-func (p *Pool) Suspect(pl *Placement, d time.Duration, stalled bool) {
+// Suspicion is why a target gets no new requests for a time.
+type Suspicion struct {
+	// For is the time, unless a byte of an answer arrives from the target before.
+	For time.Duration
+	// Stalled is set if a request on the target makes no progress.
+	Stalled bool
+	// DialFailed is set if no connection to the target could be established.
+	DialFailed bool
+}
+
+// Suspect keeps new requests off a target.
+func (p *Pool) Suspect(pl *Placement, why Suspicion) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s := p.currentState(pl); s != nil {
-		s.suspectUntil = p.now().Add(d)
-		s.stalled = s.stalled || stalled
+		s.suspectedAt = p.now()
+		s.suspectUntil = s.suspectedAt.Add(why.For)
+		s.dialFailed = why.DialFailed
+		s.stalled = s.stalled || why.Stalled
+	}
+}
+
+// Trust ends the suspicions of this entry.
+func (p *Pool) Trust() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.targets {
+		s.suspectUntil = time.Time{}
+	}
+	p.placeWaiting()
+}
+
+// Interrupt ends the waits of all queued requests with errs.Unavailable.
+func (p *Pool) Interrupt() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range p.waiting {
+		w.placed <- nil
 	}
+	p.waiting = nil
 }
 
 // Silence returns for how long nothing has arrived from a target on which this entry
@@ -480,6 +514,13 @@
 	return err
 }
 
+// State describes the pool for logs.
+func (p *Pool) State() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.describeState()
+}
+
 // describeState describes the state of the pool for a refusal. The lock is held.
 func (p *Pool) describeState() string {
 	now := p.now()
--- a/internal/placement/report.go
+++ b/internal/placement/report.go
@@ -6,8 +6,17 @@
 	"github.com/crocusway/crocusway/internal/api"
 )
 
-// Loads appends this entry's work on the targets of the pool.
-func (p *Pool) Loads(out []api.Load) []api.Load {
+// Links tells what this entry knows of its own links to the servers.
+type Links interface {
+	// LinksShownSince reports whether the links have carried anything from any server
+	// after at, or for a connection attempt, whether another one has succeeded after at.
+	LinksShownSince(at time.Time, dial bool) bool
+}
+
+// Loads appends this entry's work on the targets of the pool. A target that this entry
+// suspects is reported as such only once other servers have shown that the links of this
+// entry work.
+func (p *Pool) Loads(out []api.Load, _ Links) []api.Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
@@ -65,8 +74,9 @@
 }
 
 // Progress appends the progress of the replicas on which this entry has requests, or
-// from which it received bytes within the last second.
-func (p *Pool) Progress(out []api.GroupProgress) []api.GroupProgress {
+// from which it received bytes within the last second. No replica counts as stalled while
+// nothing arrives from any other server either.
+func (p *Pool) Progress(out []api.GroupProgress, _ Links) []api.GroupProgress {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
@@ -84,3 +94,29 @@
 	}
 	return out
 }
+
+// Waiting returns the number of targets on which requests of this entry have waited for at
+// least d without a byte.
+func (p *Pool) Waiting(d time.Duration) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	n := 0
+	for _, s := range p.targets {
+		if s.own.running > 0 && now.Sub(s.waitingSince) >= d {
+			n++
+		}
+	}
+	return n
+}
+
+// Targets returns the targets of the pool.
+func (p *Pool) Targets() []Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]Target, 0, len(p.targets))
+	for _, s := range p.targets {
+		out = append(out, s.Target)
+	}
+	return out
+}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -87,8 +87,12 @@
 	limit limit
 	// placements are the times at which this entry placed requests, within limitWindow.
 	placements []time.Time
-	// suspectUntil is the time until which nothing new is placed here.
+	// suspectUntil is the time until which nothing new is placed here, suspectedAt when
+	// this entry began to suspect the target; dialFailed is set if a connection attempt
+	// was the reason.
 	suspectUntil time.Time
+	suspectedAt  time.Time
+	dialFailed   bool
 	// answeredAt is when a byte of any answer last arrived, waitingSince the start of the
 	// current wait of requests for one.
 	answeredAt   time.Time
--- /dev/null
+++ b/internal/reach/tracker_test.go
@@ -0,0 +1,198 @@
+package reach
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/crocusway/crocusway/internal/api"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// fleet returns servers in three failure domains.
+func fleet(n int) []Server {
+	var out []Server
+	for i := range n {
+		out = append(out, Server{Address: fmt.Sprintf("s%d", i), Domain: api.FailureDomain(fmt.Sprintf("d%d", i%3))})
+	}
+	return out
+}
+
+func listed(servers []Server) func() []Server { return func() []Server { return servers } }
+
+// probeAll reports the same result for each server.
+func probeAll(t *Tracker, servers []Server, reachable func(Server) bool, now time.Time) {
+	for _, s := range servers {
+		t.Probed(s.Address, reachable(s), now)
+	}
+}
+
+// loseLinks makes a tracker find that the links are lost.
+func loseLinks(t *testing.T, tr *Tracker, servers []Server, now time.Time) {
+	t.Helper()
+	tr.Dialed("s0", false, now)
+	tr.Dialed("s1", false, now)
+	probeAll(tr, tr.Due(listed(servers), 0, now), func(Server) bool { return false }, now)
+	require.True(t, tr.Lost())
+}
+
+func TestNothingIsProbedWhileServersAnswer(t *testing.T) {
+	tr, now := NewTracker(), start
+	for range 100 {
+		now = now.Add(50 * time.Millisecond)
+		tr.Heard("s0", now)
+		require.Empty(t, tr.Due(listed(fleet(9)), 8, now), "eight servers keep requests waiting, one answers")
+	}
+}
+
+// TestFailedServersAreNoLostLinks covers a dead rack, a dead failure domain, a dead service
+// and servers that are silent for a second: another server is reached.
+func TestFailedServersAreNoLostLinks(t *testing.T) {
+	for _, dead := range []int{2, 3, 6, 8} {
+		tr, servers, now := NewTracker(), fleet(9), start
+		last := servers[8]
+		tr.Heard(last.Address, now)
+		for _, s := range servers[:dead] {
+			tr.Dialed(s.Address, false, now.Add(time.Second))
+		}
+		now = now.Add(time.Second)
+		due := tr.Due(listed(servers), dead, now)
+		require.Contains(t, due, last, "the server that answered last is probed")
+		probeAll(tr, due, func(s Server) bool { return s == last }, now)
+		require.False(t, tr.Lost(), "%d of 9 dead", dead)
+	}
+}
+
+func TestLostLinksAreFoundInOneRound(t *testing.T) {
+	for name, suspect := range map[string]func(*Tracker, time.Time) int{
+		"silence":      func(*Tracker, time.Time) int { return 2 },
+		"failed dials": func(tr *Tracker, at time.Time) int { tr.Dialed("s0", false, at); tr.Dialed("s4", false, at); return 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			tr, servers := NewTracker(), fleet(9)
+			tr.Heard("s3", start)
+			now := start.Add(SilenceBound)
+			due := tr.Due(listed(servers), suspect(tr, now), now)
+			require.Len(t, due, probesPerRound)
+			domains := map[api.FailureDomain]bool{}
+			for _, s := range due {
+				domains[s.Domain] = true
+			}
+			require.Len(t, domains, 3, "one server of each failure domain")
+			require.Empty(t, tr.Due(listed(servers), 9, now.Add(time.Second)), "one round at a time")
+			probeAll(tr, due, func(Server) bool { return false }, now)
+			require.True(t, tr.Lost())
+		})
+	}
+}
+
+// TestKeptConnectionsDoNotHideRefusedOnes covers links that carry bytes of open connections
+// while new connections fail.
+func TestKeptConnectionsDoNotHideRefusedOnes(t *testing.T) {
+	tr, servers, now := NewTracker(), fleet(9), start
+	tr.Heard("s3", now)
+	loseLinks(t, tr, servers, now)
+	tr.Heard("s3", now.Add(10*time.Millisecond))
+	require.True(t, tr.Lost())
+}
+
+// TestReturnNeedsTwoServers covers a lossy link, over which single connections get through,
+// and dead servers among those that are probed.
+func TestReturnNeedsTwoServers(t *testing.T) {
+	tr, servers, now := NewTracker(), fleet(9), start
+	loseLinks(t, tr, servers, now)
+	reached := 0
+	for round := 1; tr.Lost(); round++ {
+		require.LessOrEqual(t, round, 8)
+		now = now.Add(probeInterval)
+		due := tr.Due(listed(servers), 0, now)
+		ok := 0
+		for _, s := range due {
+			// One of three servers is reachable, then two.
+			reachable := s.Domain == "d0" || round > 4 && s.Domain == "d1"
+			if reachable {
+				ok++
+				reached++
+			}
+			tr.Probed(s.Address, reachable, now)
+		}
+		require.Equal(t, ok >= returnSuccesses, !tr.Lost())
+	}
+	require.GreaterOrEqual(t, reached, 5)
+}
+
+func TestProbesWhileLostAreFew(t *testing.T) {
+	tr, servers, now := NewTracker(), fleet(1000), start
+	loseLinks(t, tr, servers, now)
+	probes := 0
+	for range 200 {
+		now = now.Add(50 * time.Millisecond)
+		due := tr.Due(listed(servers), 50, now)
+		probes += len(due)
+		probeAll(tr, due, func(Server) bool { return false }, now)
+	}
+	require.LessOrEqual(t, probes, 120, "in 10 s, whatever the number of servers")
+}
+
+func TestSingleServerCanBeTheOnlyProbe(t *testing.T) {
+	tr, servers, now := NewTracker(), fleet(1), start
+	tr.Dialed("s0", false, now)
+	probeAll(tr, tr.Due(listed(servers), 0, now), func(Server) bool { return false }, now)
+	require.True(t, tr.Lost())
+	now = now.Add(probeInterval)
+	probeAll(tr, tr.Due(listed(servers), 0, now), func(Server) bool { return true }, now)
+	require.False(t, tr.Lost())
+}
+
+func TestFailuresAreEvidenceOnlyOverWorkingLinks(t *testing.T) {
+	tr, now := NewTracker(), start
+	require.False(t, tr.LinksShownSince(now, false))
+	tr.Heard("s1", now.Add(time.Millisecond))
+	require.True(t, tr.LinksShownSince(now, false))
+	require.False(t, tr.LinksShownSince(now, true), "bytes on an open connection say nothing of new ones")
+	tr.Dialed("s2", true, now.Add(time.Millisecond))
+	require.True(t, tr.LinksShownSince(now, true))
+	loseLinks(t, tr, fleet(3), now.Add(time.Second))
+	require.False(t, tr.LinksShownSince(now, false))
+}
+
+// TestTrackerStatesAreReachable plays random events: the links are lost only after a round
+// in which every probe failed, and return only after probes succeeded.
+func TestTrackerStatesAreReachable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr, servers, now := NewTracker(), fleet(rapid.IntRange(1, 12).Draw(t, "servers")), start
+		for range 60 {
+			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+			s := servers[rapid.IntRange(0, len(servers)-1).Draw(t, "server")]
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				tr.Heard(s.Address, now)
+			case 1:
+				tr.Dialed(s.Address, false, now)
+			case 2:
+				tr.Dialed(s.Address, true, now)
+			}
+			due := tr.Due(listed(servers), rapid.IntRange(0, 5).Draw(t, "waiting"), now)
+			lost, succeeded := tr.Lost(), 0
+			for _, d := range due {
+				ok := rapid.Bool().Draw(t, "reached")
+				if ok {
+					succeeded++
+				}
+				tr.Probed(d.Address, ok, now)
+			}
+			switch {
+			case !lost && tr.Lost() && (succeeded > 0 || len(due) == 0):
+				t.Fatal("lost although a probe succeeded, or without a probe")
+			case lost && !tr.Lost() && succeeded < min(returnSuccesses, len(due)):
+				t.Fatal("back without enough probes")
+			case lost && tr.Lost() && len(due) > 0 && succeeded >= min(returnSuccesses, len(due)):
+				t.Fatal("still lost although enough probes succeeded")
+			}
+		}
+	})
+}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -22,7 +22,7 @@
 // forwards to portListen.
 const (
 	portPeer      = 7340
-	portListen    = 7341
+	portListen    = 7349
 	portFront     = 8227
 	portReady     = 8220
 	portControl   = 8229
