placement: suspicions of an entry count elsewhere only if its links work

A failure of one server is evidence against that server only once another server has answered this entry since; a failed connection attempt only once another one has succeeded. Until then it is neither reported to other entries nor to control. The same for stalls: none is reported while nothing arrives from any server.

TestSuspicionsOfCutEntryStayThere fails without the change.

--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -315,3 +315,24 @@
 	clock.advance(ReportLifetime)
 	require.True(t, p.HasOther(&d))
 }
+
+// cutLinks are those of an entry that hears from no server.
+type cutLinks struct{}
+
+func (cutLinks) LinksShownSince(time.Time, bool) bool { return false }
+
+// TestSuspicionsOfCutEntryStayThere guards against one entry without links that keeps all
+// others from sound servers, and against control that dissolves sound replicas.
+func TestSuspicionsOfCutEntryStayThere(t *testing.T) {
+	clock := newFakeTime()
+	p := NewPool("m", "cairo", clock.Now)
+	p.Update([]Target{{ID: "a", Slots: 4}}, nil, Entries{})
+	pl := place(t, p, Demand{Deadline: clock.now.Add(time.Minute)})
+	clock.advance(2 * StallTimeout)
+	p.Suspect(pl, Suspicion{For: time.Second, Stalled: true})
+	require.Positive(t, p.Loads(nil, linked{})[0].SuspectMillis)
+	require.True(t, p.Progress(nil, linked{})[0].Stalled)
+	require.Zero(t, p.Loads(nil, cutLinks{})[0].SuspectMillis)
+	require.False(t, p.Progress(nil, cutLinks{})[0].Stalled)
+	require.Equal(t, 1, p.Loads(nil, cutLinks{})[0].Running, "the work itself is reported")
+}
--- a/internal/placement/report.go
+++ b/internal/placement/report.go
@@ -16,12 +16,15 @@
 // Loads appends this entry's work on the targets of the pool. A target that this entry
 // suspects is reported as such only once other servers have shown that the links of this
 // entry work.
-func (p *Pool) Loads(out []api.Load, _ Links) []api.Load {
+func (p *Pool) Loads(out []api.Load, links Links) []api.Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	for id, s := range p.targets {
 		suspect := max(0, s.suspectUntil.Sub(now).Milliseconds())
+		if suspect > 0 && !links.LinksShownSince(s.suspectedAt, s.dialFailed) {
+			suspect = 0
+		}
 		limit := s.limit.reported(now)
 		if s.own == (load{}) && suspect == 0 && limit == nil {
 			continue
@@ -76,10 +79,11 @@
 // Progress appends the progress of the replicas on which this entry has requests, or
 // from which it received bytes within the last second. No replica counts as stalled while
 // nothing arrives from any other server either.
-func (p *Pool) Progress(out []api.GroupProgress, _ Links) []api.GroupProgress {
+func (p *Pool) Progress(out []api.GroupProgress, links Links) []api.GroupProgress {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
+	linked := links.LinksShownSince(now.Add(-StallTimeout/2), false)
 	for id, s := range p.targets {
 		age := int64(-1)
 		if !s.answeredAt.IsZero() {
@@ -89,7 +93,7 @@
 			continue
 		}
 		out = append(out, api.GroupProgress{
-			Group: api.GroupID(id), Fencing: api.Fencing(s.Generation), AnsweredMillis: age, Stalled: s.isStalled(now),
+			Group: api.GroupID(id), Fencing: api.Fencing(s.Generation), AnsweredMillis: age, Stalled: linked && s.isStalled(now),
 		})
 	}
 	return out
