ingress: retries of requests that were never sent leave the retry budget alone

The budget bounds what reaches servers beyond the first attempt of each request. At a cut entry, dials that timed out used it up within a second (24 refusals of retries from 0.9 to 1.4 s after the cut), and the requests that could have resumed elsewhere ended.

An attempt that has sent nothing takes nothing from the budget; the bound on attempts of one request stays. TestUnsentAttemptsLeaveRetryBudget fails without the change.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -382,6 +382,10 @@
 	if len(c.trials) > 0 {
 		return failed
 	}
+	if failed.unsent {
+		// Nothing has reached a server, so that the next attempt is no repetition.
+		return nil
+	}
 	if !s.budget(c.service.Name).take(len(liveEntries(s.cfg.State.Snapshot()))) {
 		level.Info(s.logger).Log("msg", "Retry budget exhausted", "request", c.head.ID, "service", c.service.Name)
 		return failed
--- a/internal/ingress/cut_test.go
+++ b/internal/ingress/cut_test.go
@@ -246,3 +246,22 @@
 		})
 	}
 }
+
+// TestUnsentAttemptsLeaveRetryBudget guards against retries of requests that never left the
+// entry using up the budget of those that did.
+func TestUnsentAttemptsLeaveRetryBudget(t *testing.T) {
+	h := newHarness(t)
+	h.server.cfg.Settings.RetryRatio, h.server.cfg.Settings.RetryAllowance = 0, 0
+	gone := newFakeServer(t, "a-gone", serveDone)
+	_ = gone.ln.Close()
+	good := newFakeServer(t, "b-good", serveDone)
+	h.ledger(gone, good)
+	pool := h.server.state.pool("ledger")
+	// The pool prefers the server that is gone.
+	pl := placeOn(t, pool, "b-good", 0)
+	t.Cleanup(func() { pool.Release(pl) })
+	for range 8 {
+		require.Equal(t, 200, h.send("POST", "/post/1", "deposit").StatusCode)
+	}
+	require.Contains(t, h.logs.String(), "unsent=true")
+}
