reach: links return with two successes over rounds

A service of which one server is back stayed unreachable: two servers of one round had to answer. Two successes count now, with no round in between in which no probe succeeds, and the server that a probe reached is probed again first. TestReturnNeedsTwoSuccesses fails on the code before: there a single reachable server never ended the state.

--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -4,7 +4,7 @@
 // What requests show by the way is only a suspicion: many servers may be dead, slow or
 // silent at once. A few connection attempts to servers of different failure domains, those
 // first from which something arrived last, confirm or refute it. The links are lost if every
-// one of them fails, and are back once attempts to different servers succeed.
+// one of them fails, and are back once two attempts in a row of rounds succeed.
 package reach
 
 import (
@@ -27,8 +27,9 @@
 	probeInterval = 250 * time.Millisecond
 	// probesPerRound is the number of servers in a round.
 	probesPerRound = 3
-	// returnSuccesses is the number of probes of a round that have to succeed before lost
-	// links are used again: one may get through where most packets are dropped.
+	// returnSuccesses is the number of probes that have to succeed, with no round in between
+	// in which none does, before lost links are used again: one may get through where most
+	// packets are dropped.
 	returnSuccesses = 2
 	// suspectServers is the number of servers that have to keep requests waiting, or to which
 	// connection attempts have to fail with no successful one in between, before the links
@@ -58,6 +59,10 @@
 	round     *round
 	roundAt   time.Time
 	lastProbe map[string]time.Time
+	// reached is when a probe of each server succeeded since the links were lost, and
+	// successes the number of those that count for their return.
+	reached   map[string]time.Time
+	successes int
 	lost      bool
 }
 
@@ -65,13 +70,13 @@
 type round struct {
 	pending   int
 	succeeded int
-	total     int
 }
 
 // NewTracker returns a tracker of links that are thought to work.
 func NewTracker() *Tracker {
 	return &Tracker{
 		heard: make(map[string]time.Time), failed: make(map[string]time.Time), lastProbe: make(map[string]time.Time),
+		reached: make(map[string]time.Time),
 	}
 }
 
@@ -147,7 +152,7 @@
 		return nil
 	}
 	chosen := t.choose(servers)
-	t.round, t.roundAt = &round{pending: len(chosen), total: len(chosen)}, now
+	t.round, t.roundAt = &round{pending: len(chosen)}, now
 	for _, s := range chosen {
 		t.lastProbe[s.Address] = now
 	}
@@ -170,13 +175,13 @@
 
 // choose returns up to probesPerRound servers, of different failure domains as far as possible.
 // While the links are thought to work, those come first from which bytes arrived last, and
-// to which no connection attempt has failed; once they are lost, those probed longest ago.
-// The lock is held.
+// to which no connection attempt has failed; once they are lost, those that a probe reached
+// last, then those probed longest ago. The lock is held.
 func (t *Tracker) choose(servers []Server) []Server {
 	order := slices.Clone(servers)
 	slices.SortStableFunc(order, func(a, b Server) int {
 		if t.lost {
-			return t.lastProbe[a.Address].Compare(t.lastProbe[b.Address])
+			return cmp.Or(t.reached[b.Address].Compare(t.reached[a.Address]), t.lastProbe[a.Address].Compare(t.lastProbe[b.Address]))
 		}
 		_, failedA := t.failed[a.Address]
 		_, failedB := t.failed[b.Address]
@@ -219,15 +224,22 @@
 	if r.pending == 0 {
 		t.round = nil
 	}
+	if !t.lost {
+		t.lost = r.pending == 0 && r.succeeded == 0
+		t.successes = 0
+		clear(t.reached)
+		return t.lost
+	}
 	switch {
-	case t.lost && r.succeeded >= min(returnSuccesses, r.total):
-		t.lost = false
-	case !t.lost && r.pending == 0 && r.succeeded == 0:
-		t.lost = true
-	default:
-		return false
+	case ok:
+		t.reached[address] = now
+		t.successes++
+	case r.pending == 0 && r.succeeded == 0:
+		t.successes = 0
+		clear(t.reached)
 	}
-	return true
+	t.lost = t.successes < returnSuccesses
+	return !t.lost
 }
 
 // retain forgets the servers that are not in the list. The lock is held.
@@ -236,7 +248,7 @@
 	for _, s := range servers {
 		known[s.Address] = true
 	}
-	for _, times := range []map[string]time.Time{t.heard, t.failed, t.lastProbe} {
+	for _, times := range []map[string]time.Time{t.heard, t.failed, t.lastProbe, t.reached} {
 		for address := range times {
 			if !known[address] {
 				delete(times, address)
