ingress: links are tracked for each service besides those to all servers

The links to the servers of each service have a tracker of their own, and so do the other entries as receivers of its requests. While the links to all servers are lost no service is probed by itself.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -76,7 +76,7 @@
 
 // acquire gets a placement on a target from the pool.
 func (s *Server) acquire(c *call) error {
-	if s.links.Lost() {
+	if s.linksLost(c) {
 		return s.acquireEntry(c)
 	}
 	if !c.counted {
@@ -87,7 +87,7 @@
 	place, err := c.pool.Acquire(c.ctx, c.demand)
 	if err != nil {
 		c.queued += time.Since(began)
-		if s.links.Lost() && c.ctx.Err() == nil {
+		if s.linksLost(c) && c.ctx.Err() == nil {
 			return s.acquireEntry(c)
 		}
 		return err
@@ -121,19 +121,19 @@
 	})
 	notSent := errors.Is(err, backend.ErrNotSent)
 	if notSent && c.ctx.Err() == nil {
-		s.links.Dialed(target.Address, false, time.Now())
+		s.recordDial(c, false)
 	}
 	if err != nil {
 		return &attemptError{ran: !notSent, unsent: notSent, suspectFor: suspectDuration, cause: err}
 	}
 	if !exchange.Reused() {
-		s.links.Dialed(target.Address, true, time.Now())
+		s.recordDial(c, true)
 	}
 	c.exchange = exchange
 	if err := s.awaitHeader(c); err != nil {
 		return err
 	}
-	s.links.Heard(target.Address, time.Now())
+	s.recordHeard(c)
 	c.answer = s.cfg.Dialect.DecodeAnswer(&exchange.Header)
 	if c.answer.Sealed {
 		s.crashes.Survived(c.server(), c.sent)
@@ -229,7 +229,7 @@
 		return c.isStream() && c.viaRuns > 0 && silent >= forwardStallTimeout && c.mayRunAgain(c.viaRuns)
 	case !c.mayRunAgain(1):
 		return false
-	case s.links.Lost():
+	case s.linksLost(c):
 		return silent >= replicaStallTimeout
 	case !c.isStream():
 		return false
@@ -298,7 +298,7 @@
 			c.firstByte = time.Since(c.received)
 			s.recordFirst(c)
 		}
-		s.recordHeard(c)
+		s.recordBytes(c)
 		if len(body)+len(part) > maxAnswerBytes || !s.answers.take(len(part)) {
 			return answerTooLarge(len(body) + len(part))
 		}
@@ -345,7 +345,7 @@
 	err := s.checkRetry(c, failed)
 	level.Info(s.logger).Log("msg", "Attempt failed", "request", c.head.ID, "target", target.ID,
 		"generation", target.Generation, "instance", target.Instance, "ran", failed.ran, "unsent", failed.unsent, "stalled", failed.stalled,
-		"closed", failed.closed, "heard_ms", s.links.SinceHeard(time.Now()).Milliseconds(), "attempt", c.attempts, "events", c.events, "after_ms", time.Since(c.received).Milliseconds(),
+		"closed", failed.closed, "heard_ms", s.links.all.SinceHeard(time.Now()).Milliseconds(), "attempt", c.attempts, "events", c.events, "after_ms", time.Since(c.received).Milliseconds(),
 		"left_ms", c.remaining().Milliseconds(), "retry", err == nil, "revision", c.revision, "err", failed)
 	return err
 }
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -37,6 +37,7 @@
 	account  *api.PublishedAccount
 	service  *api.PublishedService
 	pool     *placement.Pool
+	links    *serviceLinks
 	demand   placement.Demand
 
 	// place and exchange belong to the current attempt.
--- a/internal/ingress/cut_test.go
+++ b/internal/ingress/cut_test.go
@@ -265,3 +265,29 @@
 	}
 	require.Contains(t, h.logs.String(), "unsent=true")
 }
+
+// TestServiceOutOfReachIsServedByAnother guards against an entry that fails the requests for
+// one service, of which it reaches no server, while it reaches those of others.
+func TestServiceOutOfReachIsServedByAnother(t *testing.T) {
+	var ledgers, scribes []*fakeServer
+	for _, name := range []string{"1", "2", "3"} {
+		ledgers = append(ledgers, newFakeServer(t, "l"+name, serveDone))
+		scribes = append(scribes, newFakeServer(t, "s"+name, serveEvents(3)))
+	}
+	others := newServerLinks(t)
+	g := newEntryGroup(t, 2, func(h *harness, through func(*fakeServer) *fakeServer) {
+		for i := range ledgers {
+			h.ledger(others.through(ledgers[i]))
+			h.scribe(through(scribes[i]))
+		}
+	})
+	served, sent := g.entries[0].sendAll(2)
+	require.Equal(t, sent, served, "before the cut")
+	g.links[0].set(linksSilent)
+	for range 4 {
+		g.entries[0].sendAll(2)
+	}
+	served, sent = g.entries[0].sendAll(5)
+	require.Equal(t, sent, served, "served of those sent after detection: %s", g.entries[0].logs)
+	require.False(t, g.entries[0].server.links.all.Lost(), "the other service is reached")
+}
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -182,7 +182,7 @@
 	}
 	entries := s.cfg.State.Snapshot().Entries
 	if len(c.entriesTried) < maxForwards {
-		c.via = s.forwards.pick(s.cfg.Self, entries, c.entriesTried, time.Now())
+		c.via = c.links.forwards.pick(s.cfg.Self, entries, c.entriesTried, time.Now())
 	}
 	if c.via == nil {
 		return unavailable(codeLinksLost, "no entry with links to the servers is known",
@@ -225,7 +225,7 @@
 	if code := string(exchange.Header.Peek(headerForwardedCode)); code != "" {
 		return s.forwardRefused(c, code)
 	}
-	s.forwards.prove(c.via.ID, time.Now())
+	c.links.forwards.prove(c.via.ID, time.Now())
 	c.answer = s.cfg.Dialect.DecodeAnswer(&exchange.Header)
 	return s.checkAnswer(c)
 }
@@ -236,7 +236,7 @@
 	h := &c.exchange.Header
 	switch code {
 	case codeLinksLost:
-		s.forwards.markLost(c.via.ID, time.Now().Add(avoidDuration))
+		c.links.forwards.markLost(c.via.ID, time.Now().Add(avoidDuration))
 		fallthrough
 	case codeNoPublication, codeNoService:
 		return &attemptError{ran: c.viaRuns > 0, declined: c.viaRuns == 0, cause: errors.Newf("entry %s declined the request: %s", c.via.ID, code)}
@@ -298,7 +298,7 @@
 // afterForwardFailure keeps further requests off an entry that could not take one.
 func (s *Server) afterForwardFailure(c *call, failed *attemptError) {
 	if failed.unsent || failed.stalled || c.viaRuns == 0 {
-		s.forwards.avoid(c.via.ID, time.Now().Add(avoidDuration))
+		c.links.forwards.avoid(c.via.ID, time.Now().Add(avoidDuration))
 	}
 	if failed.ran && c.viaRuns == 0 {
 		// The entry may have used all attempts before the link broke.
--- a/internal/ingress/forward_test.go
+++ b/internal/ingress/forward_test.go
@@ -28,10 +28,10 @@
 	t.Helper()
 	g.links[i].set(linksSilent)
 	h := g.entries[i]
-	for _, server := range h.server.probeTargets()[:2] {
-		h.server.links.Dialed(server.Address, false, time.Now())
+	for _, server := range probeTargets(h.server.state.allPools())[:2] {
+		h.server.links.all.Dialed(server.Address, false, time.Now())
 	}
-	require.Eventually(t, h.server.links.Lost, waitFor, 5*time.Millisecond)
+	require.Eventually(t, h.server.links.all.Lost, waitFor, 5*time.Millisecond)
 }
 
 // oneOfEach is one server of each service.
@@ -229,7 +229,7 @@
 	require.Equal(t, sent, served)
 	dialed := g.entries[0].server.cfg.Backends.Dialed()
 	g.links[0].set(linksWork)
-	require.Eventually(t, func() bool { return !g.entries[0].server.links.Lost() }, time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return !g.entries[0].server.links.all.Lost() }, time.Second, 5*time.Millisecond)
 	served, sent = g.entries[0].sendAll(3)
 	require.Equal(t, sent, served)
 	require.LessOrEqual(t, g.entries[0].server.cfg.Backends.Dialed()-dialed, int64(sent+6))
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -55,8 +55,9 @@
 	}
 }
 
-func (m *instruments) recordLinks(state string) {
-	m.links.Add(context.Background(), 1, metric.WithAttributes(attribute.String("state", state)))
+// recordLinks counts a change of the links to the servers of a service, or to all of them.
+func (m *instruments) recordLinks(state, service string) {
+	m.links.Add(context.Background(), 1, metric.WithAttributes(attribute.String("state", state), attribute.String("service", service)))
 }
 
 func (m *instruments) recordAttempt(outcome string) {
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -99,6 +99,7 @@
 	if c.pool == nil {
 		return unavailable("no_model", "no replica serves the model", nil)
 	}
+	c.links = s.links.service(c.service.Name)
 	c.demand = placement.Demand{Urgency: c.urgency(), Deadline: c.deadline, Begun: c.ran > 0}
 	if c.service.Engine != nil {
 		c.demand.Prompt = c.head.PromptTokens
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -146,7 +146,7 @@
 	}
 	c.events, c.lastEvent = r.events.count, r.events.last
 	c.resetEventTimes()
-	r.recordHeard(c)
+	r.recordBytes(c)
 	return nil
 }
 
--- a/internal/ingress/reporter.go
+++ b/internal/ingress/reporter.go
@@ -73,10 +73,10 @@
 func (r *reporter) sendLoads() {
 	var loads []api.Load
 	for _, pool := range r.server.state.allPools() {
-		loads = pool.Loads(loads, r.server.links)
+		loads = pool.Loads(loads, r.server.links.all)
 	}
 	n := ownReport{loads: loads, crashes: r.server.crashes.Take(time.Now()), publication: r.server.state.publication()}
-	n.linksLost = r.server.links.Lost()
+	n.linksLost = r.server.links.all.Lost()
 	entries := r.server.cfg.State.Snapshot().Entries
 	for _, d := range r.loads.dueReports(time.Now(), n, entries) {
 		// The next report makes up for a lost one.
@@ -92,7 +92,7 @@
 	r.server.crashes.RecordRemote(crashes.Report{Crashes: report.Crashes, Answers: report.Answers}, now)
 	r.checkPublication(&report)
 	if report.LinksLost {
-		r.server.forwards.markLost(report.Entry, now.Add(placement.ReportLifetime))
+		r.server.links.markLost(report.Entry, now.Add(placement.ReportLifetime))
 	}
 	for _, work := range r.loads.applyReport(now, &report) {
 		loads := make(map[string]api.Load, len(work.loads))
@@ -125,7 +125,7 @@
 func (r *reporter) sendProgress() {
 	report := api.ProgressReport{Entry: r.server.cfg.Self.ID}
 	for _, pool := range r.server.state.allPools() {
-		report.Groups = pool.Progress(report.Groups, r.server.links)
+		report.Groups = pool.Progress(report.Groups, r.server.links.all)
 	}
 	if len(report.Groups) == 0 {
 		return
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -13,7 +13,6 @@
 	"github.com/crocusway/crocusway/internal/crashes"
 	"github.com/crocusway/crocusway/internal/inflight"
 	"github.com/crocusway/crocusway/internal/logging"
-	"github.com/crocusway/crocusway/internal/reach"
 )
 
 // Server handles the callers' requests of a pass-through entry. It is safe for
@@ -26,8 +25,7 @@
 	instruments instruments
 	reporter    *reporter
 	crashes     *crashes.Table
-	links       *reach.Tracker
-	forwards    *forwardTable
+	links       *linkTable
 	trials      trialClock
 	// answers bounds the answers that are being read.
 	answers byteBudget
@@ -43,9 +41,7 @@
 		crashes: crashes.NewTable(),
 		trials:  trialClock{next: make(map[string]time.Time)},
 		answers: byteBudget{limit: maxBufferedAnswers},
-
-		links:    reach.NewTracker(),
-		forwards: newForwardTable(),
+		links:   newLinkTable(),
 	}
 	var err error
 	if s.instruments, err = newInstruments(cfg.Meter); err != nil {
@@ -197,7 +193,7 @@
 		c.place = nil
 	}
 	if c.via != nil {
-		s.forwards.done(c.via.ID)
+		c.links.forwards.done(c.via.ID)
 		c.via = nil
 	}
 }
--- a/internal/ingress/targets.go
+++ b/internal/ingress/targets.go
@@ -19,7 +19,9 @@
 type routingState struct {
 	mu    sync.RWMutex
 	pools map[string]*placement.Pool
-	table *routing.Table
+	// servicePools are the pools of each service.
+	servicePools map[string][]*placement.Pool
+	table        *routing.Table
 	// drained are the failure domains that operators drained; returnedAt is when one was
 	// activated again.
 	drained    map[api.FailureDomain]bool
@@ -36,10 +38,12 @@
 
 func newRoutingState() *routingState {
 	return &routingState{
-		pools:      make(map[string]*placement.Pool),
-		drained:    make(map[api.FailureDomain]bool),
-		returnedAt: make(map[api.FailureDomain]time.Time),
-		budgets:    make(map[string]*serviceBudget),
+		pools: make(map[string]*placement.Pool),
+
+		servicePools: make(map[string][]*placement.Pool),
+		drained:      make(map[api.FailureDomain]bool),
+		returnedAt:   make(map[api.FailureDomain]time.Time),
+		budgets:      make(map[string]*serviceBudget),
 	}
 }
 
@@ -57,6 +61,13 @@
 	return slices.Collect(maps.Values(b.pools))
 }
 
+// poolsOf returns the pools of a service.
+func (b *routingState) poolsOf(service string) []*placement.Pool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return slices.Clone(b.servicePools[service])
+}
+
 func (b *routingState) current() (*routing.Table, api.Revision) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
@@ -155,6 +166,7 @@
 	if pool == nil {
 		pool = placement.NewPool(name, s.cfg.Self.Domain, time.Now)
 		s.state.pools[name] = pool
+		s.state.servicePools[service.Name] = append(s.state.servicePools[service.Name], pool)
 	}
 	pool.Update(targets[name], service.Engine, entries)
 }
