peer: tick keeps targets that a call is about to use

Timeline of a failure: the test finds or creates the target of the peer, tick (every 250 ms) removes it from the table before it dials, as it was never used and has no connection; the test's first link opens on the removed target. The next call creates a second target and dials again, and the raw peer accepts only one connection: the second handshake times out. The two keep-alive calls of the first link at 5 and 10 s count as the calls that the test waits for, hence 10.03 s.

Ruled out: a frame lost between the dial, the event loop and the handshake: the first link had completed its handshake in each failure, and the error belongs to the call.

The time of use is set under the lock with which tick decides. In a running system the fault cost a second link that stays open, for each target that was hit.

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -60,7 +60,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.node.cfg.Clock.Now()
-	t.usedAt = now
 	if t.current != nil && !t.current.isClosed() {
 		return nil, t.current, nil
 	}
@@ -105,6 +104,13 @@
 	return t.current
 }
 
+// touch records that the target is in use.
+func (t *target) touch(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.usedAt = now
+}
+
 // unused reports whether the target has no link and no recent call.
 func (t *target) unused(now time.Time) bool {
 	t.mu.Lock()
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -238,6 +238,8 @@
 		t = newTarget(n, address)
 		n.targets[address] = t
 	}
+	// Within the lock, so that tick does not remove a target that a call is about to use.
+	t.touch(n.cfg.Clock.Now())
 	return t
 }
 
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -299,3 +299,15 @@
 	_, err = Start(Config{Address: "127.0.0.1:0", Secret: testSecret, Source: "127.0.0.9:1"})
 	require.Equal(t, errs.Invalid, errs.CodeOf(err))
 }
+
+// TestTickKeepsTargetInUse guards against a second link to a peer whose target is removed
+// between the call that finds it and the dial.
+func TestTickKeepsTargetInUse(t *testing.T) {
+	n := startNode(t, nil)
+	now := n.cfg.Clock.Now()
+	created := n.target("127.0.0.1:1")
+	n.tick(now)
+	require.True(t, created == n.target("127.0.0.1:1"), "a new target")
+	n.tick(now.Add(2 * targetRetention))
+	require.False(t, created == n.target("127.0.0.1:1"), "a target without calls for longer than the retention")
+}
