peer: a link with unread data is not idle

Cause: the idle timeout is judged by the ticker, on the time of the last read. A process that did not run for the length of the timeout judges before its event loop has read what arrived meanwhile, and closes sound links: one storm of reconnections after each pause.

The event loop decides now, and a socket that holds data is not idle. A wake-up of the connection, which refreshes the size of a full send queue, counts no more as a sign of life of the peer.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/panjf2000/gnet/v2"
 	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/sys/unix"
 )
 
 var (
@@ -39,8 +40,12 @@
 	buffered   atomic.Int64
 	refreshing atomic.Bool
 
-	// handshake is only accessed on the event loop.
+	// handshake and unread, the buffered bytes of an incomplete frame, are only accessed on
+	// the event loop.
 	handshake *handshake
+	unread    int
+	// checking is set while a check of the idle timeout waits for the event loop.
+	checking atomic.Bool
 
 	mu      sync.Mutex
 	conn    gnet.Conn
@@ -179,7 +184,11 @@
 
 // onTraffic processes every complete frame. It runs on the event loop.
 func (l *link) onTraffic(c gnet.Conn) error {
-	l.lastReadAt.Store(l.node.cfg.Clock.Now().UnixNano())
+	// A wake-up of the connection comes without data.
+	if c.InboundBuffered() > l.unread {
+		l.lastReadAt.Store(l.node.cfg.Clock.Now().UnixNano())
+	}
+	defer func() { l.unread = c.InboundBuffered() }()
 	for {
 		payload, err := nextFrame(c, l.frameLimit())
 		if err != nil || payload == nil {
@@ -254,8 +263,8 @@
 		}
 		return
 	}
-	if now.UnixNano()-l.lastReadAt.Load() > int64(cfg.IdleTimeout) {
-		l.close(errors.New("idle timeout"))
+	if l.isIdle(now) {
+		l.closeIfIdle()
 		return
 	}
 	if l.dialer && l.keepAliveDue(now) {
@@ -264,6 +273,41 @@
 	}
 }
 
+func (l *link) isIdle(now time.Time) bool {
+	return now.UnixNano()-l.lastReadAt.Load() > int64(l.node.cfg.IdleTimeout)
+}
+
+// closeIfIdle closes the link unless it holds unread data: if the process did not run for a
+// while, what the peer sent meanwhile is still to be read. It decides on the event loop,
+// which owns the file descriptor.
+func (l *link) closeIfIdle() {
+	if !l.checking.CompareAndSwap(false, true) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || l.closing || l.conn == nil {
+		return
+	}
+	err := l.conn.Wake(func(c gnet.Conn, _ error) error {
+		l.checking.Store(false)
+		if l.isIdle(l.node.cfg.Clock.Now()) && !hasUnreadData(c.Fd()) {
+			l.close(errors.New("idle timeout"))
+		}
+		return nil
+	})
+	if err != nil {
+		l.checking.Store(false)
+	}
+}
+
+// hasUnreadData reports whether a socket holds data.
+func hasUnreadData(fd int) bool {
+	var b [1]byte
+	n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == nil && n > 0
+}
+
 // keepAliveDue reports whether nothing was read, or nothing was written, for a
 // keep-alive interval. Notifications count as writes only: without responses, they
 // do not prevent the idle timeout of the dialer.
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -311,3 +312,60 @@
 	n.tick(now.Add(2 * targetRetention))
 	require.False(t, created == n.target("127.0.0.1:1"), "a target without calls for longer than the retention")
 }
+
+// stepClock is a clock that moves only by advance.
+type stepClock struct{ ns atomic.Int64 }
+
+func newStepClock() *stepClock {
+	c := &stepClock{}
+	c.ns.Store(time.Now().UnixNano())
+	return c
+}
+
+func (c *stepClock) Now() time.Time { return time.Unix(0, c.ns.Load()) }
+
+func (c *stepClock) advance(d time.Duration) { c.ns.Add(int64(d)) }
+
+// TestIdleTimeoutSparesLinkWithUnreadData guards against links that are closed after a pause
+// of the process, although the peer has sent data meanwhile.
+func TestIdleTimeoutSparesLinkWithUnreadData(t *testing.T) {
+	clock := newStepClock()
+	a, b := startNode(t, func(c *Config) { c.Clock = clock }), startNode(t, nil)
+	entered, answer := make(chan struct{}), make(chan struct{})
+	b.Handle("test.wait", Typed(func(context.Context, echo) (api.Empty, error) {
+		close(entered)
+		<-answer
+		return api.Empty{}, nil
+	}))
+	result := make(chan error, 1)
+	require.NoError(t, a.Call(t.Context(), b.Addr(), methodEcho, echo{}, nil))
+	go func() { result <- a.Call(t.Context(), b.Addr(), "test.wait", echo{}, nil) }()
+	<-entered
+	l := a.target(b.Addr()).open()
+	blocked, resume := make(chan struct{}), make(chan struct{})
+	require.NoError(t, l.conn.Wake(func(gnet.Conn, error) error { close(blocked); <-resume; return nil }))
+	<-blocked
+	sent := b.Stats().SentBytes
+	close(answer)
+	require.Eventually(t, func() bool { return b.Stats().SentBytes > sent }, waitFor, pollInterval)
+	clock.advance(2 * DefaultIdleTimeout)
+	a.tick(clock.Now())
+	close(resume)
+	require.NoError(t, <-result)
+	require.NoError(t, a.Call(t.Context(), b.Addr(), methodEcho, echo{}, nil))
+	require.Equal(t, int64(1), a.Stats().Dials)
+}
+
+// TestWakeUpsAreNoSignOfLife guards against a link to a silent peer that its own sender keeps
+// open.
+func TestWakeUpsAreNoSignOfLife(t *testing.T) {
+	clock := newStepClock()
+	a, b := startNode(t, func(c *Config) { c.Clock = clock }), startNode(t, nil)
+	require.NoError(t, a.Call(t.Context(), b.Addr(), methodEcho, echo{}, nil))
+	l := a.target(b.Addr()).open()
+	read := l.lastReadAt.Load()
+	clock.advance(time.Second)
+	l.refreshBuffered()
+	require.Eventually(t, func() bool { return !l.refreshing.Load() }, waitFor, pollInterval)
+	require.Equal(t, read, l.lastReadAt.Load())
+}
