placement: servers that leave or ask for a pause in their answers get no more requests

New on the users' pages: a server that leaves says so in all its answers, and a 503 may name a time for which the server wants nothing from this entry. Nothing read either header: a server that control still calls ready got requests until the next view.

The adapter decodes both; an unreadable value is logged, one that is too long is bounded by ten minutes. A notice belongs to one incarnation of a server (also as the head of another group), outlasts every view and load report, and stays with this entry. Retries, resumed streams and requests forwarded by another entry are placements and obey it; an entry that gets an answer through another one learns whose it was. An answer of another instance or to another request says nothing. If every server pauses, a request that can't wait is refused at once, with a hint from the shortest pause, spread over 2 s; the queue moves on.

Tests fail without the filters: a server that leaves got half of 20 requests.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -139,6 +139,7 @@
 		s.crashes.Survived(c.server(), c.sent)
 	}
 	s.recordLimit(c)
+	s.recordNotices(c, c.place.Target.Instance, c.place.Target.Incarnation)
 	return s.checkAnswer(c)
 }
 
--- a/internal/ingress/dialect.go
+++ b/internal/ingress/dialect.go
@@ -79,6 +79,12 @@
 	Limit           float64
 	HasLimit        bool
 	LimitUnreadable bool
+	// Leaving is set if the server says that it leaves.
+	Leaving bool
+	// Pause is the time for which the server wants no requests of this entry, 0 if it names
+	// none; PauseUnreadable is set if it can't be read.
+	Pause           time.Duration
+	PauseUnreadable bool
 	// Fault names the member that made a replica refuse, empty without one.
 	Fault api.HostID
 }
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -5,9 +5,11 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -35,6 +37,8 @@
 	// the number of servers that may have run the request.
 	headerForwardedCode = "Crocusway-Forwarded-Code"
 	headerForwardedRuns = "Crocusway-Forwarded-Runs"
+	// headerForwardedServer names the server that answered, as INCARNATION/ID.
+	headerForwardedServer = "Crocusway-Forwarded-Server"
 )
 
 const (
@@ -227,6 +231,9 @@
 	}
 	c.links.forwards.prove(c.via.ID, time.Now())
 	c.answer = s.cfg.Dialect.DecodeAnswer(&exchange.Header)
+	if server, incarnation, ok := parseForwardedServer(&exchange.Header); ok {
+		s.recordNotices(c, server, incarnation)
+	}
 	return s.checkAnswer(c)
 }
 
@@ -360,7 +367,19 @@
 	h := &c.http.Response.Header
 	h.Del(headerForwardedCode)
 	h.Del(headerForwardedRuns)
-	if c.forwardedBy != "" {
-		h.Set(headerForwardedRuns, strconv.Itoa(c.ran-c.ranElsewhere+running))
+	h.Del(headerForwardedServer)
+	if c.forwardedBy == "" {
+		return
 	}
+	h.Set(headerForwardedRuns, strconv.Itoa(c.ran-c.ranElsewhere+running))
+	if c.place != nil {
+		h.Set(headerForwardedServer, fmt.Sprintf("%d/%s", c.place.Target.Incarnation, c.place.Target.Instance))
+	}
+}
+
+// parseForwardedServer returns the server that a second entry names.
+func parseForwardedServer(h *fasthttp.ResponseHeader) (api.HostID, api.Incarnation, bool) {
+	number, id, found := strings.Cut(string(h.Peek(headerForwardedServer)), "/")
+	incarnation, err := strconv.ParseUint(number, 10, 64)
+	return api.HostID(id), api.Incarnation(incarnation), found && err == nil
 }
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -61,7 +61,9 @@
 }
 
 func (testDialect) DecodeAnswer(h *fasthttp.ResponseHeader) Answer {
+	pause, _ := strconv.Atoi(string(h.Peek("Pause")))
 	return Answer{
+		Leaving: len(h.Peek("Leaving")) > 0, Pause: time.Duration(pause) * time.Millisecond,
 		RequestID: string(h.Peek("Id")), Refused: len(h.Peek("Refused")) > 0,
 		OtherInstance: h.StatusCode() == fasthttp.StatusMisdirectedRequest, Sealed: len(h.Peek("Seal")) > 0,
 	}
@@ -69,6 +71,10 @@
 
 func (testDialect) CopyAnswer(to, from *fasthttp.ResponseHeader) {
 	to.SetBytesV("Seal", from.Peek("Seal"))
+	to.SetBytesV("Id", from.Peek("Id"))
+	if leaving := from.Peek("Leaving"); len(leaving) > 0 {
+		to.SetBytesV("Leaving", leaving)
+	}
 	to.SetContentTypeBytes(from.ContentType())
 }
 
--- /dev/null
+++ b/internal/ingress/notice_test.go
@@ -0,0 +1,98 @@
+package ingress
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// leavingAfter answers with the notice of a leave from the nth request on.
+func leavingAfter(n int64) func(*received) {
+	var count atomic.Int64
+	return func(r *received) {
+		notice := ""
+		if count.Add(1) >= n {
+			notice = "Leaving: 1\r\n"
+		}
+		r.write("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: %s\r\n%sContent-Length: 4\r\n\r\ndone", r.header.Peek("Id"), r.name, notice)
+	}
+}
+
+// TestServerThatLeavesInItsAnswersGetsNoMore sends requests while the view still names the
+// server as ready.
+func TestServerThatLeavesInItsAnswersGetsNoMore(t *testing.T) {
+	h := newHarness(t)
+	leaving := newFakeServer(t, "a", leavingAfter(1))
+	h.ledger(leaving)
+	require.Equal(t, 200, h.send("GET", "/read/1", "").StatusCode)
+	require.Equal(t, 503, h.send("GET", "/read/1", "").StatusCode, "no other server")
+	h.ledger(newFakeServer(t, "b", serveDone))
+	for range 10 {
+		require.Equal(t, 200, h.send("POST", "/post/1", "deposit").StatusCode)
+	}
+	require.Equal(t, int64(1), leaving.arrived.Load())
+	require.Contains(t, h.logs.String(), `msg="Server leaves"`)
+}
+
+// TestNoticeOfForwardedAnswerHoldsAtBothEntries: after the links are back, the first entry
+// knows what the server said through the second.
+func TestNoticeOfForwardedAnswerHoldsAtBothEntries(t *testing.T) {
+	leaving := newFakeServer(t, "l1", leavingAfter(1))
+	g := cutFirst(t, 2, oneOfEach(leaving, newFakeServer(t, "s1", serveEvents(3))))
+	require.Equal(t, 200, g.entries[0].send("GET", "/read/1", "").StatusCode)
+	g.links[0].set(linksWork)
+	require.Eventually(t, func() bool { return !g.entries[0].server.links.all.Lost() }, waitFor, time.Millisecond)
+	for _, h := range g.entries {
+		require.Equal(t, 503, h.send("GET", "/read/1", "").StatusCode)
+	}
+	require.Equal(t, int64(1), leaving.arrived.Load())
+}
+
+// TestPausedServerGetsNothing has a server turn requests away with a pause.
+func TestPausedServerGetsNothing(t *testing.T) {
+	h := newHarness(t)
+	pausing := newFakeServer(t, "a", func(r *received) { r.status(503, "Refused: 1\r\nPause: 60000\r\n") })
+	h.ledger(pausing)
+	res := h.send("GET", "/read/1", "", "Deadline", "1500")
+	require.Equal(t, 503, res.StatusCode)
+	for range 5 {
+		began := time.Now()
+		res = h.send("GET", "/read/1", "", "Deadline", "1500")
+		require.Equal(t, 503, res.StatusCode)
+		require.Less(t, time.Since(began), 500*time.Millisecond, "refused at once")
+		var seconds float64
+		_, err := fmt.Sscan(res.Header.Get("Retry-After"), &seconds)
+		require.NoError(t, err)
+		require.Greater(t, seconds, 58.0, "the pause of the only server")
+	}
+	h.ledger(newFakeServer(t, "b", serveDone))
+	for range 10 {
+		require.Equal(t, 200, h.send("POST", "/post/1", "deposit").StatusCode)
+	}
+	require.Equal(t, int64(1), pausing.arrived.Load())
+}
+
+// TestNoticesOfOthersDoNotCount has another instance at the same address answer, and a late
+// answer to another request come first.
+func TestNoticesOfOthersDoNotCount(t *testing.T) {
+	h := newHarness(t)
+	var count atomic.Int64
+	server := newFakeServer(t, "a", func(r *received) {
+		if count.Add(1) == 1 {
+			r.write("HTTP/1.1 503 X\r\nId: other\r\nLeaving: 1\r\nPause: 60000\r\nContent-Length: 0\r\n\r\n")
+		}
+		r.ok("done")
+	})
+	h.ledger(server)
+	for range 3 {
+		require.Equal(t, 200, h.send("GET", "/read/1", "").StatusCode)
+	}
+	moved := newHarness(t)
+	moved.ledger(newFakeServer(t, "b", func(r *received) { r.status(421, "Leaving: 1\r\nPause: 60000\r\n") }))
+	moved.send("GET", "/read/1", "")
+	require.NotContains(t, moved.logs.String(), "Server leaves")
+	require.NotContains(t, moved.logs.String(), "asks for a pause")
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -13,6 +13,7 @@
 	"github.com/crocusway/crocusway/internal/crashes"
 	"github.com/crocusway/crocusway/internal/inflight"
 	"github.com/crocusway/crocusway/internal/logging"
+	"github.com/crocusway/crocusway/internal/placement"
 )
 
 // Server handles the callers' requests of a pass-through entry. It is safe for
@@ -26,6 +27,7 @@
 	reporter    *reporter
 	crashes     *crashes.Table
 	links       *linkTable
+	notices     *placement.Notices
 	trials      trialClock
 	// answers bounds the answers that are being read.
 	answers byteBudget
@@ -42,6 +44,7 @@
 		trials:  trialClock{next: make(map[string]time.Time)},
 		answers: byteBudget{limit: maxBufferedAnswers},
 		links:   newLinkTable(),
+		notices: placement.NewNotices(),
 	}
 	var err error
 	if s.instruments, err = newInstruments(cfg.Meter); err != nil {
--- a/internal/ingress/targets.go
+++ b/internal/ingress/targets.go
@@ -164,7 +164,7 @@
 	name := poolName(service, model)
 	pool := s.state.pools[name]
 	if pool == nil {
-		pool = placement.NewPool(name, s.cfg.Self.Domain, time.Now)
+		pool = placement.NewPool(name, s.cfg.Self.Domain, time.Now, s.notices)
 		s.state.pools[name] = pool
 		s.state.servicePools[service.Name] = append(s.state.servicePools[service.Name], pool)
 	}
@@ -218,11 +218,13 @@
 		ID:         string(g.ID),
 		Generation: uint64(g.Fencing),
 		Instance:   g.Members[0],
-		Address:    g.Address,
-		Domain:     g.Domain,
-		Slots:      service.Engine.Slots,
-		Cold:       !g.Warm || s.returnedRecently(service, g.Domain),
-		ColdRate:   service.ColdRate,
+
+		Incarnation: g.HeadIncarnation,
+		Address:     g.Address,
+		Domain:      g.Domain,
+		Slots:       service.Engine.Slots,
+		Cold:        !g.Warm || s.returnedRecently(service, g.Domain),
+		ColdRate:    service.ColdRate,
 	}
 	for _, m := range service.Engine.Models {
 		if m.Name == g.Model {
@@ -237,11 +239,13 @@
 		ID:         string(server.Host),
 		Generation: uint64(server.Incarnation),
 		Instance:   server.Host,
-		Address:    server.Address,
-		Domain:     server.Domain,
-		Slots:      server.Slots,
-		Cold:       !server.Warm || s.returnedRecently(service, server.Domain),
-		ColdRate:   service.ColdRate,
+
+		Incarnation: server.Incarnation,
+		Address:     server.Address,
+		Domain:      server.Domain,
+		Slots:       server.Slots,
+		Cold:        !server.Warm || s.returnedRecently(service, server.Domain),
+		ColdRate:    service.ColdRate,
 	}
 }
 
--- a/internal/placement/filters.go
+++ b/internal/placement/filters.go
@@ -27,6 +27,8 @@
 var filters = []filter{
 	{"closed", isOpen},
 	{"excluded", notExcluded},
+	{"leaving", isStaying},
+	{"paused", isUnpaused},
 	{"suspected", notSuspected},
 	{"busy", hasSlot},
 	{"slow", isInTime},
--- a/internal/placement/limit_test.go
+++ b/internal/placement/limit_test.go
@@ -54,7 +54,7 @@
 func (p *limitedPlay) restart(entry int) {
 	server := replica("a")
 	server.Slots = 1000
-	pool := NewPool("m", "a", p.clock.Now)
+	pool := NewPool("m", "a", p.clock.Now, NewNotices())
 	pool.Update([]Target{server}, nil, Entries{Self: p.entries[entry].ID, Live: p.entries})
 	p.pools[entry] = pool
 }
--- a/internal/placement/main_test.go
+++ b/internal/placement/main_test.go
@@ -33,7 +33,7 @@
 // enginePool returns a pool of replicas on a fake clock.
 func enginePool(ids ...string) (*Pool, *fakeTime) {
 	clock := newFakeTime()
-	p := NewPool("scribe/m", "a", clock.Now)
+	p := NewPool("scribe/m", "a", clock.Now, NewNotices())
 	targets := make([]Target, 0, len(ids))
 	for _, id := range ids {
 		targets = append(targets, replica(id))
--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -67,7 +67,7 @@
 	r := &simRequest{demand: d, arrived: sim.now, id: strconv.Itoa(len(sim.all))}
 	sim.all = append(sim.all, r)
 	sim.byID[r.id] = r
-	w, placement, err := sim.pool.placeOrEnqueue(&r.demand)
+	w, placement, err := sim.pool.placeOrEnqueue(&r.demand, sim.pool.now())
 	switch {
 	case err != nil:
 		sim.refused++
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -19,6 +19,8 @@
 	name   string
 	domain api.FailureDomain
 	now    func() time.Time
+	// notices may be nil.
+	notices *Notices
 
 	mu      sync.Mutex
 	profile *api.EngineProfile
@@ -30,9 +32,9 @@
 }
 
 // NewPool returns a pool without targets. domain is the failure domain of this entry,
-// now a monotonic clock.
-func NewPool(name string, domain api.FailureDomain, now func() time.Time) *Pool {
-	return &Pool{name: name, domain: domain, now: now, entries: 1, targets: make(map[string]*targetState)}
+// now a monotonic clock, and notices are those of all pools.
+func NewPool(name string, domain api.FailureDomain, now func() time.Time, notices *Notices) *Pool {
+	return &Pool{name: name, domain: domain, now: now, notices: notices, entries: 1, targets: make(map[string]*targetState)}
 }
 
 // Name returns the name of the service, or of the service and model.
@@ -96,7 +98,21 @@
 // served afterwards. Otherwise it fails with errs.Full and a retry hint, with
 // errs.Unavailable if no open target is left, or with errs.Timeout if ctx ends.
 func (p *Pool) Acquire(ctx context.Context, d Demand) (*Placement, error) {
-	w, placement, err := p.placeOrEnqueue(&d)
+	began := p.now()
+	for {
+		placement, err := p.acquire(ctx, d, began)
+		if placement == startAgain {
+			continue
+		}
+		if placement != nil {
+			placement.Waited = p.now().Sub(began)
+		}
+		return placement, err
+	}
+}
+
+func (p *Pool) acquire(ctx context.Context, d Demand, since time.Time) (*Placement, error) {
+	w, placement, err := p.placeOrEnqueue(&d, since)
 	if w == nil {
 		return placement, err
 	}
@@ -118,10 +134,11 @@
 		return nil, err
 	}
 	if ctx.Err() != nil {
-		p.Release(placement)
+		if placement != startAgain {
+			p.Release(placement)
+		}
 		return nil, errs.New(errs.Timeout, "wait for placement", "", "the request ended: %w", ctx.Err())
 	}
-	placement.Waited = p.now().Sub(w.since)
 	return placement, nil
 }
 
@@ -132,8 +149,9 @@
 	return p.fullError("no slot became free in time")
 }
 
-// placeOrEnqueue places the request at once, or adds it to the queue.
-func (p *Pool) placeOrEnqueue(d *Demand) (*waiter, *Placement, error) {
+// placeOrEnqueue places the request at once, or adds it to the queue, in which it has waited
+// since the given time.
+func (p *Pool) placeOrEnqueue(d *Demand, since time.Time) (*waiter, *Placement, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.waiting) == 0 || d.Begun {
@@ -145,10 +163,15 @@
 		return nil, nil, p.unavailableError("no target can take the request")
 	}
 	until := p.latestStart(d)
+	if wait := p.pausedWait(d, p.now()); p.now().Add(wait).After(until) {
+		err := p.fullError("every target has asked for a pause")
+		err.RetryAfterMillis = (wait + rand.N(maxRetryHint)).Milliseconds()
+		return nil, nil, err
+	}
 	if wait := p.expectedWait(); p.now().Add(wait).After(until) {
 		return nil, nil, p.fullError("the expected wait exceeds the remaining time")
 	}
-	w := &waiter{demand: d, since: p.now(), startBy: p.startBy(d), expires: until, placed: make(chan *Placement, 1)}
+	w := &waiter{demand: d, since: since, startBy: p.startBy(d), expires: until, placed: make(chan *Placement, 1)}
 	at, _ := slices.BinarySearchFunc(p.waiting, w, compareWaiters)
 	p.waiting = slices.Insert(p.waiting, at, w)
 	return w, nil, nil
@@ -183,17 +206,21 @@
 	return <-w.placed
 }
 
-// hasAlternative reports whether an open target is left that the request does not
-// exclude.
+// hasAlternative reports whether a target is left that may take the request sooner or later.
 func (p *Pool) hasAlternative(d *Demand) bool {
-	for id, s := range p.targets {
-		if !s.Closed && !slices.Contains(d.Exclude, id) {
+	for _, s := range p.targets {
+		if p.isAlternative(s, d) {
 			return true
 		}
 	}
 	return false
 }
 
+// isAlternative reports whether a target is open, does not leave and is not excluded.
+func (p *Pool) isAlternative(s *targetState, d *Demand) bool {
+	return !s.Closed && !slices.Contains(d.Exclude, s.ID) && !p.notices.of(&s.Target).leaving
+}
+
 // minServiceTime is the least time that a request needs on a target.
 const minServiceTime = 20 * time.Millisecond
 
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -16,7 +16,7 @@
 // place gets a placement without waiting.
 func place(t *testing.T, p *Pool, d Demand) *Placement {
 	t.Helper()
-	w, placement, err := p.placeOrEnqueue(&d)
+	w, placement, err := p.placeOrEnqueue(&d, p.now())
 	require.NoError(t, err)
 	require.Nil(t, w, "a slot is free")
 	return placement
@@ -130,7 +130,7 @@
 	cold := replica("a")
 	cold.Slots, cold.Cold, cold.ColdRate = 1000, true, float64(rate)
 	for _, self := range manyEntries(entries) {
-		p := NewPool("m", "a", clock.Now)
+		p := NewPool("m", "a", clock.Now, NewNotices())
 		p.Update([]Target{cold}, profile(), Entries{Self: self.ID, Live: manyEntries(entries)})
 		pools = append(pools, p)
 	}
@@ -173,7 +173,7 @@
 // TestPoolChangesWhileRequestsWait replaces the targets and the profile while requests
 // queue; it is meant for the race detector.
 func TestPoolChangesWhileRequestsWait(*testing.T) {
-	p := NewPool("m", "a", time.Now)
+	p := NewPool("m", "a", time.Now, NewNotices())
 	busy := replica("a")
 	busy.Slots = 1
 	p.Update([]Target{busy}, profile(), Entries{})
@@ -214,7 +214,7 @@
 	t.Helper()
 	out := make([]*waiter, 0, len(demands))
 	for i := range demands {
-		w, placement, err := p.placeOrEnqueue(&demands[i])
+		w, placement, err := p.placeOrEnqueue(&demands[i], p.now())
 		require.NoError(t, err)
 		require.Nil(t, placement)
 		out = append(out, w)
@@ -253,7 +253,7 @@
 	p, clock := enginePool("a")
 	d := clock.demand(10)
 	d.Exclude = []string{"a"}
-	_, _, err := p.placeOrEnqueue(&d)
+	_, _, err := p.placeOrEnqueue(&d, p.now())
 	require.Equal(t, errs.Unavailable, errs.CodeOf(err), "no target is left")
 	for range 4 {
 		place(t, p, clock.demand(10))
@@ -262,7 +262,7 @@
 	refused := false
 	for range 20 {
 		d := clock.demand(10)
-		w, _, err := p.placeOrEnqueue(&d)
+		w, _, err := p.placeOrEnqueue(&d, p.now())
 		if refused = w == nil; refused {
 			require.Equal(t, errs.Full, errs.CodeOf(err))
 			require.GreaterOrEqual(t, errs.RetryAfterOf(err), minRetryHint.Milliseconds())
@@ -325,7 +325,7 @@
 // others from sound servers, and against control that dissolves sound replicas.
 func TestSuspicionsOfCutEntryStayThere(t *testing.T) {
 	clock := newFakeTime()
-	p := NewPool("m", "cairo", clock.Now)
+	p := NewPool("m", "cairo", clock.Now, NewNotices())
 	p.Update([]Target{{ID: "a", Slots: 4}}, nil, Entries{})
 	pl := place(t, p, Demand{Deadline: clock.now.Add(time.Minute)})
 	clock.advance(2 * StallTimeout)
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -13,10 +13,11 @@
 	ID string
 	// Generation is the fencing number of the group or the incarnation of the host.
 	Generation uint64
-	// Instance is the host that takes the requests.
-	Instance api.HostID
-	Address  string
-	Domain   api.FailureDomain
+	// Instance is the host that takes the requests, in its life Incarnation.
+	Instance    api.HostID
+	Incarnation api.Incarnation
+	Address     string
+	Domain      api.FailureDomain
 	// Slots is the number of requests that it runs at once, 0 if unknown.
 	Slots int
 	// Closed targets finish their requests and take no new ones.
