A panic in one call no longer ends the process

Operators of similar systems saw one malformed message end a whole process. No input is known that panics.

The tests end the process on the code before (peer), or the test run (stream).

--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -61,6 +61,9 @@
 }
 
 func (testDialect) DecodeAnswer(h *fasthttp.ResponseHeader) Answer {
+	if len(h.Peek("Panic")) > 0 {
+		panic("the dialect fails")
+	}
 	pause, _ := strconv.Atoi(string(h.Peek("Pause")))
 	return Answer{
 		Leaving: len(h.Peek("Leaving")) > 0, Pause: time.Duration(pause) * time.Millisecond,
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -86,8 +86,16 @@
 	return nil
 }
 
-// Read implements io.Reader.
-func (r *relay) Read(p []byte) (int, error) {
+// Read implements io.Reader. The HTTP library calls it after the handler has returned, so
+// that a panic would end the process.
+func (r *relay) Read(p []byte) (n int, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			r.logPanic(r.call, cause)
+			r.endErr = errors.Newf("the entry failed: %v", cause)
+			n, err = 0, r.endErr
+		}
+	}()
 	for r.offset == len(r.out) {
 		if r.endErr != nil {
 			return 0, r.endErr
@@ -97,7 +105,7 @@
 			r.endErr = err
 		}
 	}
-	n := copy(p, r.out[r.offset:])
+	n = copy(p, r.out[r.offset:])
 	r.offset += n
 	return n, nil
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -144,10 +144,14 @@
 	if cause == nil {
 		return
 	}
-	level.Error(s.logger).Log("msg", "Panic in request path", "request", c.head.ID, "cause", cause, "stack", string(debug.Stack()))
+	s.logPanic(c, cause)
 	s.finish(c, &refusal{status: fasthttp.StatusBadGateway, code: "internal", message: "the entry failed"})
 }
 
+func (s *Server) logPanic(c *call, cause any) {
+	level.Error(s.logger).Log("msg", "Panic in request path", "request", c.head.ID, "cause", cause, "stack", string(debug.Stack()))
+}
+
 // finish refuses a call for which no server's answer is forwarded.
 func (s *Server) finish(c *call, err error) {
 	c.cause = err
--- a/internal/ingress/stream_test.go
+++ b/internal/ingress/stream_test.go
@@ -246,3 +246,16 @@
 	require.True(t, pl.Target.Cold)
 	require.False(t, pool.HasOther(&placement.Demand{}), "the cold rate of one request a second is used up")
 }
+
+// TestPanicWhileStreamResumesEndsOnlyTheStream guards against one answer that ends the process.
+func TestPanicWhileStreamResumesEndsOnlyTheStream(t *testing.T) {
+	h := newHarness(t)
+	bad := newFakeServer(t, "a-bad", func(r *received) { r.beginStream(); r.events(3); _ = r.conn.Close() })
+	good := newFakeServer(t, "b-good", func(r *received) { r.status(200, "Panic: 1\r\n") })
+	h.scribe(bad, good)
+	h.loadGoodReplica()
+	_, whole := text(h.send("POST", "/draft/1", "prompt"))
+	require.False(t, whole)
+	require.Eventually(t, func() bool { return h.server.Active() == 0 }, waitFor, time.Millisecond)
+	require.Contains(t, h.logs.String(), "Panic in request path")
+}
--- a/internal/peer/contract_test.go
+++ b/internal/peer/contract_test.go
@@ -402,3 +402,15 @@
 		return n.Notify(s.addr(), "test.note", echo{Text: text}) == nil
 	}, waitFor, pollInterval)
 }
+
+// TestPanicOfHandlerEndsOnlyItsCall guards against one call or notification that ends the
+// process.
+func TestPanicOfHandlerEndsOnlyItsCall(t *testing.T) {
+	a, b := startNode(t, nil), startNode(t, nil)
+	b.Handle("test.panic", func(context.Context, json.RawMessage) (any, error) { panic("broken") })
+	err := a.Call(t.Context(), b.Addr(), "test.panic", echo{}, nil)
+	require.Equal(t, errs.Internal, errs.CodeOf(err), "%v", err)
+	require.NoError(t, a.Notify(b.Addr(), "test.panic", echo{}))
+	require.NoError(t, a.Call(t.Context(), b.Addr(), methodEcho, echo{}, nil))
+	require.Equal(t, int64(1), a.Stats().Dials)
+}
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
@@ -134,13 +135,25 @@
 	if m.request.Params != nil {
 		params = *m.request.Params
 	}
-	result, err := h(ctx, params)
+	result, err := l.runHandler(ctx, h, m.request.Method, params)
 	if ctx.Err() != nil {
 		err = mapContextError(err)
 	}
 	return result, err
 }
 
+// runHandler turns a panic of a handler into an error, so that one call can't end the
+// process.
+func (l *link) runHandler(ctx context.Context, h Handler, method string, params json.RawMessage) (result any, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			_ = level.Error(l.node.logger).Log("msg", "Panic in handler", "method", method, "peer", l.remote, "cause", cause, "stack", string(debug.Stack()))
+			result, err = nil, errs.New(errs.Internal, stepCall, "", "the handler of %s failed", method)
+		}
+	}()
+	return h(ctx, params)
+}
+
 // mapContextError turns an uncoded context error of a handler into errs.Timeout: as
 // with a lost link, the outcome of the call is unknown. Other codes are kept.
 func mapContextError(err error) error {
