--- a/internal/ingress/cut_test.go
+++ b/internal/ingress/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -165,7 +166,7 @@
 func newEntryGroup(t *testing.T, n int, servers func(h *harness, through func(*fakeServer) *fakeServer)) *entryGroup {
 	t.Helper()
 	g := &entryGroup{}
-	var infos []api.EntryInfo
+	infos := make([]api.EntryInfo, 0, n)
 	for i := range n {
 		info := api.EntryInfo{ID: api.EntryID("e" + string(rune('1'+i))), Incarnation: 1, Domain: "cairo", Live: true}
 		links := newServerLinks(t)
@@ -191,13 +192,18 @@
 
 func serveDone(r *received) { r.ok("done") }
 
+// threeOfEach returns three servers of each service, which answer at once.
+func threeOfEach(t *testing.T) (ledgers, scribes [3]*fakeServer) {
+	for i := range ledgers {
+		ledgers[i] = newFakeServer(t, fmt.Sprintf("l%d", i), serveDone)
+		scribes[i] = newFakeServer(t, fmt.Sprintf("s%d", i), serveEvents(3))
+	}
+	return ledgers, scribes
+}
+
 // sound are three servers of each service, which answer at once.
 func sound(t *testing.T) func(*harness, func(*fakeServer) *fakeServer) {
-	var ledgers, scribes []*fakeServer
-	for _, name := range []string{"1", "2", "3"} {
-		ledgers = append(ledgers, newFakeServer(t, "l"+name, serveDone))
-		scribes = append(scribes, newFakeServer(t, "s"+name, serveEvents(3)))
-	}
+	ledgers, scribes := threeOfEach(t)
 	return func(h *harness, through func(*fakeServer) *fakeServer) {
 		for i := range ledgers {
 			h.ledger(through(ledgers[i]))
@@ -269,11 +275,7 @@
 // TestServiceOutOfReachIsServedByAnother guards against an entry that fails the requests for
 // one service, of which it reaches no server, while it reaches those of others.
 func TestServiceOutOfReachIsServedByAnother(t *testing.T) {
-	var ledgers, scribes []*fakeServer
-	for _, name := range []string{"1", "2", "3"} {
-		ledgers = append(ledgers, newFakeServer(t, "l"+name, serveDone))
-		scribes = append(scribes, newFakeServer(t, "s"+name, serveEvents(3)))
-	}
+	ledgers, scribes := threeOfEach(t)
 	others := newServerLinks(t)
 	g := newEntryGroup(t, 2, func(h *harness, through func(*fakeServer) *fakeServer) {
 		for i := range ledgers {
--- a/internal/ingress/forward_test.go
+++ b/internal/ingress/forward_test.go
@@ -292,7 +292,8 @@
 func TestForwardsSpreadOverEntries(t *testing.T) {
 	f, now := newForwardTable(), time.Now()
 	self := api.EntryInfo{ID: "self", Domain: "a", Live: true}
-	entries := []api.EntryInfo{self}
+	entries := make([]api.EntryInfo, 0, 7)
+	entries = append(entries, self)
 	for i := range 6 {
 		entries = append(entries, api.EntryInfo{
 			ID: api.EntryID(fmt.Sprintf("e%d", i)), Domain: api.FailureDomain("ab"[i%2 : i%2+1]), Live: i != 4, Leaving: i == 5, ForwardAddress: "x",
@@ -316,7 +317,7 @@
 func TestConvergenceOnEntriesWithLinks(t *testing.T) {
 	f, now := newForwardTable(), time.Now()
 	self := api.EntryInfo{ID: "self", Domain: "a", Live: true}
-	var entries []api.EntryInfo
+	entries := make([]api.EntryInfo, 0, 330)
 	for i := range 330 {
 		entries = append(entries, api.EntryInfo{ID: api.EntryID(fmt.Sprintf("e%03d", i)), Domain: api.FailureDomain(fmt.Sprint(i % 11)), Live: true, ForwardAddress: "x"})
 	}
--- a/internal/placement/notice_test.go
+++ b/internal/placement/notice_test.go
@@ -16,14 +16,15 @@
 func noticedPool(clock *fakeTime) (*Pool, *Notices) {
 	notices := NewNotices()
 	p := NewPool("ledger", "cairo", clock.Now, notices)
-	p.Update(lives(1, 1), nil, Entries{})
+	p.Update(lives(1), nil, Entries{})
 	return p, notices
 }
 
-func lives(a, b api.Incarnation) []Target {
+// lives returns both servers, a in the given life.
+func lives(a api.Incarnation) []Target {
 	return []Target{
 		{ID: "a", Instance: "a", Incarnation: a, Generation: uint64(a), Slots: 4},
-		{ID: "b", Instance: "b", Incarnation: b, Generation: uint64(b), Slots: 4},
+		{ID: "b", Instance: "b", Incarnation: 1, Generation: 1, Slots: 4},
 	}
 }
 
@@ -48,16 +49,16 @@
 	require.True(t, notices.RecordLeaving("a", 1, clock.now))
 	require.False(t, notices.RecordLeaving("a", 1, clock.now))
 	require.Equal(t, map[string]int{"b": 20}, chosen(t, p, clock, 20))
-	p.Update(lives(1, 1), nil, Entries{})
+	p.Update(lives(1), nil, Entries{})
 	clock.advance(time.Hour)
 	require.Equal(t, map[string]int{"b": 20}, chosen(t, p, clock, 20), "an older view, an hour later")
 
-	other := lives(1, 1)
+	other := lives(1)
 	other[0].ID, other[0].Generation = "another group with the same head", 9
 	p.Update(other, nil, Entries{})
 	require.Equal(t, map[string]int{"b": 20}, chosen(t, p, clock, 20))
 
-	p.Update(lives(2, 1), nil, Entries{})
+	p.Update(lives(2), nil, Entries{})
 	require.Positive(t, chosen(t, p, clock, 40)["a"], "a new life is a new server")
 	require.False(t, notices.RecordLeaving("a", 0, clock.now), "a late answer of an older life")
 }
@@ -118,7 +119,7 @@
 // for a pause that is too long for it.
 func TestQueueMovesOnWhenLastServerPauses(t *testing.T) {
 	p := NewPool("ledger", "cairo", time.Now, NewNotices())
-	p.Update(lives(1, 1), nil, Entries{})
+	p.Update(lives(1), nil, Entries{})
 	for range 8 {
 		_, err := p.Acquire(t.Context(), Demand{Deadline: time.Now().Add(time.Second)})
 		require.NoError(t, err)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -56,17 +55,6 @@
 	begun  bool
 }
 
-// waiter is a request that waits for a slot.
-type waiter struct {
-	demand *Demand
-	since  time.Time
-	// startBy is the latest time of placement for a first event on time.
-	startBy time.Time
-	// expires is when a slot is of no more use.
-	expires time.Time
-	placed  chan *Placement
-}
-
 // Update replaces the targets, and the entries that share them. Targets that stay keep
 // their work in progress; one with a new generation starts without any.
 func (p *Pool) Update(targets []Target, profile *api.EngineProfile, entries Entries) {
@@ -94,118 +82,6 @@
 	return len(p.targets)
 }
 
-// Acquire returns a placement, waiting for one as long as the request can still be
-// served afterwards. Otherwise it fails with errs.Full and a retry hint, with
-// errs.Unavailable if no open target is left, or with errs.Timeout if ctx ends.
-func (p *Pool) Acquire(ctx context.Context, d Demand) (*Placement, error) {
-	began := p.now()
-	for {
-		placement, err := p.acquire(ctx, d, began)
-		if placement == startAgain {
-			continue
-		}
-		if placement != nil {
-			placement.Waited = p.now().Sub(began)
-		}
-		return placement, err
-	}
-}
-
-func (p *Pool) acquire(ctx context.Context, d Demand, since time.Time) (*Placement, error) {
-	w, placement, err := p.placeOrEnqueue(&d, since)
-	if w == nil {
-		return placement, err
-	}
-	limit := time.NewTimer(w.expires.Sub(p.now()))
-	defer limit.Stop()
-	select {
-	case placement = <-w.placed:
-	case <-ctx.Done():
-		placement, err = p.dequeue(w), errs.New(errs.Timeout, "wait for placement", "", "the request ended: %w", ctx.Err())
-	case <-limit.C:
-		if placement = p.dequeue(w); placement == nil {
-			err = p.waitExpired()
-		}
-	}
-	if placement == nil {
-		if err == nil {
-			err = errs.New(errs.Unavailable, "wait for placement", p.name, "the wait was interrupted")
-		}
-		return nil, err
-	}
-	if ctx.Err() != nil {
-		if placement != startAgain {
-			p.Release(placement)
-		}
-		return nil, errs.New(errs.Timeout, "wait for placement", "", "the request ended: %w", ctx.Err())
-	}
-	return placement, nil
-}
-
-// waitExpired is the error of a request whose wait for a slot timed out.
-func (p *Pool) waitExpired() error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.fullError("no slot became free in time")
-}
-
-// placeOrEnqueue places the request at once, or adds it to the queue, in which it has waited
-// since the given time.
-func (p *Pool) placeOrEnqueue(d *Demand, since time.Time) (*waiter, *Placement, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.waiting) == 0 || d.Begun {
-		if placement := p.place(d); placement != nil {
-			return nil, placement, nil
-		}
-	}
-	if !p.hasAlternative(d) {
-		return nil, nil, p.unavailableError("no target can take the request")
-	}
-	until := p.latestStart(d)
-	if wait := p.pausedWait(d, p.now()); p.now().Add(wait).After(until) {
-		err := p.fullError("every target has asked for a pause")
-		err.RetryAfterMillis = (wait + rand.N(maxRetryHint)).Milliseconds()
-		return nil, nil, err
-	}
-	if wait := p.expectedWait(); p.now().Add(wait).After(until) {
-		return nil, nil, p.fullError("the expected wait exceeds the remaining time")
-	}
-	w := &waiter{demand: d, since: since, startBy: p.startBy(d), expires: until, placed: make(chan *Placement, 1)}
-	at, _ := slices.BinarySearchFunc(p.waiting, w, compareWaiters)
-	p.waiting = slices.Insert(p.waiting, at, w)
-	return w, nil, nil
-}
-
-// compareWaiters orders begun requests first, then by urgency, then by waiting time.
-func compareWaiters(a, b *waiter) int {
-	switch {
-	case a.demand.Begun != b.demand.Begun:
-		if a.demand.Begun {
-			return -1
-		}
-		return 1
-	case a.demand.Urgency != b.demand.Urgency:
-		return a.demand.Urgency - b.demand.Urgency
-	}
-	if a.since.After(b.since) {
-		return 1
-	}
-	return -1
-}
-
-// dequeue removes a waiter from the queue. It returns the placement that the waiter got
-// meanwhile, if any.
-func (p *Pool) dequeue(w *waiter) *Placement {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if i := slices.Index(p.waiting, w); i >= 0 {
-		p.waiting = slices.Delete(p.waiting, i, i+1)
-		return nil
-	}
-	return <-w.placed
-}
-
 // hasAlternative reports whether a target is left that may take the request sooner or later.
 func (p *Pool) hasAlternative(d *Demand) bool {
 	for _, s := range p.targets {
@@ -350,41 +226,6 @@
 	return score + rand.N(scoreJitter), expected
 }
 
-// placeWaiting places waiting requests as far as possible, those first that can still
-// be on time: a late one stays late in any case, and would make those behind it late
-// too. The lock is held.
-func (p *Pool) placeWaiting() {
-	now := p.now()
-	onTime := func(w *waiter) bool { return w.demand.Begun || now.Before(w.startBy) }
-	p.placeMatching(onTime)
-	p.placeMatching(func(w *waiter) bool { return !onTime(w) })
-}
-
-func (p *Pool) placeMatching(wanted func(*waiter) bool) {
-	kept := p.waiting[:0]
-	for _, w := range p.waiting {
-		if !wanted(w) {
-			kept = append(kept, w)
-			continue
-		}
-		if placement := p.place(w.demand); placement != nil {
-			w.placed <- placement
-			continue
-		}
-		kept = append(kept, w)
-	}
-	clear(p.waiting[len(kept):])
-	p.waiting = kept
-}
-
-// PlaceWaiting places waiting requests after time has passed: cold and suspected
-// targets accept requests again without any other event.
-func (p *Pool) PlaceWaiting() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.placeWaiting()
-}
-
 // RecordFirstEvent records that the first event of a request has arrived, so that its
 // prompt is processed.
 func (p *Pool) RecordFirstEvent(pl *Placement) {
@@ -464,16 +305,6 @@
 	p.placeWaiting()
 }
 
-// Interrupt ends the waits of all queued requests with errs.Unavailable.
-func (p *Pool) Interrupt() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, w := range p.waiting {
-		w.placed <- nil
-	}
-	p.waiting = nil
-}
-
 // Silence returns for how long nothing has arrived from a target on which this entry
 // has requests, and whether the target is gone: control has dissolved it, and nothing
 // more will arrive.
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -15,7 +15,7 @@
 
 // fleet returns servers in three failure domains.
 func fleet(n int) []Server {
-	var out []Server
+	out := make([]Server, 0, n)
 	for i := range n {
 		out = append(out, Server{Address: fmt.Sprintf("s%d", i), Domain: api.FailureDomain(fmt.Sprintf("d%d", i%3))})
 	}
