ingress: a caller that leaves or times out blames no other entry

A forwarded request that ended with its caller or its deadline, before the answer began, put the entry behind it last for 1.5 s, as if it could not be reached: with few entries their load became uneven. TestLeavingCallerBlamesNoEntry fails without the change.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -304,7 +304,8 @@
 
 // afterForwardFailure keeps further requests off an entry that could not take one.
 func (s *Server) afterForwardFailure(c *call, failed *attemptError) {
-	if failed.unsent || failed.stalled || c.viaRuns == 0 {
+	isUnavailable := failed.unsent || failed.stalled || c.viaRuns == 0
+	if isUnavailable && c.ctx.Err() == nil {
 		c.links.forwards.avoid(c.via.ID, time.Now().Add(avoidDuration))
 	}
 	if failed.ran && c.viaRuns == 0 {
--- a/internal/ingress/forward_test.go
+++ b/internal/ingress/forward_test.go
@@ -343,3 +343,17 @@
 	}
 	require.LessOrEqual(t, failed, 6, "of 300 requests")
 }
+
+// TestLeavingCallerBlamesNoEntry has a caller leave before the answer: the second entry still
+// gets the next requests.
+func TestLeavingCallerBlamesNoEntry(t *testing.T) {
+	scribe := newFakeServer(t, "s1", hang)
+	g := cutFirst(t, 2, oneOfEach(newFakeServer(t, "l1", serveDone), scribe))
+	first := g.entries[0].server
+	res := g.entries[0].send("POST", "/draft/1", "prompt", "Deadline", "100")
+	require.Equal(t, 504, res.StatusCode)
+	forwards := first.links.service("scribe").forwards
+	forwards.mu.Lock()
+	defer forwards.mu.Unlock()
+	require.Zero(t, forwards.state(g.entries[1].server.cfg.Self.ID).avoidUntil)
+}
