reach: the list of servers is taken without the tracker's lock

Callers of an entry that loses its links could get no answer from it any more, for good: the loop that starts probes held the tracker's lock while it listed the servers, which takes the lock of each pool; progress reports hold the lock of a pool while they ask the tracker whether the links work. Both waited for each other, and every request of the entry behind them.

Now the list is taken between two short holds of the lock. The new test fails without the change in each run, as its list asks the tracker itself.

--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -138,17 +138,17 @@
 
 // Due returns the servers to probe now; the caller reports each result to Probed. list
 // returns all servers, and waiting is the number of those on which requests have waited for
-// SilenceBound without a byte.
+// SilenceBound without a byte. One goroutine at a time may call it.
 func (t *Tracker) Due(list func() []Server, waiting int, now time.Time) []Server {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	suspects := t.suspects(waiting, now)
-	if t.round != nil || now.Sub(t.roundAt) < probeInterval || !t.lost && suspects == 0 {
+	if !t.mayProbe(waiting, now) {
 		return nil
 	}
+	// The list takes the locks of pools, whose holders ask for the state of the links.
 	servers := list()
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.retain(servers)
-	if len(servers) == 0 || !t.lost && suspects < min(suspectServers, len(servers)) {
+	if len(servers) == 0 || !t.lost && t.suspects(waiting, now) < min(suspectServers, len(servers)) {
 		return nil
 	}
 	chosen := t.choose(servers)
@@ -159,6 +159,16 @@
 	return chosen
 }
 
+// mayProbe reports whether a round may begin, and anything suggests that it should.
+func (t *Tracker) mayProbe(waiting int, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.round != nil || now.Sub(t.roundAt) < probeInterval {
+		return false
+	}
+	return t.lost || t.suspects(waiting, now) > 0
+}
+
 // suspects returns the number of servers whose failure suggests that the links are lost. The
 // lock is held.
 func (t *Tracker) suspects(waiting int, now time.Time) int {
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -213,3 +213,24 @@
 		}
 	})
 }
+
+// TestEntryDoesNotFreezeWhileServersAreListed guards against an entry that stops answering for
+// good: the list takes the lock of a pool, which reports ask for the state of the links.
+func TestEntryDoesNotFreezeWhileServersAreListed(t *testing.T) {
+	tr, servers := NewTracker(), fleet(3)
+	tr.Dialed("s0", false, start)
+	tr.Dialed("s1", false, start)
+	due := make(chan []Server, 1)
+	go func() {
+		due <- tr.Due(func() []Server {
+			_ = tr.LinksShownSince(start, false)
+			return servers
+		}, 0, start)
+	}()
+	select {
+	case chosen := <-due:
+		require.Len(t, chosen, 3)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the tracker holds its lock while the servers are listed")
+	}
+}
