backend: a request at its deadline waits for its context

An entry spun for minutes and served nobody: a request whose deadline passes gets a timeout from its read, while the timer of its context has fired but not yet run. The wait then reported "nothing arrived", the request path asked again with the same past deadline, and so on without ever blocking; with one processor the timer's goroutine gets no turn until the scheduler preempts the loop. On a host with one core it is up to 10 ms of full load for each request that reaches its deadline.

Now a read that ends at the deadline of its context waits for the context, whose timer is due. The new test holds the timer back for 100 ms; before, the wait returned at once.

--- a/internal/backend/forward.go
+++ b/internal/backend/forward.go
@@ -335,11 +335,17 @@
 	if e.conn.reader.Buffered() >= n {
 		return nil
 	}
-	if deadline, ok := e.ctx.Deadline(); ok && deadline.Before(until) {
+	deadline, limited := e.ctx.Deadline()
+	if limited = limited && deadline.Before(until); limited {
 		until = deadline
 	}
 	_ = e.conn.SetReadDeadline(until)
 	_, err := e.conn.reader.Peek(n)
+	if limited && isTimeout(err) {
+		// The timer of the context is due. Without this wait, a caller that tries again
+		// would keep the only processor from running it.
+		<-e.ctx.Done()
+	}
 	switch {
 	case err == nil:
 		return nil
@@ -358,11 +364,10 @@
 	return failure(step, e.request.Address, true, e.cause(err))
 }
 
-// cause puts the error of the context first if the end of the context closed the
-// connection.
+// cause puts the error of the context first if that has ended, which closes the connection.
 func (e *Exchange) cause(err error) error {
-	if e.aborted.Load() {
-		return errors.CombineErrors(e.ctx.Err(), err)
+	if ended := e.ctx.Err(); ended != nil {
+		return errors.CombineErrors(ended, err)
 	}
 	return err
 }
--- a/internal/backend/forward_test.go
+++ b/internal/backend/forward_test.go
@@ -189,3 +189,27 @@
 		require.Equal(t, want, parseKeepAlive([]byte(value)), value)
 	}
 }
+
+// lateContext is a context whose deadline has passed and whose timer has yet to run.
+type lateContext struct {
+	context.Context
+	deadline time.Time
+}
+
+func (c lateContext) Deadline() (time.Time, bool) { return c.deadline, true }
+
+// TestForwardDoesNotSpinAtItsDeadline guards against a waiting request that keeps the
+// processor from the timer that ends it.
+func TestForwardDoesNotSpinAtItsDeadline(t *testing.T) {
+	server := startScriptedServer(t, func(int) string { return keepOpen })
+	ctx, cancel := context.WithCancel(t.Context())
+	late := lateContext{ctx, time.Now().Add(20 * time.Millisecond)}
+	e, err := newTestForwarder(t).Send(late, forwardTo(server.addr(), "r", ""))
+	require.NoError(t, err)
+	defer e.Close()
+	const timerDelay = 100 * time.Millisecond
+	began := time.Now()
+	time.AfterFunc(timerDelay, cancel)
+	require.NotErrorIs(t, e.AwaitHeader(time.Now().Add(time.Second)), ErrIdle)
+	require.GreaterOrEqual(t, time.Since(began), timerDelay)
+}
