backend: responses to others are limited by number, not only by bytes

A server that sends responses to others, or interim ones, cost an entry the parsing of some 20,000 headers (1 MiB) for one request before it was left: 0.4 s under the race detector, beside the other cases of the test. A sound server sends one or two; 32 are skipped now, the next one ends the attempt.

The limit is now a field of the server, and the test reads 1 MiB of it; that the entry leaves with 502 before the timeout of the route is required as before.

TestForwardLimitsSkippedResponses did not compile before the limit.

--- a/internal/backend/forward.go
+++ b/internal/backend/forward.go
@@ -83,10 +83,11 @@
 	body   bodyDecoder
 	// pending is the number of buffered bytes handed out by Next.
 	pending int
-	// skipping is set while Header is that of a response to another request, and skipped
-	// counts the bytes skipped so far.
-	skipping bool
-	skipped  int
+	// skipping is set while Header is that of a response to another request; skipped and
+	// skippedResponses count the bytes and the responses skipped so far.
+	skipping         bool
+	skipped          int
+	skippedResponses int
 	// writeResult receives the result of a concurrent write; nil if the request was
 	// written inline.
 	writeResult chan error
@@ -164,7 +165,7 @@
 
 // AwaitHeader reads the response header. It returns ErrIdle if it is not complete by
 // until; call it again to go on. Interim and late responses are skipped, up to
-// maxSkippedBytes. Bytes that are no response fail at once.
+// maxSkippedBytes and maxSkippedResponses. Bytes that are no response fail at once.
 func (e *Exchange) AwaitHeader(until time.Time) error {
 	for {
 		if e.skipping {
@@ -177,6 +178,9 @@
 		}
 		status := e.Header.StatusCode()
 		if status >= fasthttp.StatusContinue && status < fasthttp.StatusOK {
+			if err := e.countResponse(); err != nil {
+				return err
+			}
 			continue
 		}
 		e.body = newBodyDecoder(e.Header.ContentLength())
@@ -187,12 +191,20 @@
 			e.conn.keepAlive = parseKeepAlive(e.Header.Peek(fasthttp.HeaderKeepAlive))
 			return nil
 		}
+		if err := e.countResponse(); err != nil {
+			return err
+		}
 		e.skipping = true
 	}
 }
 
-// maxSkippedBytes limits what is skipped before the response of an exchange, in bytes.
-const maxSkippedBytes = 1 << 20
+const (
+	// maxSkippedBytes limits what is skipped before the response of an exchange, in bytes.
+	maxSkippedBytes = 1 << 20
+	// maxSkippedResponses limits the interim and late responses before it: each costs the
+	// time to parse a header, and a sound server sends few.
+	maxSkippedResponses = 32
+)
 
 var responsePrefix = []byte("HTTP/1.")
 
@@ -252,6 +264,14 @@
 	return nil
 }
 
+// countResponse counts an interim response, or one to another request.
+func (e *Exchange) countResponse() error {
+	if e.skippedResponses++; e.skippedResponses > maxSkippedResponses {
+		return e.fail("read header", errors.Wrapf(ErrWrongResponse, "over %d responses before the response", maxSkippedResponses))
+	}
+	return nil
+}
+
 // skipBody reads and drops the body of a response to another request.
 func (e *Exchange) skipBody(until time.Time) error {
 	for {
--- a/internal/backend/forward_test.go
+++ b/internal/backend/forward_test.go
@@ -213,3 +213,21 @@
 	require.NotErrorIs(t, e.AwaitHeader(time.Now().Add(time.Second)), ErrIdle)
 	require.GreaterOrEqual(t, time.Since(began), timerDelay)
 }
+
+// TestForwardLimitsSkippedResponses guards against a server that keeps the processor busy with
+// responses to others.
+func TestForwardLimitsSkippedResponses(t *testing.T) {
+	interim := "HTTP/1.1 103 Early Hints\r\n\r\n"
+	for _, skipped := range []string{responseFor("other", "x"), interim} {
+		for _, count := range []int{maxSkippedResponses, maxSkippedResponses + 1} {
+			server := startScriptedServer(t, func(int) string { return strings.Repeat(skipped, count) + responseFor("r", "own") })
+			body, err := exchange(t.Context(), newTestForwarder(t), forwardTo(server.addr(), "r", ""))
+			if count > maxSkippedResponses {
+				require.ErrorIs(t, err, ErrWrongResponse)
+				continue
+			}
+			require.NoError(t, err)
+			require.Equal(t, "own", body)
+		}
+	}
+}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -281,8 +281,8 @@
 // the request may run again.
 func (s *Server) readAnswer(c *call) error {
 	var body []byte
-	if length := c.exchange.Header.ContentLength(); length > maxAnswerBytes {
-		return answerTooLarge(length)
+	if length := c.exchange.Header.ContentLength(); length > s.maxAnswer {
+		return s.answerTooLarge(length)
 	}
 	for {
 		part, err := c.exchange.Next(time.Now().Add(pollInterval))
@@ -300,8 +300,8 @@
 			s.recordFirst(c)
 		}
 		s.recordBytes(c)
-		if len(body)+len(part) > maxAnswerBytes || !s.answers.take(len(part)) {
-			return answerTooLarge(len(body) + len(part))
+		if len(body)+len(part) > s.maxAnswer || !s.answers.take(len(part)) {
+			return s.answerTooLarge(len(body) + len(part))
 		}
 		c.buffered += len(part)
 		body = append(body, part...)
@@ -317,11 +317,11 @@
 }
 
 // answerTooLarge is the failure of an attempt whose answer is not read to its end.
-func answerTooLarge(bytes int) *attemptError {
+func (s *Server) answerTooLarge(bytes int) *attemptError {
 	return &attemptError{
 		ran: true, suspectFor: busySuspectDuration,
 		cause: errors.Newf("answer of %d bytes or more exceeds the limit of %d, or all buffered answers exceed %d",
-			bytes, maxAnswerBytes, maxBufferedAnswers),
+			bytes, s.maxAnswer, s.answers.limit),
 	}
 }
 
--- a/internal/ingress/endless_test.go
+++ b/internal/ingress/endless_test.go
@@ -100,6 +100,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			h := newHarness(t)
+			// The time to read the default limit depends on the machine.
+			h.server.maxAnswer = 1 << 20
 			flood := func(r *received) {
 				if c.inHead == "" {
 					r.write("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: bad\r\nTransfer-Encoding: chunked\r\n\r\n", r.header.Peek("Id"))
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -29,22 +29,25 @@
 	links       *linkTable
 	notices     *placement.Notices
 	trials      trialClock
-	// answers bounds the answers that are being read.
-	answers byteBudget
+	// maxAnswer bounds one answer that is not a stream, in bytes; answers bounds all that are
+	// being read.
+	maxAnswer int
+	answers   byteBudget
 }
 
 // New returns a server. Pass every view to Apply, and call Run.
 func New(cfg Config) *Server {
 	s := &Server{
-		cfg:     cfg,
-		logger:  logging.For(cfg.Logger, "ingress"),
-		state:   newRoutingState(),
-		active:  inflight.NewCounter(),
-		crashes: crashes.NewTable(),
-		trials:  trialClock{next: make(map[string]time.Time)},
-		answers: byteBudget{limit: maxBufferedAnswers},
-		links:   newLinkTable(),
-		notices: placement.NewNotices(),
+		cfg:       cfg,
+		logger:    logging.For(cfg.Logger, "ingress"),
+		state:     newRoutingState(),
+		active:    inflight.NewCounter(),
+		crashes:   crashes.NewTable(),
+		trials:    trialClock{next: make(map[string]time.Time)},
+		maxAnswer: maxAnswerBytes,
+		answers:   byteBudget{limit: maxBufferedAnswers},
+		links:     newLinkTable(),
+		notices:   placement.NewNotices(),
 	}
 	var err error
 	if s.instruments, err = newInstruments(cfg.Meter); err != nil {
