reach: probes that end late say nothing of the links

An entry that was frozen, or had no processor, finds all its probes timed out when it goes on, and took its links for lost: it forwarded requests to other entries until two probes had succeeded. A probe whose failure is noticed more than 100 ms after its timeout now counts for nothing; a refused connection counts as before, and the next round follows after 250 ms.

TestFrozenEntryKeepsItsLinks does not compile without the change.

--- a/internal/ingress/links.go
+++ b/internal/ingress/links.go
@@ -105,8 +105,16 @@
 func (s *Server) probe(ctx context.Context, tracker *reach.Tracker, service string, server reach.Server) {
 	ctx, cancel := context.WithTimeout(ctx, reach.ProbeTimeout)
 	defer cancel()
+	began := time.Now()
 	err := s.cfg.Backends.Connect(ctx, server.Address)
-	level.Debug(s.logger).Log("msg", "Server probed", "service", service, "address", server.Address, "domain", server.Domain, "err", err)
+	took := time.Since(began)
+	level.Debug(s.logger).Log("msg", "Server probed", "service", service, "address", server.Address, "domain", server.Domain,
+		"took_ms", took.Milliseconds(), "err", err)
+	if err != nil && reach.IsLate(took) {
+		level.Info(s.logger).Log("msg", "Probe of a server ended late", "service", service, "address", server.Address, "took_ms", took.Milliseconds())
+		tracker.ProbedLate()
+		return
+	}
 	if tracker.Probed(server.Address, err == nil, time.Now()) {
 		s.onLinksChanged(tracker, service)
 	}
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -23,6 +23,9 @@
 	// ProbeTimeout bounds a connection attempt of a probe. Servers are a few milliseconds
 	// away.
 	ProbeTimeout = 300 * time.Millisecond
+	// probeSlack is how late the end of a probe may be noticed. Later, this entry was frozen or
+	// had no processor.
+	probeSlack = 100 * time.Millisecond
 	// probeInterval is the time between the starts of two rounds of probes.
 	probeInterval = 250 * time.Millisecond
 	// probesPerRound is the number of servers in a round.
@@ -70,6 +73,8 @@
 type round struct {
 	pending   int
 	succeeded int
+	// late is set if a probe of the round was of no use.
+	late bool
 }
 
 // NewTracker returns a tracker of links that are thought to work.
@@ -227,24 +232,44 @@
 	if r == nil {
 		return false
 	}
-	r.pending--
 	if ok {
 		r.succeeded++
+		t.reached[address] = now
+	}
+	return t.endProbe(ok)
+}
+
+// ProbedLate records a probe that timed out while this entry itself stood still, so that it
+// says nothing of the links.
+func (t *Tracker) ProbedLate() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.round == nil {
+		return
 	}
-	if r.pending == 0 {
+	t.round.late = true
+	t.endProbe(false)
+}
+
+// endProbe ends one probe of the round, and reports whether the state of the links has changed.
+// The lock is held.
+func (t *Tracker) endProbe(ok bool) (changed bool) {
+	r := t.round
+	if r.pending--; r.pending == 0 {
 		t.round = nil
 	}
+	failed := r.pending == 0 && r.succeeded == 0 && !r.late
 	if !t.lost {
-		t.lost = r.pending == 0 && r.succeeded == 0
-		t.successes = 0
-		clear(t.reached)
-		return t.lost
+		if t.lost = failed; failed {
+			t.successes = 0
+			clear(t.reached)
+		}
+		return failed
 	}
 	switch {
 	case ok:
-		t.reached[address] = now
 		t.successes++
-	case r.pending == 0 && r.succeeded == 0:
+	case failed:
 		t.successes = 0
 		clear(t.reached)
 	}
@@ -252,6 +277,9 @@
 	return !t.lost
 }
 
+// IsLate reports whether a failed probe took longer than its timeout allows.
+func IsLate(took time.Duration) bool { return took > ProbeTimeout+probeSlack }
+
 // retain forgets the servers that are not in the list. The lock is held.
 func (t *Tracker) retain(servers []Server) {
 	known := make(map[string]bool, len(servers))
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -234,3 +234,21 @@
 		t.Fatal("the tracker holds its lock while the servers are listed")
 	}
 }
+
+// TestFrozenEntryKeepsItsLinks guards against an entry that takes the end of its own pause, in
+// which all probes time out, for lost links.
+func TestFrozenEntryKeepsItsLinks(t *testing.T) {
+	require.False(t, IsLate(ProbeTimeout+10*time.Millisecond))
+	require.True(t, IsLate(time.Second))
+	tr, servers, now := NewTracker(), fleet(9), start
+	tr.Dialed("s0", false, now)
+	tr.Dialed("s1", false, now)
+	due := tr.Due(listed(servers), 0, now)
+	require.Len(t, due, probesPerRound)
+	tr.Probed(due[0].Address, false, now)
+	for range due[1:] {
+		tr.ProbedLate()
+	}
+	require.False(t, tr.Lost())
+	loseLinks(t, tr, servers, now.Add(time.Second))
+}
