ingress: notices in an answer without an ID count

An answer without an ID is taken as the answer to the request and passed on, but what it says of its server (Server-Leaving, Retry-After of a 503) counted for nobody: the entry had passed on that the server leaves and sent it further requests. Answers with the ID of another request and those of another instance count for nobody, as before.

TestNoticeOfAnswerWithoutIDCounts failed before: 200 in place of 503.

--- a/internal/ingress/notice.go
+++ b/internal/ingress/notice.go
@@ -10,10 +10,11 @@
 
 // recordNotices records what a server says of itself in an answer to this request: that it
 // leaves, or that it wants no requests of this entry for a time. An answer of another
-// instance, or of none of this request, says nothing of the server.
+// instance, or to another request, says nothing of the server; one without an ID is passed on
+// as the answer to this request, so it counts.
 func (s *Server) recordNotices(c *call, server api.HostID, incarnation api.Incarnation) {
 	a, now := &c.answer, time.Now()
-	if a.OtherInstance || a.RequestID != c.head.ID {
+	if a.OtherInstance || a.RequestID != "" && a.RequestID != c.head.ID {
 		return
 	}
 	if a.PauseUnreadable {
--- a/internal/ingress/notice_test.go
+++ b/internal/ingress/notice_test.go
@@ -75,6 +75,19 @@
 	require.Equal(t, int64(1), pausing.arrived.Load())
 }
 
+// TestNoticeOfAnswerWithoutIDCounts guards against requests to a server whose departure the
+// entry has passed on.
+func TestNoticeOfAnswerWithoutIDCounts(t *testing.T) {
+	h := newHarness(t)
+	leaving := newFakeServer(t, "a", func(r *received) {
+		r.write("HTTP/1.1 200 OK\r\nSeal: a\r\nLeaving: 1\r\nContent-Length: 4\r\n\r\ndone")
+	})
+	h.ledger(leaving)
+	require.Equal(t, 200, h.send("GET", "/read/1", "").StatusCode)
+	require.Equal(t, 503, h.send("GET", "/read/1", "").StatusCode)
+	require.Equal(t, int64(1), leaving.arrived.Load())
+}
+
 // TestNoticesOfOthersDoNotCount has another instance at the same address answer, and a late
 // answer to another request come first.
 func TestNoticesOfOthersDoNotCount(t *testing.T) {
