ingress: an entry that shuts down takes no request that its exit may cut

Cause: for the 3.2 s in which callers may still have its address, a leaving entry took each request, whatever time it may need.

It has not run. A forwarded one goes to the next entry.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -71,7 +71,10 @@
 	// callers that cached its address; Grace bounds the whole shutdown.
 	LameDuckPeriod time.Duration
 	Grace          time.Duration
-	Logger         log.Logger
+	// LeastRequestTime is what an entry that shuts down leaves to each request that it still
+	// accepts.
+	LeastRequestTime time.Duration
+	Logger           log.Logger
 }
 
 // Timing of a gateway. Leases, intervals and link timeouts are well below the time
@@ -402,6 +405,8 @@
 		g.control.resign(ctx)
 		return
 	}
+	exit, _ := ctx.Deadline()
+	g.ingress.BeginShutdown(exit, g.cfg.LeastRequestTime)
 	g.state.SetLeaving()
 	if err := callWithTimeout(ctx, g.agent.Renew); err != nil {
 		level.Warn(g.logger).Log("msg", "Shutdown not reported to control", "err", err)
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -65,6 +65,7 @@
 	codeLinksLost     = "links_lost"
 	codeNoPublication = "no_publication"
 	codeNoService     = "no_service"
+	codeLeaving       = "entry_leaving"
 )
 
 // forwardTable holds what an entry knows of the others as receivers of its requests. It is
@@ -245,7 +246,7 @@
 	case codeLinksLost:
 		c.links.forwards.markLost(c.via.ID, time.Now().Add(avoidDuration))
 		fallthrough
-	case codeNoPublication, codeNoService:
+	case codeNoPublication, codeNoService, codeLeaving:
 		return &attemptError{ran: c.viaRuns > 0, declined: c.viaRuns == 0, cause: errors.Newf("entry %s declined the request: %s", c.via.ID, code)}
 	}
 	c.ran += c.viaRuns
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -72,6 +72,9 @@
 		limit = min(limit, c.head.Deadline)
 	}
 	c.deadline = c.received.Add(limit)
+	if err := s.checkShutdown(c); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	c.ctx, c.cancel = ctx, cancel
 	bounded, stop := context.WithDeadline(ctx, c.deadline)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -29,6 +29,7 @@
 	links       *linkTable
 	notices     *placement.Notices
 	trials      trialClock
+	shutdown    shutdown
 	// maxAnswer bounds one answer that is not a stream, in bytes; answers bounds all that are
 	// being read.
 	maxAnswer int
--- /dev/null
+++ b/internal/ingress/shutdown.go
@@ -0,0 +1,37 @@
+package ingress
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+)
+
+// shutdown is the end of a graceful shutdown, nil before it begins.
+type shutdown struct {
+	exit atomic.Pointer[time.Time]
+	// least is the time that is left to a request whose deadline is later than the exit.
+	least time.Duration
+}
+
+// BeginShutdown tells that the process exits at the given time. From then on a request whose
+// deadline is later is accepted only while at least the given time is left: one that still
+// runs at the exit loses its answer. The caller may send it to another entry. Call it once.
+func (s *Server) BeginShutdown(exit time.Time, least time.Duration) {
+	s.shutdown.least = least
+	s.shutdown.exit.Store(&exit)
+}
+
+// leavingRetryAfter bounds the retry hint of an entry that shuts down: other entries take the
+// request at once.
+const leavingRetryAfter = 50 * time.Millisecond
+
+// checkShutdown refuses a request that may last longer than this process.
+func (s *Server) checkShutdown(c *call) error {
+	exit := s.shutdown.exit.Load()
+	if exit == nil || !c.deadline.After(*exit) || exit.Sub(c.received) >= s.shutdown.least {
+		return nil
+	}
+	r := unavailable(codeLeaving, "this entry shuts down", nil)
+	r.retryAfter = time.Millisecond + rand.N(leavingRetryAfter)
+	return r
+}
