soak: servers that announce their departure, or ask for a pause, in their answers only

The soak now plays both in every mode, in a lane of its own that comes last, so that the other lanes of a seed stay as they were: a server says in its answers that it leaves while its heartbeats call it ready, then leaves in order; one server or all of a service turn requests away for 0.2 to 3 s with a Retry-After of up to 6 s.

--- a/cmd/crocusway/platform.go
+++ b/cmd/crocusway/platform.go
@@ -24,6 +24,7 @@
 	fs.IntVar(&o.MetricsPort, "metrics-port", 0, "port of the metrics endpoint; 0 disables it")
 	fs.StringVar(&o.PeerListen, "peer-listen", "", "ip:port to listen on for links between daemons, if their address is forwarded to it")
 	fs.StringVar(&o.PeerSource, "peer-source", "", "local IP of dialed links; empty: any")
+	fs.StringVar(&o.ServerSource, "server-source", "", "local IP of an entry's connections to backend servers; empty: any")
 	fs.StringVar(&o.LogLevel, "log-level", "info", "debug, info, warn or error")
 	return &ffcli.Command{
 		Name:       platformName,
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -64,6 +64,8 @@
 	// IdlePerServer limits the idle connections to one backend server.
 	IdlePerServer int
 	Clock         clock.Clock
+	// Source is the local IP of dialed connections; nil: any.
+	Source net.IP
 	// Dial replaces the dialer of the net package.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -37,7 +37,11 @@
 	defer cancel()
 	dial := c.Dial
 	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
+		dialer := &net.Dialer{}
+		if c.Source != nil {
+			dialer.LocalAddr = &net.TCPAddr{IP: c.Source}
+		}
+		dial = dialer.DialContext
 	}
 	raw, err := dial(ctx, "tcp", address)
 	if err != nil {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -49,6 +49,9 @@
 	// PeerAddress, and PeerSource the local IP of dialed links, empty for any.
 	PeerListen string
 	PeerSource string
+	// ServerSource is the local IP of an entry's connections to backend servers, empty for
+	// any.
+	ServerSource string
 	// Seeds are the peer addresses of some control daemons.
 	Seeds  []string
 	Secret config.Secret
@@ -263,7 +266,7 @@
 }
 
 func (g *Gateway) buildEntry(info api.EntryInfo) {
-	g.forwarder = backend.NewForwarder(backend.Config{DialTimeout: backendDialTimeout})
+	g.forwarder = backend.NewForwarder(backend.Config{DialTimeout: backendDialTimeout, Source: net.ParseIP(g.cfg.ServerSource)})
 	g.ingress = ingress.New(ingress.Config{
 		Self:      info,
 		State:     g.state,
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -45,6 +45,8 @@
 		s.poison(ctx, e)
 	case "limits":
 		s.limit(ctx, r, e)
+	case "notices":
+		s.notify(ctx, r, e)
 	default:
 		daemons := s.byRole(l.Role)
 		s.disturbDaemon(ctx, daemons[r.IntN(len(daemons))], r, e)
@@ -169,9 +171,9 @@
 		return
 	}
 	clock.Sleep(ctx, heartbeatInterval)
-	b.mu.Lock()
-	b.state = "draining"
-	b.mu.Unlock()
+	if !b.beginDraining() {
+		return // Another lane replaces it.
+	}
 	clock.Sleep(context.WithoutCancel(ctx), drainTime+4*heartbeatInterval)
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, control := range s.seeds {
@@ -185,6 +187,15 @@
 	b.setFault(faultClose)
 }
 
+// beginDraining has the server say that it leaves. It reports whether it did not before.
+func (s *server) beginDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ready := s.state == "ready"
+	s.state = "draining"
+	return ready
+}
+
 // heal ends every fault.
 func (s *system) heal() {
 	for _, d := range s.daemons {
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -82,6 +82,16 @@
 	o.counts["sent "+string(r.kind)]++
 }
 
+// sentAt returns when a caller sent a request, zero for an unknown one.
+func (o *oracle) sentAt(id string) time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if r := o.requests[id]; r != nil {
+		return r.sent
+	}
+	return time.Time{}
+}
+
 // running records that a server begins to run a request.
 func (o *oracle) running(server, id, path, body, account, key string) {
 	o.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -39,6 +39,8 @@
 	actionZone    action = "zone"     // a failure domain is taken out for the length
 	actionLimit   action = "limit"    // a backend server names a limit of its rate
 	actionPoison  action = "poison"   // one part of prompts crashes the servers that run it
+	actionLeave   action = "leave"    // a backend server says only in its answers that it leaves
+	actionBusy    action = "busy"     // backend servers turn requests away and ask for a pause
 )
 
 // event is one action of a lane. Random choices while it is carried out come from seed.
@@ -100,21 +102,22 @@
 	// New lanes come last, so that the others of a seed stay as they were.
 	poison := laneKind{"poison", "", 1, []action{actionPoison}, 2 * time.Second}
 	limits := laneKind{"limits", "", 1, []action{actionLimit}, time.Second}
+	notices := laneKind{"notices", "", 1, []action{actionLeave, actionBusy}, 1500 * time.Millisecond}
 	switch m {
 	case modePlanned:
 		return []laneKind{
 			operators, drains,
 			{"control", roleControl, 1, []action{actionTerm, actionHup}, time.Second},
 			{"entries", roleEntry, 2, []action{actionTerm, actionHup}, time.Second},
-			poison, limits,
+			poison, limits, notices,
 		}
 	case modeSignals:
-		return []laneKind{operators, drains, control, entries, poison, limits}
+		return []laneKind{operators, drains, control, entries, poison, limits, notices}
 	case modeLinks:
 		links.lanes = 3
-		return []laneKind{operators, faults, links, poison, limits}
+		return []laneKind{operators, faults, links, poison, limits, notices}
 	}
-	return []laneKind{operators, faults, control, entries, links, poison, limits}
+	return []laneKind{operators, faults, control, entries, links, poison, limits, notices}
 }
 
 const (
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -53,6 +53,8 @@
 	// since pausedSince.
 	paused      time.Duration
 	pausedSince time.Time
+	// resumed is when the process last went on after a pause.
+	resumed time.Time
 }
 
 func (d *daemon) address(port int) string { return net.JoinHostPort(d.ip, strconv.Itoa(port)) }
@@ -94,7 +96,7 @@
 	defer func() { _ = log.Close() }()
 	//nolint:gosec // The binary is the one under test.
 	cmd := exec.Command(d.binary, "platform", "--role="+d.role, "--settings="+filepath.Join(d.dir, "settings.toml"),
-		"--peer-listen="+d.address(portListen), "--peer-source="+d.ip)
+		"--peer-listen="+d.address(portListen), "--peer-source="+d.ip, "--server-source="+d.ip)
 	cmd.Env = []string{"CROCUSWAY_PEER_SECRET=" + peerSecret, "GOMAXPROCS=2"}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
@@ -129,7 +131,7 @@
 	case syscall.SIGCONT:
 		if !d.pausedSince.IsZero() {
 			d.paused += time.Since(d.pausedSince)
-			d.pausedSince = time.Time{}
+			d.pausedSince, d.resumed = time.Time{}, time.Now()
 		}
 	}
 	if d.cmd != nil {
@@ -173,6 +175,14 @@
 	return d.paused + time.Since(d.pausedSince)
 }
 
+// undisturbedSince reports whether the process has run since a time without a restart or a
+// pause.
+func (d *daemon) undisturbedSince(at time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pausedSince.IsZero() && d.started.Before(at) && d.resumed.Before(at)
+}
+
 func (d *daemon) ended() <-chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -51,6 +51,10 @@
 	}
 	s.fleet = newFleet(s.oracle, s.seeds)
 	s.fleet.planned = s.mode == modePlanned
+	s.fleet.entries = make(map[string]*daemon)
+	for _, d := range s.entries() {
+		s.fleet.entries[d.ip] = d
+	}
 	defer s.fleet.close()
 	defer s.stopAll()
 	if err := s.startAll(); err != nil {
--- a/internal/soak/serve.go
+++ b/internal/soak/serve.go
@@ -41,13 +41,20 @@
 func (s *server) serve(ctx *fasthttp.RequestCtx, k fault) {
 	h := &ctx.Request.Header
 	id, path, body := string(h.Peek(headerID)), string(ctx.Path()), string(ctx.PostBody())
+	ctx.Response.Header.Set(headerID, id)
 	// Taken before the first byte of an answer can reach the caller.
 	s.mu.Lock()
 	status, late := s.admit()
 	s.mu.Unlock()
-	if status != 0 {
+	// A faulty server may send no answer that tells an entry anything.
+	busy := s.notice(ctx, id, time.Now(), k == faultNone, status == 0)
+	switch {
+	case status != 0:
 		refuse(ctx, status)
 		return
+	case busy:
+		refuse(ctx, fasthttp.StatusServiceUnavailable)
+		return
 	}
 	if late && s.planned {
 		s.oracle.violation("DRAIN: %s receives request %s over %s after its departure was acknowledged", s.id, id, drainTime)
@@ -63,7 +70,6 @@
 		return
 	}
 	ctx.Response.Header.Set(headerSeal, "sealed-by-"+s.id)
-	ctx.Response.Header.Set(headerID, id)
 	s.nameLimit(ctx, time.Now())
 	if s.engine {
 		poison := s.poisonOf(string(h.Peek(headerPrompt)))
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -74,7 +74,9 @@
 type fleet struct {
 	oracle *oracle
 	// planned is set if there is planned work only, so that every daemon stays in touch.
-	planned  bool
+	planned bool
+	// entries are the entry daemons by IP.
+	entries  map[string]*daemon
 	mu       sync.Mutex
 	servers  map[string]*server
 	controls []string
@@ -105,6 +107,8 @@
 	group    *membership
 	// named is the limit that the server names, nil without one.
 	named *namedLimit
+	// notices is what the server tells the entries in its answers.
+	notices notices
 	// brokenAt is when the replica of this head breaks, zero while it is whole.
 	brokenAt time.Time
 	// drainAcknowledged is when a daemon acknowledged that the server leaves.
@@ -163,7 +167,7 @@
 	defer f.mu.Unlock()
 	var ids []string
 	for id, s := range f.servers {
-		if s.fault == faultNone && s.state == "ready" {
+		if s.fault == faultNone && s.state == "ready" && !s.notices.leaving {
 			ids = append(ids, id)
 		}
 	}
@@ -186,6 +190,7 @@
 	defer s.mu.Unlock()
 	s.born, s.sequence = max(s.born+1, time.Now().UnixMilli()), 0
 	s.group, s.fence, s.epoch, s.fault = nil, 0, 0, faultNone
+	s.notices = notices{}
 }
 
 // heartbeats reports the server until it dies, at once after a change.
@@ -266,6 +271,7 @@
 	case k == faultHang:
 		s.waitForCaller(ctx)
 	case k == faultClose:
+		s.oracle.brokeOff(string(ctx.Request.Header.Peek(headerID)))
 		_ = ctx.Conn().Close()
 	case string(ctx.Path()) == "/health":
 		ctx.Response.Header.Set("X-Crocusway-Instance-Id", s.id)
