operator: a panic in a call no longer ends the process

A malformed announcement or operator's call that makes a handler of `serve` panic ended the whole daemon: the HTTP library does not recover. The platform's handlers, calls between daemons and the callers' path did already. No input is known that panics. The router recovers now, answers 500 and closes the connection; the panic is logged with its stack.

TestPanicOfHandlerAnswers500 ended the test process before.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -6,12 +6,14 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/fasthttp/router"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -60,6 +62,7 @@
 
 // Mount adds the routes to r.
 func (s *Server) Mount(r *router.Router) {
+	r.PanicHandler = s.recovered
 	r.GET("/healthz", s.healthz)
 	r.GET("/readyz", s.readyz)
 	r.GET("/metrics", s.cfg.Metrics)
@@ -76,6 +79,14 @@
 	r.POST("/v1/operator/members", operator(s.member))
 }
 
+// recovered answers a call whose handler panicked, so that one call can't end the process.
+func (s *Server) recovered(ctx *fasthttp.RequestCtx, cause any) {
+	level.Error(s.cfg.Logger).Log("msg", "Panic in handler", "path", string(ctx.Path()), "cause", cause, "stack", string(debug.Stack()))
+	ctx.Response.Reset()
+	writeError(ctx, errs.New(errs.Internal, "handle call", "", "the daemon failed"))
+	ctx.SetConnectionClose()
+}
+
 // requireToken admits requests with the bearer token. It compares the hashes in
 // constant time.
 func (s *Server) requireToken(token config.Secret, next fasthttp.RequestHandler) fasthttp.RequestHandler {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -158,3 +158,17 @@
 		})
 	}
 }
+
+// TestPanicOfHandlerAnswers500 guards against one call that ends the whole process.
+func TestPanicOfHandlerAnswers500(t *testing.T) {
+	r := router.New()
+	New(Config{
+		OperatorToken: operatorToken, BackendToken: backendToken, Logger: logging.Discard(),
+		DecodeAnnouncement: func([]byte) (api.Announcement, error) { panic("an unexpected message") },
+		Metrics:            func(*fasthttp.RequestCtx) {},
+		Announce:           func(api.Announcement) (api.AnnounceResponse, error) { return api.AnnounceResponse{}, nil },
+	}).Mount(r)
+	ctx := do(r.Handler, "POST", "/v1/backends/announce", backendToken, "{}")
+	require.Equal(t, fasthttp.StatusInternalServerError, ctx.Response.StatusCode())
+	require.True(t, ctx.Response.ConnectionClose())
+}
