standin: a truncated stream ends behind the events that were sent before

Cause: the stand-in closed the connection while events that it had flushed were still in the HTTP library's pipe.

--- a/internal/standin/completion.go
+++ b/internal/standin/completion.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"bufio"
 	"encoding/json"
+	"io"
 	"strconv"
 	"strings"
 
@@ -91,7 +93,10 @@
 	}
 	if c.body.Stream {
 		ctx.SetContentType("text/event-stream")
-		ctx.SetBodyStreamWriter(c.stream)
+		// A pipe without a buffer, so that a cut comes behind the events before it.
+		reader, writer := io.Pipe()
+		go func() { _ = writer.CloseWithError(c.stream(bufio.NewWriter(writer))) }()
+		ctx.SetBodyStream(reader, -1)
 		return
 	}
 	c.answer(ctx)
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -148,27 +148,28 @@
 	return n, nil
 }
 
-// stream writes the events of a streamed response. It runs on its own goroutine.
-func (c *completion) stream(w *bufio.Writer) {
+// stream writes the events of a streamed response. It runs on its own goroutine. An error
+// closes the connection once the events before it are sent.
+func (c *completion) stream(w *bufio.Writer) error {
 	complete := false
 	defer func() { c.finish(complete) }()
 	for i := c.offset + 1; i <= c.body.MaxTokens; i++ {
 		if i > c.offset+1 {
 			if err := c.wait(c.scale(c.host.fleet.cfg.Engine.TokenTime)); err != nil {
 				c.breakStream(w, err)
-				return
+				return nil
 			}
 		}
-		if c.injectFault(w, i) {
-			return
+		if ended, err := c.injectFault(w, i); ended {
+			return err
 		}
-		if c.writeToken(w, i) != nil {
-			return
+		if err := c.writeToken(w, i); err != nil {
+			return err
 		}
 	}
 	complete = true
 	_, _ = w.WriteString("data: [DONE]\n\n")
-	_ = w.Flush()
+	return w.Flush()
 }
 
 // breakStream ends a stream early, with an error event unless the engine was
@@ -182,24 +183,24 @@
 	_ = w.Flush()
 }
 
-// injectFault applies the fault that is due before token i and reports whether
-// the stream ends.
-func (c *completion) injectFault(w *bufio.Writer, i int) bool {
+// injectFault applies the fault that is due before token i. It reports whether the stream
+// ends, and the error with which it does.
+func (c *completion) injectFault(w *bufio.Writer, i int) (ended bool, err error) {
 	sent := i - 1 - c.offset
 	if sent != c.fault.After {
-		return false
+		return false, nil
 	}
 	switch c.fault.Kind {
 	case FaultTruncate:
-		_ = c.conn.Close()
-		return true
+		return true, errAborted
 	case FaultNoEnd:
-		return true
+		return true, nil
 	case FaultRepeat:
-		return sent > 0 && c.writeToken(w, i-1) != nil
-	default:
-		return false
+		if sent > 0 {
+			err = c.writeToken(w, i-1)
+		}
 	}
+	return err != nil, err
 }
 
 func (c *completion) writeToken(w *bufio.Writer, i int) error {
