ingress: a leaving entry serves what no other entry can

Logs: the entry shuts down at 9.0 s, serves until 12.2 s, and gets no forwarded request from 9.3 s on; the cut entries have 500 refusals in 2 s. Cause: a leaving entry was never chosen as a receiver.

It is now the last choice, behind every entry that neither leaves nor has just failed. It takes forwarded requests as long as it takes those of its own callers.

TestForwardsSpreadOverEntries expected no entry once all but a leaving one were tried; it now expects that one, and then none.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -53,8 +53,10 @@
 	// entry when one is chosen.
 	unprovenPenalty    = 2
 	otherDomainPenalty = 2
-	// avoidPenalty is more than any number of requests in progress.
-	avoidPenalty = 1e6
+	// leavingPenalty keeps requests off an entry that shuts down while another one has links;
+	// like avoidPenalty it is more than any number of requests in progress.
+	leavingPenalty = 1e5
+	avoidPenalty   = 1e6
 	// forwardStallTimeout is the silence of a stream after which another entry resumes it.
 	// The second entry notices a stalled server earlier.
 	forwardStallTimeout = requestStallTimeout
@@ -98,7 +100,7 @@
 	var bestScore float64
 	for i := range entries {
 		e := &entries[i]
-		if e.ID == self.ID || !e.Live || e.Leaving || e.ForwardAddress == "" || slices.Contains(tried, e.ID) {
+		if e.ID == self.ID || !e.Live || e.ForwardAddress == "" || slices.Contains(tried, e.ID) {
 			continue
 		}
 		r := f.state(e.ID)
@@ -109,6 +111,9 @@
 		if now.Before(r.avoidUntil) {
 			score += avoidPenalty
 		}
+		if e.Leaving {
+			score += leavingPenalty
+		}
 		if now.Sub(r.provenAt) > provenDuration {
 			score += unprovenPenalty
 		}
--- a/internal/ingress/forward_test.go
+++ b/internal/ingress/forward_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -294,6 +295,26 @@
 	}
 }
 
+// TestLeavingEntryServesWhatNoOtherCan guards against refusals while the only entry with links
+// shuts down.
+func TestLeavingEntryServesWhatNoOtherCan(t *testing.T) {
+	g := cutFirst(t, 3, sound(t))
+	leaving := g.entries[1]
+	leaving.state.SetLeaving()
+	leaving.server.BeginShutdown(time.Now().Add(waitFor), waitFor/2)
+	infos := slices.Clone(g.entries[0].view.Entries)
+	infos[1].Leaving = true
+	g.entries[0].view.Entries = infos
+	g.entries[0].apply()
+	served, sent := g.entries[0].sendAll(3)
+	require.Equal(t, sent, served)
+	require.NotContains(t, leaving.logs.String(), "forwarded_by", "another entry has links")
+	g.cut(t, 2)
+	served, sent = g.entries[0].sendAll(3)
+	require.Equal(t, sent, served)
+	require.Contains(t, leaving.logs.String(), "forwarded_by")
+}
+
 func TestForwardsSpreadOverEntries(t *testing.T) {
 	f, now := newForwardTable(), time.Now()
 	self := api.EntryInfo{ID: "self", Domain: "a", Live: true}
@@ -314,7 +335,8 @@
 	require.Greater(t, counts["e2"], 7, "%v", counts)
 	require.Greater(t, counts["e1"], 5, "%v", counts)
 	require.GreaterOrEqual(t, min(counts["e0"], counts["e2"]), counts["e1"], "the own failure domain is preferred: %v", counts)
-	require.Nil(t, f.pick(self, entries, []api.EntryID{"e0", "e1", "e2"}, now), "each entry is tried once")
+	require.Equal(t, api.EntryID("e5"), f.pick(self, entries, []api.EntryID{"e0", "e1", "e2"}, now).ID, "a leaving one comes last")
+	require.Nil(t, f.pick(self, entries, []api.EntryID{"e0", "e1", "e2", "e5"}, now), "each entry is tried once")
 }
 
 // TestConvergenceOnEntriesWithLinks plays 330 entries of which 220 are cut: nearly every
