--- a/internal/soak/notice.go
+++ b/internal/soak/notice.go
@@ -54,7 +54,8 @@
 		return
 	}
 	chosen := []*server{b}
-	if r.IntN(3) == 0 {
+	// Streams have to be served meanwhile, see the check of poisoned prompts.
+	if !b.engine && r.IntN(3) != 0 {
 		chosen = s.fleet.ofService(b.service)
 	}
 	pause := time.Duration(r.Int64N(int64(maxPause)))
