--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the scripted cases into target/.
+set -eu
+cd "$(dirname "$0")/standin"
+go build -o ../../target/review-standin .
--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"time"
+)
+
+// Slots and work of a server, as in the small deployments.
+const (
+	serverSlots = 6
+	serverWork  = 30 * time.Millisecond
+)
+
+// begin starts a small deployment with one server in each zone and its configuration.
+func (w *world) begin(entryZones []string) (controls, entries []*daemon, servers []*server, c *clients, err error) {
+	if controls, entries, err = w.startSystem(entryZones); err != nil {
+		return
+	}
+	for i, zone := range []string{"z-a", "z-b", "z-c"} {
+		s, err := w.addServer(fmt.Sprintf("i-%04d", i+1), zone, 80+i, serverSlots, serverWork, func() []string { return controlAddresses(controls) })
+		if err != nil {
+			return nil, nil, nil, nil, err
+		}
+		servers = append(servers, s)
+	}
+	o := &operator{w: w}
+	if _, ok := o.order(controlAddresses(controls), "/Config.Replace", document(1), 20*time.Second); !ok {
+		return nil, nil, nil, nil, fmt.Errorf("the first configuration is not acknowledged")
+	}
+	c = newClients(w)
+	return controls, entries, servers, c, c.awaitService(entries, 20*time.Second)
+}
+
+// coreReplacement replaces two of the three machines of the core one after the other, each
+// by a new machine that has run for longer than catchUp, and reads the configuration
+// afterwards.
+func coreReplacement(w *world, trouble bool) (bool, error) {
+	controls, entries, _, c, err := w.begin([]string{"z-a", "z-b"})
+	if err != nil {
+		return false, err
+	}
+	for _, e := range entries {
+		c.run(e, 10)
+	}
+	time.Sleep(8 * time.Second)
+	addresses := controlAddresses(controls)
+	if trouble {
+		first := w.addDaemon("control", "z-c", 13, addresses, false)
+		if err := first.start(); err != nil {
+			return false, err
+		}
+		time.Sleep(2500 * time.Millisecond)
+		second := w.addDaemon("control", "z-b", 14, addresses, false)
+		if err := second.start(); err != nil {
+			return false, err
+		}
+		time.Sleep(2 * time.Second)
+		w.record("%s has run for %v, longer than catchUpS: %s is stopped for good", first.name, 4500*time.Millisecond, controls[2].name)
+		controls[2].terminate()
+		time.Sleep(2500 * time.Millisecond)
+		w.record("%s has run for over %v, longer than catchUpS: %s is stopped for good", second.name, 4500*time.Millisecond, controls[1].name)
+		controls[1].terminate()
+		addresses = controlAddresses([]*daemon{controls[0], first, second})
+	} else {
+		time.Sleep(9 * time.Second)
+	}
+	o := &operator{w: w}
+	_, acknowledged := o.order(addresses, "/Config.Replace", document(5), 30*time.Second)
+	read := readBack(w, o, addresses, 25*time.Second)
+	c.end()
+	w.record("acknowledged: %t, read back: %t, %d of %d requests of clients served", acknowledged, read, c.count(isServed), len(c.answers))
+	return !read, nil
+}
+
+// readBack asks for the configuration, at one daemon after the other, until one answers.
+func readBack(w *world, o *operator, addresses []string, limit time.Duration) bool {
+	began := time.Now()
+	for i := 0; time.Since(began) < limit; i++ {
+		address := addresses[i%len(addresses)]
+		status, text, err := o.call(http.MethodGet, address, "/Config.Get", nil)
+		w.record("operator: GET /Config.Get at %s: %s, %d bytes", address, outcome(status, err), len(text))
+		if err == nil && status == http.StatusOK {
+			return true
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	return false
+}
+
+// frozenFor is how long the control daemon stands still.
+const frozenFor = 6900 * time.Millisecond
+
+// lateEvacuation takes a zone out, back, and out again while one control daemon stands still.
+func lateEvacuation(w *world, trouble bool) (bool, error) {
+	controls, entries, servers, c, err := w.begin([]string{"z-a", "z-b", "z-c"})
+	if err != nil {
+		return false, err
+	}
+	for _, e := range entries {
+		c.run(e, 15)
+	}
+	o := &operator{w: w}
+	time.Sleep(3 * time.Second)
+	frozen := controls[1]
+	others := controlAddresses([]*daemon{controls[0], controls[2]})
+	if _, ok := o.order(others, "/Evacuation.Start/z-c", nil, ackTime); !ok {
+		return false, fmt.Errorf("the first evacuation is not acknowledged")
+	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		frozen.signal(syscall.SIGSTOP)
+	}
+	stoppedAt := time.Now()
+	time.Sleep(200 * time.Millisecond)
+	if _, ok := o.order(append([]string{frozen.control()}, others...), "/Evacuation.Finish/z-c", nil, 2*ackTime); !ok {
+		return false, fmt.Errorf("the end of the evacuation is not acknowledged")
+	}
+	time.Sleep(time.Second)
+	acknowledged, ok := o.order(others, "/Evacuation.Start/z-c", nil, ackTime)
+	if !ok {
+		return false, fmt.Errorf("the second evacuation is not acknowledged")
+	}
+	time.Sleep(time.Until(stoppedAt.Add(frozenFor)))
+	if trouble {
+		frozen.signal(syscall.SIGCONT)
+	}
+	// The entries are in touch once the core is stable, and the bound is stretched by outerMs.
+	from := time.Now().Add(stableWindow)
+	if bound := acknowledged.Add(evacuateTime + outerTime); bound.After(from) {
+		from = bound
+	}
+	to := from.Add(8 * time.Second)
+	time.Sleep(time.Until(to))
+	c.end()
+	n, first := servers[2].reached(from, to)
+	w.record("%d requests reached the server in z-c later than %v after its evacuation was acknowledged", n, from.Sub(acknowledged).Round(time.Millisecond))
+	if n > 0 {
+		w.record("the first one is %s, %v after the acknowledgement", first.request, first.at.Sub(acknowledged).Round(time.Millisecond))
+	}
+	return n > 0, nil
+}
