--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -141,3 +141,41 @@
 	}
 	return n > 0, nil
 }
+
+// firstStart starts a system of which one machine of the core is lost for good right after
+// its start, and replaced by another one.
+func firstStart(w *world, trouble bool) (bool, error) {
+	controls, entries, err := w.startSystem([]string{"z-a", "z-b"})
+	if err != nil {
+		return false, err
+	}
+	addresses := controlAddresses(controls)
+	if trouble {
+		time.Sleep(lostAfter)
+		lost := controls[2]
+		lost.signal(syscall.SIGKILL)
+		lost.await(time.Second)
+		time.Sleep(time.Second)
+		successor := w.addDaemon("control", lost.zone, 13, addresses, false)
+		if err := successor.start(); err != nil {
+			return false, err
+		}
+		addresses = controlAddresses([]*daemon{controls[0], controls[1], successor})
+	}
+	servers := func() []string { return addresses }
+	for i, zone := range []string{"z-a", "z-b", "z-c"} {
+		if _, err := w.addServer(fmt.Sprintf("i-%04d", i+1), zone, 80+i, serverSlots, serverWork, servers); err != nil {
+			return false, err
+		}
+	}
+	o := &operator{w: w}
+	_, acknowledged := o.order(addresses, "/Config.Replace", document(1), 45*time.Second)
+	read := readBack(w, o, addresses, 15*time.Second)
+	c := newClients(w)
+	served := c.awaitService(entries, 5*time.Second) == nil
+	w.record("acknowledged: %t, read back: %t, requests of clients served: %t", acknowledged, read, served)
+	return !read, nil
+}
+
+// lostAfter is the time from the start of the last machine to the loss.
+const lostAfter = 50 * time.Millisecond
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"core-replacement": coreReplacement,
 	"late-evacuation":  lateEvacuation,
+	"first-start":      firstStart,
 }
 
 func main() {
