--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -114,7 +114,7 @@
 	}
 	stoppedAt := time.Now()
 	time.Sleep(200 * time.Millisecond)
-	if _, ok := o.order(append([]string{frozen.control()}, others...), "/Evacuation.Finish/z-c", nil, 2*ackTime); !ok {
+	if _, ok := o.order(append([]string{frozen.control()}, others...), "/Evacuation.Finish/z-c", nil, ackTime); !ok {
 		return false, fmt.Errorf("the end of the evacuation is not acknowledged")
 	}
 	time.Sleep(time.Second)
