--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -179,3 +179,86 @@
 
 // lostAfter is the time from the start of the last machine to the loss.
 const lostAfter = 50 * time.Millisecond
+
+// lateJoinAfter is how late the held join order of the member is carried out, inside the 2 to
+// 12 s of the pages.
+const lateJoinAfter = 9 * time.Second
+
+// joinedTwice loses a member of an open replica, which starts again under its id, while its
+// first join order is still on its way and the head is partitioned from the core.
+func joinedTwice(w *world, trouble bool) (bool, error) {
+	controls, _, err := w.startSystem([]string{"z-a"})
+	if err != nil {
+		return false, err
+	}
+	addresses := func() []string { return controlAddresses(controls) }
+	o := &operator{w: w}
+	if _, ok := o.order(addresses(), "/Config.Replace", engineDocument(), 20*time.Second); !ok {
+		return false, fmt.Errorf("the first configuration is not acknowledged")
+	}
+	var engines []*engine
+	for i := range engineSize {
+		engines = append(engines, w.addEngine(fmt.Sprintf("i-%04d", i+1), 80+i, addresses))
+	}
+	head, member := engines[0], engines[1]
+	held := make(chan time.Time, 1)
+	if trouble {
+		first := true
+		member.holds = func(ord order) (time.Duration, bool) {
+			if !first || ord.Op != "join" {
+				return 0, false
+			}
+			first = false
+			held <- time.Now()
+			return lateJoinAfter, true
+		}
+	}
+	broken := false
+	lostAt := time.Time{}
+	member.onJoin = func(e *engine, ord order) {
+		group, epoch, state := head.stateOf()
+		w.record("engine %s, in %q/%d, takes a join of %s/%d; the head %s of %q/%d is %q", e.id, e.group, e.epoch, ord.Group, ord.Epoch, head.id, group, epoch, state)
+		if e.group == "" || group != e.group || epoch != e.epoch || state != "open" {
+			return
+		}
+		// The head stands still once its member is lost, and is broken engineStall later.
+		if lost := time.Since(lostAt); lost < engineStall {
+			w.record("the head has lost its member %v ago: it is not broken yet", lost.Round(time.Millisecond))
+			broken = true
+		}
+	}
+	for _, e := range engines {
+		if err := e.start(); err != nil {
+			return false, err
+		}
+	}
+	for began := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		if _, _, state := head.stateOf(); state == "open" {
+			break
+		}
+		if time.Since(began) > 20*time.Second {
+			return false, fmt.Errorf("no replica is open")
+		}
+	}
+	w.record("the replica is open")
+	if trouble {
+		late := (<-held).Add(lateJoinAfter)
+		time.Sleep(time.Until(late.Add(-1500 * time.Millisecond)))
+		head.setCut(true)
+		lostAt = time.Now()
+		member.crash()
+		time.Sleep(500 * time.Millisecond)
+		if err := member.start(); err != nil {
+			return false, err
+		}
+		time.Sleep(500 * time.Millisecond)
+	} else {
+		time.Sleep(7 * time.Second)
+	}
+	fourth := w.addEngine("i-0004", 83, addresses)
+	if err := fourth.start(); err != nil {
+		return false, err
+	}
+	time.Sleep(8 * time.Second)
+	return broken, nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 	"core-replacement": coreReplacement,
 	"late-evacuation":  lateEvacuation,
 	"first-start":      firstStart,
+	"joined-twice":     joinedTwice,
 }
 
 func main() {
