control: a voter that shuts down or is lost is replaced at once

Cause: who is a voter followed from timeouts alone. A successor that had the whole log was promoted only after 5 s without an enrollment of the old voter, counted anew by each leader; each step then waited for the next round of duties (1 s). Ruled out: slow discovery or transfer (0.3 s), a failed removal (none was tried).

Change: a control daemon that shuts down says so when it enrolls, and votes until a learner has taken its place. Silence is measured by the replicated log against the quorum, and a new leader counts the old one from its last contact. Steps follow each other at once. A voter that was only silent returns as a learner, and voters are spread over the failure domains again. Logs say why a member was taken in or left out. Enrollments of running daemons are unchanged, as older builds refuse unknown fields; their refusal of the new one ends the wait.

--- a/internal/api/publication.go
+++ b/internal/api/publication.go
@@ -250,11 +250,17 @@
 	Voter   VoterID       `json:"voter"`
 	Address string        `json:"address"`
 	Domain  FailureDomain `json:"domain"`
+	// Leaving is set while the daemon shuts down. It is omitted otherwise, because
+	// daemons refuse fields that they don't know.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // EnrollResponse lists the peer addresses of the control daemons.
 type EnrollResponse struct {
 	Members []string `json:"members"`
+	// Replacing is set in the response to a voter that shuts down while another daemon
+	// is about to take its place. Until then the voter should keep running.
+	Replacing bool `json:"replacing,omitempty"`
 }
 
 // LoadReport reports to other entries the work that an entry has in progress on
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -95,6 +95,8 @@
 	// leader. For ElectionMin after it, the member votes for no other. It starts
 	// at the start of the process, because it is not persisted.
 	lastLeaderContact time.Duration
+	// lastLeader is the leader of that contact, empty before the first one.
+	lastLeader api.VoterID
 	// deadline is when the next election or heartbeat round is due.
 	deadline time.Duration
 	votes    map[api.VoterID]bool
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -125,10 +125,13 @@
 	c.role = leader
 	c.leader = c.cfg.ID
 	c.votes = nil
-	c.lease = leaseState{start: c.now}
+	c.lease = leaseState{start: c.now, confirmedAt: c.now}
 	c.rejoin = map[api.VoterID]Member{}
 	c.peers = map[api.VoterID]*progress{}
 	c.syncPeers()
+	if p, ok := c.peers[c.lastLeader]; ok {
+		p.contact = c.lastLeaderContact
+	}
 	c.termStart = c.appendTermStart()
 	c.lease.roundDue = true
 	c.deadline = c.now + c.cfg.Heartbeat
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -11,7 +11,9 @@
 	start time.Duration
 	// confirmedRound is the newest round answered by a quorum; 0 is none.
 	confirmedRound uint64
-	round          uint64
+	// confirmedAt is when a quorum last answered a round.
+	confirmedAt time.Duration
+	round       uint64
 	// roundDue requests a new round with the next Ready.
 	roundDue bool
 	sent     []sentRound
@@ -102,6 +104,7 @@
 		return
 	}
 	c.lease.confirmedRound = round
+	c.lease.confirmedAt = c.now
 	kept := c.lease.sent[:0]
 	for _, s := range c.lease.sent {
 		if s.round == round {
--- a/internal/consensus/linear_test.go
+++ b/internal/consensus/linear_test.go
@@ -176,7 +176,7 @@
 		if !n.server.Status().Leading {
 			continue
 		}
-		return !slices.ContainsFunc(n.server.Membership().Members, func(m consensus.Member) bool {
+		return !slices.ContainsFunc(n.server.Members(), func(m consensus.MemberStatus) bool {
 			current := c.nodes[m.ID].store.Identity().Incarnation
 			return m.Learner || m.Incarnation != current || current == c.lostDisks[m.ID]
 		})
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -223,6 +223,21 @@
 	return n
 }
 
+// memberStatuses returns the members as this member sees them.
+func (c *Core) memberStatuses() []MemberStatus {
+	members := c.membership().Members
+	out := make([]MemberStatus, 0, len(members))
+	for _, m := range members {
+		status := MemberStatus{Member: m}
+		if p, ok := c.peers[m.ID]; ok {
+			status.Silence = max(0, c.lease.confirmedAt-p.contact)
+			status.CaughtUp = m.Learner && c.caughtUp(m)
+		}
+		out = append(out, status)
+	}
+	return out
+}
+
 // caughtUp reports whether a learner lacks at most promoteLag entries. One that
 // has acknowledged none under its current incarnation has not caught up,
 // however short the log.
@@ -243,7 +258,7 @@
 		}
 		p := c.peers[m.ID]
 		if p == nil || p.incarnation != m.Incarnation {
-			c.peers[m.ID] = &progress{incarnation: m.Incarnation, next: c.log.last() + 1}
+			c.peers[m.ID] = &progress{incarnation: m.Incarnation, next: c.log.last() + 1, contact: c.now}
 		}
 	}
 	for id := range c.peers {
--- a/internal/consensus/recovery_test.go
+++ b/internal/consensus/recovery_test.go
@@ -33,7 +33,7 @@
 
 func (c *cluster) voters() []api.VoterID {
 	var out []api.VoterID
-	for _, m := range c.leader().server.Membership().Members {
+	for _, m := range c.leader().server.Members() {
 		if !m.Learner {
 			out = append(out, m.ID)
 		}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -1,6 +1,8 @@
 package consensus
 
 import (
+	"time"
+
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
 )
@@ -32,6 +34,9 @@
 	dataRound      uint64
 	snapshotOffset uint64
 	snapshotIndex  uint64
+	// contact is when the member last answered this leader. It starts with the
+	// leadership, or with the last contact of a leader that was deposed.
+	contact time.Duration
 }
 
 // lostMessageRounds is the number of heartbeat rounds after which entries or a chunk that
@@ -120,6 +125,7 @@
 		c.becomeFollower(m.Term, m.From)
 	}
 	c.leader = m.From
+	c.lastLeader = m.From
 	c.lastLeaderContact = c.now
 	c.resetElectionTimer()
 }
@@ -180,6 +186,7 @@
 		return
 	}
 	p := c.peers[m.From]
+	p.contact = c.now
 	switch m.Kind {
 	case MsgAppendResponse:
 		c.handleAppendResponse(p, m)
--- a/internal/consensus/server_test.go
+++ b/internal/consensus/server_test.go
@@ -90,7 +90,7 @@
 			n := c.start(lost, t.TempDir(), bootstrap)
 			c.advanceUntil("the member votes again", func() bool {
 				incarnation := n.store.Identity().Incarnation
-				for _, m := range c.leader().server.Membership().Members {
+				for _, m := range c.leader().server.Members() {
 					if m.ID == lost && !m.Learner && m.Incarnation == incarnation {
 						return incarnation > consensus.BootstrapIncarnation
 					}
@@ -259,7 +259,7 @@
 	c.start("v4", dir, false)
 	c.stop("v4")
 	n := c.start("v4", dir, true)
-	require.Empty(t, n.server.Membership().Members)
+	require.Empty(t, n.server.Members())
 	require.Greater(t, n.store.Identity().Incarnation, consensus.BootstrapIncarnation)
 }
 
@@ -277,3 +277,51 @@
 	c.restart("v1")
 	c.requireConverged(want)
 }
+
+// silenceOf returns for how long a member has not answered the leader.
+func silenceOf(leader *node, id api.VoterID) time.Duration {
+	for _, m := range leader.server.Members() {
+		if m.ID == id {
+			return m.Silence
+		}
+	}
+	return 0
+}
+
+// A member counted as silent after its leader alone had been frozen.
+func TestSilenceIsMeasuredAgainstTheQuorum(t *testing.T) {
+	c := newCluster(t, 3)
+	c.propose("x")
+	leader := c.leader()
+	var cut, other api.VoterID
+	for id := range c.nodes {
+		switch {
+		case id == leader.id:
+		case cut == "":
+			cut = id
+		default:
+			other = id
+		}
+	}
+	frozen := consensus.DefaultElectionMin / 2
+	c.clock.Advance(frozen)
+	c.advance()
+	require.Less(t, silenceOf(leader, cut), frozen)
+	require.Less(t, silenceOf(leader, other), frozen)
+	c.net.setIsolated(cut, true)
+	c.advanceUntil("the cut member is silent", func() bool { return silenceOf(leader, cut) > consensus.DefaultElectionMax })
+	require.Less(t, silenceOf(leader, other), 3*consensus.DefaultHeartbeat)
+	c.net.setIsolated(cut, false)
+	c.advanceUntil("it answers again", func() bool { return silenceOf(leader, cut) < 3*consensus.DefaultHeartbeat })
+	require.Zero(t, silenceOf(leader, leader.id))
+}
+
+// A new leader counted the silence of the leader that was lost only from its own election.
+func TestSilenceOfALostLeaderSpansTheElection(t *testing.T) {
+	c := newCluster(t, 3)
+	c.propose("x")
+	lost := c.leader().id
+	c.stop(lost)
+	next := c.leader()
+	require.GreaterOrEqual(t, silenceOf(next, lost), consensus.DefaultElectionMin)
+}
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -17,7 +17,7 @@
 	leaseEnd   time.Duration
 	hasLease   bool
 	leaderAddr string
-	membership Membership
+	members    []MemberStatus
 }
 
 // publish updates the published status and logs changes of role and membership.
@@ -32,7 +32,7 @@
 			Voters:    s.voterStatuses(),
 		},
 		leaderAddr: s.route(s.core.leader).Address,
-		membership: s.core.Membership(),
+		members:    s.core.memberStatuses(),
 	}
 	p.leaseEnd, p.hasLease = s.core.LeaseEnd()
 	if s.core.role != s.lastRole {
@@ -40,7 +40,7 @@
 		level.Info(s.logger).Log("msg", "Role changed.", "role", s.lastRole, "term", s.core.term,
 			"since_leader_contact", s.core.now-s.core.lastLeaderContact)
 	}
-	if text := p.membership.describe(); text != s.lastMembers {
+	if text := s.core.Membership().describe(); text != s.lastMembers {
 		s.lastMembers = text
 		level.Info(s.logger).Log("msg", "Members changed.", "members", text, "term", s.core.term)
 	}
@@ -90,11 +90,11 @@
 	return p.status
 }
 
-// Membership returns the newest membership in the log of this member.
-func (s *Server) Membership() Membership {
+// Members returns the newest membership in the log of this member.
+func (s *Server) Members() []MemberStatus {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.status.membership
+	return s.status.members
 }
 
 // notLeader returns the error of a member that does not lead, with the address
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -47,6 +47,17 @@
 	Rejoining bool `json:"rejoining,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
+// MemberStatus is a member as its leader sees it.
+type MemberStatus struct {
+	Member
+	// Silence is the time for which a quorum has answered the leader and this member
+	// has not. It does not grow while the leader itself is frozen or cut off. It is 0
+	// for the leader and on a member that does not lead.
+	Silence time.Duration
+	// CaughtUp is set for a learner that may be promoted.
+	CaughtUp bool
+}
+
 // Membership is the set of members in force from one log index on.
 type Membership struct {
 	Members []Member `json:"members" cbor:"1,keyasint"`
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -38,6 +38,9 @@
 	s.expire(ctx)
 	now := s.cfg.Clock.Now()
 	lead.revisions.add(now, s.state.Revision(), now.Add(-s.cfg.LeaseDuration))
+	// Every step of a replacement is a round of its own, and until the last one
+	// control does not bear a further loss.
+	s.manageMembers(ctx, lead)
 	s.slowDuties(ctx, lead, now)
 }
 
@@ -52,7 +55,6 @@
 	s.measure(ctx, lead)
 	lead.hosts.evict(now, s.isAssigned)
 	lead.progress.evict(s.groupExists)
-	s.manageMembers(ctx, lead, now)
 }
 
 func (s *Service) groupExists(id api.GroupID) bool {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -148,7 +148,7 @@
 		service:   newServiceCounts(),
 		revisions: &revisionTimes{},
 		progress:  newProgressTable(),
-		enrolled:  newEnrolledTable(now),
+		enrolled:  newEnrolledTable(),
 		ctx:       ctx,
 		cancel:    cancel,
 	}
--- a/internal/control/lease_gap.go
+++ b/internal/control/lease_gap.go
@@ -78,7 +78,6 @@
 func (t *enrolledTable) shift(length time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.since = t.since.Add(length)
 	for id, row := range t.rows {
 		row.seen = row.seen.Add(length)
 		t.rows[id] = row
--- a/internal/control/publish_test.go
+++ b/internal/control/publish_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -201,59 +202,137 @@
 
 func TestMembershipPlan(t *testing.T) {
 	now := time.Unix(1000, 0)
-	voter := func(id api.VoterID) consensus.Member { return consensus.Member{ID: id, Incarnation: 1} }
-	learner := func(id api.VoterID) consensus.Member { return consensus.Member{ID: id, Incarnation: 1, Learner: true} }
-	rejoining := func(id api.VoterID) consensus.Member {
-		return consensus.Member{ID: id, Incarnation: 9, Learner: true, Rejoining: true}
+	member := func(id api.VoterID) consensus.Member { return consensus.Member{ID: id, Incarnation: 1} }
+	voter := func(id api.VoterID) consensus.MemberStatus { return consensus.MemberStatus{Member: member(id)} }
+	learner := func(id api.VoterID) consensus.MemberStatus {
+		status := consensus.MemberStatus{Member: member(id), CaughtUp: true}
+		status.Learner = true
+		return status
 	}
-	enrolledIn := func(domain string) enrolled {
+	rejoining := func(id api.VoterID) consensus.MemberStatus {
+		status := learner(id)
+		status.Rejoining = true
+		return status
+	}
+	silent := func(status consensus.MemberStatus, silence time.Duration) consensus.MemberStatus {
+		status.Silence = silence
+		return status
+	}
+	lost := func(id api.VoterID) consensus.MemberStatus { return silent(voter(id), 2*voterTimeout) }
+	behind := func(id api.VoterID) consensus.MemberStatus {
+		status := learner(id)
+		status.CaughtUp = false
+		return status
+	}
+	unanswered := func(id api.VoterID) consensus.MemberStatus {
+		status := learner(id)
+		status.Incarnation = 0
+		return status
+	}
+	members := func(list ...consensus.MemberStatus) []consensus.MemberStatus { return list }
+	three := members(voter("a"), voter("b"), voter("c"))
+	in := func(domain string) enrolled {
 		return enrolled{address: "a", domain: api.FailureDomain(domain), seen: now}
 	}
-	silent := enrolled{address: "a", domain: "a", seen: now.Add(-2 * memberTimeout)}
-	three := []consensus.Member{voter("a"), voter("b"), voter("c")}
-	all := map[api.VoterID]enrolled{"a": enrolledIn("x"), "b": enrolledIn("y"), "c": enrolledIn("z")}
-	with := func(id api.VoterID, e enrolled) map[api.VoterID]enrolled {
-		out := map[api.VoterID]enrolled{id: e}
-		for k, v := range all {
-			if _, ok := out[k]; !ok {
-				out[k] = v
-			}
-		}
+	leaving := func(domain string) enrolled {
+		row := in(domain)
+		row.leaving = true
+		return row
+	}
+	old := enrolled{address: "a", domain: "a", seen: now.Add(-2 * enrollTimeout)}
+	type rows = map[api.VoterID]enrolled
+	with := func(more rows) rows {
+		out := rows{"a": in("x"), "b": in("y"), "c": in("z")}
+		maps.Copy(out, more)
 		return out
 	}
 	cases := []struct {
 		name     string
-		members  []consensus.Member
-		enrolled map[api.VoterID]enrolled
-		since    time.Time
+		members  []consensus.MemberStatus
+		enrolled rows
 		wanted   int
 		kind     consensus.ChangeKind
 		id       api.VoterID
 	}{
-		{"nothing to do", three, all, time.Time{}, 3, "", ""},
-		{"a running daemon becomes a learner", three, with("d", enrolledIn("x")), time.Time{}, 3, consensus.ChangeAddLearner, "d"},
-		{"a daemon that is silent again", three, with("d", silent), time.Time{}, 3, "", ""},
-		{"a learner is not promoted beside three voters", append(three[:3:3], learner("d")), with("d", enrolledIn("x")), time.Time{}, 3, "", ""},
-		{"a learner replaces a lost voter", append(three[:3:3], learner("d")), map[api.VoterID]enrolled{
-			"a": enrolledIn("x"), "b": silent, "c": enrolledIn("z"), "d": enrolledIn("y"),
-		}, time.Time{}, 3, consensus.ChangePromote, "d"},
-		{"then the lost voter is removed", []consensus.Member{voter("a"), voter("b"), voter("c"), voter("d")}, map[api.VoterID]enrolled{
-			"a": enrolledIn("x"), "b": silent, "c": enrolledIn("z"), "d": enrolledIn("y"),
-		}, time.Time{}, 3, consensus.ChangeRemove, "b"},
-		{"a lost voter without a learner stays", three, with("b", silent), time.Time{}, 3, "", ""},
-		{"a voter that has not enrolled at a new leader", three, map[api.VoterID]enrolled{"a": enrolledIn("x"), "c": enrolledIn("z")}, now, 3, "", ""},
-		{"a voter that rejoins is not replaced", []consensus.Member{voter("a"), rejoining("b"), voter("c"), learner("d")}, with("d", enrolledIn("x")), time.Time{}, 3, "", ""},
-		{"more voters are wanted", append(three[:3:3], learner("d"), learner("e")), map[api.VoterID]enrolled{
-			"a": enrolledIn("x"), "b": enrolledIn("y"), "c": enrolledIn("z"), "d": enrolledIn("x"), "e": enrolledIn("w"),
-		}, time.Time{}, 5, consensus.ChangePromote, "e"},
-		{"the leader is never silent", three, map[api.VoterID]enrolled{"b": enrolledIn("y"), "c": enrolledIn("z")}, time.Time{}, 2, "", ""},
+		{"nothing to do", three, with(nil), 3, "", ""},
+		{"a running daemon becomes a learner", three, with(rows{"d": in("x")}), 3, consensus.ChangeAddLearner, "d"},
+		{"a daemon that is silent again", three, with(rows{"d": old}), 3, "", ""},
+		{"a daemon that shuts down", three, with(rows{"d": leaving("x")}), 3, "", ""},
+		{"a learner is not promoted beside three voters", append(three[:3:3], learner("d")), with(rows{"d": in("x")}), 3, "", ""},
+		{"a learner replaces a lost voter", members(voter("a"), lost("b"), voter("c"), learner("d")), with(rows{"d": in("y")}), 3, consensus.ChangePromote, "d"},
+		{"then the lost voter is removed", members(voter("a"), lost("b"), voter("c"), voter("d")), with(rows{"d": in("y")}), 3, consensus.ChangeRemove, "b"},
+		{"a lost voter without a learner stays", members(voter("a"), lost("b"), voter("c")), with(nil), 3, "", ""},
+		{
+			"a voter that is silent for less than the timeout stays",
+			members(voter("a"), silent(voter("b"), voterTimeout), voter("c"), learner("d")), with(rows{"d": in("y")}), 3, "", "",
+		},
+		{"a learner replaces a voter that shuts down", append(three[:3:3], learner("d")), with(rows{"b": leaving("y"), "d": in("y")}), 3, consensus.ChangePromote, "d"},
+		{"then that voter is removed", append(three[:3:3], voter("d")), with(rows{"b": leaving("y"), "d": in("y")}), 3, consensus.ChangeRemove, "b"},
+		{"the leader that shuts down is removed", append(three[:3:3], voter("d")), with(rows{"a": leaving("x"), "d": in("x")}), 3, consensus.ChangeRemove, "a"},
+		{
+			"a successor that is lost too is removed first, as the old voter still votes",
+			append(three[:3:3], lost("d")), with(rows{"b": leaving("y"), "d": in("y")}), 3, consensus.ChangeRemove, "d",
+		},
+		{"a voter that shuts down without a learner stays", three, with(rows{"b": leaving("y")}), 3, "", ""},
+		{"a learner that has not caught up", members(voter("a"), lost("b"), voter("c"), behind("d")), with(rows{"d": in("y")}), 3, "", ""},
+		{"a learner that has not answered", members(voter("a"), lost("b"), voter("c"), unanswered("d")), with(rows{"d": in("y")}), 3, "", ""},
+		{"a learner that shuts down", members(voter("a"), lost("b"), voter("c"), learner("d")), with(rows{"d": leaving("y")}), 3, "", ""},
+		{
+			"a learner that may be lost",
+			members(voter("a"), lost("b"), voter("c"), silent(learner("d"), 2*candidateTimeout)), with(rows{"d": in("y")}), 3, "", "",
+		},
+		{"a learner that is lost", append(three[:3:3], silent(learner("d"), 2*learnerTimeout)), with(rows{"d": in("y")}), 3, consensus.ChangeRemove, "d"},
+		{"the learner of the lost voter's domain", members(voter("a"), lost("b"), voter("c"), learner("d"), learner("e")), with(rows{"d": in("x"), "e": in("y")}), 3, consensus.ChangePromote, "e"},
+		{"of two lost voters one is replaced first", members(voter("a"), lost("b"), lost("c"), voter("d"), voter("e"), learner("f")), with(rows{"d": in("y"), "e": in("z"), "f": in("y")}), 5, consensus.ChangePromote, "f"},
+		{"and removed before the next is replaced", members(voter("a"), lost("b"), lost("c"), voter("d"), voter("e"), voter("f"), learner("g")), with(rows{"d": in("y"), "e": in("z"), "f": in("y"), "g": in("z")}), 5, consensus.ChangeRemove, "b"},
+		{"a voter that has not enrolled at a new leader", three, rows{"a": in("x"), "c": in("z")}, 3, "", ""},
+		{"a voter that rejoins is not replaced", members(voter("a"), rejoining("b"), voter("c"), learner("d")), with(rows{"d": in("x")}), 3, "", ""},
+		{"more voters are wanted", append(three[:3:3], learner("d"), learner("e")), with(rows{"d": in("x"), "e": in("w")}), 5, consensus.ChangePromote, "e"},
+		{"the leader is never lost", members(lost("a"), voter("b"), voter("c"), learner("d")), with(rows{"d": in("x")}), 3, "", ""},
+		{"a voter in the domain of another gives way", append(three[:3:3], learner("d")), with(rows{"c": in("x"), "d": in("z")}), 3, consensus.ChangePromote, "d"},
+		{"and is removed, rather than the leader", append(three[:3:3], voter("d")), with(rows{"c": in("x"), "d": in("z")}), 3, consensus.ChangeRemove, "c"},
+		{"no voter gives way while a domain is unknown", append(three[:3:3], learner("d")), rows{"a": in("x"), "c": in("x"), "d": in("z")}, 3, "", ""},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			f := membershipInput{members: c.members, enrolled: c.enrolled, since: c.since, self: "a", wanted: c.wanted, now: now}
+			f := membershipInput{members: c.members, enrolled: c.enrolled, self: "a", wanted: c.wanted, now: now}
 			change, reason := f.plan()
 			require.Equal(t, c.kind, change.Kind, reason)
 			require.Equal(t, c.id, change.Member.ID)
+			require.Equal(t, c.kind != "", reason != "", "every change has a reason")
+		})
+	}
+}
+
+// A control daemon that got SIGTERM ended before another one voted in its place.
+func TestLeavingVoterWaitsForItsReplacement(t *testing.T) {
+	now := time.Unix(1000, 0)
+	status := func(id api.VoterID, isLearner bool) consensus.MemberStatus {
+		return consensus.MemberStatus{Member: consensus.Member{ID: id, Incarnation: 1, Learner: isLearner}}
+	}
+	three := []consensus.MemberStatus{status("a", false), status("b", false), status("c", false)}
+	row := enrolled{address: "a", domain: "x", seen: now}
+	gone := enrolled{address: "a", domain: "x", seen: now.Add(-2 * enrollTimeout)}
+	silent := status("d", true)
+	silent.Silence = 2 * voterTimeout
+	for _, c := range []struct {
+		name     string
+		members  []consensus.MemberStatus
+		enrolled map[api.VoterID]enrolled
+		waits    bool
+	}{
+		{"nobody can take its place", three, nil, false},
+		{"a daemon that is about to become a learner", three, map[api.VoterID]enrolled{"d": row}, true},
+		{"a daemon that is gone", three, map[api.VoterID]enrolled{"d": gone}, false},
+		{"a learner that still catches up", append(three[:3:3], status("d", true)), nil, true},
+		{"a learner that is lost", append(three[:3:3], silent), nil, false},
+		{"a learner that shuts down too", append(three[:3:3], status("d", true)), map[api.VoterID]enrolled{"d": {leaving: true}}, false},
+		{"a successor that votes already", append(three[:3:3], status("d", false)), nil, true},
+		{"it was removed", []consensus.MemberStatus{status("a", false), status("c", false), status("d", false)}, nil, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := membershipInput{members: c.members, enrolled: c.enrolled, self: "a", wanted: 3, now: now}
+			require.Equal(t, c.waits, f.isBeingReplaced("b"))
 		})
 	}
 }
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -35,7 +35,7 @@
 
 // MembershipReader is implemented by a Log that can report its members.
 type MembershipReader interface {
-	Membership() consensus.Membership
+	Members() []consensus.MemberStatus
 }
 
 // Limits bounds what the control role stores and accepts.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -96,6 +96,8 @@
 	gatewayCallTimeout = 900 * time.Millisecond
 	// enrollInterval is the time between two enrollments of a control daemon.
 	enrollInterval = time.Second
+	// replacementPoll is the time between two enrollments of a voter that shuts down.
+	replacementPoll = 100 * time.Millisecond
 	// gatewaySnapshotBytes keeps the log small on the small disks of control daemons.
 	gatewaySnapshotBytes = 2 << 20
 	// backendDialTimeout bounds a connection attempt to a backend server, which is
@@ -132,6 +134,9 @@
 	mu        sync.Mutex
 	endpoints []Endpoint
 	stopping  bool
+	// enrolling serialises enrollments, so that the newest one says whether this daemon
+	// shuts down.
+	enrolling sync.Mutex
 }
 
 // NewGateway binds the peer address of a daemon and builds its role. Then mount
@@ -375,13 +380,7 @@
 }
 
 func (g *Gateway) enroll(ctx context.Context, failing bool) bool {
-	ctx, cancel := context.WithTimeout(ctx, gatewayCallTimeout)
-	defer cancel()
-	request := api.EnrollRequest{
-		Voter: api.VoterID(hostOf(g.cfg.PeerAddress)), Address: g.cfg.PeerAddress, Domain: g.cfg.Domain,
-	}
-	var response api.EnrollResponse
-	err := g.leader.Call(ctx, api.MethodEnroll, request, &response)
+	response, err := g.callEnroll(ctx)
 	switch {
 	case err != nil && !failing:
 		level.Warn(g.logger).Log("msg", "Control leader unreachable", "leader", g.leader.Leader(), "err", err)
@@ -394,7 +393,53 @@
 	return err != nil
 }
 
-// shutDown transfers the leadership of a control daemon. An entry leaves the directory,
+// callEnroll sends one enrollment.
+func (g *Gateway) callEnroll(ctx context.Context) (api.EnrollResponse, error) {
+	g.enrolling.Lock()
+	defer g.enrolling.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, gatewayCallTimeout)
+	defer cancel()
+	request := api.EnrollRequest{
+		Voter: api.VoterID(hostOf(g.cfg.PeerAddress)), Address: g.cfg.PeerAddress, Domain: g.cfg.Domain, Leaving: g.isStopping(),
+	}
+	var response api.EnrollResponse
+	err := g.leader.Call(ctx, api.MethodEnroll, request, &response)
+	return response, err
+}
+
+func (g *Gateway) isStopping() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stopping
+}
+
+// awaitReplacement keeps this voter running until another control daemon has taken
+// its place, so that the members never lack a voter that may be lost next. It
+// returns at once if no daemon can take it.
+func (g *Gateway) awaitReplacement(ctx context.Context) {
+	started := time.Now()
+	for {
+		response, err := g.callEnroll(ctx)
+		switch {
+		case err == nil && !response.Replacing:
+			level.Info(g.logger).Log("msg", "Leaving the members", "after", time.Since(started))
+			return
+		case errs.Is(err, errs.Invalid):
+			// The leader runs a version that replaces a voter only after its loss.
+			level.Warn(g.logger).Log("msg", "Leader refused to replace this voter", "leader", g.leader.Leader(), "err", err)
+			return
+		case err != nil:
+			level.Warn(g.logger).Log("msg", "Leaving the members not reported, retrying", "leader", g.leader.Leader(), "err", err)
+		}
+		if !clock.Sleep(ctx, replacementPoll) {
+			level.Warn(g.logger).Log("msg", "Not replaced within the grace period", "after", time.Since(started))
+			return
+		}
+	}
+}
+
+// shutDown transfers the leadership of a control daemon and lets a successor take its
+// place among the voters. An entry leaves the directory,
 // serves callers that cached its address for the lame-duck period, waits for requests
 // in progress and releases its work lease.
 func (g *Gateway) shutDown() {
@@ -406,6 +451,7 @@
 	defer cancel()
 	if g.control != nil {
 		g.control.resign(ctx)
+		g.awaitReplacement(ctx)
 		return
 	}
 	exit, _ := ctx.Deadline()
--- a/internal/daemon/gateway_calls.go
+++ b/internal/daemon/gateway_calls.go
@@ -105,11 +105,8 @@
 // Ready returns the reason why the daemon is not ready, or nil.
 func (g *Gateway) Ready() error {
 	const step = "check readiness"
-	g.mu.Lock()
-	stopping := g.stopping
-	g.mu.Unlock()
 	switch {
-	case stopping:
+	case g.isStopping():
 		return errs.New(errs.Unavailable, step, "", "the daemon is shutting down")
 	case g.ingress != nil && !g.ingress.Ready():
 		return errs.New(errs.Unavailable, step, "", "no publication is known")
--- a/internal/soak/signal_test.go
+++ b/internal/soak/signal_test.go
@@ -15,13 +15,19 @@
 // testNetwork is the loopback network of the tests' daemons.
 const testNetwork = 24_000
 
-// startDaemon builds the binary and starts one entry.
-func startDaemon(t *testing.T, settings func(path string)) *daemon {
+// buildBinary builds the binary under test.
+func buildBinary(t *testing.T) string {
 	t.Helper()
-	dir := t.TempDir()
-	binary := filepath.Join(dir, "crocusway")
+	binary := filepath.Join(t.TempDir(), "crocusway")
 	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/crocusway").CombinedOutput()
 	require.NoError(t, err, string(out))
+	return binary
+}
+
+// startDaemon builds the binary and starts one entry.
+func startDaemon(t *testing.T, settings func(path string)) *daemon {
+	t.Helper()
+	dir, binary := t.TempDir(), buildBinary(t)
 	s := &system{cfg: Config{Network: testNetwork + os.Getpid()%250}}
 	d := &daemon{name: "entry-1", role: roleEntry, ip: s.ip(hostEntries), zone: zones[0], dir: dir, binary: binary, oracle: newOracle()}
 	require.NoError(t, d.writeSettings([]string{d.address(portControl)}))
@@ -33,9 +39,9 @@
 	return d
 }
 
-func (d *daemon) requireNoFindings(t *testing.T) {
+func requireNoFindings(t *testing.T, o *oracle) {
 	t.Helper()
-	findings, _ := d.oracle.result()
+	findings, _ := o.result()
 	require.Empty(t, findings)
 }
 
@@ -67,7 +73,7 @@
 	require.NoError(t, err)
 	require.NoError(t, fifo.Close())
 	require.Eventually(t, d.hasLogged("msg=Started"), grace, 10*time.Millisecond)
-	d.requireNoFindings(t)
+	requireNoFindings(t, d.oracle)
 }
 
 // TestSighupDuringShutdownDoesNotEndTheProcess sends SIGHUP while an entry waits for callers
