platform, control: an order that was held up undoes no later one

Cause: an evacuation or its end was carried out whenever it was read. A control daemon that had been frozen read an Evacuation.Finish whose caller had moved on long before, and the leader could not tell it from a new one. Ruled out: an older view at the entries and a late commit of an old term (the leader's log has a new change in its own term).

Change: the daemon answers the first call with 307 to itself and what the change rests on, the leader's term and the count of changes of that zone. Only a caller that still waits follows. The leader refuses a change that does not rest on the newest one. With an older leader the daemon still asks for the confirmation.

--- a/internal/api/publication.go
+++ b/internal/api/publication.go
@@ -1,5 +1,11 @@
 package api
 
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
 // CallKind classifies the calls of a route by how often they may run.
 type CallKind string
 
@@ -230,6 +236,34 @@
 type DomainRequest struct {
 	Domain   Domain `json:"domain"`
 	Operator string `json:"operator"`
+	// Precondition is what the change rests on. Older daemons refuse it, and send none.
+	Precondition *DomainPrecondition `json:"precondition,omitempty"`
+}
+
+// DomainPrecondition identifies the last change of a failure domain: the leader's term,
+// and the number of changes since its election. It is valid until the next change of the
+// domain, or of the leader.
+type DomainPrecondition struct {
+	Term     uint64 `json:"term"`
+	Sequence uint64 `json:"sequence"`
+}
+
+// String returns "TERM-SEQUENCE".
+func (p DomainPrecondition) String() string { return fmt.Sprintf("%d-%d", p.Term, p.Sequence) }
+
+// ParseDomainPrecondition parses what String returns. ok is false for any other text.
+func ParseDomainPrecondition(text string) (p DomainPrecondition, ok bool) {
+	term, sequence, _ := strings.Cut(text, "-")
+	var errTerm, errSequence error
+	p.Term, errTerm = strconv.ParseUint(term, 10, 64)
+	p.Sequence, errSequence = strconv.ParseUint(sequence, 10, 64)
+	return p, errTerm == nil && errSequence == nil
+}
+
+// DomainPreconditionRequest asks for the precondition of the next change of a failure
+// domain.
+type DomainPreconditionRequest struct {
+	Name FailureDomain `json:"name"`
 }
 
 // DomainResponse carries the revision at which the state was accepted.
--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -33,6 +33,8 @@
 	MethodDepart      Method = "control.depart"
 	MethodEnroll      Method = "control.enroll"
 	MethodProgress    Method = "control.progress"
+	// MethodDomainPrecondition is unknown to older daemons.
+	MethodDomainPrecondition Method = "control.domain.precondition"
 	// MethodLoads and MethodView are answered by entries.
 	MethodLoads Method = "entry.loads"
 	MethodView  Method = "entry.view"
--- a/internal/control/gateway_calls.go
+++ b/internal/control/gateway_calls.go
@@ -9,7 +9,6 @@
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
-	"github.com/crocusway/crocusway/internal/faults"
 )
 
 // departureRetention is how long a departure is kept: far longer than the delay
@@ -83,28 +82,6 @@
 	return api.PublicationResponse{Version: row.Publication.Version, Source: row.Source}, nil
 }
 
-// setDomain handles control.domain.
-func (s *Service) setDomain(ctx context.Context, r api.DomainRequest) (api.DomainResponse, error) {
-	var list faults.List
-	if r.Domain.Name == "" || len(r.Domain.Name) > maxNameLength {
-		list.Add("domain.name", string(r.Domain.Name), "of 1 to %d characters", maxNameLength)
-	}
-	if err := list.Err("set domain", ""); err != nil {
-		return api.DomainResponse{}, err
-	}
-	if _, err := s.lead(ctx); err != nil {
-		return api.DomainResponse{}, err
-	}
-	response, err := propose[api.DomainResponse](ctx, s, &domainCommand{Domain: r.Domain, Operator: r.Operator})
-	if err != nil {
-		return response, err
-	}
-	s.requestReconcile()
-	level.Info(s.logger).Log("msg", "Failure domain set", "domain", r.Domain.Name, "state", r.Domain.State,
-		"operator", r.Operator, "revision", response.Revision)
-	return response, nil
-}
-
 // depart handles control.depart. It returns once the departure is replicated: a
 // new leader must know of it even if the server no longer announces itself.
 func (s *Service) depart(ctx context.Context, r api.DepartRequest) (api.Empty, error) {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -24,6 +24,7 @@
 	revisions *revisionTimes
 	progress  *progressTable
 	enrolled  *enrolledTable
+	domains   *domainOrders
 	leaseGap  leaseGap
 	// publishing holds the publications that are being committed, by version.
 	publishing singleflight.Group
@@ -149,6 +150,7 @@
 		revisions: &revisionTimes{},
 		progress:  newProgressTable(),
 		enrolled:  newEnrolledTable(),
+		domains:   newDomainOrders(),
 		ctx:       ctx,
 		cancel:    cancel,
 	}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -74,6 +74,7 @@
 	r.Handle(api.MethodPublish, peer.Typed(s.publish))
 	r.Handle(api.MethodPublication, peer.Typed(s.publicationInForce))
 	r.Handle(api.MethodDomain, peer.Typed(s.setDomain))
+	r.Handle(api.MethodDomainPrecondition, peer.Typed(s.domainPrecondition))
 	r.Handle(api.MethodDepart, peer.Typed(s.depart))
 	r.Handle(api.MethodProgress, peer.Typed(s.progress))
 	r.Handle(api.MethodEnroll, peer.Typed(s.enroll))
--- a/internal/daemon/gateway_calls.go
+++ b/internal/daemon/gateway_calls.go
@@ -71,14 +71,40 @@
 	return response, err
 }
 
-// SetDomain sets the state of a failure domain.
-func (g *Gateway) SetDomain(ctx context.Context, name api.FailureDomain, state api.DomainState, operator string) error {
+// DomainPrecondition returns what the next change of a failure domain rests on: the
+// changes before it. It is zero while the leader is an older daemon, which knows none.
+func (g *Gateway) DomainPrecondition(ctx context.Context, name api.FailureDomain) (api.DomainPrecondition, error) {
 	ctx, cancel := context.WithTimeout(ctx, gatewayCallTimeout)
 	defer cancel()
-	request := api.DomainRequest{Domain: api.Domain{Name: name, State: state}, Operator: operator}
+	var response api.DomainPrecondition
+	err := g.leader.Call(ctx, api.MethodDomainPrecondition, api.DomainPreconditionRequest{Name: name}, &response)
+	if errs.Is(err, errs.NotFound) {
+		return api.DomainPrecondition{}, nil
+	}
+	if err != nil {
+		level.Warn(g.logger).Log("msg", "Reading the failure domain failed", "domain", name, "leader", g.leader.Leader(), "err", err)
+	}
+	return response, err
+}
+
+// SetDomain sets the state of a failure domain. It fails with errs.Stale if the domain
+// or the leader has changed since the precondition was read.
+func (g *Gateway) SetDomain(ctx context.Context, domain api.Domain, operator string, p api.DomainPrecondition) error {
+	ctx, cancel := context.WithTimeout(ctx, gatewayCallTimeout)
+	defer cancel()
+	request := api.DomainRequest{Domain: domain, Operator: operator, Precondition: &p}
 	err := g.leader.Call(ctx, api.MethodDomain, request, &api.DomainResponse{})
+	if errs.Is(err, errs.Invalid) {
+		// An older leader refuses the field. A precondition of another leader has passed.
+		if p != (api.DomainPrecondition{}) {
+			return errs.New(errs.Stale, "set domain", string(domain.Name), "the leader has changed")
+		}
+		request.Precondition = nil
+		err = g.leader.Call(ctx, api.MethodDomain, request, &api.DomainResponse{})
+	}
 	if err != nil {
-		level.Warn(g.logger).Log("msg", "Setting the failure domain failed", "domain", name, "state", state, "leader", g.leader.Leader(), "err", err)
+		level.Warn(g.logger).Log("msg", "Setting the failure domain failed", "domain", domain.Name, "state", domain.State,
+			"precondition", p, "leader", g.leader.Leader(), "err", err)
 	}
 	return err
 }
