--- a/internal/api/publication.go
+++ b/internal/api/publication.go
@@ -279,6 +279,17 @@
 	Final bool `json:"final,omitempty"`
 }
 
+// IncarnationRequest asks for the newest incarnation of a backend server.
+type IncarnationRequest struct {
+	Host HostID `json:"host"`
+}
+
+// IncarnationResponse holds the incarnation that has announced itself, or the current
+// Unix time in milliseconds if none has.
+type IncarnationResponse struct {
+	Incarnation Incarnation `json:"incarnation"`
+}
+
 // EnrollRequest announces a running control daemon to the leader.
 type EnrollRequest struct {
 	Voter   VoterID       `json:"voter"`
--- a/internal/api/rpc.go
+++ b/internal/api/rpc.go
@@ -33,8 +33,9 @@
 	MethodDepart      Method = "control.depart"
 	MethodEnroll      Method = "control.enroll"
 	MethodProgress    Method = "control.progress"
-	// MethodDomainPrecondition is unknown to older daemons.
+	// Older daemons don't know the following two methods.
 	MethodDomainPrecondition Method = "control.domain.precondition"
+	MethodIncarnation        Method = "control.incarnation"
 	// MethodLoads and MethodView are answered by entries.
 	MethodLoads Method = "entry.loads"
 	MethodView  Method = "entry.view"
--- a/internal/control/gateway_calls.go
+++ b/internal/control/gateway_calls.go
@@ -105,6 +105,15 @@
 	return api.Empty{}, s.confirmLeading(lead)
 }
 
+// incarnation handles control.incarnation.
+func (s *Service) incarnation(ctx context.Context, r api.IncarnationRequest) (api.IncarnationResponse, error) {
+	lead, err := s.lead(ctx)
+	if err != nil {
+		return api.IncarnationResponse{}, err
+	}
+	return api.IncarnationResponse{Incarnation: s.currentIncarnation(lead, r.Host)}, s.confirmLeading(lead)
+}
+
 // currentIncarnation is used for a host that departs without naming its
 // incarnation. It is the announced one, or else the current Unix time in
 // milliseconds, which covers any incarnation started by now.
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -76,6 +76,7 @@
 	r.Handle(api.MethodDomain, peer.Typed(s.setDomain))
 	r.Handle(api.MethodDomainPrecondition, peer.Typed(s.domainPrecondition))
 	r.Handle(api.MethodDepart, peer.Typed(s.depart))
+	r.Handle(api.MethodIncarnation, peer.Typed(s.incarnation))
 	r.Handle(api.MethodProgress, peer.Typed(s.progress))
 	r.Handle(api.MethodEnroll, peer.Typed(s.enroll))
 }
--- a/internal/daemon/gateway_calls.go
+++ b/internal/daemon/gateway_calls.go
@@ -24,6 +24,19 @@
 	return g.leader.Call(ctx, api.MethodDepart, r, &api.Empty{})
 }
 
+// Incarnation returns the newest incarnation of a backend server that control knows. It is
+// 0 while the leader is an older daemon, which can't tell.
+func (g *Gateway) Incarnation(ctx context.Context, host api.HostID) (api.Incarnation, error) {
+	ctx, cancel := context.WithTimeout(ctx, gatewayCallTimeout)
+	defer cancel()
+	var response api.IncarnationResponse
+	err := g.leader.Call(ctx, api.MethodIncarnation, api.IncarnationRequest{Host: host}, &response)
+	if errs.Is(err, errs.NotFound) {
+		return 0, nil
+	}
+	return response.Incarnation, err
+}
+
 // Publish validates a publication and stores it unless a version at least as high is
 // stored. An invalid one fails with errs.Invalid and all of its faults.
 func (g *Gateway) Publish(ctx context.Context, p api.Publication, source []byte) (api.PublishResponse, error) {
