--- a/internal/standin/fault_test.go
+++ b/internal/standin/fault_test.go
@@ -30,7 +30,9 @@
 func TestSlowestMemberLimitsReplica(t *testing.T) {
 	f := startFleet(t, func(c *Config) { c.Services = []Service{{Name: "orders", PerDomain: 1}} })
 	first := form(t, "g1", 1, f.InFabric("fabric-0")...)
+	first.mu.Lock()
 	first.engine.warm = true
+	first.mu.Unlock()
 	c := &completion{host: first, members: first.member.hosts}
 	require.Equal(t, time.Second, c.scale(time.Second))
 	f.Hosts()[1].Slow(2.5)
