group: a member that started again stays bound until its old head no longer serves

Cause: one announcement of the new incarnation without the membership freed the host, but a restart clears the highest epoch, so an order of the old replica that was still on its way brought it back, and the host was used without a leave.

Change: such a host is free only once the head of the replica that its former incarnation held has left, or has missed it for stallMs. Assignments and messages are as before.

--- a/internal/group/memory.go
+++ b/internal/group/memory.go
@@ -48,8 +48,19 @@
 	// group and fencing are the membership that the host announced last.
 	group   api.GroupID
 	fencing api.Fencing
-	order   orderMemory
-	release releaseMemory
+	// held is the newest membership that the host announced, and missingSince when it
+	// announced none after that.
+	held         heldMembership
+	missingSince time.Time
+	order        orderMemory
+	release      releaseMemory
+}
+
+// heldMembership is a membership with the first incarnation that announced it.
+type heldMembership struct {
+	group       api.GroupID
+	fencing     api.Fencing
+	incarnation api.Incarnation
 }
 
 // orderMemory tracks the newest order sent to a host.
@@ -162,6 +173,7 @@
 	restarted := h.incarnation != 0 && a.Incarnation > h.incarnation
 	h.incarnation, h.sequence = a.Incarnation, a.Sequence
 	h.group, h.fencing = a.Group, a.Fencing
+	h.observeMembership(a, now)
 	h.observeLiveness(isAlive(s, p), restarted, p, now)
 	switch {
 	case !a.Leaving:
@@ -171,6 +183,18 @@
 	}
 }
 
+func (h *host) observeMembership(a *api.Announcement, now time.Time) {
+	switch {
+	case a.Group == "" && h.missingSince.IsZero():
+		h.missingSince = now
+	case a.Group == "":
+	case a.Group == h.held.group && a.Fencing == h.held.fencing:
+		h.missingSince = time.Time{}
+	default:
+		h.held, h.missingSince = heldMembership{a.Group, a.Fencing, a.Incarnation}, time.Time{}
+	}
+}
+
 // observeLiveness records a failure when a live host goes silent or restarts. If a
 // silent host restarts, its back-off starts then.
 func (h *host) observeLiveness(alive, restarted bool, p *Policy, now time.Time) {
--- a/internal/group/policy.go
+++ b/internal/group/policy.go
@@ -71,6 +71,8 @@
 	// failure domain: no requests reach them that could prove that they work, and late
 	// detection affects no request.
 	IdleSilence time.Duration
+	// StallTime is how long the head of a shared replica goes on after it lost a member.
+	StallTime time.Duration
 	// LostHostRetention is how long a lost host keeps its membership of a released
 	// shared replica.
 	LostHostRetention time.Duration
@@ -111,6 +113,7 @@
 		MaxDomainLoads:    24,
 		LoadTimeout:       20 * time.Minute,
 		AnswerBound:       2500 * time.Millisecond,
+		StallTime:         4 * time.Second,
 		LostHostRetention: time.Minute,
 		ConvertAfter:      20 * time.Second,
 		IdleSilence:       8 * time.Second,
--- a/internal/group/shared.go
+++ b/internal/group/shared.go
@@ -51,7 +51,8 @@
 // releasedShared reports whether a host has left a shared replica permanently: it
 // acknowledged the release, announces no such membership, or has been lost for longer
 // than LostHostRetention. The head then can't serve, since a member is missing, whether
-// or not it can be reached.
+// or not it can be reached. A host that started again knows nothing of its membership, but
+// a late order may restore it while the head still serves.
 func (pl *planner) releasedShared(a *api.Assignment) bool {
 	h := pl.mem.hosts[a.Host]
 	if h.status == nil || h.stale {
@@ -60,9 +61,28 @@
 	if !isAlive(h.status, pl.policy) {
 		return pl.now.Sub(h.deadSince) > pl.policy.LostHostRetention
 	}
+	if pl.isRestorable(h, a) {
+		return false
+	}
 	return h.status.Announcement.Group != a.Group || h.release.acked && h.release.fencing == a.Fencing
 }
 
+// isRestorable reports whether a host has started again since it held a membership, and the
+// head of that replica may still serve: it has neither left nor missed the host for
+// StallTime. An acknowledgement by the new incarnation proves nothing: unlike the former one
+// it takes an older order afterwards.
+func (pl *planner) isRestorable(h *host, a *api.Assignment) bool {
+	if h.held.group != a.Group || h.held.incarnation == h.incarnation {
+		return false
+	}
+	head := pl.byID[a.Group].mem.members[0]
+	if head == h || head.assign == nil || head.assign.Group != a.Group {
+		return false
+	}
+	isBroken := !h.missingSince.IsZero() && pl.now.Sub(h.missingSince) > pl.policy.StallTime
+	return !isBroken && !pl.releasedShared(head.assign)
+}
+
 // isShared reports whether a replica belongs to a serving group that shares hosts.
 // Its serving group may no longer be published; then the group's service shows it.
 func (r *replica) isShared() bool {
--- a/internal/group/shared_test.go
+++ b/internal/group/shared_test.go
@@ -310,3 +310,32 @@
 	}
 	require.GreaterOrEqual(rt, w.serving("big")*4+w.serving("small")*3, 9, "hosts in replicas that serve")
 }
+
+// A member that started again and was brought back by a late order joined another replica
+// while the head of its first one served.
+func TestRestartedMemberWaitsForItsHead(t *testing.T) {
+	for _, pause := range []time.Duration{sharedTick, 5 * sharedTick, 15 * sharedTick} {
+		w := newSharedFleet(t, nil)
+		w.publish(2, api.EngineModel{Name: "small", Hosts: 3, Share: 1})
+		w.add("a0", "a", 3)
+		w.run(2 * engineLoadTime)
+		w.traffic()
+		head := w.memberOf("small", 0)
+		require.NotNil(t, head)
+		member := w.byID[head.members[1]]
+		late := api.Order{Kind: api.OrderAssign, Host: member.id, Group: head.group, Fencing: head.fencing, Members: head.members, Model: "small"}
+		head.cut = true
+		w.restart(member)
+		w.run(pause)
+		_, err := w.deliver(late)
+		require.NoError(t, err)
+		w.add("a0", "a", 1)
+		w.engines[len(w.engines)-1].staged = "small"
+		w.run(engineStallTimeout)
+		requireNoViolation(t, w)
+		head.cut = false
+		w.run(2 * engineLoadTime)
+		requireNoViolation(t, w)
+		require.NotEmpty(t, member.group, "%s serves again", member.id)
+	}
+}
