ingress: a request forwarded to a restarted entry goes to another one

Cause: the proof of a forwarded request names the process that it is meant for. The new process refuses it with 403, and the first entry took that for the answer. Ruled out: that the new process knows no publication (the test's does).

Change: a refused proof declines the request; another entry gets it, or the caller 503.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -68,6 +68,9 @@
 	codeNoPublication = "no_publication"
 	codeNoService     = "no_service"
 	codeLeaving       = "entry_leaving"
+	// codeForbidden also comes from a process that was started again on the address: the
+	// proof names the former one.
+	codeForbidden = "forbidden"
 )
 
 // forwardTable holds what an entry knows of the others as receivers of its requests. It is
@@ -251,7 +254,7 @@
 	case codeLinksLost:
 		c.links.forwards.markLost(c.via.ID, time.Now().Add(avoidDuration))
 		fallthrough
-	case codeNoPublication, codeNoService, codeLeaving:
+	case codeNoPublication, codeNoService, codeLeaving, codeForbidden:
 		return &attemptError{ran: c.viaRuns > 0, declined: c.viaRuns == 0, cause: errors.Newf("entry %s declined the request: %s", c.via.ID, code)}
 	}
 	c.ran += c.viaRuns
@@ -346,7 +349,7 @@
 	c.forwardedBy = "unknown"
 	if !hmac.Equal([]byte(proof), []byte(forwardMAC(s.cfg.ForwardSecret, s.cfg.Self.ID, h, encoded))) {
 		level.Warn(s.logger).Log("msg", "Forwarded request without a valid proof rejected", "request", c.head.ID, "peer", c.http.RemoteAddr())
-		return &refusal{status: fasthttp.StatusForbidden, code: "forbidden", message: "the request has no valid proof"}
+		return &refusal{status: fasthttp.StatusForbidden, code: codeForbidden, message: "the request has no valid proof"}
 	}
 	var message api.ForwardedCall
 	if err := json.Unmarshal(encoded, &message); err != nil {
--- a/internal/ingress/forward_test.go
+++ b/internal/ingress/forward_test.go
@@ -315,6 +315,27 @@
 	require.Contains(t, leaving.logs.String(), "forwarded_by")
 }
 
+// The first entry passed on the 403 of an entry that had been started again.
+func TestRequestsMoveOnFromRestartedEntry(t *testing.T) {
+	for entries, moves := range map[int]bool{2: false, 3: true} {
+		t.Run(fmt.Sprintf("%d entries", entries), func(t *testing.T) {
+			g := cutFirst(t, entries, sound(t))
+			infos := slices.Clone(g.entries[0].view.Entries)
+			infos[1].ID = "e1-former"
+			g.entries[0].view.Entries = infos
+			g.entries[0].apply()
+			served, sent := g.entries[0].sendAll(3)
+			if moves {
+				require.Equal(t, sent, served)
+				return
+			}
+			require.Zero(t, served)
+			res := g.entries[0].send("GET", "/read/1", "")
+			require.Equal(t, 503, res.StatusCode, "a promise, and no refusal of a proper request")
+		})
+	}
+}
+
 func TestForwardsSpreadOverEntries(t *testing.T) {
 	f, now := newForwardTable(), time.Now()
 	self := api.EntryInfo{ID: "self", Domain: "a", Live: true}
