consensus: the platform's first start needs a majority, not every voter

Cause: a bootstrapped voter waits for every other member's answer that it is empty, as the option may still be set after a lost disk. The platform sets it for the first start only, so its daemons now trust it; crocusway serve checks as before. Ruled out: a majority of empty answers instead, since a wiped voter and one that missed the newest entries would elect each other.

--- a/internal/consensus/bootstrap.go
+++ b/internal/consensus/bootstrap.go
@@ -18,7 +18,9 @@
 	obsolete       bool
 }
 
-// newBootstrapCheck returns nil for a member that needs no check.
+// newBootstrapCheck returns nil for a member that needs no check. One whose bootstrap is
+// trusted needs none: waiting for the others would make the first start depend on each of
+// them.
 func newBootstrapCheck(cfg CoreConfig, state State) *bootstrapCheck {
 	m := state.Snapshot.Membership
 	used := state.HardState.Term > 0 || state.Snapshot.Index > 0 || len(state.Entries) > 0
@@ -29,6 +31,9 @@
 	if listed && len(m.Members) == 1 {
 		return nil
 	}
+	if listed && !self.Learner && cfg.TrustBootstrap {
+		return nil
+	}
 	return &bootstrapCheck{
 		nonce:          cfg.Nonce,
 		confirmedEmpty: map[api.VoterID]bool{},
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -32,6 +32,9 @@
 	TrailingBytes   int
 	// Seed seeds the election timeouts.
 	Seed uint64
+	// TrustBootstrap states that a bootstrapped member has never lost its data folder:
+	// whoever sets the bootstrap option takes it back after the first start.
+	TrustBootstrap bool
 	// Nonce differs between any two processes of one member.
 	Nonce uint64
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -38,16 +38,18 @@
 
 // controlConfig holds the settings and dependencies of a voter.
 type controlConfig struct {
-	voter         api.VoterID
-	address       string
-	dataDir       string
-	bootstrap     bool
-	members       consensus.Membership
-	snapshotBytes int
-	node          *peer.Node
-	logger        log.Logger
-	policy        group.Policy
-	sender        backend.OrderSender
+	voter     api.VoterID
+	address   string
+	dataDir   string
+	bootstrap bool
+	// trustBootstrap is set if bootstrap is never set after the loss of a data folder.
+	trustBootstrap bool
+	members        consensus.Membership
+	snapshotBytes  int
+	node           *peer.Node
+	logger         log.Logger
+	policy         group.Policy
+	sender         backend.OrderSender
 	// service is completed with the log, the state, the clock, the logger, the
 	// forecaster and the reconciler.
 	service control.Config
@@ -104,7 +106,9 @@
 		Seed:         nameHash(string(c.voter)),
 
 		SnapshotBytes: c.snapshotBytes,
-		Core:          consensus.CoreConfig{TrailingBytes: c.snapshotBytes / trailingDivisor},
+		Core: consensus.CoreConfig{
+			TrailingBytes: c.snapshotBytes / trailingDivisor, TrustBootstrap: c.trustBootstrap,
+		},
 	})
 	if err != nil {
 		return nil, err
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -57,6 +57,7 @@
 	Secret config.Secret
 	// DataDir, Bootstrap and Voters apply to the role control: its data folder, whether
 	// this is the first start of the whole system, and the number of voters to maintain.
+	// Bootstrap must not be set after any control daemon has lost its data folder.
 	DataDir   string
 	Bootstrap bool
 	Voters    int
@@ -215,16 +216,17 @@
 		members = consensus.Membership{}
 	}
 	role, err := newControlRole(controlConfig{
-		voter:         voter,
-		address:       g.cfg.PeerAddress,
-		dataDir:       g.cfg.DataDir,
-		bootstrap:     bootstrap,
-		members:       members,
-		snapshotBytes: gatewaySnapshotBytes,
-		node:          g.node,
-		logger:        g.base,
-		policy:        g.cfg.Policy,
-		sender:        g.cfg.Orders,
+		voter:          voter,
+		address:        g.cfg.PeerAddress,
+		dataDir:        g.cfg.DataDir,
+		bootstrap:      bootstrap,
+		trustBootstrap: bootstrap,
+		members:        members,
+		snapshotBytes:  gatewaySnapshotBytes,
+		node:           g.node,
+		logger:         g.base,
+		policy:         g.cfg.Policy,
+		sender:         g.cfg.Orders,
 		service: control.Config{
 			Meter:              g.telemetry.Meter(),
 			LeaseDuration:      gatewayWorkLease,
--- a/internal/soak/replace_test.go
+++ b/internal/soak/replace_test.go
@@ -20,8 +20,8 @@
 // replaces no longer counts as lost.
 const catchUp = 4 * time.Second
 
-// startControls starts three control daemons with a first configuration.
-func startControls(t *testing.T, binary string, network int) (*system, *operator) {
+// newControls returns three control daemons that are not started yet.
+func newControls(t *testing.T, binary string, network int) (*system, *operator) {
 	t.Helper()
 	dir := t.TempDir()
 	s := &system{
@@ -41,10 +41,16 @@
 			}
 		}
 	})
+	return s, newOperator(s)
+}
+
+// startControls starts three control daemons with a first configuration.
+func startControls(t *testing.T, binary string, network int) (*system, *operator) {
+	t.Helper()
+	s, o := newControls(t, binary, network)
 	for _, d := range s.daemons {
 		require.NoError(t, d.start())
 	}
-	o := newOperator(s)
 	s.requireChange(t, o, startTime)
 	return s, o
 }
@@ -150,6 +156,30 @@
 	return slices.DeleteFunc(slices.Clone(s.daemons), func(other *daemon) bool { return other == d })
 }
 
+// A first start of which one control daemon was lost for good never came to an end.
+func TestFirstStartBearsALoss(t *testing.T) {
+	binary := buildBinary(t)
+	for i, after := range []time.Duration{0, 50 * time.Millisecond, 150 * time.Millisecond, 400 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			t.Parallel()
+			s, o := newControls(t, binary, 10+i)
+			for _, d := range s.daemons {
+				require.NoError(t, d.start())
+			}
+			time.Sleep(after)
+			lost := s.daemons[2]
+			lost.kill()
+			time.Sleep(time.Second)
+			successor := s.successor(t, lost.zone)
+			s.requireChange(t, o, recovery)
+			time.Sleep(time.Until(successor.started.Add(catchUp)))
+			s.daemons[1].kill()
+			s.requireChange(t, o, recovery)
+			requireNoFindings(t, s.oracle)
+		})
+	}
+}
+
 // A voter that was put out while it was only paused must not be missing at the next loss.
 func TestPausedVoterTakesTheNextSeat(t *testing.T) {
 	s, o := startControls(t, buildBinary(t), 8)
