group: only a host with an unanswered order to join stays bound after a restart

Cause: an order that was answered can't be carried out later, so there is nothing to wait for in most cases.

Change: the planner counts the orders to join a group that a host has not answered, and holds the host only while there is one. The test now loses the answer of such an order.

Evidence: group.TestRestartedMemberWaitsForItsHead fails without the hold and passes with it.

--- a/internal/group/dispatch.go
+++ b/internal/group/dispatch.go
@@ -47,6 +47,7 @@
 		o.incarnation = h.incarnation
 		if d.Order.Kind == api.OrderAssign {
 			o.lastAssign = now
+			h.joins.sent(d.Order.Group)
 		}
 		base := context.WithoutCancel(ctx)
 		r.cfg.Go(func() { r.orders.send(base, d, now) })
@@ -106,11 +107,27 @@
 	}
 }
 
+func (j *joinMemory) sent(group api.GroupID) {
+	if j.group != group {
+		*j = joinMemory{group: group}
+	}
+	j.unanswered++
+}
+
+func (j *joinMemory) answered(group api.GroupID) {
+	if j.group == group && j.unanswered > 0 {
+		j.unanswered--
+	}
+}
+
 func (m *Memory) recordAnswer(a *answer, p *Policy) {
 	h, ok := m.hosts[a.order.Host]
 	if !ok || a.result.Host != a.order.Host {
 		return
 	}
+	if a.order.Kind == api.OrderAssign {
+		h.joins.answered(a.order.Group)
+	}
 	if !a.result.Accepted {
 		h.recordRefusal(a, p)
 		return
--- a/internal/group/memory.go
+++ b/internal/group/memory.go
@@ -53,6 +53,7 @@
 	held         heldMembership
 	missingSince time.Time
 	order        orderMemory
+	joins        joinMemory
 	release      releaseMemory
 }
 
@@ -78,6 +79,13 @@
 	model string
 }
 
+// joinMemory counts the assign orders of one group that were sent to a host and not
+// answered: each may still be carried out.
+type joinMemory struct {
+	group      api.GroupID
+	unanswered int
+}
+
 // releaseMemory tracks the proof that a membership has ended.
 type releaseMemory struct {
 	fencing api.Fencing
--- a/internal/group/shared.go
+++ b/internal/group/shared.go
@@ -67,12 +67,12 @@
 	return h.status.Announcement.Group != a.Group || h.release.acked && h.release.fencing == a.Fencing
 }
 
-// isRestorable reports whether a host has started again since it held a membership, and the
-// head of that replica may still serve: it has neither left nor missed the host for
-// StallTime. An acknowledgement by the new incarnation proves nothing: unlike the former one
+// isRestorable reports whether a host has started again since it held a membership, an order
+// to join that replica was not answered, and the head may still serve: it has neither left
+// nor missed the host for StallTime. An acknowledgement by the new incarnation proves nothing: unlike the former one
 // it takes an older order afterwards.
 func (pl *planner) isRestorable(h *host, a *api.Assignment) bool {
-	if h.held.group != a.Group || h.held.incarnation == h.incarnation {
+	if h.held.group != a.Group || h.held.incarnation == h.incarnation || h.joins.group != a.Group || h.joins.unanswered == 0 {
 		return false
 	}
 	head := pl.byID[a.Group].mem.members[0]
--- a/internal/group/shared_test.go
+++ b/internal/group/shared_test.go
@@ -318,16 +318,24 @@
 		w := newSharedFleet(t, nil)
 		w.publish(2, api.EngineModel{Name: "small", Hosts: 3, Share: 1})
 		w.add("a0", "a", 3)
+		var late *api.Order
+		w.deliveryOf = func(o api.Order) delivery {
+			if late != nil || o.Kind != api.OrderAssign || o.Host != o.Members[1] {
+				return deliveryOK
+			}
+			late = &o
+			return deliveryLost
+		}
 		w.run(2 * engineLoadTime)
 		w.traffic()
 		head := w.memberOf("small", 0)
 		require.NotNil(t, head)
-		member := w.byID[head.members[1]]
-		late := api.Order{Kind: api.OrderAssign, Host: member.id, Group: head.group, Fencing: head.fencing, Members: head.members, Model: "small"}
+		member := w.byID[late.Host]
+		require.Equal(t, late.Group, member.group, "a resent order was taken")
 		head.cut = true
 		w.restart(member)
 		w.run(pause)
-		_, err := w.deliver(late)
+		_, err := w.deliver(*late)
 		require.NoError(t, err)
 		w.add("a0", "a", 1)
 		w.engines[len(w.engines)-1].staged = "small"
