ingress: a stream leaves a silent server only for one that has begun to answer

Cause: an entry left a server that had been silent for 0.45 to 1.5 s for good, and only then asked whether another attempt was allowed. The retry budget, the attempts of the route, the queue, a refusal or the failure of the other server then ended the stream, although the first one was sound and would have gone on. A target that the newest view no longer named was left the same way after 0.1 s. Class: a resource is given up before its replacement is secured.

Change: the entry keeps the exchange with the silent server and makes a challenger beside it: a slot, the retry budget, the request, the header, the next event. Whichever server sends the next event first keeps the stream; the other one is cancelled. If no challenger gets through, the stream stays where it is. Both count as runs, so that a request never runs on more servers than its route allows. Requests before their header are kept the same way. New lines in the log tell when another server is tried and what came of it, and a counter their outcomes.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -49,6 +49,35 @@
 // answer but a stream is read whole.
 func (s *Server) attempt(c *call) error {
 	for {
+		err := s.begin(c)
+		if err != nil {
+			return err
+		}
+		if c.adopted == nil || !c.adopted.headed {
+			err = s.receive(c)
+		}
+		if err == nil {
+			s.instruments.recordAttempt("answered")
+			return nil
+		}
+		var failed *attemptError
+		if !errors.As(err, &failed) {
+			return err
+		}
+		if err := s.afterFailure(c, failed); err != nil {
+			return err
+		}
+	}
+}
+
+// begin makes a challenger the current attempt, or sends the request to another server.
+// It returns once one has the request.
+func (s *Server) begin(c *call) error {
+	for {
+		var err error
+		if c.adopted, err = s.adoptChallenger(c); err != nil || c.adopted != nil {
+			return err
+		}
 		if err := s.acquire(c); err != nil {
 			return err
 		}
@@ -59,9 +88,7 @@
 			}
 			return err
 		}
-		err := s.exchange(c)
-		if err == nil {
-			s.instruments.recordAttempt("answered")
+		if err = s.open(c); err == nil {
 			return nil
 		}
 		var failed *attemptError
@@ -92,49 +119,91 @@
 		}
 		return err
 	}
-	c.place = place
 	c.queued += place.Waited
+	s.placed(c, place)
+	return nil
+}
+
+// placed makes a slot that of the current attempt.
+func (s *Server) placed(c *call, place *placement.Placement) {
+	c.place = place
 	c.attempts++
 	c.targetsTried = append(c.targetsTried, place.Target.ID)
 	level.Debug(s.logger).Log("msg", "Request placed", "request", c.head.ID, "target", place.Target.ID,
 		"generation", place.Target.Generation, "running", place.Running, "prefill", place.Prefill,
 		"expected_ms", place.Expected.Milliseconds(), "queued_ms", place.Waited.Milliseconds(), "cold", place.Target.Cold,
 		"revision", c.revision)
-	return nil
 }
 
-// exchange sends the request, waits for the header of the answer and reads any
-// answer but a stream whole.
-func (s *Server) exchange(c *call) error {
-	if c.via != nil {
-		return s.exchangeForward(c)
+// open sends the request to the server, or to the entry, of the current attempt.
+func (s *Server) open(c *call) error {
+	request, err := s.request(c)
+	if err != nil {
+		return err
 	}
-	target := &c.place.Target
-	c.sent = time.Now()
-	exchange, err := s.cfg.Backends.Send(c.ctx, backend.Forward{
-		Address:  target.Address,
-		Head:     s.requestHead(c),
+	c.sent, c.viaRuns = time.Now(), 0
+	exchange, err := s.cfg.Backends.Send(c.ctx, request)
+	return s.opened(c, exchange, err)
+}
+
+// request returns the request of the current attempt as it is sent.
+func (s *Server) request(c *call) (backend.Forward, error) {
+	request := backend.Forward{
 		Body:     c.http.Request.Body(),
 		Fresh:    !c.repeatable(),
 		HeadOnly: string(c.http.Method()) == fasthttp.MethodHead,
 		Matches:  func(h *fasthttp.ResponseHeader) bool { return s.answerMatches(c, h) },
-	})
-	notSent := errors.Is(err, backend.ErrNotSent)
-	if notSent && c.ctx.Err() == nil {
-		s.recordDial(c, false)
 	}
-	if err != nil {
-		return &attemptError{ran: !notSent, unsent: notSent, suspectFor: suspectDuration, cause: err}
+	if c.via == nil {
+		request.Address, request.Head = c.place.Target.Address, s.requestHead(c)
+		return request, nil
 	}
-	if !exchange.Reused() {
-		s.recordDial(c, true)
+	var err error
+	request.Address = c.via.ForwardAddress
+	request.Head, err = s.forwardHead(c)
+	return request, err
+}
+
+// opened records the result of sending the request of the current attempt.
+func (s *Server) opened(c *call, exchange *backend.Exchange, err error) error {
+	notSent := errors.Is(err, backend.ErrNotSent)
+	if err == nil {
+		if c.via != nil {
+			c.counted = true
+		} else if !exchange.Reused() {
+			s.recordDial(c, true)
+		}
+		c.exchange = exchange
+		return nil
+	}
+	failed := &attemptError{ran: !notSent, unsent: notSent, cause: err}
+	if c.via == nil {
+		failed.suspectFor = suspectDuration
+		if notSent && c.ctx.Err() == nil {
+			s.recordDial(c, false)
+		}
 	}
-	c.exchange = exchange
-	if err := s.awaitHeader(c); err != nil {
+	return failed
+}
+
+// receive waits for the header of the answer, checks it and reads any answer but a stream
+// whole.
+func (s *Server) receive(c *call) error {
+	won, err := s.awaitHeader(c)
+	if won || err != nil {
 		return err
 	}
+	return s.inspect(c)
+}
+
+// inspect records what the header of an answer tells, and accepts the answer or fails the
+// attempt.
+func (s *Server) inspect(c *call) error {
+	if c.via != nil {
+		return s.inspectForwarded(c)
+	}
 	s.recordHeard(c)
-	c.answer = s.cfg.Dialect.DecodeAnswer(&exchange.Header)
+	c.answer = s.cfg.Dialect.DecodeAnswer(&c.exchange.Header)
 	if c.answer.Sealed {
 		s.crashes.Survived(c.server(), c.sent)
 	}
@@ -197,19 +266,27 @@
 // headSize is the usual size of a request head, in bytes.
 const headSize = 768
 
-// awaitHeader waits for the header of the answer.
-func (s *Server) awaitHeader(c *call) error {
+// awaitHeader waits for the header of the answer. It reports whether a challenger has
+// answered first, whose header is checked already.
+func (s *Server) awaitHeader(c *call) (won bool, err error) {
 	sent := time.Now()
 	for {
-		err := c.exchange.AwaitHeader(time.Now().Add(pollInterval))
+		err := c.exchange.AwaitHeader(time.Now().Add(c.pollInterval()))
 		if err == nil {
-			return nil
+			s.dropChallenger(c)
+			return false, nil
 		}
 		if !errors.Is(err, backend.ErrIdle) {
-			return s.exchangeError(c, err)
+			return false, s.exchangeError(c, err)
 		}
-		if s.isStalled(c, time.Since(sent)) {
-			return &attemptError{ran: true, stalled: true, suspectFor: suspectDuration, cause: errStalled}
+		if !c.isStream() {
+			if s.isStalled(c, time.Since(sent)) {
+				return false, &attemptError{ran: true, stalled: true, suspectFor: suspectDuration, cause: errStalled}
+			}
+			continue
+		}
+		if s.challenge(c, time.Since(sent), nil) != nil {
+			return true, nil
 		}
 	}
 }
@@ -328,6 +405,14 @@
 // afterFailure releases what a failed attempt holds and decides whether another one
 // may follow.
 func (s *Server) afterFailure(c *call, failed *attemptError) error {
+	target := s.recordFailure(c, failed)
+	err := s.checkRetry(c, failed)
+	s.logFailure(c, failed, target, err == nil)
+	return err
+}
+
+// recordFailure releases what a failed attempt holds, and returns its target.
+func (s *Server) recordFailure(c *call, failed *attemptError) placement.Target {
 	var target placement.Target
 	runs := 1
 	if c.via != nil {
@@ -343,12 +428,14 @@
 	c.lastFailure = failed
 	s.release(c)
 	s.instruments.recordAttempt("failed")
-	err := s.checkRetry(c, failed)
+	return target
+}
+
+func (s *Server) logFailure(c *call, failed *attemptError, target placement.Target, retry bool) {
 	level.Info(s.logger).Log("msg", "Attempt failed", "request", c.head.ID, "target", target.ID,
 		"generation", target.Generation, "instance", target.Instance, "ran", failed.ran, "unsent", failed.unsent, "stalled", failed.stalled,
 		"closed", failed.closed, "heard_ms", s.links.all.SinceHeard(time.Now()).Milliseconds(), "attempt", c.attempts, "events", c.events, "after_ms", time.Since(c.received).Milliseconds(),
-		"left_ms", c.remaining().Milliseconds(), "retry", err == nil, "revision", c.revision, "err", failed)
-	return err
+		"left_ms", c.remaining().Milliseconds(), "retry", retry, "revision", c.revision, "err", failed)
 }
 
 // afterServerFailure records what a failed attempt tells about the server.
@@ -360,7 +447,7 @@
 		s.reporter.requestProgressReport()
 	}
 	s.recordCrash(c, failed)
-	c.demand.Exclude = append(c.demand.Exclude, c.place.Target.ID)
+	c.exclude(c.place.Target.ID)
 }
 
 // checkRetry returns the error that ends the call, or nil if another attempt may follow.
@@ -368,6 +455,9 @@
 	if c.ctx.Err() != nil {
 		return s.contextError(c, failed)
 	}
+	if c.challenger != nil {
+		return nil
+	}
 	if c.ran > 0 && !c.mayRunAgain(0) {
 		return failed
 	}
@@ -387,14 +477,22 @@
 		// Nothing has reached a server, so that the next attempt is no repetition.
 		return nil
 	}
-	if !s.budget(c.service.Name).take(len(liveEntries(s.cfg.State.Snapshot()))) {
-		level.Info(s.logger).Log("msg", "Retry budget exhausted", "request", c.head.ID, "service", c.service.Name)
+	if !s.takeBudget(c) {
 		return failed
 	}
 	c.demand.Begun = c.ran > 0
 	return nil
 }
 
+// takeBudget takes one retry of the budget, if that allows one.
+func (s *Server) takeBudget(c *call) bool {
+	if s.budget(c.service.Name).take(len(liveEntries(s.cfg.State.Snapshot()))) {
+		return true
+	}
+	level.Info(s.logger).Log("msg", "Retry budget exhausted", "request", c.head.ID, "service", c.service.Name)
+	return false
+}
+
 // extraAttempts is the number of attempts beyond those of the route that servers may
 // refuse without running the request.
 const extraAttempts = 4
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -40,20 +40,21 @@
 	links    *serviceLinks
 	demand   placement.Demand
 
-	// place and exchange belong to the current attempt.
-	place    *placement.Placement
-	sent     time.Time
-	exchange *backend.Exchange
-	answer   Answer
+	// The embedded state is that of the current attempt; challenger is another one that is
+	// made while the server of the current one is silent.
+	attemptState
+	challenger *challenger
+	// adopted is the challenger that the current attempt began as, if its former server has
+	// failed.
+	adopted *challenger
+	// nextChallenge is the earliest time of the next challenger.
+	nextChallenge time.Time
 	// attempts counts the requests sent, ran those that a server may have run.
 	attempts int
 	ran      int
 	// counted is set once a retry budget has counted the request.
 	counted bool
-	// via is the entry that the current attempt is forwarded to, viaRuns the number of runs
-	// that it reports, and entriesTried those that this request was forwarded to.
-	via          *api.EntryInfo
-	viaRuns      int
+	// entriesTried are the entries that this request was forwarded to.
 	entriesTried []api.EntryID
 	// forwardedBy is the entry that forwarded the request to this one, empty for a caller's,
 	// and ranElsewhere the runs that it reported.
@@ -80,6 +81,20 @@
 	targetsTried []string
 }
 
+// attemptState belongs to one attempt of a call.
+type attemptState struct {
+	// place is the slot on the server, or via the entry that the request is forwarded to,
+	// and viaRuns the number of runs that it reports.
+	place    *placement.Placement
+	via      *api.EntryInfo
+	viaRuns  int
+	sent     time.Time
+	exchange *backend.Exchange
+	answer   Answer
+	// stop ends the context of a challenger, nil for other attempts.
+	stop context.CancelFunc
+}
+
 // wholeAnswer is an answer that was read completely.
 type wholeAnswer struct {
 	header fasthttp.ResponseHeader
--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -74,6 +74,11 @@
 	return append(dst, event...)
 }
 
+// fork returns a splitter for another answer to the same request.
+func (e *eventSplitter) fork() *eventSplitter {
+	return &eventSplitter{last: e.last, count: e.count, numbered: e.numbered, received: e.received}
+}
+
 // rest returns the bytes after the last event that was forwarded; a whole stream may end
 // with some.
 func (e *eventSplitter) rest() []byte { return append(e.held, e.pending...) }
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -18,7 +18,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusway/crocusway/internal/api"
-	"github.com/crocusway/crocusway/internal/backend"
 )
 
 // An entry that has lost its links to all servers forwards its requests to another entry,
@@ -209,38 +208,16 @@
 	return nil
 }
 
-// exchangeForward sends the request to another entry and waits for the header of the
-// answer, as exchange does with a server.
-func (s *Server) exchangeForward(c *call) error {
-	head, err := s.forwardHead(c)
-	if err != nil {
-		return err
-	}
-	c.sent, c.viaRuns = time.Now(), 0
-	exchange, err := s.cfg.Backends.Send(c.ctx, backend.Forward{
-		Address:  c.via.ForwardAddress,
-		Head:     head,
-		Body:     c.http.Request.Body(),
-		Fresh:    !c.repeatable(),
-		HeadOnly: string(c.http.Method()) == fasthttp.MethodHead,
-		Matches:  func(h *fasthttp.ResponseHeader) bool { return s.answerMatches(c, h) },
-	})
-	if err != nil {
-		notSent := errors.Is(err, backend.ErrNotSent)
-		return &attemptError{ran: !notSent, unsent: notSent, cause: err}
-	}
-	c.counted = true
-	c.exchange = exchange
-	if err := s.awaitHeader(c); err != nil {
-		return err
-	}
-	c.viaRuns = parseRuns(&exchange.Header)
-	if code := string(exchange.Header.Peek(headerForwardedCode)); code != "" {
+// inspectForwarded is inspect for the answer of another entry.
+func (s *Server) inspectForwarded(c *call) error {
+	h := &c.exchange.Header
+	c.viaRuns = parseRuns(h)
+	if code := string(h.Peek(headerForwardedCode)); code != "" {
 		return s.forwardRefused(c, code)
 	}
 	c.links.forwards.prove(c.via.ID, time.Now())
-	c.answer = s.cfg.Dialect.DecodeAnswer(&exchange.Header)
-	if server, incarnation, ok := parseForwardedServer(&exchange.Header); ok {
+	c.answer = s.cfg.Dialect.DecodeAnswer(h)
+	if server, incarnation, ok := parseForwardedServer(h); ok {
 		s.recordNotices(c, server, incarnation)
 	}
 	return s.checkAnswer(c)
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -17,6 +17,7 @@
 	resumed  metric.Int64Counter
 	links    metric.Int64Counter
 	notices  metric.Int64Counter
+	takeover metric.Int64Counter
 	queued   metric.Float64Histogram
 	first    metric.Float64Histogram
 	total    metric.Float64Histogram
@@ -30,6 +31,7 @@
 		resumed:  b.Counter("crocusway_ingress_resumed_total", "streams resumed at another replica"),
 		links:    b.Counter("crocusway_ingress_links_total", "losses and returns of the links to all servers"),
 		notices:  b.Counter("crocusway_ingress_notices_total", "answers of servers that leave or ask for a pause"),
+		takeover: b.Counter("crocusway_ingress_takeovers_total", "attempts at another server while the first was silent, by outcome"),
 		queued:   b.Seconds("crocusway_ingress_queued_seconds", "wait for a placement on a backend server"),
 		first:    b.Seconds("crocusway_ingress_first_byte_seconds", "time to the first byte of the answer"),
 		total:    b.Seconds("crocusway_ingress_seconds", "time to the end of the answer"),
@@ -66,6 +68,10 @@
 	m.notices.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
 }
 
+func (m *instruments) recordTakeover(outcome string) {
+	m.takeover.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 func (m *instruments) recordAttempt(outcome string) {
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -117,21 +117,47 @@
 	if r.idleSince.IsZero() {
 		r.idleSince = time.Now()
 	}
-	part, err := c.exchange.Next(time.Now().Add(pollInterval))
+	part, err := c.exchange.Next(time.Now().Add(c.pollInterval()))
 	switch {
 	case err == nil:
 		return r.forward(part)
 	case errors.Is(err, io.EOF):
 		return r.endOfStream()
 	case errors.Is(err, backend.ErrIdle):
-		if r.isStalled(c, time.Since(r.idleSince)) {
-			return r.resume(&attemptError{ran: true, stalled: true, suspectFor: suspectDuration, cause: errStalled})
-		}
+		r.seekTakeover()
 		return nil
 	}
 	return r.resume(err)
 }
 
+// seekTakeover lets another server take over the stream if the current one is silent.
+func (r *relay) seekTakeover() {
+	if ch := r.challenge(r.call, time.Since(r.idleSince), &r.events); ch != nil {
+		r.continueWith(ch)
+		r.logResumed()
+	}
+}
+
+// continueWith continues the stream with the events that a challenger has sent.
+func (r *relay) continueWith(ch *challenger) {
+	r.idleSince = time.Time{}
+	if ch.split == nil {
+		return
+	}
+	r.events = *ch.split
+	r.out = append(r.out, ch.out...)
+	if len(ch.out) > 0 {
+		r.recordEvents()
+	}
+}
+
+func (r *relay) logResumed() {
+	c := r.call
+	c.resumed++
+	level.Info(r.logger).Log("msg", "Stream resumed", "request", c.head.ID, "target", c.targetsTried[len(c.targetsTried)-1],
+		"behind", c.lastEvent, "after_ms", time.Since(c.received).Milliseconds())
+}
+
 // forward appends the whole events in new bytes to the output. Bytes that complete no
 // event are no progress: a faulty server may send them without end.
 func (r *relay) forward(part []byte) error {
@@ -143,19 +169,24 @@
 		return r.resume(&attemptError{ran: true, suspectFor: suspectDuration, cause: err})
 	}
 	if r.events.received == received {
-		if r.isStalled(c, time.Since(r.idleSince)) {
-			return r.resume(&attemptError{ran: true, stalled: true, suspectFor: suspectDuration, cause: errStalled})
-		}
+		r.seekTakeover()
 		return nil
 	}
+	r.dropChallenger(c)
 	r.idleSince = time.Time{}
+	r.recordEvents()
+	return nil
+}
+
+// recordEvents records that new events of the stream have arrived.
+func (r *relay) recordEvents() {
+	c := r.call
 	if c.events == 0 && r.events.count > 0 {
 		r.recordFirst(c)
 	}
 	c.events, c.lastEvent = r.events.count, r.events.last
 	c.resetEventTimes()
 	r.recordBytes(c)
-	return nil
 }
 
 // endOfStream ends the stream after the last byte of its server. A stream that is
@@ -167,6 +198,7 @@
 	}
 	r.out = append(r.out, rest...)
 	r.events.discardRest()
+	r.dropChallenger(r.call)
 	r.endErr = io.EOF
 	r.call.outcome = "answered"
 	r.recordAnswer(r.call)
@@ -195,9 +227,10 @@
 		return errors.Newf("the server answered %d to a resumed stream", c.exchange.Header.StatusCode())
 	}
 	c.whole = nil
-	c.resumed++
-	level.Info(r.logger).Log("msg", "Stream resumed", "request", c.head.ID, "target", c.targetsTried[len(c.targetsTried)-1],
-		"behind", c.lastEvent, "after_ms", time.Since(c.received).Milliseconds())
+	r.logResumed()
+	if c.adopted != nil {
+		r.continueWith(c.adopted)
+	}
 	return nil
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -174,6 +174,7 @@
 	}
 	c.ended = true
 	s.release(c)
+	s.dropChallenger(c)
 	s.answers.release(c.buffered)
 	c.watch.stop()
 	if c.cancel != nil {
@@ -207,6 +208,10 @@
 		c.links.forwards.done(c.via.ID)
 		c.via = nil
 	}
+	if c.stop != nil {
+		c.stop()
+		c.stop = nil
+	}
 }
 
 // logEnd logs the outcome of a request and its reason.
--- /dev/null
+++ b/internal/ingress/takeover.go
@@ -0,0 +1,412 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusway/crocusway/internal/backend"
+	"github.com/crocusway/crocusway/internal/placement"
+)
+
+// While the server of a stream is silent, the entry tries another one, the challenger. The
+// stream stays with the silent server until the challenger has begun to answer: a sound
+// server may pause for longer than the entry waits, and a challenger may be refused, fail
+// or stay silent itself. Whichever server sends the next event first keeps the stream.
+
+const (
+	// takeoverInterval is how long the entry waits for either of two servers in turn. It
+	// bounds the delay of an event of the other one.
+	takeoverInterval = pollInterval / 2
+	// challengePause is the time to the next challenger after none could be sent: the queue,
+	// the retry budget or a quarantine did not let one through.
+	challengePause = 500 * time.Millisecond
+)
+
+// challenger is an attempt at another server while the current one is silent.
+type challenger struct {
+	attemptState
+	ctx context.Context
+	// placed and opened receive the slot and the exchange, in this order. They are nil
+	// unless the result is awaited.
+	placed chan placedResult
+	opened chan openedResult
+	// headed is set once the header of the answer is accepted.
+	headed bool
+	// split and out hold the events of the answer; split is nil before the first byte.
+	split *eventSplitter
+	out   []byte
+}
+
+type placedResult struct {
+	place *placement.Placement
+	err   error
+}
+
+type openedResult struct {
+	exchange *backend.Exchange
+	err      error
+}
+
+var errNoBudget = errors.New("the retry budget is exhausted")
+
+// pollInterval is how long to wait for the current server before other checks.
+func (c *call) pollInterval() time.Duration {
+	if c.challenger != nil {
+		return takeoverInterval
+	}
+	return pollInterval
+}
+
+// exclude keeps later attempts off a target.
+func (c *call) exclude(target string) {
+	if !slices.Contains(c.demand.Exclude, target) {
+		c.demand.Exclude = append(c.demand.Exclude, target)
+	}
+}
+
+// on runs do with another attempt in place of the current one.
+func (c *call) on(a *attemptState, do func() error) error {
+	c.attemptState, *a = *a, c.attemptState
+	defer func() { c.attemptState, *a = *a, c.attemptState }()
+	return do()
+}
+
+// challenge makes one step of a takeover while the current server has been silent for a
+// time. It returns the challenger once that has become the current attempt. events is the
+// state of the stream at the caller, nil before the header of its answer.
+func (s *Server) challenge(c *call, silent time.Duration, events *eventSplitter) *challenger {
+	if c.challenger == nil {
+		if s.isStalled(c, silent) && s.mayChallenge(c) {
+			s.beginChallenger(c, silent)
+		}
+		return nil
+	}
+	won, err := s.advanceChallenger(c, events)
+	switch {
+	case err != nil:
+		s.failChallenger(c, err)
+	case won:
+		return s.replaceSilent(c)
+	}
+	return nil
+}
+
+// mayChallenge reports whether another attempt is allowed, except for the retry budget.
+func (s *Server) mayChallenge(c *call) bool {
+	// The first entry resumes a forwarded stream, so that it counts every run.
+	isOfFirstEntry := c.forwardedBy != "" && c.status != 0
+	return !isOfFirstEntry && c.ctx.Err() == nil && len(c.trials) == 0 && c.attempts < c.maxAttempts()+extraAttempts &&
+		!time.Now().Before(c.nextChallenge)
+}
+
+// beginChallenger looks for another server.
+func (s *Server) beginChallenger(c *call, silent time.Duration) {
+	ch := &challenger{}
+	ch.ctx, ch.stop = context.WithCancel(c.ctx)
+	c.challenger = ch
+	s.logSilence(c, silent)
+	s.suspectSilent(c)
+	if s.linksLost(c) {
+		err := c.on(&ch.attemptState, func() error { return s.acquireEntry(c) })
+		if err == nil {
+			err = s.sendChallenger(c)
+		}
+		if err != nil {
+			s.failChallenger(c, err)
+		}
+		return
+	}
+	if !c.counted {
+		c.counted = true
+		s.budget(c.service.Name).count()
+	}
+	demand, pool, placed := c.demand, c.pool, make(chan placedResult, 1)
+	demand.Exclude, demand.Begun = slices.Clone(demand.Exclude), true
+	ch.placed = placed
+	go func() {
+		place, err := pool.Acquire(ch.ctx, demand)
+		placed <- placedResult{place, err}
+	}()
+}
+
+func (s *Server) logSilence(c *call, silent time.Duration) {
+	fields := []any{
+		"msg", "Server is silent, another one is tried", "request", c.head.ID, "silent_ms", silent.Milliseconds(),
+		"links_lost", s.linksLost(c), "attempt", c.attempts, "events", c.events,
+		"after_ms", time.Since(c.received).Milliseconds(), "left_ms", c.remaining().Milliseconds(),
+	}
+	if c.via != nil {
+		fields = append(fields, "target", c.via.ID)
+	} else {
+		target, gone := c.pool.Silence(c.place)
+		fields = append(fields, "target", c.place.Target.ID, "generation", c.place.Target.Generation,
+			"target_silent_ms", target.Milliseconds(), "gone", gone)
+	}
+	level.Info(s.logger).Log(fields...)
+}
+
+// suspectSilent keeps other requests off the silent server, or entry.
+func (s *Server) suspectSilent(c *call) {
+	if c.via != nil {
+		c.links.forwards.avoid(c.via.ID, time.Now().Add(avoidDuration))
+		return
+	}
+	c.pool.Suspect(c.place, placement.Suspicion{For: suspectDuration, Stalled: true})
+	s.reporter.requestProgressReport()
+	c.exclude(c.place.Target.ID)
+}
+
+// sendChallenger sends the request to the server, or entry, of the challenger.
+func (s *Server) sendChallenger(c *call) error {
+	ch := c.challenger
+	if err := s.recheckQuarantine(c); err != nil {
+		return err
+	}
+	if !s.takeBudget(c) {
+		return errNoBudget
+	}
+	var request backend.Forward
+	err := c.on(&ch.attemptState, func() error {
+		if c.place != nil {
+			s.placed(c, c.place)
+		}
+		// The silent server counts as a run for whoever takes the request.
+		c.ran++
+		defer func() { c.ran-- }()
+		var err error
+		c.sent = time.Now()
+		request, err = s.request(c)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	opened := make(chan openedResult, 1)
+	ch.opened = opened
+	go func() {
+		exchange, err := s.cfg.Backends.Send(ch.ctx, request)
+		opened <- openedResult{exchange, err}
+	}()
+	return nil
+}
+
+// result returns what a channel holds. Without wait it reports false if that is nothing.
+func result[T any](from chan T, wait bool) (r T, ok bool) {
+	if wait {
+		return <-from, true
+	}
+	select {
+	case r = <-from:
+		return r, true
+	default:
+		return r, false
+	}
+}
+
+// openChallenger reports whether the challenger's server has the request. With wait it
+// returns only once that is decided.
+func (s *Server) openChallenger(c *call, wait bool) (bool, error) {
+	ch := c.challenger
+	if ch.placed != nil {
+		r, ok := result(ch.placed, wait)
+		if !ok {
+			return false, nil
+		}
+		ch.placed, ch.place = nil, r.place
+		if r.err != nil {
+			return false, r.err
+		}
+		if err := s.sendChallenger(c); err != nil {
+			return false, err
+		}
+	}
+	if ch.opened != nil {
+		r, ok := result(ch.opened, wait)
+		if !ok {
+			return false, nil
+		}
+		ch.opened = nil
+		if err := c.on(&ch.attemptState, func() error { return s.opened(c, r.exchange, r.err) }); err != nil {
+			return false, err
+		}
+	}
+	return true, nil
+}
+
+// advanceChallenger waits for a short time for the challenger. It reports whether that has
+// won: by the header of its answer if events is nil, else by the next event.
+func (s *Server) advanceChallenger(c *call, events *eventSplitter) (won bool, err error) {
+	open, err := s.openChallenger(c, false)
+	if err != nil || !open {
+		return false, err
+	}
+	ch, until := c.challenger, time.Now().Add(takeoverInterval)
+	err = c.on(&ch.attemptState, func() error {
+		if !ch.headed {
+			if err := s.awaitChallengerHeader(c, until); err != nil {
+				return err
+			}
+			ch.headed = true
+		}
+		if events == nil {
+			won = true
+			return nil
+		}
+		if ch.split == nil {
+			ch.split = events.fork()
+		}
+		var err error
+		won, err = s.awaitChallengerEvent(c, ch, until)
+		return err
+	})
+	if errors.Is(err, backend.ErrIdle) {
+		err = nil
+	}
+	return won, err
+}
+
+// awaitChallengerHeader waits for the header of a stream. The challenger is the current
+// attempt.
+func (s *Server) awaitChallengerHeader(c *call, until time.Time) error {
+	err := c.exchange.AwaitHeader(until)
+	switch {
+	case errors.Is(err, backend.ErrIdle):
+		return err
+	case err != nil:
+		return s.exchangeError(c, err)
+	}
+	if err := s.inspect(c); err != nil {
+		return err
+	}
+	if status := c.exchange.Header.StatusCode(); status >= fasthttp.StatusMultipleChoices {
+		c.whole = nil
+		return &attemptError{ran: true, cause: errors.Newf("the server answered %d", status)}
+	}
+	return nil
+}
+
+// awaitChallengerEvent waits for the next event of the stream, or its end. The challenger
+// is the current attempt.
+func (s *Server) awaitChallengerEvent(c *call, ch *challenger, until time.Time) (bool, error) {
+	part, err := c.exchange.Next(until)
+	switch {
+	case errors.Is(err, io.EOF):
+		return true, nil
+	case errors.Is(err, backend.ErrIdle):
+		return false, err
+	case err != nil:
+		return false, s.exchangeError(c, err)
+	}
+	s.recordBytes(c)
+	ch.out, err = ch.split.feed(ch.out, part)
+	if err != nil {
+		return false, &attemptError{ran: true, suspectFor: suspectDuration, cause: err}
+	}
+	return len(ch.out) > 0, nil
+}
+
+// replaceSilent makes the challenger the current attempt.
+func (s *Server) replaceSilent(c *call) *challenger {
+	ch := c.challenger
+	c.challenger = nil
+	failed := &attemptError{ran: true, stalled: true, suspectFor: suspectDuration, cause: errStalled}
+	target := s.recordFailure(c, failed)
+	s.logFailure(c, failed, target, true)
+	s.instruments.recordTakeover("taken_over")
+	c.attemptState = ch.attemptState
+	return ch
+}
+
+// failChallenger ends the challenger; the request stays with the silent server.
+func (s *Server) failChallenger(c *call, err error) {
+	ch := c.challenger
+	c.challenger = nil
+	failed := new(attemptError)
+	if errors.As(err, &failed) {
+		var target placement.Target
+		_ = c.on(&ch.attemptState, func() error {
+			target = s.recordFailure(c, failed)
+			return nil
+		})
+		s.logFailure(c, failed, target, c.mayRunAgain(1))
+	} else {
+		s.closeAttempt(c, ch)
+		c.nextChallenge = time.Now().Add(challengePause)
+	}
+	s.instruments.recordTakeover("failed")
+	level.Info(s.logger).Log("msg", "No other server took over", "request", c.head.ID, "events", c.events,
+		"left_ms", c.remaining().Milliseconds(), "err", err)
+}
+
+// dropChallenger ends the challenger, if there is one: the current server goes on, or the
+// call is over.
+func (s *Server) dropChallenger(c *call) {
+	ch := c.challenger
+	if ch == nil {
+		return
+	}
+	c.challenger = nil
+	if s.closeAttempt(c, ch) {
+		// The entry that it was forwarded to may have used all attempts.
+		runs := 1
+		if ch.via != nil {
+			runs = max(1, c.maxAttempts()-c.ran)
+		}
+		c.ran += runs
+	}
+	if !c.ended {
+		s.instruments.recordTakeover("went_on")
+		level.Info(s.logger).Log("msg", "Silent server went on", "request", c.head.ID, "events", c.events,
+			"left_ms", c.remaining().Milliseconds())
+	}
+}
+
+// closeAttempt releases what a challenger holds. It reports whether a server may have run
+// the request.
+func (s *Server) closeAttempt(c *call, ch *challenger) (mayHaveRun bool) {
+	ch.stop()
+	if ch.placed != nil {
+		// The wait for a slot ends with the context.
+		ch.place = (<-ch.placed).place
+	}
+	if ch.opened != nil {
+		r := <-ch.opened
+		ch.exchange = r.exchange
+		mayHaveRun = r.err != nil && !errors.Is(r.err, backend.ErrNotSent)
+	}
+	mayHaveRun = mayHaveRun || ch.exchange != nil
+	_ = c.on(&ch.attemptState, func() error {
+		s.release(c)
+		return nil
+	})
+	return mayHaveRun
+}
+
+// adoptChallenger makes the challenger the current attempt once its server has the request:
+// the former server has failed. It returns nil without a challenger.
+func (s *Server) adoptChallenger(c *call) (*challenger, error) {
+	ch := c.challenger
+	if ch == nil {
+		return nil, nil
+	}
+	if _, err := s.openChallenger(c, true); err != nil {
+		s.failChallenger(c, err)
+		var failed *attemptError
+		switch {
+		case errors.As(err, &failed):
+			return nil, s.checkRetry(c, failed)
+		case errors.Is(err, errNoBudget):
+			return nil, c.lastFailure
+		}
+		return nil, err
+	}
+	c.challenger = nil
+	c.attemptState = ch.attemptState
+	return ch, nil
+}
