ingress: the server that is ahead keeps a stream after a silence

Cause: a challenger was cancelled with the first event of the silent server. Its run was used up, and a server that flaps or is slow had the stream to itself for good.

Change: a challenger that a server already has is kept until it begins. Then the server that is ahead in the stream keeps it; level, the challenger does, as the other one has not gone on since. If the silent server breaks off meanwhile, the challenger is there. One that is still waiting for a slot is dropped as before. Calls that are no streams are kept the same way while the entry can't connect to any server, and a challenger that reached no server leaves its part of the retry budget to the next one.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -273,18 +273,14 @@
 	for {
 		err := c.exchange.AwaitHeader(time.Now().Add(c.pollInterval()))
 		if err == nil {
-			s.dropChallenger(c)
+			if c.challenger != nil && (!c.isStream() || !c.challenger.isSent()) {
+				s.dropChallenger(c)
+			}
 			return false, nil
 		}
 		if !errors.Is(err, backend.ErrIdle) {
 			return false, s.exchangeError(c, err)
 		}
-		if !c.isStream() {
-			if s.isStalled(c, time.Since(sent)) {
-				return false, &attemptError{ran: true, stalled: true, suspectFor: suspectDuration, cause: errStalled}
-			}
-			continue
-		}
 		if s.challenge(c, time.Since(sent), nil) != nil {
 			return true, nil
 		}
@@ -300,7 +296,7 @@
 }
 
 // isStalled reports whether a server that has sent nothing on this request for a time
-// counts as stalled. It is true only for a stream that may resume at another server.
+// counts as stalled. It is true only for a request that may run again.
 func (s *Server) isStalled(c *call, silent time.Duration) bool {
 	switch {
 	case c.via != nil:
--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -74,9 +74,13 @@
 	return append(dst, event...)
 }
 
-// fork returns a splitter for another answer to the same request.
-func (e *eventSplitter) fork() *eventSplitter {
-	return &eventSplitter{last: e.last, count: e.count, numbered: e.numbered, received: e.received}
+// continueWith goes on with the answer of another server: its whole events, and the bytes
+// after them, which another splitter holds.
+func (e *eventSplitter) continueWith(dst, events []byte, o *eventSplitter) ([]byte, error) {
+	e.discardRest()
+	dst, err := e.feed(dst, events)
+	e.pending, e.held, e.scanned = o.pending, o.held, o.scanned
+	return dst, err
 }
 
 // rest returns the bytes after the last event that was forwarded; a whole stream may end
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -81,7 +81,7 @@
 	c.status = c.exchange.Header.StatusCode()
 	c.http.Response.SetStatusCode(c.status)
 	r.cfg.Dialect.CopyAnswer(&c.http.Response.Header, &c.exchange.Header)
-	setForwardedRuns(c, 1)
+	setForwardedRuns(c, c.running())
 	r.closeIfLeaving(c)
 	return nil
 }
@@ -124,31 +124,31 @@
 	case errors.Is(err, io.EOF):
 		return r.endOfStream()
 	case errors.Is(err, backend.ErrIdle):
-		r.seekTakeover()
-		return nil
+		return r.seekTakeover()
 	}
 	return r.resume(err)
 }
 
 // seekTakeover lets another server take over the stream if the current one is silent.
-func (r *relay) seekTakeover() {
-	if ch := r.challenge(r.call, time.Since(r.idleSince), &r.events); ch != nil {
-		r.continueWith(ch)
-		r.logResumed()
+func (r *relay) seekTakeover() error {
+	ch := r.challenge(r.call, time.Since(r.idleSince), &r.events)
+	if ch == nil {
+		return nil
 	}
+	r.logResumed()
+	return r.continueWith(ch)
 }
 
-// continueWith continues the stream with the events that a challenger has sent.
-func (r *relay) continueWith(ch *challenger) {
+// continueWith continues the stream with what a challenger has sent.
+func (r *relay) continueWith(ch *challenger) error {
 	r.idleSince = time.Time{}
-	if ch.split == nil {
-		return
-	}
-	r.events = *ch.split
-	r.out = append(r.out, ch.out...)
-	if len(ch.out) > 0 {
+	received := len(r.out)
+	out, err := r.events.continueWith(r.out, ch.out, &ch.events)
+	r.out = out
+	if len(r.out) > received {
 		r.recordEvents()
 	}
+	return err
 }
 
 func (r *relay) logResumed() {
@@ -169,12 +169,18 @@
 		return r.resume(&attemptError{ran: true, suspectFor: suspectDuration, cause: err})
 	}
 	if r.events.received == received {
-		r.seekTakeover()
-		return nil
+		return r.seekTakeover()
 	}
-	r.dropChallenger(c)
 	r.idleSince = time.Time{}
 	r.recordEvents()
+	if c.status == 0 {
+		// The caller gets the head of the server that sent the first event.
+		return nil
+	}
+	if ch := r.currentGoesOn(c, &r.events); ch != nil {
+		r.logResumed()
+		return r.continueWith(ch)
+	}
 	return nil
 }
 
@@ -229,7 +235,7 @@
 	c.whole = nil
 	r.logResumed()
 	if c.adopted != nil {
-		r.continueWith(c.adopted)
+		return r.continueWith(c.adopted)
 	}
 	return nil
 }
--- a/internal/ingress/takeover.go
+++ b/internal/ingress/takeover.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"slices"
@@ -14,15 +15,18 @@
 	"github.com/crocusway/crocusway/internal/placement"
 )
 
-// While the server of a stream is silent, the entry tries another one, the challenger. The
-// stream stays with the silent server until the challenger has begun to answer: a sound
+// While the server of a request is silent, the entry tries another one, the challenger. The
+// request stays with the silent server until the challenger has begun to answer: a sound
 // server may pause for longer than the entry waits, and a challenger may be refused, fail
-// or stay silent itself. Whichever server sends the next event first keeps the stream.
+// or stay silent itself. If the silent server has gone on meanwhile, the one that is ahead
+// in the stream keeps it.
 
 const (
 	// takeoverInterval is how long the entry waits for either of two servers in turn. It
 	// bounds the delay of an event of the other one.
 	takeoverInterval = pollInterval / 2
+	// minPoll is long enough to read what has arrived.
+	minPoll = time.Millisecond
 	// challengePause is the time to the next challenger after none could be sent: the queue,
 	// the retry budget or a quarantine did not let one through.
 	challengePause = 500 * time.Millisecond
@@ -38,11 +42,21 @@
 	opened chan openedResult
 	// headed is set once the header of the answer is accepted.
 	headed bool
-	// split and out hold the events of the answer; split is nil before the first byte.
-	split *eventSplitter
-	out   []byte
+	// after is the last event before the request was sent; events splits the answer, and out
+	// holds the whole events.
+	after  string
+	events eventSplitter
+	out    []byte
 }
 
+// isBehind reports whether the silent server has gone on, and its last event is newer.
+func (ch *challenger) isBehind(last string) bool {
+	return last != ch.after && isAfter(last, ch.events.last)
+}
+
+// isSent reports whether a server may run the request for the challenger.
+func (ch *challenger) isSent() bool { return ch.opened != nil || ch.exchange != nil }
+
 type placedResult struct {
 	place *placement.Placement
 	err   error
@@ -55,6 +69,14 @@
 
 var errNoBudget = errors.New("the retry budget is exhausted")
 
+// running is the number of servers that may run the request now.
+func (c *call) running() int {
+	if c.challenger != nil && c.challenger.isSent() {
+		return 2
+	}
+	return 1
+}
+
 // pollInterval is how long to wait for the current server before other checks.
 func (c *call) pollInterval() time.Duration {
 	if c.challenger != nil {
@@ -87,16 +109,38 @@
 		}
 		return nil
 	}
-	won, err := s.advanceChallenger(c, events)
+	return s.advance(c, events, takeoverInterval)
+}
+
+// advance lets the challenger go on for a time, and returns it once it has become the current
+// attempt.
+func (s *Server) advance(c *call, events *eventSplitter, wait time.Duration) *challenger {
+	begun, err := s.advanceChallenger(c, events, time.Now().Add(wait))
 	switch {
 	case err != nil:
 		s.failChallenger(c, err)
-	case won:
+	case begun && events != nil && c.challenger.isBehind(events.last):
+		s.dropChallenger(c)
+	case begun:
 		return s.replaceSilent(c)
 	}
 	return nil
 }
 
+// currentGoesOn is called when an event of the current server has arrived. A challenger that no
+// server has yet is of no use any more; another one may still show that it is ahead.
+func (s *Server) currentGoesOn(c *call, events *eventSplitter) *challenger {
+	ch := c.challenger
+	if ch == nil {
+		return nil
+	}
+	if !ch.isSent() {
+		s.dropChallenger(c)
+		return nil
+	}
+	return s.advance(c, events, minPoll)
+}
+
 // mayChallenge reports whether another attempt is allowed, except for the retry budget.
 func (s *Server) mayChallenge(c *call) bool {
 	// The first entry resumes a forwarded stream, so that it counts every run.
@@ -107,7 +151,8 @@
 
 // beginChallenger looks for another server.
 func (s *Server) beginChallenger(c *call, silent time.Duration) {
-	ch := &challenger{}
+	after := cmp.Or(c.lastEvent, c.head.LastEvent)
+	ch := &challenger{after: after, events: eventSplitter{last: after, numbered: true}}
 	ch.ctx, ch.stop = context.WithCancel(c.ctx)
 	c.challenger = ch
 	s.logSilence(c, silent)
@@ -168,9 +213,10 @@
 	if err := s.recheckQuarantine(c); err != nil {
 		return err
 	}
-	if !s.takeBudget(c) {
+	if !c.paid && !s.takeBudget(c) {
 		return errNoBudget
 	}
+	c.paid = true
 	var request backend.Forward
 	err := c.on(&ch.attemptState, func() error {
 		if c.place != nil {
@@ -239,14 +285,14 @@
 	return true, nil
 }
 
-// advanceChallenger waits for a short time for the challenger. It reports whether that has
-// won: by the header of its answer if events is nil, else by the next event.
-func (s *Server) advanceChallenger(c *call, events *eventSplitter) (won bool, err error) {
+// advanceChallenger waits for the challenger. It reports whether that has begun: with the
+// header of its answer if events is nil, else with an event.
+func (s *Server) advanceChallenger(c *call, events *eventSplitter, until time.Time) (begun bool, err error) {
 	open, err := s.openChallenger(c, false)
 	if err != nil || !open {
 		return false, err
 	}
-	ch, until := c.challenger, time.Now().Add(takeoverInterval)
+	ch := c.challenger
 	err = c.on(&ch.attemptState, func() error {
 		if !ch.headed {
 			if err := s.awaitChallengerHeader(c, until); err != nil {
@@ -255,24 +301,21 @@
 			ch.headed = true
 		}
 		if events == nil {
-			won = true
+			begun = true
 			return nil
 		}
-		if ch.split == nil {
-			ch.split = events.fork()
-		}
 		var err error
-		won, err = s.awaitChallengerEvent(c, ch, until)
+		begun, err = s.awaitChallengerEvent(c, ch, until)
 		return err
 	})
 	if errors.Is(err, backend.ErrIdle) {
 		err = nil
 	}
-	return won, err
+	return begun, err
 }
 
-// awaitChallengerHeader waits for the header of a stream. The challenger is the current
-// attempt.
+// awaitChallengerHeader waits for the header of a stream, or for a whole answer of another
+// kind. The challenger is the current attempt.
 func (s *Server) awaitChallengerHeader(c *call, until time.Time) error {
 	err := c.exchange.AwaitHeader(until)
 	switch {
@@ -284,7 +327,7 @@
 	if err := s.inspect(c); err != nil {
 		return err
 	}
-	if status := c.exchange.Header.StatusCode(); status >= fasthttp.StatusMultipleChoices {
+	if status := c.exchange.Header.StatusCode(); c.isStream() && status >= fasthttp.StatusMultipleChoices {
 		c.whole = nil
 		return &attemptError{ran: true, cause: errors.Newf("the server answered %d", status)}
 	}
@@ -304,7 +347,7 @@
 		return false, s.exchangeError(c, err)
 	}
 	s.recordBytes(c)
-	ch.out, err = ch.split.feed(ch.out, part)
+	ch.out, err = ch.events.feed(ch.out, part)
 	if err != nil {
 		return false, &attemptError{ran: true, suspectFor: suspectDuration, cause: err}
 	}
@@ -319,7 +362,7 @@
 	target := s.recordFailure(c, failed)
 	s.logFailure(c, failed, target, true)
 	s.instruments.recordTakeover("taken_over")
-	c.attemptState = ch.attemptState
+	c.attemptState, c.paid = ch.attemptState, false
 	return ch
 }
 
@@ -329,6 +372,7 @@
 	c.challenger = nil
 	failed := new(attemptError)
 	if errors.As(err, &failed) {
+		c.paid = failed.unsent || failed.declined
 		var target placement.Target
 		_ = c.on(&ch.attemptState, func() error {
 			target = s.recordFailure(c, failed)
@@ -344,7 +388,7 @@
 		"left_ms", c.remaining().Milliseconds(), "err", err)
 }
 
-// dropChallenger ends the challenger, if there is one: the current server goes on, or the
+// dropChallenger ends the challenger, if there is one: the current server is ahead, or the
 // call is over.
 func (s *Server) dropChallenger(c *call) {
 	ch := c.challenger
@@ -353,6 +397,7 @@
 	}
 	c.challenger = nil
 	if s.closeAttempt(c, ch) {
+		c.paid = false
 		// The entry that it was forwarded to may have used all attempts.
 		runs := 1
 		if ch.via != nil {
@@ -407,6 +452,6 @@
 		return nil, err
 	}
 	c.challenger = nil
-	c.attemptState = ch.attemptState
+	c.attemptState, c.paid = ch.attemptState, false
 	return ch, nil
 }
--- a/internal/ingress/takeover_test.go
+++ b/internal/ingress/takeover_test.go
@@ -177,6 +177,94 @@
 	}
 }
 
+// TestServerThatGoesOnAndBreaksIsReplaced guards against a second server that is given up as soon
+// as a flapping one sends an event.
+func TestServerThatGoesOnAndBreaksIsReplaced(t *testing.T) {
+	h := newHarness(t)
+	ended := make(chan struct{})
+	bad := newFakeServer(t, "a-flapping", func(r *received) {
+		r.beginStream()
+		r.events(3)
+		time.Sleep(silence)
+		r.chunk(event(4))
+		time.Sleep(pollInterval)
+		_ = r.conn.Close()
+		close(ended)
+	})
+	good := newFakeServer(t, "b-good", func(r *received) {
+		<-ended
+		serveEvents(6)(r)
+	})
+	h.scribe(bad, good)
+	h.loadGoodReplica()
+	res := h.send("POST", "/draft/1", "prompt", "Prompt", "10")
+	body, whole := text(res)
+	require.True(t, whole, h.logs.String())
+	require.Equal(t, wholeStream(6), body)
+	require.Equal(t, "a-flapping", res.Header.Get("Seal"))
+	require.Equal(t, int64(1), good.arrived.Load())
+}
+
+// TestServerAheadKeepsStream lets both servers answer: the one whose last event is newer goes on.
+func TestServerAheadKeepsStream(t *testing.T) {
+	for name, c := range map[string]struct {
+		// after is how many events the pausing server has sent when the other one begins.
+		after  int
+		winner string
+	}{
+		"pausing server is ahead": {5, "a-pausing"},
+		"both are level":          {4, "b-good"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			sent, asked := make(chan struct{}), make(chan struct{})
+			pausing := newFakeServer(t, "a-pausing", func(r *received) {
+				r.beginStream()
+				r.events(3)
+				<-asked
+				for i := 4; i <= c.after; i++ {
+					r.chunk(event(i))
+				}
+				time.Sleep(pollInterval)
+				close(sent)
+				select {
+				case <-r.gone:
+					return
+				case <-time.After(replicaStallTimeout / 2):
+				}
+				for i := c.after + 1; i <= 6; i++ {
+					r.chunk(event(i))
+				}
+				r.endStream()
+			})
+			good := newFakeServer(t, "b-good", func(r *received) {
+				close(asked)
+				<-sent
+				r.beginStream()
+				r.events(4)
+				select {
+				case <-r.gone:
+					return
+				case <-time.After(2 * pollInterval):
+				}
+				r.chunk(event(5))
+				r.chunk(event(6))
+				r.endStream()
+			})
+			h.scribe(pausing, good)
+			h.loadGoodReplica()
+			body, whole := text(h.send("POST", "/draft/1", "prompt", "Prompt", "10"))
+			require.True(t, whole, h.logs.String())
+			require.Equal(t, wholeStream(6), body)
+			if c.winner == "b-good" {
+				require.Contains(t, h.logs.String(), "Stream resumed")
+			} else {
+				require.Contains(t, h.logs.String(), "Silent server went on")
+			}
+		})
+	}
+}
+
 // TestTakeoverRunsOnNoMoreServersThanAllowed lets the silent server go on and break off later.
 func TestTakeoverRunsOnNoMoreServersThanAllowed(t *testing.T) {
 	h := newHarness(t)
@@ -215,3 +303,57 @@
 type noLinks struct{}
 
 func (noLinks) LinksShownSince(time.Time, bool) bool { return false }
+
+// TestChallengersThatReachNobodyLeaveRetryBudget guards against a stream that stays with a silent
+// server because connections to others were refused.
+func TestChallengersThatReachNobodyLeaveRetryBudget(t *testing.T) {
+	h := newHarness(t)
+	// One retry is allowed: the budget is not used to its last part.
+	h.server.cfg.Settings.RetryRatio, h.server.cfg.Settings.RetryAllowance = 0, 1.5
+	gone := newFakeServer(t, "b-gone", serveDone)
+	_ = gone.ln.Close()
+	good := newFakeServer(t, "b-good", serveEvents(6))
+	h.scribe(newFakeServer(t, "a-silent", pauses(waitFor)), gone, good)
+	pool := h.server.state.pool("scribe/" + testModel)
+	for id, prompt := range map[string]int{"g-b-gone": 10_000, "g-b-good": 20_000} {
+		pl := placeOn(t, pool, id, prompt)
+		t.Cleanup(func() { pool.Release(pl) })
+	}
+	body, whole := text(h.send("POST", "/draft/1", "prompt", "Prompt", "10"))
+	require.True(t, whole, h.logs.String())
+	require.Equal(t, wholeStream(6), body)
+	require.Contains(t, h.logs.String(), "unsent=true")
+	require.Equal(t, int64(1), good.arrived.Load())
+}
+
+// TestCallOfEntryWithoutNewLinksIsAnswered guards against an entry that leaves a server that still
+// answers, because it can't connect to any.
+func TestCallOfEntryWithoutNewLinksIsAnswered(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	slow := func(r *received) {
+		arrived <- struct{}{}
+		time.Sleep(silence)
+		r.ok("done")
+	}
+	servers := []*fakeServer{newFakeServer(t, "l1", slow), newFakeServer(t, "l2", serveDone), newFakeServer(t, "l3", serveDone)}
+	g := newEntryGroup(t, 1, func(h *harness, through func(*fakeServer) *fakeServer) {
+		for _, s := range servers {
+			h.ledger(through(s))
+		}
+	})
+	h := g.entries[0]
+	pool := h.server.state.pool("ledger")
+	for _, id := range []string{"l2", "l3", "l2", "l3", "l2", "l3"} {
+		pl := placeOn(t, pool, id, 0)
+		t.Cleanup(func() { pool.Release(pl) })
+	}
+	go func() {
+		<-arrived
+		g.links[0].set(linksKept)
+	}()
+	res := h.send("GET", "/read/1", "", "Deadline", "8000")
+	body, _ := text(res)
+	require.Equal(t, 200, res.StatusCode, h.logs.String())
+	require.Equal(t, "done", body)
+	require.Contains(t, h.logs.String(), "Links to all servers lost")
+}
