Backend: a stop of the entry is no silence of its servers

Callers saw streams cut, or resumed elsewhere at the cost of the retry budget, although their server went on. When the entry itself stood still (no processor, a freeze), each exchange waited on past its poll interval, and the runtime runs timers before it polls the network: the poll ended with ErrIdle although the server's bytes lay in the socket. A stop of 0.35 s plus the poll of 0.1 s is what counts as a stalled replica, so all streams of the entry left their servers at once.

A wait that ends 50 ms late or more is followed by one of 100 ms: the bytes that have arrived are read, also those of other exchanges, which show that the server is not silent. A server that is really silent is noticed 0.1 s later after such a stop.

--- a/internal/backend/forward.go
+++ b/internal/backend/forward.go
@@ -350,11 +350,31 @@
 	return io.EOF
 }
 
-// wait returns once n bytes are buffered, or ErrIdle if they don't arrive by until.
+const (
+	// lateWait is how late the end of a wait may be noticed. Later, this process was stopped
+	// or had no processor.
+	lateWait = 50 * time.Millisecond
+	// secondWait follows a wait that ended late. It leaves the other exchanges the time to
+	// read what has arrived for them.
+	secondWait = 100 * time.Millisecond
+)
+
+// wait returns once n bytes are buffered, or ErrIdle if they don't arrive by until. A wait
+// may end late, and before bytes are read that arrived while this process was stopped: then
+// it is followed by secondWait.
 func (e *Exchange) wait(until time.Time, n int) error {
 	if e.conn.reader.Buffered() >= n {
 		return nil
 	}
+	err := e.waitOnce(until, n)
+	if errors.Is(err, ErrIdle) && time.Since(until) >= lateWait {
+		return e.waitOnce(time.Now().Add(secondWait), n)
+	}
+	return err
+}
+
+// waitOnce is wait without secondWait.
+func (e *Exchange) waitOnce(until time.Time, n int) error {
 	deadline, limited := e.ctx.Deadline()
 	if limited = limited && deadline.Before(until); limited {
 		until = deadline
