Control: a replica that answers another entry is not stalled

Callers saw eight streams reset at once, and six requests refused, while hosts were being replaced. One entry reported a slow replica as stalled, which shortens the silence after which a member counts as lost to 1.4 s; a heartbeat that was 50 ms late then dissolved the replica, whose members all ran and accepted the order to leave.

An entry reports a stall after 0.45 s without a byte, so another entry had an answer within that time: the replica had not stopped.

A report of a stall now counts once no entry has had an answer in the 0.45 s before it. A replica that has really stopped answers nobody, so that its stall shows at the latest with the next report, 0.4 s on.

TestProgressTable let one entry report an answer 100 ms old and, at the same instant, one 900 ms old with a stall, which no entry can: the clock now moves by the 800 ms between them, and every assertion stays.

--- a/internal/control/progress.go
+++ b/internal/control/progress.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/placement"
 )
 
 // progressTable holds what entries report about replicas. Answers that arrive
@@ -61,10 +62,11 @@
 // stallReportLifetime is how long a report of a stall is valid.
 const stallReportLifetime = 1500 * time.Millisecond
 
-// isStalled reports whether requests are stalled and no answer has arrived
-// since.
+// isStalled reports whether requests are stalled and no entry has received an answer
+// since, or within the time for which an entry waits before it reports a stall: until
+// then the replica has answered another one.
 func (r progressRow) isStalled(now time.Time) bool {
-	return !r.stalled.IsZero() && now.Sub(r.stalled) < stallReportLifetime && r.answered.Before(r.stalled)
+	return !r.stalled.IsZero() && now.Sub(r.stalled) < stallReportLifetime && r.stalled.Sub(r.answered) > placement.StallTimeout
 }
 
 // groupProgress returns what entries reported about groups.
--- a/internal/control/publish_test.go
+++ b/internal/control/publish_test.go
@@ -187,6 +187,7 @@
 	}
 	require.False(t, report("e1", 2, 100, false))
 	require.Equal(t, int64(100), table.groupProgress(groups, now)[0].AnsweredMillis)
+	now = now.Add(800 * time.Millisecond)
 	require.True(t, report("e1", 2, 900, true), "newly stalled")
 	require.False(t, report("e2", 2, 900, true), "already stalled")
 	require.True(t, table.groupProgress(groups, now)[0].Stalled)
@@ -200,6 +201,25 @@
 	require.Empty(t, table.groupProgress(groups, now))
 }
 
+// TestReplicaThatAnswersAnotherEntryIsNotStalled guards against the release of a sound
+// replica that is slow to answer one entry.
+func TestReplicaThatAnswersAnotherEntryIsNotStalled(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := newProgressTable()
+	groups := []api.Group{{ID: "g", Fencing: 2}}
+	report := func(entry api.EntryID, age int64, stalled bool) {
+		table.update(api.ProgressReport{Entry: entry, Groups: []api.GroupProgress{
+			{Group: "g", Fencing: 2, AnsweredMillis: age, Stalled: stalled},
+		}}, now)
+	}
+	report("e2", 185, false)
+	report("e1", 500, true)
+	require.False(t, table.groupProgress(groups, now)[0].Stalled)
+	now = now.Add(400 * time.Millisecond)
+	report("e1", 900, true)
+	require.True(t, table.groupProgress(groups, now)[0].Stalled, "no entry has had an answer since")
+}
+
 func TestMembershipPlan(t *testing.T) {
 	now := time.Unix(1000, 0)
 	member := func(id api.VoterID) consensus.Member { return consensus.Member{ID: id, Incarnation: 1} }
