Ingress: requests don't wait while a publication is compiled

Every request needs the routing state, and Apply held its lock while it unpacked and compiled a publication. With versions in quick succession requests waited for each one, the longer the less processor time the entry gets.

Apply now compiles before it takes the lock. Views are applied one at a time by the agent, so that no older table can replace a newer one.

--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -198,7 +198,7 @@
 
 // harness is an entry with its backend servers.
 type harness struct {
-	t      *testing.T
+	t      testing.TB
 	server *Server
 	state  *entry.State
 	ln     net.Listener
@@ -274,13 +274,13 @@
 	}
 }
 
-func newHarness(t *testing.T) *harness {
+func newHarness(t testing.TB) *harness {
 	t.Helper()
 	return newEntry(t, api.EntryInfo{ID: "e1", Incarnation: 1, Domain: "cairo"}, backend.Config{DialTimeout: time.Second})
 }
 
 // newEntry returns an entry without backend servers.
-func newEntry(t *testing.T, info api.EntryInfo, cfg backend.Config) *harness {
+func newEntry(t testing.TB, info api.EntryInfo, cfg backend.Config) *harness {
 	t.Helper()
 	forwarder := backend.NewForwarder(cfg)
 	t.Cleanup(forwarder.Close)
@@ -304,7 +304,7 @@
 	return h
 }
 
-func packed(t *testing.T, p *api.Publication) *api.PackedPublication {
+func packed(t testing.TB, p *api.Publication) *api.PackedPublication {
 	t.Helper()
 	out, err := routing.Pack(p)
 	require.NoError(t, err)
--- a/internal/ingress/stream_test.go
+++ b/internal/ingress/stream_test.go
@@ -13,7 +13,7 @@
 )
 
 // placeOn gets a placement on one target of a pool.
-func placeOn(t *testing.T, pool *placement.Pool, id string, prompt int) *placement.Placement {
+func placeOn(t testing.TB, pool *placement.Pool, id string, prompt int) *placement.Placement {
 	t.Helper()
 	var others []string
 	for {
--- a/internal/ingress/targets.go
+++ b/internal/ingress/targets.go
@@ -90,15 +90,17 @@
 	return string(api.EngineGroupName(service.Name, model))
 }
 
-// Apply builds the routes and targets of a new view.
+// Apply builds the routes and targets of a new view. Calls must not overlap. Requests wait
+// only while the targets are replaced, not while a publication is compiled.
 func (s *Server) Apply(snapshot *entry.Snapshot) {
 	b := s.state
+	table, _ := b.current()
+	if p := snapshot.Publication; p != nil && (table == nil || table.Version() != p.Version) {
+		table = s.compile(p, snapshot.Revision, table)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.revision = snapshot.Revision
-	if p := snapshot.Publication; p != nil && (b.table == nil || b.table.Version() != p.Version) {
-		s.compile(p, snapshot.Revision)
-	}
+	b.revision, b.table = snapshot.Revision, table
 	s.updateDomains(snapshot)
 	if b.table == nil {
 		return
@@ -111,15 +113,16 @@
 	}
 }
 
-// compile puts a publication in force. One that can't be read leaves the last one in force.
-func (s *Server) compile(packed *api.PackedPublication, revision api.Revision) {
+// compile returns the routes of a publication, or the last ones if it can't be read.
+func (s *Server) compile(packed *api.PackedPublication, revision api.Revision, last *routing.Table) *routing.Table {
 	p, err := routing.Unpack(*packed)
 	if err != nil {
 		level.Error(s.logger).Log("msg", "Unreadable publication ignored", "version", packed.Version, "revision", revision, "err", err)
-		return
+		return last
 	}
-	s.state.table = routing.Compile(p)
+	table := routing.Compile(p)
 	level.Info(s.logger).Log("msg", "Publication in force", "version", p.Version, "revision", revision, "routes", len(p.Routes))
+	return table
 }
 
 // updateDomains records which failure domains are drained, and when one returned: its
