Group: a replica with a leaving member finishes its requests

Callers saw streams reset while hosts were being replaced: control released a replica with a leaving member once the drain time and half a second had passed, and the order to leave cuts off what runs there. The leaving host itself stays for as long as its head has work, 10 s at most.

The new test failed before: the replica was released after 2.8 s although it answered.

It is now released once no entry has had a byte of it for a second, and 10 s after the notice in any case. Entries send it nothing new meanwhile.

--- a/internal/group/forecast.go
+++ b/internal/group/forecast.go
@@ -42,7 +42,7 @@
 func newForecast(fleet api.FleetView, intent api.Intent, p Policy) *forecast {
 	p.LoadRate, p.MaxLoads, p.MaxDomainLoads = 0, 0, 0
 	p.Rebalance = false
-	p.DrainHold, p.Hold, p.Grace, p.LeaveDrain, p.BackoffBase, p.BackoffMax = 0, 0, 0, 0, 0, 0
+	p.DrainHold, p.Hold, p.Grace, p.LeaveDrain, p.LeaveLimit, p.BackoffBase, p.BackoffMax = 0, 0, 0, 0, 0, 0, 0
 	f := &forecast{policy: p, before: fleet, after: fleet, now: time.Unix(0, 0)}
 	f.after.Groups = slices.Clone(fleet.Groups)
 	f.after.Assignments = slices.Clone(fleet.Assignments)
--- a/internal/group/policy.go
+++ b/internal/group/policy.go
@@ -29,6 +29,9 @@
 	DrainHold time.Duration
 	// LeaveDrain is the time that a leaving member gets to finish its work.
 	LeaveDrain time.Duration
+	// LeaveLimit is when a shared replica with a leaving member is released although it
+	// still answers: members end their work by then.
+	LeaveLimit time.Duration
 	// BackoffBase is the time after a failure during which a host is not
 	// used; each further failure doubles it up to BackoffMax.
 	BackoffBase time.Duration
@@ -101,6 +104,7 @@
 		Hold:              30 * time.Second,
 		DrainHold:         60 * time.Second,
 		LeaveDrain:        10 * time.Second,
+		LeaveLimit:        10 * time.Second,
 		BackoffBase:       2 * time.Second,
 		BackoffMax:        5 * time.Minute,
 		FailureResetAfter: 30 * time.Minute,
--- a/internal/group/shared.go
+++ b/internal/group/shared.go
@@ -35,7 +35,7 @@
 			pl.release(r, ReasonRetired)
 		case !pl.intact(r):
 			pl.release(r, ReasonLost)
-		case r.leaving > 0 && pl.leaveDrained(r):
+		case r.leaving > 0 && pl.leaveDrained(r) && !pl.isFinishing(r):
 			pl.release(r, ReasonLeaving)
 		case r.Retiring && pl.now.Sub(r.mem.retiringSince) >= pl.policy.LeaveDrain:
 			pl.release(r, ReasonRetiring)
@@ -48,6 +48,25 @@
 	}
 }
 
+// finishTime is the silence of a replica that takes nothing new after which its requests
+// have ended. One that still has some sends bytes several times a second.
+const finishTime = time.Second
+
+// isFinishing reports whether a replica with leaving members still runs requests, which a
+// release would cut off.
+func (pl *planner) isFinishing(r *replica) bool {
+	p := pl.progress[r.ID]
+	if p == nil || p.Stalled || p.AnsweredMillis < 0 || time.Duration(p.AnsweredMillis)*time.Millisecond > finishTime {
+		return false
+	}
+	for _, h := range r.mem.members {
+		if !h.leavingSince.IsZero() && pl.now.Sub(h.leavingSince) >= pl.policy.LeaveLimit {
+			return false
+		}
+	}
+	return true
+}
+
 // releasedShared reports whether a host has left a shared replica permanently: it
 // acknowledged the release, announces no such membership, or has been lost for longer
 // than LostHostRetention. The head then can't serve, since a member is missing, whether
--- a/internal/group/shared_test.go
+++ b/internal/group/shared_test.go
@@ -213,6 +213,41 @@
 	require.Equal(t, 7, w.serving("big"))
 }
 
+// TestLeavingReplicaFinishesItsStreams guards against the release of a replica that still
+// answers requests when its drain is over.
+func TestLeavingReplicaFinishesItsStreams(t *testing.T) {
+	const answering = 6 * time.Second
+	for _, c := range []struct {
+		name         string
+		answersFor   time.Duration
+		heldAtLeast  time.Duration
+		releasedByAt time.Duration
+	}{
+		{"until they end", answering, answering, answering + 3*time.Second},
+		{"no longer than the members stay", time.Minute, answering, 11 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newSharedFleet(t, nil)
+			sixFabrics(w)
+			w.run(4 * engineLoadTime)
+			leaving := w.memberOf("big", 1)
+			id, fencing := leaving.group, leaving.fencing
+			leaving.leaving = true
+			w.call(api.MethodDepart, api.DepartRequest{Host: leaving.id, Incarnation: leaving.incarnation})
+			held := time.Duration(0)
+			for ; leaving.group == id && held < c.releasedByAt; held += 200 * time.Millisecond {
+				if held < c.answersFor {
+					w.traffic(api.GroupProgress{Group: id, Fencing: fencing, AnsweredMillis: 20})
+				}
+				w.run(200 * time.Millisecond)
+			}
+			require.GreaterOrEqual(t, held, c.heldAtLeast)
+			require.Less(t, held, c.releasedByAt)
+			requireNoViolation(t, w)
+		})
+	}
+}
+
 // TestEmptyHostsAreStaged replaces a lost member by an empty host: the survivors stay
 // free while it loads.
 func TestEmptyHostsAreStaged(t *testing.T) {
