Placement: a plain server that leaves the view keeps its streams

A stream was taken from its server after 0.1 s of silence when the view no longer named the server: one that leaves, one in a drained failure domain, one whose announcements don't reach control. All of these go on with what they run. A replica is different: control has ordered it to end.

Silence reports a server of a plain service as gone only once it has started again. The silence of its own request then decides, as for any other server.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -306,11 +306,15 @@
 }
 
 // Silence returns for how long nothing has arrived from a target on which this entry
-// has requests, and whether the target is gone: control has dissolved it, and nothing
-// more will arrive.
+// has requests, and whether the target is gone: control has dissolved it, or it has started
+// again, and nothing more will arrive. A server of a plain service that the view no longer
+// names takes nothing new, but finishes its requests.
 func (p *Pool) Silence(pl *Placement) (silent time.Duration, gone bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.profile == nil && p.targets[pl.Target.ID] == nil {
+		return 0, false
+	}
 	s := p.currentState(pl)
 	if s == nil {
 		return 0, true
