ingress: say who ended an answer early, and count cut answers

The log line of a request that ended without its whole answer did not say who ended it.

"Request ended" with an outcome other than answered now has ended_by (caller, deadline, route_timeout, server, other_entry, entry), why, retry_denied (why no other server continued), leaving, the kind of the request's body, limit_ms, limit_by and used_percent. Lines of whole answers stay as they were, so that the volume hardly grows. crocusway_ingress_cut_answers_total counts answers whose head was sent and whose end was not, by route, ended_by, why and leaving.

The retry budget and a quarantine are recorded where they refuse a retry; the other reasons follow from the state of the call.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -55,6 +55,7 @@
 		if err := s.recheckQuarantine(c); err != nil {
 			s.release(c)
 			if c.ran > 0 {
+				c.denied = deniedQuarantine
 				return c.lastFailure
 			}
 			return err
@@ -389,6 +390,7 @@
 	}
 	if !s.budget(c.service.Name).take(len(liveEntries(s.cfg.State.Snapshot()))) {
 		level.Info(s.logger).Log("msg", "Retry budget exhausted", "request", c.head.ID, "service", c.service.Name)
+		c.denied = deniedBudget
 		return failed
 	}
 	c.demand.Begun = c.ran > 0
@@ -406,9 +408,9 @@
 		return errCallerLeft
 	}
 	if c.ran == 0 {
-		return unavailable("deadline", "no server took the request in time", cause)
+		return unavailable(codeDeadline, "no server took the request in time", cause)
 	}
-	return &refusal{status: fasthttp.StatusGatewayTimeout, code: "deadline", message: "the answer did not come in time", cause: cause}
+	return &refusal{status: fasthttp.StatusGatewayTimeout, code: codeDeadline, message: "the answer did not come in time", cause: cause}
 }
 
 // refusalOf converts the error of a call into the answer that the caller gets.
@@ -422,7 +424,7 @@
 	}
 	if c.ran > 0 {
 		if c.ctx.Err() != nil {
-			return &refusal{status: fasthttp.StatusGatewayTimeout, code: "deadline", message: "the answer did not come in time", cause: err}
+			return &refusal{status: fasthttp.StatusGatewayTimeout, code: codeDeadline, message: "the answer did not come in time", cause: err}
 		}
 		return &refusal{status: fasthttp.StatusBadGateway, code: "server_failed", message: "the server did not answer", cause: err}
 	}
@@ -430,7 +432,7 @@
 	case errs.Is(err, errs.Full):
 		return unavailable("overloaded", "no server became free in time", err)
 	case errs.Is(err, errs.Timeout):
-		return unavailable("deadline", "no server took the request in time", err)
+		return unavailable(codeDeadline, "no server took the request in time", err)
 	}
 	return unavailable("no_server", "no server can take the request now", err)
 }
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -75,6 +75,9 @@
 	ended       bool
 	callerLeft  bool
 	lastFailure error
+	// denied is why another attempt was refused, if neither the route nor the number of
+	// attempts tells.
+	denied string
 	// cause is the error with which the entry itself ended the call.
 	cause        error
 	targetsTried []string
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -55,9 +55,9 @@
 
 // refuse writes a refusal as the answer to a call.
 func (s *Server) refuse(c *call, r *refusal) {
-	c.status, c.outcome, c.reason = r.status, "refused", r.code
+	c.status, c.outcome, c.reason = r.status, outcomeRefused, r.code
 	if r.status == fasthttp.StatusBadGateway || r.status == fasthttp.StatusGatewayTimeout {
-		c.outcome = "failed"
+		c.outcome = outcomeFailed
 	}
 	response := &c.http.Response
 	response.Reset()
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -36,7 +36,7 @@
 // sendWhole sends an answer that was read completely.
 func (s *Server) sendWhole(c *call) {
 	f := c.whole
-	c.status, c.outcome = f.header.StatusCode(), "answered"
+	c.status, c.outcome = f.header.StatusCode(), outcomeAnswered
 	if c.status < fasthttp.StatusMultipleChoices {
 		s.recordAnswer(c)
 	}
@@ -168,7 +168,7 @@
 	r.out = append(r.out, rest...)
 	r.events.discardRest()
 	r.endErr = io.EOF
-	r.call.outcome = "answered"
+	r.call.outcome = outcomeAnswered
 	r.recordAnswer(r.call)
 	return nil
 }
@@ -206,19 +206,22 @@
 func (r *relay) Close() error {
 	c := r.call
 	if c.outcome == "" {
-		c.outcome, c.reason, c.cause = "broken", "stream_broken", r.endErr
+		c.outcome, c.reason, c.cause = outcomeBroken, "stream_broken", r.endErr
 		if c.ctx.Err() != nil {
 			r.setEndReason(c)
 		}
 	}
+	if c.outcome != outcomeAnswered {
+		r.cuts.record(c, r.cfg.State.Leaving())
+	}
 	r.end(c)
 	return nil
 }
 
 // setEndReason distinguishes a caller that left from a deadline that passed.
 func (s *Server) setEndReason(c *call) {
-	c.reason = "deadline"
+	c.reason = codeDeadline
 	if hasCallerLeft(c) {
-		c.outcome, c.reason, c.callerLeft = "left", "caller_left", true
+		c.outcome, c.reason, c.callerLeft = outcomeLeft, reasonCallerLeft, true
 	}
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -24,6 +24,7 @@
 	state       *routingState
 	active      *inflight.Counter
 	instruments instruments
+	cuts        cutCounter
 	reporter    *reporter
 	crashes     *crashes.Table
 	links       *linkTable
@@ -54,6 +55,9 @@
 	if s.instruments, err = newInstruments(cfg.Meter); err != nil {
 		level.Warn(s.logger).Log("msg", "Some metrics could not be created", "err", err)
 	}
+	if s.cuts, err = newCutCounter(cfg.Meter); err != nil {
+		level.Warn(s.logger).Log("msg", "The counter of cut answers could not be created", "err", err)
+	}
 	s.reporter = newReporter(s)
 	return s
 }
@@ -149,7 +153,7 @@
 		return
 	}
 	s.logPanic(c, cause)
-	s.finish(c, &refusal{status: fasthttp.StatusBadGateway, code: "internal", message: "the entry failed"})
+	s.finish(c, &refusal{status: fasthttp.StatusBadGateway, code: codeInternal, message: "the entry failed"})
 }
 
 func (s *Server) logPanic(c *call, cause any) {
@@ -161,7 +165,7 @@
 	c.cause = err
 	s.refuse(c, s.refusalOf(c, err))
 	if c.callerLeft {
-		c.outcome, c.reason = "left", "caller_left"
+		c.outcome, c.reason = outcomeLeft, reasonCallerLeft
 	}
 	s.end(c)
 }
@@ -238,5 +242,8 @@
 	if c.cause != nil && (c.lastFailure == nil || !errors.Is(c.cause, c.lastFailure)) {
 		fields = append(fields, "cause", c.cause)
 	}
+	if c.outcome != outcomeAnswered {
+		fields = append(fields, s.earlyEndFields(c, now)...)
+	}
 	level.Info(s.logger).Log(fields...)
 }
