ingress: a stream that the caller's connection did not take is no broken one

When writing to the caller fails, the HTTP library closes the body of the stream without reading its end. The entry logged such a request as outcome=broken reason=stream_broken without any cause, as if the server had failed, or even as answered if the server's end had been read but not yet written. Only if the watch of the connection had seen the end first was it logged as left.

The relay now knows whether the library has read everything, and otherwise ends the request as outcome=left reason=caller_left ended_by=caller why=connection_lost. The body of a HEAD request is never read.

--- a/internal/ingress/earlyend.go
+++ b/internal/ingress/earlyend.go
@@ -48,6 +48,7 @@
 // Values of earlyEnd.why.
 const (
 	whyLeft        = "left"
+	whyConnection  = "connection_lost"
 	whyLate        = "late"
 	whyClosed      = "closed"
 	whyUnreachable = "unreachable"
@@ -70,10 +71,15 @@
 	deniedNoServer      = "no_other_server"
 )
 
+// errConnectionLost is the cause of a stream whose bytes the caller's connection did not take.
+var errConnectionLost = errors.New("the connection to the caller failed while the answer was written")
+
 // earlyEnd returns who ended a call that is over, and how.
 func (c *call) earlyEnd() earlyEnd {
 	var failed *attemptError
 	switch {
+	case c.callerLeft && errors.Is(c.cause, errConnectionLost):
+		return earlyEnd{by: endedByCaller, why: whyConnection}
 	case c.callerLeft:
 		return earlyEnd{by: endedByCaller, why: whyLeft}
 	case c.reason == codeDeadline:
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -61,6 +61,8 @@
 	idleSince time.Time
 	// endErr is io.EOF after the last byte of a whole stream, else the error that ended it.
 	endErr error
+	// taken is set once the HTTP library has read every byte and endErr.
+	taken bool
 }
 
 // awaitFirstEvent waits for the first event and copies the head of its server.
@@ -98,6 +100,7 @@
 	}()
 	for r.offset == len(r.out) {
 		if r.endErr != nil {
+			r.taken = true
 			return 0, r.endErr
 		}
 		r.out, r.offset = r.out[:0], 0
@@ -205,7 +208,10 @@
 // aborted.
 func (r *relay) Close() error {
 	c := r.call
-	if c.outcome == "" {
+	switch {
+	case r.connectionLost():
+		c.outcome, c.reason, c.cause, c.callerLeft = outcomeLeft, reasonCallerLeft, errConnectionLost, true
+	case c.outcome == "":
 		c.outcome, c.reason, c.cause = outcomeBroken, "stream_broken", r.endErr
 		if c.ctx.Err() != nil {
 			r.setEndReason(c)
@@ -218,6 +224,13 @@
 	return nil
 }
 
+// connectionLost reports whether the HTTP library gave up the stream although the server has
+// not failed: it could not write to the caller.
+func (r *relay) connectionLost() bool {
+	sound := r.endErr == nil || errors.Is(r.endErr, io.EOF)
+	return sound && !r.taken && !r.call.http.IsHead()
+}
+
 // setEndReason distinguishes a caller that left from a deadline that passed.
 func (s *Server) setEndReason(c *call) {
 	c.reason = codeDeadline
