--- a/internal/ingress/takeover_test.go
+++ b/internal/ingress/takeover_test.go
@@ -1,10 +1,16 @@
 package ingress
 
 import (
+	"context"
+	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/backend"
 )
 
 // silence is longer than the entry waits for a server before it tries another one.
@@ -307,11 +313,18 @@
 // TestChallengersThatReachNobodyLeaveRetryBudget guards against a stream that stays with a silent
 // server because connections to others were refused.
 func TestChallengersThatReachNobodyLeaveRetryBudget(t *testing.T) {
-	h := newHarness(t)
+	gone := newFakeServer(t, "b-gone", serveDone)
+	h := newEntry(t, api.EntryInfo{ID: "e1", Incarnation: 1, Domain: "cairo"}, backend.Config{
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if address == gone.ln.Addr().String() {
+				return nil, syscall.ECONNREFUSED
+			}
+			var d net.Dialer
+			return d.DialContext(ctx, network, address)
+		},
+	})
 	// One retry is allowed: the budget is not used to its last part.
 	h.server.cfg.Settings.RetryRatio, h.server.cfg.Settings.RetryAllowance = 0, 1.5
-	gone := newFakeServer(t, "b-gone", serveDone)
-	_ = gone.ln.Close()
 	good := newFakeServer(t, "b-good", serveEvents(6))
 	h.scribe(newFakeServer(t, "a-silent", pauses(waitFor)), gone, good)
 	pool := h.server.state.pool("scribe/" + testModel)
