ingress: a takeover does not wait for a verdict

sendChallenger runs in the goroutine that forwards the events of the silent server: a pending verdict on the keys of the request (crashes.Match) held them up for some hundred ms. Now no other server is tried while one is pending.

--- a/internal/ingress/quarantine.go
+++ b/internal/ingress/quarantine.go
@@ -100,6 +100,26 @@
 	if err := s.checkVerdicts(c); err != nil {
 		return err
 	}
+	return s.checkTrials(c)
+}
+
+var errVerdictPending = errors.New("a verdict on the keys of the request is pending")
+
+// recheckQuarantineNow is recheckQuarantine without a wait: while a verdict is pending, it
+// fails.
+func (s *Server) recheckQuarantineNow(c *call) error {
+	v, applies, wait := s.crashes.Match(c.crashKeys, time.Now())
+	switch {
+	case applies:
+		return quarantined(keyNames(v.Keys), len(v.Servers), crashes.HoldTime)
+	case wait > 0:
+		return errVerdictPending
+	}
+	return s.checkTrials(c)
+}
+
+// checkTrials refuses a request that quarantines apply to, unless it is their trial.
+func (s *Server) checkTrials(c *call) error {
 	snapshot := s.cfg.State.Snapshot()
 	if !snapshot.QuarantinesKeys() {
 		return nil
--- a/internal/ingress/takeover.go
+++ b/internal/ingress/takeover.go
@@ -210,7 +210,7 @@
 // sendChallenger sends the request to the server, or entry, of the challenger.
 func (s *Server) sendChallenger(c *call) error {
 	ch := c.challenger
-	if err := s.recheckQuarantine(c); err != nil {
+	if err := s.recheckQuarantineNow(c); err != nil {
 		return err
 	}
 	if !c.paid && !s.takeBudget(c) {
