ingress: an entry that shuts down waits for the last byte of each answer

Callers could lose the end of an answer around a SIGTERM: the connection closed although the backend server had finished. Cause: a request counted as ended inside the handler, or when the body of a stream was closed. The HTTP library writes a whole answer after the handler has returned, and the last chunk of a stream after it has closed its body. So the wait of a shutdown could end, and the process exit, before these bytes were written; the more so with a slow reader or a busy processor.

Requests in progress are now kept by connection until the HTTP library reports the connection as idle or closed, which it does after the flush.

Evidence: TestShutdownWaitsForLastByteOfAnswer holds back the write of the last bytes.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -473,15 +473,9 @@
 
 // awaitRequests waits until the requests in progress have ended.
 func (g *Gateway) awaitRequests(ctx context.Context) {
-	finished := make(chan struct{})
-	go func() {
-		g.ingress.Wait()
-		close(finished)
-	}()
-	select {
-	case <-finished:
-	case <-ctx.Done():
-		level.Warn(g.logger).Log("msg", "Requests still in progress at the end of the grace period", "count", g.ingress.Active())
+	g.ingress.Drain(ctx)
+	if n := g.ingress.Active(); n > 0 && ctx.Err() != nil {
+		level.Warn(g.logger).Log("msg", "Requests still in progress at the end of the grace period", "count", n)
 	}
 }
 
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -294,16 +294,23 @@
 		},
 		ForwardSecret: testForwardSecret,
 	})
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	h.ln = ln
-	front := h.server.HTTP()
-	go func() { _ = front.Serve(ln) }()
-	t.Cleanup(func() { _ = ln.Close() })
+	h.listen(func(ln net.Listener) net.Listener { return ln })
 	h.view = api.View{Revision: 1, Publication: packed(t, publication())}
 	return h
 }
 
+// listen serves callers on a new listener.
+func (h *harness) listen(wrap func(net.Listener) net.Listener) {
+	h.t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(h.t, err)
+	wrapped := wrap(ln)
+	h.ln = wrapped
+	front := h.server.HTTP()
+	go func() { _ = front.Serve(wrapped) }()
+	h.t.Cleanup(func() { _ = ln.Close() })
+}
+
 func packed(t *testing.T, p *api.Publication) *api.PackedPublication {
 	t.Helper()
 	out, err := routing.Pack(p)
--- a/internal/ingress/links.go
+++ b/internal/ingress/links.go
@@ -129,7 +129,7 @@
 		pools = s.state.poolsOf(service)
 	}
 	if !tracker.Lost() {
-		level.Info(s.logger).Log("msg", "Links to servers regained", "service", service, "requests", s.active.Count())
+		level.Info(s.logger).Log("msg", "Links to servers regained", "service", service, "requests", s.Active())
 		s.instruments.recordLinks("regained", service)
 		for _, pool := range pools {
 			pool.Trust()
@@ -137,7 +137,7 @@
 		return
 	}
 	level.Warn(s.logger).Log("msg", "Links to all servers lost", "service", service, "heard_ms", tracker.SinceHeard(time.Now()).Milliseconds(),
-		"requests", s.active.Count())
+		"requests", s.Active())
 	s.instruments.recordLinks("lost", service)
 	if service == "" {
 		// It is not known which connections the servers still have.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"runtime/debug"
 	"time"
 
@@ -11,7 +12,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusway/crocusway/internal/crashes"
-	"github.com/crocusway/crocusway/internal/inflight"
 	"github.com/crocusway/crocusway/internal/logging"
 	"github.com/crocusway/crocusway/internal/placement"
 )
@@ -22,7 +22,7 @@
 	cfg         Config
 	logger      log.Logger
 	state       *routingState
-	active      *inflight.Counter
+	progress    *progress
 	instruments instruments
 	reporter    *reporter
 	crashes     *crashes.Table
@@ -42,7 +42,7 @@
 		cfg:       cfg,
 		logger:    logging.For(cfg.Logger, "ingress"),
 		state:     newRoutingState(),
-		active:    inflight.NewCounter(),
+		progress:  newProgress(),
 		crashes:   crashes.NewTable(),
 		trials:    trialClock{next: make(map[string]time.Time)},
 		maxAnswer: maxAnswerBytes,
@@ -72,6 +72,7 @@
 		DisablePreParseMultipartForm: true,
 		CloseOnShutdown:              true,
 		ErrorHandler:                 s.refuseUnreadable,
+		ConnState:                    s.observeConn,
 		Logger:                       discardLogger{},
 	}
 }
@@ -93,11 +94,16 @@
 // Run sends load reports to other entries and progress reports to control until ctx ends.
 func (s *Server) Run(ctx context.Context) error { return s.reporter.run(ctx) }
 
-// Wait returns when no request is in progress.
-func (s *Server) Wait() { s.active.Wait() }
+// observeConn records the end of a request: a connection becomes idle or closes once its answer
+// has been written.
+func (s *Server) observeConn(conn net.Conn, state fasthttp.ConnState) {
+	if state == fasthttp.StateIdle || state == fasthttp.StateClosed {
+		s.progress.end(conn)
+	}
+}
 
-// Active returns the number of requests in progress.
-func (s *Server) Active() int { return s.active.Count() }
+// Active returns the number of requests whose answers have not been written completely.
+func (s *Server) Active() int { return s.progress.count() }
 
 // Ready reports whether requests can be routed.
 func (s *Server) Ready() bool {
@@ -111,7 +117,7 @@
 }
 
 func (s *Server) serve(c *call, filters []filter) {
-	s.active.Begin()
+	s.progress.begin(c.http.Conn(), c.received)
 	defer s.recoverCall(c)
 	if err := runFilters(c, filters); err != nil {
 		s.finish(c, err)
@@ -182,7 +188,6 @@
 	now := time.Now()
 	s.instruments.recordEnd(c, now)
 	s.logEnd(c, now)
-	s.active.Done()
 }
 
 // closeIfLeaving closes the caller's connection after the response during a
--- a/internal/ingress/shutdown.go
+++ b/internal/ingress/shutdown.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -35,3 +36,6 @@
 	r.retryAfter = time.Millisecond + rand.N(leavingRetryAfter)
 	return r
 }
+
+// Drain waits until the answers of all requests have been written or ctx ends.
+func (s *Server) Drain(ctx context.Context) { s.progress.drain(ctx) }
--- a/internal/ingress/shutdown_test.go
+++ b/internal/ingress/shutdown_test.go
@@ -1,6 +1,9 @@
 package ingress
 
 import (
+	"bytes"
+	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -37,3 +40,74 @@
 		})
 	}
 }
+
+// heldConn holds back every write that ends with a given text until the test releases it, like
+// the connection of a caller that does not read.
+type heldConn struct {
+	net.Conn
+	end     []byte
+	reached chan<- struct{}
+	release <-chan struct{}
+}
+
+func (c *heldConn) Write(p []byte) (int, error) {
+	if bytes.HasSuffix(p, c.end) {
+		c.reached <- struct{}{}
+		<-c.release
+	}
+	return c.Conn.Write(p)
+}
+
+// heldListener accepts connections as copies of conn.
+type heldListener struct {
+	net.Listener
+	conn heldConn
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	conn := l.conn
+	conn.Conn = accepted
+	return &conn, nil
+}
+
+// TestShutdownWaitsForLastByteOfAnswer guards against an exit between the end of a request in
+// the handler and the write of the last bytes of its answer.
+func TestShutdownWaitsForLastByteOfAnswer(t *testing.T) {
+	for name, c := range map[string]struct{ path, end string }{
+		"whole answer": {"/read/1", "the last word"},
+		"stream":       {"/draft/1", "0\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.ledger(newFakeServer(t, "l1", func(r *received) { r.ok("the last word") }))
+			h.scribe(newFakeServer(t, "s1", serveEvents(3)))
+			reached, release := make(chan struct{}), make(chan struct{})
+			h.listen(func(ln net.Listener) net.Listener {
+				return &heldListener{Listener: ln, conn: heldConn{end: []byte(c.end), reached: reached, release: release}}
+			})
+			whole := make(chan bool)
+			go func() {
+				_, ok := text(h.send("POST", c.path, "prompt"))
+				whole <- ok
+			}()
+			<-reached
+			require.False(t, drains(t, h.server, 200*time.Millisecond), "the last bytes are not written yet")
+			close(release)
+			require.True(t, <-whole)
+			require.True(t, drains(t, h.server, waitFor))
+		})
+	}
+}
+
+// drains reports whether a drain ends before the timeout.
+func drains(t *testing.T, s *Server, timeout time.Duration) bool {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	s.Drain(ctx)
+	return ctx.Err() == nil
+}
