ingress: a request is admitted only while a shutdown waits for it

Callers could lose requests that an entry accepted shortly before it exited. Cause: after the wait for requests in progress an entry gives back its lease (up to 2 s) and closes its listeners, and until the exit it still accepted requests on kept connections whose deadline lies before the end of the grace period. Nothing waited for them. A connection is kept if its answer began before the SIGTERM, such as a long stream.

Another entry's forwarded request goes on to the next entry. Refusals are recorded too, so that a second wait lets them be written.

Evidence: TestShutdownRunsNoRequestAfterItsLastWait gets 200 instead of 503 without the check. TestDrainAdmitsOnlyWhatItWaitsFor lets requests begin while a wait ends.

--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -19,6 +19,8 @@
 	http     *fasthttp.RequestCtx
 	head     Head
 	received time.Time
+	// admitted is unset for a request that came after the last wait of a shutdown.
+	admitted bool
 	// deadline is the earlier one of the caller's and the route's.
 	deadline time.Time
 	ctx      context.Context
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -325,7 +325,7 @@
 
 // HandleForwarded serves a request that another entry forwards.
 func (s *Server) HandleForwarded(ctx *fasthttp.RequestCtx) {
-	s.serve(&call{http: ctx, received: time.Now()}, []filter{s.decodeForwarded, s.setDeadline, s.selectPool})
+	s.serve(&call{http: ctx, received: time.Now()}, []filter{s.decodeForwarded, s.admit, s.setDeadline, s.selectPool})
 }
 
 // ForwardedHTTP returns the HTTP server for requests that other entries forward.
--- a/internal/ingress/progress.go
+++ b/internal/ingress/progress.go
@@ -13,17 +13,21 @@
 type progress struct {
 	mu       sync.Mutex
 	requests map[net.Conn]time.Time
+	// closed is set once no request is admitted any more.
+	closed bool
 	// idle is closed when no request is in progress; nil while nobody waits for that.
 	idle chan struct{}
 }
 
 func newProgress() *progress { return &progress{requests: make(map[net.Conn]time.Time)} }
 
-// begin records a request.
-func (p *progress) begin(conn net.Conn, received time.Time) {
+// begin records a request and reports whether it is admitted. A request that is not is
+// recorded too, for the time that its refusal takes.
+func (p *progress) begin(conn net.Conn, received time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.requests[conn] = received
+	return !p.closed
 }
 
 // end removes the request of a connection, if there is one.
@@ -32,6 +36,7 @@
 	defer p.mu.Unlock()
 	delete(p.requests, conn)
 	if len(p.requests) == 0 && p.idle != nil {
+		p.closed = true
 		close(p.idle)
 		p.idle = nil
 	}
@@ -43,15 +48,20 @@
 	return len(p.requests)
 }
 
-// drain waits until no request is in progress or ctx ends.
+// drain waits until no request is in progress or ctx ends. From then on no request is
+// admitted.
 func (p *progress) drain(ctx context.Context) {
 	select {
 	case <-p.awaitIdle():
 	case <-ctx.Done():
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.closed = true
 	}
 }
 
-// awaitIdle returns a channel that is closed when no request is in progress.
+// awaitIdle returns a channel that is closed, together with the admission, when no request is
+// in progress.
 func (p *progress) awaitIdle() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -60,6 +70,7 @@
 		idle = make(chan struct{})
 	}
 	if len(p.requests) == 0 {
+		p.closed = true
 		close(idle)
 		return idle
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -117,7 +117,7 @@
 }
 
 func (s *Server) serve(c *call, filters []filter) {
-	s.progress.begin(c.http.Conn(), c.received)
+	c.admitted = s.progress.begin(c.http.Conn(), c.received)
 	defer s.recoverCall(c)
 	if err := runFilters(c, filters); err != nil {
 		s.finish(c, err)
@@ -136,7 +136,7 @@
 
 // filters returns the filters in the order in which they run.
 func (s *Server) filters() []filter {
-	return []filter{s.decode, s.route, s.authenticate, s.setDeadline, s.quarantine, s.selectService, s.selectPool}
+	return []filter{s.decode, s.admit, s.route, s.authenticate, s.setDeadline, s.quarantine, s.selectService, s.selectPool}
 }
 
 func runFilters(c *call, filters []filter) error {
--- a/internal/ingress/shutdown.go
+++ b/internal/ingress/shutdown.go
@@ -32,10 +32,24 @@
 	if exit == nil || !c.deadline.After(*exit) || exit.Sub(c.received) >= s.shutdown.least {
 		return nil
 	}
+	return leavingRefusal()
+}
+
+// Drain waits until the answers of all requests have been written or ctx ends. From then on
+// every request is refused: nothing waits for its end. Call it again before the exit, to let
+// the last refusals be written.
+func (s *Server) Drain(ctx context.Context) { s.progress.drain(ctx) }
+
+// admit refuses a request that came after the last wait of a shutdown.
+func (s *Server) admit(c *call) error {
+	if c.admitted {
+		return nil
+	}
+	return leavingRefusal()
+}
+
+func leavingRefusal() *refusal {
 	r := unavailable(codeLeaving, "this entry shuts down", nil)
 	r.retryAfter = time.Millisecond + rand.N(leavingRetryAfter)
 	return r
 }
-
-// Drain waits until the answers of all requests have been written or ctx ends.
-func (s *Server) Drain(ctx context.Context) { s.progress.drain(ctx) }
--- a/internal/ingress/shutdown_test.go
+++ b/internal/ingress/shutdown_test.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"context"
 	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,3 +114,55 @@
 	s.Drain(ctx)
 	return ctx.Err() == nil
 }
+
+// TestShutdownRunsNoRequestAfterItsLastWait guards against an entry that accepts a request on a
+// kept connection after the last wait for requests, and then exits.
+func TestShutdownRunsNoRequestAfterItsLastWait(t *testing.T) {
+	h := newHarness(t)
+	server := newFakeServer(t, "l1", func(r *received) { r.ok("book") })
+	h.ledger(server)
+	h.server.BeginShutdown(time.Now().Add(waitFor), 3*time.Second)
+	h.state.SetLeaving()
+	require.Equal(t, 200, h.send("POST", "/read/1", "").StatusCode)
+	require.True(t, drains(t, h.server, waitFor))
+	res := h.send("POST", "/read/1", "")
+	require.Equal(t, 503, res.StatusCode)
+	require.NotEmpty(t, res.Header.Get("Retry-After"))
+	require.True(t, res.Close)
+	require.EqualValues(t, 1, server.arrived.Load(), "a refused request has not run")
+}
+
+// TestDrainAdmitsOnlyWhatItWaitsFor guards against a request that begins between the end of the
+// wait and the end of admission.
+func TestDrainAdmitsOnlyWhatItWaitsFor(t *testing.T) {
+	for range 50 {
+		p := newProgress()
+		var drained atomic.Bool
+		var callers sync.WaitGroup
+		for range 2 {
+			conn, other := net.Pipe()
+			t.Cleanup(func() { _, _ = conn.Close(), other.Close() })
+			callers.Go(func() {
+				for p.begin(conn, time.Now()) {
+					if drained.Load() {
+						t.Error("a request is admitted after the drain")
+					}
+					runtime.Gosched()
+					if drained.Load() {
+						t.Error("the drain ended during a request")
+					}
+					p.end(conn)
+					time.Sleep(50 * time.Microsecond)
+				}
+				p.end(conn)
+			})
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), waitFor)
+		p.drain(ctx)
+		require.NoError(t, ctx.Err())
+		cancel()
+		drained.Store(true)
+		callers.Wait()
+		require.Zero(t, p.count())
+	}
+}
