ingress: the log names the requests that the exit of an entry cuts

A request that was cut at the end of the grace period stood in no line of the log: the process ends before its "Request ended". Up to 20 of them are now logged, the oldest first: id, route, age, deadline, and whether only the rest of an answer was still to be written.

TestRequestsCutByTheExitAreLogged does not compile without the change.

--- a/internal/ingress/progress.go
+++ b/internal/ingress/progress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -12,24 +13,64 @@
 // has returned. It is safe for concurrent use.
 type progress struct {
 	mu       sync.Mutex
-	requests map[net.Conn]time.Time
+	requests map[net.Conn]*inProgress
 	// closed is set once no request is admitted any more.
 	closed bool
 	// idle is closed when no request is in progress; nil while nobody waits for that.
 	idle chan struct{}
 }
 
-func newProgress() *progress { return &progress{requests: make(map[net.Conn]time.Time)} }
+// inProgress describes a request for the log.
+type inProgress struct {
+	id       string
+	route    string
+	received time.Time
+	deadline time.Time
+	// sending is set once only the rest of the answer is to be written.
+	sending bool
+}
+
+func newProgress() *progress { return &progress{requests: make(map[net.Conn]*inProgress)} }
 
 // begin records a request and reports whether it is admitted. A request that is not is
 // recorded too, for the time that its refusal takes.
 func (p *progress) begin(conn net.Conn, received time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.requests[conn] = received
+	p.requests[conn] = &inProgress{received: received}
 	return !p.closed
 }
 
+// describe records what a request is.
+func (p *progress) describe(c *call) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r := p.requests[c.http.Conn()]; r != nil {
+		r.id, r.route, r.deadline = c.head.ID, c.route.Name, c.deadline
+	}
+}
+
+// setSending records that only the rest of an answer is to be written.
+func (p *progress) setSending(conn net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r := p.requests[conn]; r != nil {
+		r.sending = true
+	}
+}
+
+// oldest returns copies of up to n requests in progress, the oldest first.
+func (p *progress) oldest(n int) []inProgress {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]inProgress, 0, len(p.requests))
+	for _, r := range p.requests {
+		out = append(out, *r)
+	}
+	slices.SortFunc(out, func(a, b inProgress) int { return a.received.Compare(b.received) })
+	return out[:min(n, len(out))]
+}
+
 // end removes the request of a connection, if there is one.
 func (p *progress) end(conn net.Conn) {
 	p.mu.Lock()
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -72,6 +72,7 @@
 		limit = min(limit, c.head.Deadline)
 	}
 	c.deadline = c.received.Add(limit)
+	s.progress.describe(c)
 	if err := s.checkShutdown(c); err != nil {
 		return err
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -188,6 +188,7 @@
 	now := time.Now()
 	s.instruments.recordEnd(c, now)
 	s.logEnd(c, now)
+	s.progress.setSending(c.http.Conn())
 }
 
 // closeIfLeaving closes the caller's connection after the response during a
--- a/internal/ingress/shutdown.go
+++ b/internal/ingress/shutdown.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
+
+	"github.com/go-kit/log/level"
 )
 
 // shutdown is the end of a graceful shutdown, nil before it begins.
@@ -40,6 +42,19 @@
 // the last refusals be written.
 func (s *Server) Drain(ctx context.Context) { s.progress.drain(ctx) }
 
+// maxUnfinishedLogged bounds the lines that LogUnfinished writes.
+const maxUnfinishedLogged = 20
+
+// LogUnfinished logs the requests in progress whose answers the exit cuts, the oldest first.
+func (s *Server) LogUnfinished() {
+	now := time.Now()
+	// A request without a deadline has not been routed yet.
+	for _, r := range s.progress.oldest(maxUnfinishedLogged) {
+		level.Warn(s.logger).Log("msg", "Request cut by the exit", "request", r.id, "route", r.route,
+			"total_ms", now.Sub(r.received).Milliseconds(), "deadline_ms", max(0, r.deadline.Sub(r.received)).Milliseconds(), "sending", r.sending)
+	}
+}
+
 // admit refuses a request that came after the last wait of a shutdown.
 func (s *Server) admit(c *call) error {
 	if c.admitted {
--- a/internal/ingress/shutdown_test.go
+++ b/internal/ingress/shutdown_test.go
@@ -166,3 +166,20 @@
 		require.Zero(t, p.count())
 	}
 }
+
+// TestRequestsCutByTheExitAreLogged guards against a cut request that no line of the log names.
+func TestRequestsCutByTheExitAreLogged(t *testing.T) {
+	h := newHarness(t)
+	server := newFakeServer(t, "l1", hang)
+	h.ledger(server)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		h.send("POST", "/read/1", "", "Id", "hung", "Deadline", "1500")
+	}()
+	require.Eventually(t, func() bool { return server.arrived.Load() > 0 }, waitFor, time.Millisecond)
+	require.False(t, drains(t, h.server, time.Millisecond))
+	h.server.LogUnfinished()
+	require.Regexp(t, `msg="Request cut by the exit" request=hung route=read total_ms=\d+ deadline_ms=1500 sending=false`, h.logs.String())
+	<-ended
+}
