ingress: an entry that exits answers the requests that have not ended

Callers of an entry whose grace period ended got a closed connection, also those whose requests no server had run: requests that waited for a free server, or for another attempt. Cause: the process simply exited under them.

A request that no server has run is refused with 503 entry_leaving and a Retry-After, so that its caller may go to another entry; one that a server may have run gets 502. A stream in the middle ends with its connection, as before. Each of them now has its line "Request ended" too.

Evidence: TestExitAnswersRequestsThatHaveNotEnded, with one request at a server and one that waits. Without the cancellation both are still in progress 1 s later.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -485,7 +485,7 @@
 	g.ingress.Drain(ctx)
 	if n := g.ingress.Active(); n > 0 && ctx.Err() != nil {
 		level.Warn(g.logger).Log("msg", "Requests still in progress at the end of the grace period", "count", n)
-		g.ingress.LogUnfinished()
+		g.ingress.Cut()
 	}
 	cancel()
 	report.Wait()
--- a/internal/ingress/progress.go
+++ b/internal/ingress/progress.go
@@ -20,12 +20,13 @@
 	idle chan struct{}
 }
 
-// inProgress describes a request for the log.
+// inProgress is a request in progress.
 type inProgress struct {
 	id       string
 	route    string
 	received time.Time
 	deadline time.Time
+	cancel   context.CancelCauseFunc
 	// sending is set once only the rest of the answer is to be written.
 	sending bool
 }
@@ -46,7 +47,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if r := p.requests[c.http.Conn()]; r != nil {
-		r.id, r.route, r.deadline = c.head.ID, c.route.Name, c.deadline
+		r.id, r.route, r.deadline, r.cancel = c.head.ID, c.route.Name, c.deadline, c.cancel
 	}
 }
 
@@ -59,8 +60,8 @@
 	}
 }
 
-// oldest returns copies of up to n requests in progress, the oldest first.
-func (p *progress) oldest(n int) []inProgress {
+// byAge returns copies of the requests in progress, the oldest first.
+func (p *progress) byAge() []inProgress {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make([]inProgress, 0, len(p.requests))
@@ -68,7 +69,7 @@
 		out = append(out, *r)
 	}
 	slices.SortFunc(out, func(a, b inProgress) int { return a.received.Compare(b.received) })
-	return out[:min(n, len(out))]
+	return out
 }
 
 // end removes the request of a connection, if there is one.
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -72,7 +72,6 @@
 		limit = min(limit, c.head.Deadline)
 	}
 	c.deadline = c.received.Add(limit)
-	s.progress.describe(c)
 	if err := s.checkShutdown(c); err != nil {
 		return err
 	}
@@ -84,6 +83,7 @@
 		cancel(cause)
 		stop()
 	}
+	s.progress.describe(c)
 	return nil
 }
 
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -218,6 +218,9 @@
 // setEndReason distinguishes a caller that left from a deadline that passed.
 func (s *Server) setEndReason(c *call) {
 	c.reason = "deadline"
+	if isCut(c) {
+		c.reason = codeLeaving
+	}
 	if hasCallerLeft(c) {
 		c.outcome, c.reason, c.callerLeft = "left", "caller_left", true
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -165,7 +165,11 @@
 // finish refuses a call for which no server's answer is forwarded.
 func (s *Server) finish(c *call, err error) {
 	c.cause = err
-	s.refuse(c, s.refusalOf(c, err))
+	r := s.refusalOf(c, err)
+	if isCut(c) {
+		r = exitRefusal(c)
+	}
+	s.refuse(c, r)
 	if c.callerLeft {
 		c.outcome, c.reason = "left", "caller_left"
 	}
--- a/internal/ingress/shutdown.go
+++ b/internal/ingress/shutdown.go
@@ -6,7 +6,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
+	"github.com/valyala/fasthttp"
 )
 
 // shutdown is the end of a graceful shutdown, nil before it begins.
@@ -42,19 +44,40 @@
 // the last refusals be written.
 func (s *Server) Drain(ctx context.Context) { s.progress.drain(ctx) }
 
-// maxUnfinishedLogged bounds the lines that LogUnfinished writes.
-const maxUnfinishedLogged = 20
+// maxCutLogged bounds the lines that Cut writes.
+const maxCutLogged = 20
 
-// LogUnfinished logs the requests in progress whose answers the exit cuts, the oldest first.
-func (s *Server) LogUnfinished() {
+// errExit is the cause of a call that the exit of this process ends.
+var errExit = errors.New("this entry exits")
+
+// Cut ends the requests in progress, and logs the oldest of them. One that no server has run
+// is refused, so that its caller may send it to another entry. Call Drain before and after it.
+func (s *Server) Cut() {
 	now := time.Now()
-	// A request without a deadline has not been routed yet.
-	for _, r := range s.progress.oldest(maxUnfinishedLogged) {
+	for i, r := range s.progress.byAge() {
+		if r.cancel != nil {
+			r.cancel(errExit)
+		}
+		if i >= maxCutLogged {
+			continue
+		}
+		// A request without a deadline has not been routed yet.
 		level.Warn(s.logger).Log("msg", "Request cut by the exit", "request", r.id, "route", r.route,
 			"total_ms", now.Sub(r.received).Milliseconds(), "deadline_ms", max(0, r.deadline.Sub(r.received)).Milliseconds(), "sending", r.sending)
 	}
 }
 
+// exitRefusal returns the answer to a call that the exit of this process ends.
+func exitRefusal(c *call) *refusal {
+	if c.ran == 0 {
+		return leavingRefusal()
+	}
+	return &refusal{status: fasthttp.StatusBadGateway, code: codeLeaving, message: "this entry shuts down"}
+}
+
+// isCut reports whether the exit of this process ends the call.
+func isCut(c *call) bool { return c.ctx != nil && errors.Is(context.Cause(c.ctx), errExit) }
+
 // admit refuses a request that came after the last wait of a shutdown.
 func (s *Server) admit(c *call) error {
 	if c.admitted {
--- a/internal/ingress/shutdown_test.go
+++ b/internal/ingress/shutdown_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"runtime"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -167,6 +168,34 @@
 	}
 }
 
+// TestExitAnswersRequestsThatHaveNotEnded guards against an exit that closes the connections of
+// requests that still wait for a server, or for its answer.
+func TestExitAnswersRequestsThatHaveNotEnded(t *testing.T) {
+	h := newHarness(t)
+	server := newFakeServer(t, "l1", hang)
+	h.ledger(server)
+	h.view.Servers[0].Slots = 1
+	h.apply()
+	answers := make(chan answer, 2)
+	for _, id := range []string{"runs", "waits"} {
+		go func() { answers <- h.send("POST", "/post/1", "", "Id", id) }()
+		require.Eventually(t, func() bool { return server.arrived.Load() > 0 }, waitFor, time.Millisecond)
+	}
+	require.Eventually(t, func() bool { return h.server.Active() == 2 }, waitFor, time.Millisecond)
+	require.False(t, drains(t, h.server, 100*time.Millisecond))
+	h.server.Cut()
+	require.True(t, drains(t, h.server, time.Second))
+	statuses := make(map[string]int)
+	for range 2 {
+		res := <-answers
+		statuses[res.Header.Get("Id")] = res.StatusCode
+		require.Equal(t, res.StatusCode == 503, res.Header.Get("Retry-After") != "")
+	}
+	require.Equal(t, map[string]int{"runs": 502, "waits": 503}, statuses)
+	require.EqualValues(t, 1, server.arrived.Load(), "a request that waits has not run")
+	require.Equal(t, 2, strings.Count(h.logs.String(), "reason=entry_leaving"))
+}
+
 // TestRequestsCutByTheExitAreLogged guards against a cut request that no line of the log names.
 func TestRequestsCutByTheExitAreLogged(t *testing.T) {
 	h := newHarness(t)
@@ -179,7 +208,7 @@
 	}()
 	require.Eventually(t, func() bool { return server.arrived.Load() > 0 }, waitFor, time.Millisecond)
 	require.False(t, drains(t, h.server, time.Millisecond))
-	h.server.LogUnfinished()
+	h.server.Cut()
 	require.Regexp(t, `msg="Request cut by the exit" request=hung route=read total_ms=\d+ deadline_ms=1500 sending=false`, h.logs.String())
 	<-ended
 }
