--- a/internal/ingress/earlyend.go
+++ b/internal/ingress/earlyend.go
@@ -57,6 +57,7 @@
 	whySilent      = "silent"
 	whyRejected    = "answer_rejected"
 	whyInternal    = "internal"
+	whyExit        = "exit"
 )
 
 // Values of earlyEnd.denied.
@@ -82,6 +83,8 @@
 		return earlyEnd{by: endedByCaller, why: whyConnection}
 	case c.callerLeft:
 		return earlyEnd{by: endedByCaller, why: whyLeft}
+	case isCut(c):
+		return earlyEnd{by: endedByEntry, why: whyExit}
 	case c.reason == codeDeadline:
 		return earlyEnd{by: c.deadlineOwner(), why: whyLate}
 	case c.reason == codeInternal:
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -83,6 +83,7 @@
 		cancel(cause)
 		stop()
 	}
+	s.progress.describe(c)
 	return nil
 }
 
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -273,6 +273,9 @@
 // setEndReason distinguishes a caller that left from a deadline that passed.
 func (s *Server) setEndReason(c *call) {
 	c.reason = codeDeadline
+	if isCut(c) {
+		c.reason = codeLeaving
+	}
 	if hasCallerLeft(c) {
 		c.outcome, c.reason, c.callerLeft = outcomeLeft, reasonCallerLeft, true
 	}
--- a/internal/ingress/shutdown_test.go
+++ b/internal/ingress/shutdown_test.go
@@ -1,6 +1,13 @@
 package ingress
 
 import (
+	"bytes"
+	"context"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,3 +44,171 @@
 		})
 	}
 }
+
+// heldConn holds back every write that ends with a given text until the test releases it, like
+// the connection of a caller that does not read.
+type heldConn struct {
+	net.Conn
+	end     []byte
+	reached chan<- struct{}
+	release <-chan struct{}
+}
+
+func (c *heldConn) Write(p []byte) (int, error) {
+	if bytes.HasSuffix(p, c.end) {
+		c.reached <- struct{}{}
+		<-c.release
+	}
+	return c.Conn.Write(p)
+}
+
+// heldListener accepts connections as copies of conn.
+type heldListener struct {
+	net.Listener
+	conn heldConn
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	conn := l.conn
+	conn.Conn = accepted
+	return &conn, nil
+}
+
+// TestShutdownWaitsForLastByteOfAnswer guards against an exit between the end of a request in
+// the handler and the write of the last bytes of its answer.
+func TestShutdownWaitsForLastByteOfAnswer(t *testing.T) {
+	for name, c := range map[string]struct{ path, end string }{
+		"whole answer": {"/read/1", "the last word"},
+		"stream":       {"/draft/1", "0\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.ledger(newFakeServer(t, "l1", func(r *received) { r.ok("the last word") }))
+			h.scribe(newFakeServer(t, "s1", serveEvents(3)))
+			reached, release := make(chan struct{}), make(chan struct{})
+			h.listen(func(ln net.Listener) net.Listener {
+				return &heldListener{Listener: ln, conn: heldConn{end: []byte(c.end), reached: reached, release: release}}
+			})
+			whole := make(chan bool)
+			go func() {
+				_, ok := text(h.send("POST", c.path, "prompt"))
+				whole <- ok
+			}()
+			<-reached
+			require.False(t, drains(t, h.server, 200*time.Millisecond), "the last bytes are not written yet")
+			close(release)
+			require.True(t, <-whole)
+			require.True(t, drains(t, h.server, waitFor))
+		})
+	}
+}
+
+// drains reports whether a drain ends before the timeout.
+func drains(t *testing.T, s *Server, timeout time.Duration) bool {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	s.Drain(ctx)
+	return ctx.Err() == nil
+}
+
+// TestShutdownRunsNoRequestAfterItsLastWait guards against an entry that accepts a request on a
+// kept connection after the last wait for requests, and then exits.
+func TestShutdownRunsNoRequestAfterItsLastWait(t *testing.T) {
+	h := newHarness(t)
+	server := newFakeServer(t, "l1", func(r *received) { r.ok("book") })
+	h.ledger(server)
+	h.server.BeginShutdown(time.Now().Add(waitFor), 3*time.Second)
+	h.state.SetLeaving()
+	require.Equal(t, 200, h.send("POST", "/read/1", "").StatusCode)
+	require.True(t, drains(t, h.server, waitFor))
+	res := h.send("POST", "/read/1", "")
+	require.Equal(t, 503, res.StatusCode)
+	require.NotEmpty(t, res.Header.Get("Retry-After"))
+	require.True(t, res.Close)
+	require.EqualValues(t, 1, server.arrived.Load(), "a refused request has not run")
+}
+
+// TestDrainAdmitsOnlyWhatItWaitsFor guards against a request that begins between the end of the
+// wait and the end of admission.
+func TestDrainAdmitsOnlyWhatItWaitsFor(t *testing.T) {
+	for range 50 {
+		p := newProgress()
+		var drained atomic.Bool
+		var callers sync.WaitGroup
+		for range 2 {
+			conn, other := net.Pipe()
+			t.Cleanup(func() { _, _ = conn.Close(), other.Close() })
+			callers.Go(func() {
+				for p.begin(conn, time.Now()) {
+					if drained.Load() {
+						t.Error("a request is admitted after the drain")
+					}
+					runtime.Gosched()
+					if drained.Load() {
+						t.Error("the drain ended during a request")
+					}
+					p.end(conn)
+					time.Sleep(50 * time.Microsecond)
+				}
+				p.end(conn)
+			})
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), waitFor)
+		p.drain(ctx)
+		require.NoError(t, ctx.Err())
+		cancel()
+		drained.Store(true)
+		callers.Wait()
+		require.Zero(t, p.count())
+	}
+}
+
+// TestExitAnswersRequestsThatHaveNotEnded guards against an exit that closes the connections of
+// requests that still wait for a server, or for its answer.
+func TestExitAnswersRequestsThatHaveNotEnded(t *testing.T) {
+	h := newHarness(t)
+	server := newFakeServer(t, "l1", hang)
+	h.ledger(server)
+	h.view.Servers[0].Slots = 1
+	h.apply()
+	answers := make(chan answer, 2)
+	for _, id := range []string{"runs", "waits"} {
+		go func() { answers <- h.send("POST", "/post/1", "", "Id", id) }()
+		require.Eventually(t, func() bool { return server.arrived.Load() > 0 }, waitFor, time.Millisecond)
+	}
+	require.Eventually(t, func() bool { return h.server.Active() == 2 }, waitFor, time.Millisecond)
+	require.False(t, drains(t, h.server, 100*time.Millisecond))
+	h.server.Cut()
+	require.True(t, drains(t, h.server, time.Second))
+	statuses := make(map[string]int)
+	for range 2 {
+		res := <-answers
+		statuses[res.Header.Get("Id")] = res.StatusCode
+		require.Equal(t, res.StatusCode == 503, res.Header.Get("Retry-After") != "")
+	}
+	require.Equal(t, map[string]int{"runs": 502, "waits": 503}, statuses)
+	require.EqualValues(t, 1, server.arrived.Load(), "a request that waits has not run")
+	require.Equal(t, 2, strings.Count(h.logs.String(), "reason=entry_leaving"))
+}
+
+// TestRequestsCutByTheExitAreLogged guards against a cut request that no line of the log names.
+func TestRequestsCutByTheExitAreLogged(t *testing.T) {
+	h := newHarness(t)
+	server := newFakeServer(t, "l1", hang)
+	h.ledger(server)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		h.send("POST", "/read/1", "", "Id", "hung", "Deadline", "1500")
+	}()
+	require.Eventually(t, func() bool { return server.arrived.Load() > 0 }, waitFor, time.Millisecond)
+	require.False(t, drains(t, h.server, time.Millisecond))
+	h.server.Cut()
+	require.Regexp(t, `msg="Request cut by the exit" request=hung route=read total_ms=\d+ deadline_ms=1500 sending=false`, h.logs.String())
+	<-ended
+}
