Group: a version that drops a model lets its requests finish

A version that no longer held a model, or its service, made control release all its replicas at once: each stream on them was cut off. The operator's version says that no new requests come, not that those in progress are to end.

Evidence: the new test drops one of two models while a replica of it answers; before, the replica had been told to leave within the first seconds.

A replica of another size or model is released at once as before: what waits in the queue of its head must not begin to run there.

--- a/internal/group/policy.go
+++ b/internal/group/policy.go
@@ -29,8 +29,8 @@
 	DrainHold time.Duration
 	// LeaveDrain is the time that a leaving member gets to finish its work.
 	LeaveDrain time.Duration
-	// LeaveLimit is when a shared replica with a leaving member is released although it
-	// still answers: members end their work by then.
+	// LeaveLimit is when a shared replica that takes nothing new is released although it
+	// still answers: members that leave end their work by then.
 	LeaveLimit time.Duration
 	// BackoffBase is the time after a failure during which a host is not
 	// used; each further failure doubles it up to BackoffMax.
--- a/internal/group/shared.go
+++ b/internal/group/shared.go
@@ -31,10 +31,12 @@
 		}
 	case api.GroupReady:
 		switch {
-		case r.retired:
-			pl.release(r, ReasonRetired)
 		case !pl.intact(r):
 			pl.release(r, ReasonLost)
+		case r.sg == nil:
+			pl.retireUnpublished(r)
+		case r.retired:
+			pl.release(r, ReasonRetired)
 		case r.leaving > 0 && pl.leaveDrained(r) && !pl.isFinishing(r):
 			pl.release(r, ReasonLeaving)
 		case r.Retiring && pl.now.Sub(r.mem.retiringSince) >= pl.policy.LeaveDrain:
@@ -48,17 +50,35 @@
 	}
 }
 
+// retireUnpublished lets a replica whose model or service is no longer published finish its
+// requests, and then releases it. One of another size or model is released at once: what
+// waits in its queue must not begin there.
+func (pl *planner) retireUnpublished(r *replica) {
+	switch {
+	case !r.Retiring:
+		g := *r.Group
+		g.Retiring, g.Leaving = true, true
+		pl.change(api.GroupChange{Kind: api.GroupUpdate, Fencing: r.Fencing, Group: g}, ReasonRetired)
+		pl.touched[r.ID] = true
+	case pl.now.Sub(r.mem.retiringSince) >= pl.policy.LeaveDrain && !pl.isFinishing(r):
+		pl.release(r, ReasonRetired)
+	}
+}
+
 // finishTime is the silence of a replica that takes nothing new after which its requests
 // have ended. One that still has some sends bytes several times a second.
 const finishTime = time.Second
 
-// isFinishing reports whether a replica with leaving members still runs requests, which a
-// release would cut off.
+// isFinishing reports whether a replica that takes nothing new still runs requests, which a
+// release would cut off, and may go on with them.
 func (pl *planner) isFinishing(r *replica) bool {
 	p := pl.progress[r.ID]
 	if p == nil || p.Stalled || p.AnsweredMillis < 0 || time.Duration(p.AnsweredMillis)*time.Millisecond > finishTime {
 		return false
 	}
+	if r.Retiring && pl.now.Sub(r.mem.retiringSince) >= pl.policy.LeaveLimit {
+		return false
+	}
 	for _, h := range r.mem.members {
 		if !h.leavingSince.IsZero() && pl.now.Sub(h.leavingSince) >= pl.policy.LeaveLimit {
 			return false
--- a/internal/group/shared_test.go
+++ b/internal/group/shared_test.go
@@ -248,6 +248,33 @@
 	}
 }
 
+// TestReplicaOfARemovedModelFinishesItsStreams guards against a version that cuts off the
+// requests of a model that it no longer holds.
+func TestReplicaOfARemovedModelFinishesItsStreams(t *testing.T) {
+	w := newSharedFleet(t, nil)
+	sixFabrics(w)
+	w.run(4 * engineLoadTime)
+	head := w.memberOf("big", 0)
+	id, fencing := head.group, head.fencing
+	other := w.memberOf("small", 0)
+	otherFencing := other.fencing
+	w.publish(3, api.EngineModel{Name: "small", Hosts: 3, Share: 1})
+	for range 60 {
+		w.traffic(api.GroupProgress{Group: id, Fencing: fencing, AnsweredMillis: 20})
+		w.run(sharedTick)
+	}
+	require.Equal(t, fencing, head.fencing)
+	fleet, err := w.service.Fleet(t.Context())
+	require.NoError(t, err)
+	for _, g := range fleet.Groups {
+		require.True(t, g.ID != id || g.Leaving, "entries stop at once")
+	}
+	w.run(8 * time.Second)
+	requireNoViolation(t, w)
+	require.NotEqual(t, id, head.group)
+	require.Equal(t, otherFencing, other.fencing, "the other model is left alone")
+}
+
 // TestEmptyHostsAreStaged replaces a lost member by an empty host: the survivors stay
 // free while it loads.
 func TestEmptyHostsAreStaged(t *testing.T) {
