--- a/internal/group/shared_test.go
+++ b/internal/group/shared_test.go
@@ -275,6 +275,32 @@
 	require.Equal(t, otherFencing, other.fencing, "the other model is left alone")
 }
 
+// TestVersionsThatKeepTheModelsLeaveReplicasAlone publishes versions in quick succession that
+// change shares, paces and load times.
+func TestVersionsThatKeepTheModelsLeaveReplicasAlone(t *testing.T) {
+	w := newSharedFleet(t, nil)
+	sixFabrics(w)
+	w.run(4 * engineLoadTime)
+	w.traffic()
+	before := make(map[api.HostID]api.Fencing)
+	for _, e := range w.engines {
+		before[e.id] = e.fencing
+	}
+	for version := range uint64(30) {
+		share := 0.2 + 0.02*float64(version)
+		w.publish(version+2,
+			api.EngineModel{Name: "big", Hosts: 4, Share: share, Pace: 1 + share, LoadMillis: int64(version)},
+			api.EngineModel{Name: "small", Hosts: 3, Share: 1 - share, WarmMillis: int64(version)})
+		w.traffic()
+		w.run(3 * sharedTick)
+	}
+	w.run(20 * time.Second)
+	requireNoViolation(t, w)
+	for _, e := range w.engines {
+		require.Equal(t, before[e.id], e.fencing, e.id)
+	}
+}
+
 // TestEmptyHostsAreStaged replaces a lost member by an empty host: the survivors stay
 // free while it loads.
 func TestEmptyHostsAreStaged(t *testing.T) {
