placement: the limit of a server outlasts a late view and a new group

A server that names a Server-Limit would get more (LIMIT).

Cause: the limit was kept for a target and its generation. When the view names the life that had named it, or the server heads another group, the target starts anew: without the limit until the next answer names it, and an answer to a request of the former target is ignored.

The limit and the placements that count for it now move to a new target of the same server, unless its life is known to have started after the answer (the rule of notices). An answer to a request of the former target counts for the new one if it names a limit; one without a limit may be of the former life, and ends nothing.

TestLimitOfAnotherLifeDoesNotApply gave the other life a new generation only; it gives it a later start too, as a life has. Not covered: a server that moves to a group of another model, which is another pool.

--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -33,11 +34,14 @@
 func (p *Pool) RecordLimit(pl *Placement, rate float64, named bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.now()
 	s := p.currentState(pl)
+	if s == nil && named {
+		s = p.laterLife(pl, now)
+	}
 	if s == nil {
 		return false
 	}
-	now := p.now()
 	old := s.limit
 	wasNamed := old.named && old.isCurrent(now)
 	if !named && !wasNamed && old.at.IsZero() {
@@ -47,6 +51,32 @@
 	return named != wasNamed || named && old.rate != s.limit.rate
 }
 
+// laterLife returns the state of the incarnation that the view names since a request was placed
+// on a target, if the answer may be from that one. The lock is held.
+func (p *Pool) laterLife(pl *Placement, now time.Time) *targetState {
+	s := p.targets[pl.Target.ID]
+	if s == nil || s.Instance != pl.Target.Instance {
+		return nil
+	}
+	from := teller{incarnation: pl.Target.Incarnation, connected: pl.at}
+	if !from.covers(s.Incarnation, now) {
+		return nil
+	}
+	return s
+}
+
+// keptLimit returns the limit that the server of a new target has named under a former target,
+// incarnation or generation, and the placements that count for it. The lock is held.
+func (p *Pool) keptLimit(t *Target, now time.Time) (limit, []time.Time) {
+	for _, s := range p.targets {
+		from := teller{incarnation: s.Incarnation, connected: s.limit.at}
+		if s.Instance == t.Instance && s.limit.isCurrent(now) && from.covers(t.Incarnation, now) {
+			return s.limit, slices.Clone(s.placements)
+		}
+	}
+	return limit{}, nil
+}
+
 // rateLimit returns the limit that applies to the target: what this entry heard itself,
 // else the lowest one that other entries report.
 func (s *targetState) rateLimit(now time.Time) (float64, bool) {
--- a/internal/placement/limit_test.go
+++ b/internal/placement/limit_test.go
@@ -175,17 +175,71 @@
 	require.LessOrEqual(t, p.mostIn(begin), allowed(4.2)+quota(16, 0, 4), "the restarted entry forgets only its own part")
 }
 
+// startAgain has the view name an incarnation of the server that started at a time.
+func (p *limitedPlay) startAgain(at time.Time) {
+	next := replica("a")
+	next.Slots, next.Generation, next.Incarnation = 1000, 2, api.Incarnation(at.UnixMilli())
+	p.replace(next)
+}
+
+func (p *limitedPlay) replace(next Target) {
+	p.pools[0].Update([]Target{next}, nil, Entries{})
+}
+
 func TestLimitOfAnotherLifeDoesNotApply(t *testing.T) {
 	p := newLimitedPlay(t, 1)
 	p.run(5*time.Second, 0, true)
-	next := replica("a")
-	next.Slots, next.Generation = 1000, 2
-	p.pools[0].Update([]Target{next}, nil, Entries{})
+	p.startAgain(p.clock.now.Add(time.Minute))
 	p.sent = nil
 	p.run(100*time.Millisecond, 0, false)
 	require.Greater(t, len(p.sent), allowed(0))
 }
 
+// TestLimitOutlastsLateView guards against requests beyond the limit of a server that started
+// again under its id before it named the limit, while the view named its former life.
+func TestLimitOutlastsLateView(t *testing.T) {
+	for _, rate := range []float64{0, 4.2, 40} {
+		p := newLimitedPlay(t, 1)
+		began := p.clock.now
+		p.run(10*time.Second, rate, true)
+		p.startAgain(began.Add(-time.Minute))
+		p.run(10*time.Second, rate, true)
+		require.LessOrEqual(t, p.mostIn(began.Add(graceTime)), allowed(rate), "limit %g", rate)
+	}
+}
+
+// TestLimitOutlastsGroup guards against requests beyond the limit of a server that heads another
+// group than the one in which it named the limit.
+func TestLimitOutlastsGroup(t *testing.T) {
+	p := newLimitedPlay(t, 1)
+	began := p.clock.now
+	p.run(10*time.Second, 4.2, true)
+	next := replica("another group")
+	next.Slots, next.Instance = 1000, replica("a").Instance
+	p.replace(next)
+	p.run(10*time.Second, 4.2, true)
+	require.LessOrEqual(t, p.mostIn(began.Add(graceTime)), allowed(4.2))
+}
+
+// TestLimitInAnswerToFormerTargetCounts has the view name another life while requests are under
+// way: their answers say the same of a life that had begun.
+func TestLimitInAnswerToFormerTargetCounts(t *testing.T) {
+	for _, c := range []struct {
+		started time.Duration
+		named   bool
+		limited bool
+	}{{-time.Minute, true, true}, {time.Minute, true, false}, {-time.Minute, false, false}} {
+		p := newLimitedPlay(t, 1)
+		pool := p.pools[0]
+		pl := place(t, pool, Demand{Deadline: p.clock.now.Add(time.Second)})
+		p.startAgain(p.clock.now.Add(c.started))
+		require.Equal(t, c.limited, pool.RecordLimit(pl, 0, c.named), "%+v", c)
+		d := Demand{Deadline: p.clock.now.Add(time.Second)}
+		pool.Release(place(t, pool, d))
+		require.Equal(t, !c.limited, pool.HasOther(&d), "%+v", c)
+	}
+}
+
 // TestLimitedServersMoveLoadToOthers has one server with a limit beside one without.
 func TestLimitedServersMoveLoadToOthers(t *testing.T) {
 	p, clock := enginePool("a", "b")
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -56,20 +56,21 @@
 }
 
 // Update replaces the targets, and the entries that share them. Targets that stay keep
-// their work in progress; one with a new generation starts without any.
+// their work in progress; one with a new generation starts without any, though with its limit.
 func (p *Pool) Update(targets []Target, profile *api.EngineProfile, entries Entries) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.profile, p.entries = profile, max(1, len(entries.Live))
-	next := make(map[string]*targetState, len(targets))
+	now, next := p.now(), make(map[string]*targetState, len(targets))
 	for _, t := range targets {
-		old := p.targets[t.ID]
-		if old == nil || old.Generation != t.Generation {
-			old = &targetState{remote: make(map[api.EntryID]remoteLoad)}
+		state := p.targets[t.ID]
+		if state == nil || state.Generation != t.Generation {
+			state = &targetState{remote: make(map[api.EntryID]remoteLoad)}
+			state.limit, state.placements = p.keptLimit(&t, now)
 		}
-		old.Target = t
-		old.coldQuota, old.rank = coldQuota(&t, entries), rank(&t, entries)
-		next[t.ID] = old
+		state.Target = t
+		state.coldQuota, state.rank = coldQuota(&t, entries), rank(&t, entries)
+		next[t.ID] = state
 	}
 	p.targets = next
 	p.placeWaiting()
