ingress tests: a request that a cut entry does not serve is printed with the logs

It now prints each request that was not served (status, time, body), and the logs of all entries when it fails. The checks are the same.

The entry stays.

--- a/internal/ingress/cut_test.go
+++ b/internal/ingress/cut_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -185,6 +186,15 @@
 	return g
 }
 
+// logs returns the logs of all entries.
+func (g *entryGroup) logs() string {
+	var out strings.Builder
+	for _, h := range g.entries {
+		fmt.Fprintf(&out, "\n%s:\n%s", h.server.cfg.Self.ID, h.logs)
+	}
+	return out.String()
+}
+
 // cutKinds are the requests of the tests: a repeatable call, one that runs once, a stream.
 var cutKinds = []struct{ method, path, want string }{
 	{"GET", "/read/1", "done"}, {"POST", "/post/1", "done"}, {"POST", "/draft/1", wholeStream(3)},
@@ -220,13 +230,17 @@
 		for _, kind := range cutKinds {
 			sent++
 			wg.Go(func() {
+				began := time.Now()
 				res := h.send(kind.method, kind.path, "body", "Deadline", "1500")
 				body, err := io.ReadAll(res.Body)
 				mu.Lock()
 				defer mu.Unlock()
 				if err == nil && res.StatusCode == 200 && string(body) == kind.want {
 					served++
+					return
 				}
+				h.t.Logf("%s %s, request %s: status %d after %s, err %v, body %q",
+					kind.method, kind.path, res.Header.Get("Id"), res.StatusCode, time.Since(began), err, body)
 			})
 		}
 	}
@@ -241,14 +255,14 @@
 		t.Run(string(mode), func(t *testing.T) {
 			g := newEntryGroup(t, 2, sound(t))
 			served, sent := g.entries[0].sendAll(2)
-			require.Equal(t, sent, served, "before the cut")
+			require.Equal(t, sent, served, "before the cut: %s", g.logs())
 			g.links[0].set(mode)
 			// The first requests show that the links are lost.
 			for range 3 {
 				g.entries[0].sendAll(2)
 			}
 			served, sent = g.entries[0].sendAll(5)
-			require.Equal(t, sent, served, "served of those sent after detection")
+			require.Equal(t, sent, served, "served of those sent after detection: %s", g.logs())
 		})
 	}
 }
