placement: a wait for a slot has one limit, and none is given after it

What callers saw: nothing reported. Found while tracing queued_ms=310 of TestRefusalLogsPoolState, where the wait should end at 130 ms.

Three faults near it, each with a test that fails without its part of the change: - A wait that starts again (every server has asked for a pause) got a new limit. A request that runs longer than half of its time waits until half of the rest has passed, and so waited 1.995 s of 2 s where 1 s is the limit (TestWaitOfLongRequestEndsInTime). - A slot went to a request whose limit had passed but whose timer was late, ahead of one that could still use it (TestExpiredWaitGetsNoSlot). - A request past its deadline was placed while the timer of its context was late. In a trial on a starved machine, one failed at three servers within 1 ms, 3.3 s after its deadline, and the pool took all three for unreachable (TestRequestPastItsDeadlineIsNotPlaced).

The limit is now set when the wait begins and kept when it starts again; a request past its limit or deadline is not placed, and one past its limit holds up no other.

None of the three explains queued_ms=310: no server of that test pauses, and a plain service has a fixed limit. On a virtual clock the wait ends at 130 ms exactly, before and after this change, while the pool gets every event but a free slot every 10 ms (TestWaitEndsInTimeWhateverHappens). A process that is stopped for 200 ms at a time fails the test in 150 of 150 runs, with queued_ms=255 to 347; 60 of 60 runs without stops pass. So a process that does not run shows the finding; that it did then is not shown, and the entry and the check stay.

Tests of placement and ingress pass with -race.

--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -22,11 +22,12 @@
 
 // Acquire returns a placement, waiting for one as long as the request can still be
 // served afterwards. Otherwise it fails with errs.Full and a retry hint, with
-// errs.Unavailable if no open target is left, or with errs.Timeout if ctx ends.
+// errs.Unavailable if no open target is left, or with errs.Timeout if ctx ends or the deadline
+// has passed.
 func (p *Pool) Acquire(ctx context.Context, d Demand) (*Placement, error) {
 	began := p.now()
 	for {
-		placement, err := p.acquire(ctx, d, began)
+		placement, err := p.acquire(ctx, &d, began)
 		if placement == startAgain {
 			continue
 		}
@@ -37,8 +38,8 @@
 	}
 }
 
-func (p *Pool) acquire(ctx context.Context, d Demand, since time.Time) (*Placement, error) {
-	w, placement, err := p.placeOrEnqueue(&d, since)
+func (p *Pool) acquire(ctx context.Context, d *Demand, since time.Time) (*Placement, error) {
+	w, placement, err := p.placeOrEnqueue(d, since)
 	if w == nil {
 		return placement, err
 	}
@@ -80,7 +81,13 @@
 func (p *Pool) placeOrEnqueue(d *Demand, since time.Time) (*waiter, *Placement, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.waiting) == 0 || d.Begun {
+	now := p.now()
+	// The timer of ctx may be late, as after a freeze.
+	if !d.Deadline.IsZero() && !now.Before(d.Deadline) {
+		return nil, nil, errs.New(errs.Timeout, "place request", p.name, "the deadline passed %s ago", now.Sub(d.Deadline))
+	}
+	isNext := !slices.ContainsFunc(p.waiting, func(w *waiter) bool { return !now.After(w.expires) })
+	if isNext || d.Begun {
 		if placement := p.place(d); placement != nil {
 			return nil, placement, nil
 		}
@@ -88,13 +95,16 @@
 	if !p.hasAlternative(d) {
 		return nil, nil, p.unavailableError("no target can take the request")
 	}
-	until := p.latestStart(d)
-	if wait := p.pausedWait(d, p.now()); p.now().Add(wait).After(until) {
+	if d.latestStart.IsZero() {
+		d.latestStart = p.latestStart(d)
+	}
+	until := d.latestStart
+	if wait := p.pausedWait(d, now); now.Add(wait).After(until) {
 		err := p.fullError("every target has asked for a pause")
 		err.RetryAfterMillis = (wait + rand.N(maxRetryHint)).Milliseconds()
 		return nil, nil, err
 	}
-	if wait := p.expectedWait(); p.now().Add(wait).After(until) {
+	if wait := p.expectedWait(); now.Add(wait).After(until) {
 		return nil, nil, p.fullError("the expected wait exceeds the remaining time")
 	}
 	w := &waiter{demand: d, since: since, startBy: p.startBy(d), expires: until, placed: make(chan *Placement, 1)}
@@ -138,14 +148,16 @@
 func (p *Pool) placeWaiting() {
 	now := p.now()
 	onTime := func(w *waiter) bool { return w.demand.Begun || now.Before(w.startBy) }
-	p.placeMatching(onTime)
-	p.placeMatching(func(w *waiter) bool { return !onTime(w) })
+	p.placeMatching(onTime, now)
+	p.placeMatching(func(w *waiter) bool { return !onTime(w) }, now)
 }
 
-func (p *Pool) placeMatching(wanted func(*waiter) bool) {
+// placeMatching places the wanted ones of the waiting requests. One whose wait has expired
+// stays until its timer fires. The lock is held.
+func (p *Pool) placeMatching(wanted func(*waiter) bool, now time.Time) {
 	kept := p.waiting[:0]
 	for _, w := range p.waiting {
-		if !wanted(w) {
+		if !wanted(w) || now.After(w.expires) {
 			kept = append(kept, w)
 			continue
 		}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -46,6 +46,9 @@
 	Exclude []string
 	// Begun is set for a request that may have run on another target.
 	Begun bool
+	// latestStart ends the wait for a slot, once it has begun. A wait that starts again does
+	// not last longer.
+	latestStart time.Time
 }
 
 // tokens is the context that the request holds on average while it runs.
