Group: a slow replica outlasts one late announcement

The leader had released it as "a member was lost": an entry reported silence, and then a member whose announcement was 1.4 to 1.6 s old counted as lost, although the replica had answered 121 to 1,570 ms before. An answer needs every member, so each of them had been alive later than its announcement says.

Change: an answer that is not older than the bound for announcements also counts for a replica that is silent now. Evidence: TestSlowReplicaIsNotDissolved fails without it (fencing 9 -> 16).

--- a/internal/group/index.go
+++ b/internal/group/index.go
@@ -182,12 +182,19 @@
 	return r
 }
 
-// isAnswering reports whether a replica answered within AnswerBound. An answer
+// isAnswering reports whether a replica answered within AnswerBound, or within
+// StalledSilence while requests on it are silent: a slow replica pauses as well. An answer
 // needs every member, even one whose announcements do not reach control.
 func (x *index) isAnswering(g *api.Group) bool {
 	p := x.progress[g.ID]
-	return p != nil && !p.Stalled && p.AnsweredMillis >= 0 &&
-		time.Duration(p.AnsweredMillis)*time.Millisecond <= x.policy.AnswerBound
+	if p == nil || p.AnsweredMillis < 0 {
+		return false
+	}
+	bound := x.policy.AnswerBound
+	if p.Stalled {
+		bound = min(bound, x.policy.StalledSilence)
+	}
+	return time.Duration(p.AnsweredMillis)*time.Millisecond <= bound
 }
 
 // isSilent reports whether a member of a group counts as lost. The bound is
--- a/internal/group/shared_test.go
+++ b/internal/group/shared_test.go
@@ -156,6 +156,25 @@
 	require.Greater(t, detect(false), 2500*time.Millisecond)
 }
 
+// TestSlowReplicaIsNotDissolved guards against a replica that pauses between its answers and
+// is ended, with all its requests, because one announcement of a member is late.
+func TestSlowReplicaIsNotDissolved(t *testing.T) {
+	w := newSharedFleet(t, nil)
+	sixFabrics(w)
+	w.run(4 * engineLoadTime)
+	head := w.memberOf("big", 0)
+	before := head.fencing
+	w.byID[head.members[1]].cut = true
+	for range 10 {
+		w.traffic(api.GroupProgress{Group: head.group, Fencing: head.fencing, AnsweredMillis: 20})
+		w.run(500 * time.Millisecond)
+		w.traffic(api.GroupProgress{Group: head.group, Fencing: head.fencing, AnsweredMillis: 520, Stalled: true})
+		w.run(200 * time.Millisecond)
+	}
+	require.Equal(t, before, head.fencing)
+	require.Equal(t, 7, w.serving("big"))
+}
+
 // TestNewLeaderKeepsReplicasOpen starts a leader that has received no announcement.
 func TestNewLeaderKeepsReplicasOpen(t *testing.T) {
 	w := newSharedFleet(t, nil)
