daemon: an entry that shuts down takes forwarded requests until its exit

Entries that have lost their links to all servers forward their requests. Cause: the listener for forwarded requests was closed together with that of callers. Callers find another entry in the directory; entries already prefer one that does not leave.

That listener now stays open until the exit. The same admission holds there: a request that can't be waited for is declined with entry_leaving and goes to another entry. A leaving entry that gets forwarded requests exits later, at the end of its grace period at the latest.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -112,8 +112,8 @@
 type Endpoint struct {
 	Address string
 	Server  *fasthttp.Server
-	// Callers is set for the listener of the request path. A graceful shutdown closes it
-	// before it waits for requests in progress, and the other listeners at its end.
+	// Callers is set for the listener of callers. A graceful shutdown closes it before it
+	// waits for requests in progress, and the other listeners at its end.
 	Callers bool
 }
 
@@ -290,7 +290,7 @@
 	})
 	g.ingress.Register(g.node)
 	if g.cfg.ForwardAddress != "" {
-		g.Mount(Endpoint{Address: g.cfg.ForwardAddress, Server: g.ingress.ForwardedHTTP(), Callers: true})
+		g.Mount(Endpoint{Address: g.cfg.ForwardAddress, Server: g.ingress.ForwardedHTTP()})
 	}
 }
 
