ingress: a request that waits is not sent to a server during the exit

Cause: the requests are cancelled one after the other; one that is cancelled gives up its place, and another that is not cancelled yet takes it.

A request is no longer sent once the cancellation has begun; the check stands where each send is preceded by the last look at quarantines.

--- a/internal/ingress/quarantine.go
+++ b/internal/ingress/quarantine.go
@@ -95,8 +95,13 @@
 	}
 }
 
-// recheckQuarantine applies what became known while the request waited or ran elsewhere.
+// recheckQuarantine applies what became known while the request waited or ran elsewhere. It is
+// called before each send.
 func (s *Server) recheckQuarantine(c *call) error {
+	if s.shutdown.cut.Load() {
+		// The place is that of a request which the exit has ended.
+		return exitRefusal(c)
+	}
 	if err := s.checkVerdicts(c); err != nil {
 		return err
 	}
--- a/internal/ingress/shutdown.go
+++ b/internal/ingress/shutdown.go
@@ -14,6 +14,8 @@
 // shutdown is the end of a graceful shutdown, nil before it begins.
 type shutdown struct {
 	exit atomic.Pointer[time.Time]
+	// cut is set once the requests in progress are ended: nothing is sent to a server then.
+	cut atomic.Bool
 	// least is the time that is left to a request whose deadline is later than the exit.
 	least time.Duration
 }
@@ -53,6 +55,7 @@
 // Cut ends the requests in progress, and logs the oldest of them. One that no server has run
 // is refused, so that its caller may send it to another entry. Call Drain before and after it.
 func (s *Server) Cut() {
+	s.shutdown.cut.Store(true)
 	now := time.Now()
 	for i, r := range s.progress.byAge() {
 		if r.cancel != nil {
