ingress: an entry that shuts down waits for requests whose body still comes

The exit of an entry cut uploads: a request counted as in progress only once all of it had been read. A caller whose body took longer, for instance one in chunks, got a closed connection although the grace period had seconds left, and so could a request that was read in the moment of the exit.

A request now counts from its first byte, as in net/http, and is then answered: served if its deadline allows it, else refused with 503 entry_leaving. The line "Request cut by the exit" tells whether the request was being read, ran, or was being answered (`stage`).

Cost: a caller that holds back the rest of a request keeps a leaving entry until the end of its grace period, not beyond it.

--- a/internal/ingress/progress.go
+++ b/internal/ingress/progress.go
@@ -8,9 +8,9 @@
 	"time"
 )
 
-// progress holds the requests in progress by connection: from the call of the handler until
-// the last byte of the answer has been written, which the HTTP library does after the handler
-// has returned. It is safe for concurrent use.
+// progress holds the requests in progress by connection: from their first byte until the last
+// byte of the answer has been written, which the HTTP library does after the handler has
+// returned. It is safe for concurrent use.
 type progress struct {
 	mu       sync.Mutex
 	requests map[net.Conn]*inProgress
@@ -27,18 +27,33 @@
 	received time.Time
 	deadline time.Time
 	cancel   context.CancelCauseFunc
-	// sending is set once only the rest of the answer is to be written.
-	sending bool
+	stage    stage
 }
 
+// stage tells what a request waits for.
+type stage string
+
+const (
+	stageReading stage = "reading" // the rest of the request
+	stageRunning stage = "running" // an answer
+	stageSending stage = "sending" // the caller, who has not taken the whole answer
+)
+
 func newProgress() *progress { return &progress{requests: make(map[net.Conn]*inProgress)} }
 
-// begin records a request and reports whether it is admitted. A request that is not is
+// arrive records the first byte of a request.
+func (p *progress) arrive(conn net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.requests[conn] = &inProgress{received: time.Now(), stage: stageReading}
+}
+
+// begin records that a request has been read and reports whether it is admitted. A request that is not is
 // recorded too, for the time that its refusal takes.
 func (p *progress) begin(conn net.Conn, received time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.requests[conn] = &inProgress{received: received}
+	p.requests[conn] = &inProgress{received: received, stage: stageRunning}
 	return !p.closed
 }
 
@@ -56,7 +71,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if r := p.requests[conn]; r != nil {
-		r.sending = true
+		r.stage = stageSending
 	}
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -94,15 +94,19 @@
 // Run sends load reports to other entries and progress reports to control until ctx ends.
 func (s *Server) Run(ctx context.Context) error { return s.reporter.run(ctx) }
 
-// observeConn records the end of a request: a connection becomes idle or closes once its answer
-// has been written.
+// observeConn records the first byte of a request and its end: a connection becomes idle or
+// closes once the answer has been written.
 func (s *Server) observeConn(conn net.Conn, state fasthttp.ConnState) {
-	if state == fasthttp.StateIdle || state == fasthttp.StateClosed {
+	switch state {
+	case fasthttp.StateActive:
+		s.progress.arrive(conn)
+	case fasthttp.StateIdle, fasthttp.StateClosed:
 		s.progress.end(conn)
 	}
 }
 
-// Active returns the number of requests whose answers have not been written completely.
+// Active returns the number of requests of which a byte has come, and whose answers have not
+// been written completely.
 func (s *Server) Active() int { return s.progress.count() }
 
 // Ready reports whether requests can be routed.
--- a/internal/ingress/shutdown.go
+++ b/internal/ingress/shutdown.go
@@ -41,7 +41,8 @@
 	return leavingRefusal()
 }
 
-// Drain waits until the answers of all requests have been written or ctx ends. From then on
+// Drain waits until the answers of all requests have been written or ctx ends; a request
+// counts from its first byte. From then on
 // every request is refused: nothing waits for its end. Call it again before the exit, to let
 // the last refusals be written.
 func (s *Server) Drain(ctx context.Context) { s.progress.drain(ctx) }
@@ -64,9 +65,9 @@
 		if i >= maxCutLogged {
 			continue
 		}
-		// A request without a deadline has not been routed yet.
+		// A request without a deadline has not been read and routed yet.
 		level.Warn(s.logger).Log("msg", "Request cut by the exit", "request", r.id, "route", r.route,
-			"total_ms", now.Sub(r.received).Milliseconds(), "deadline_ms", max(0, r.deadline.Sub(r.received)).Milliseconds(), "sending", r.sending)
+			"total_ms", now.Sub(r.received).Milliseconds(), "deadline_ms", max(0, r.deadline.Sub(r.received)).Milliseconds(), "stage", r.stage)
 	}
 }
 
--- a/internal/ingress/shutdown_test.go
+++ b/internal/ingress/shutdown_test.go
@@ -1,9 +1,11 @@
 package ingress
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"net"
+	"net/http"
 	"runtime"
 	"strings"
 	"sync"
@@ -209,6 +211,41 @@
 	require.Eventually(t, func() bool { return server.arrived.Load() > 0 }, waitFor, time.Millisecond)
 	require.False(t, drains(t, h.server, time.Millisecond))
 	h.server.Cut()
-	require.Regexp(t, `msg="Request cut by the exit" request=hung route=read total_ms=\d+ deadline_ms=1500 sending=false`, h.logs.String())
+	require.Regexp(t, `msg="Request cut by the exit" request=hung route=read total_ms=\d+ deadline_ms=1500 stage=running`, h.logs.String())
 	<-ended
 }
+
+// TestShutdownWaitsForRequestWhoseBodyStillComes guards against an exit that cuts an upload.
+func TestShutdownWaitsForRequestWhoseBodyStillComes(t *testing.T) {
+	h := newHarness(t)
+	h.ledger(newFakeServer(t, "l1", func(r *received) { r.ok(r.body) }))
+	conn, err := net.Dial("tcp", h.ln.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	write := func(text string) {
+		_, err := conn.Write([]byte(text))
+		require.NoError(t, err)
+	}
+	write("POST /read/1 HTTP/1.1\r\nHost: " + testHost + "\r\nKey: " + testKey + "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
+	require.Eventually(t, func() bool { return h.server.Active() == 1 }, time.Second, time.Millisecond)
+	drained := make(chan bool)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), waitFor)
+		defer cancel()
+		h.server.Drain(ctx)
+		drained <- ctx.Err() == nil
+	}()
+	select {
+	case <-drained:
+		t.Error("the body still comes")
+	case <-time.After(100 * time.Millisecond):
+	}
+	write("4\r\n, it\r\n0\r\n\r\n")
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	body, whole := textOf(res.Body)
+	require.True(t, whole)
+	require.Equal(t, "half, it", body)
+	require.True(t, <-drained)
+}
