--- a/internal/ingress/shutdown.go
+++ b/internal/ingress/shutdown.go
@@ -14,6 +14,8 @@
 // shutdown is the end of a graceful shutdown, nil before it begins.
 type shutdown struct {
 	exit atomic.Pointer[time.Time]
+	// cut is set once the requests in progress are ended: nothing is sent to a server then.
+	cut atomic.Bool
 	// least is the time that is left to a request whose deadline is later than the exit.
 	least time.Duration
 }
@@ -39,7 +41,8 @@
 	return leavingRefusal()
 }
 
-// Drain waits until the answers of all requests have been written or ctx ends. From then on
+// Drain waits until the answers of all requests have been written or ctx ends; a request
+// counts from its first byte. From then on
 // every request is refused: nothing waits for its end. Call it again before the exit, to let
 // the last refusals be written.
 func (s *Server) Drain(ctx context.Context) { s.progress.drain(ctx) }
@@ -53,6 +56,7 @@
 // Cut ends the requests in progress, and logs the oldest of them. One that no server has run
 // is refused, so that its caller may send it to another entry. Call Drain before and after it.
 func (s *Server) Cut() {
+	s.shutdown.cut.Store(true)
 	now := time.Now()
 	for i, r := range s.progress.byAge() {
 		if r.cancel != nil {
@@ -61,9 +65,9 @@
 		if i >= maxCutLogged {
 			continue
 		}
-		// A request without a deadline has not been routed yet.
+		// A request without a deadline has not been read and routed yet.
 		level.Warn(s.logger).Log("msg", "Request cut by the exit", "request", r.id, "route", r.route,
-			"total_ms", now.Sub(r.received).Milliseconds(), "deadline_ms", max(0, r.deadline.Sub(r.received)).Milliseconds(), "sending", r.sending)
+			"total_ms", now.Sub(r.received).Milliseconds(), "deadline_ms", max(0, r.deadline.Sub(r.received)).Milliseconds(), "stage", r.stage)
 	}
 }
 
