ingress: the end of a request is no crash of its server

Cause: the relay of a stream passed every error of its exchange on as a connection that the server had closed. A stream that reached its deadline, or whose caller left, so counted as a crash under all of its keys, and three such servers made a verdict. The wait for the header asked the context first; the relay did not.

Change: both classify errors alike. TestEndOfRequestIsNoCrashOfItsServer fails before for both ends.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -289,7 +289,7 @@
 }
 
 // exchangeError returns the error of an exchange that ended early.
-func (s *Server) exchangeError(c *call, err error) error {
+func (s *Server) exchangeError(c *call, err error) *attemptError {
 	if c.ctx.Err() != nil {
 		return &attemptError{ran: true, cause: err}
 	}
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -129,7 +129,7 @@
 	case errors.Is(err, backend.ErrIdle):
 		return r.seekTakeover()
 	}
-	return r.resume(err)
+	return r.resume(r.exchangeError(c, err))
 }
 
 // seekTakeover lets another server take over the stream if the current one is silent.
@@ -215,12 +215,8 @@
 }
 
 // resume continues the stream at another server after its last event.
-func (r *relay) resume(cause error) error {
+func (r *relay) resume(failed *attemptError) error {
 	c := r.call
-	var failed *attemptError
-	if !errors.As(cause, &failed) {
-		failed = &attemptError{ran: true, closed: true, suspectFor: busySuspectDuration, cause: cause}
-	}
 	r.events.discardRest()
 	if err := r.afterFailure(c, failed); err != nil {
 		return err
--- a/internal/ingress/stream_test.go
+++ b/internal/ingress/stream_test.go
@@ -1,7 +1,9 @@
 package ingress
 
 import (
+	"context"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -259,3 +261,32 @@
 	require.Eventually(t, func() bool { return h.server.Active() == 0 }, waitFor, time.Millisecond)
 	require.Contains(t, h.logs.String(), "Panic in request path")
 }
+
+// TestEndOfRequestIsNoCrashOfItsServer guards against requests that are quarantined because their
+// streams reached the deadline, or their callers left.
+func TestEndOfRequestIsNoCrashOfItsServer(t *testing.T) {
+	for name, deadline := range map[string]string{"deadline": "300", "caller left": "5000"} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.scribe(newFakeServer(t, "a", func(r *received) { r.beginStream(); r.events(3); <-r.gone }))
+			ctx, leave := context.WithTimeout(t.Context(), waitFor)
+			defer leave()
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.ln.Addr().String()+"/draft/1", strings.NewReader("prompt"))
+			require.NoError(t, err)
+			req.Host = testHost
+			for name, value := range map[string]string{"Id": "r", "Key": testKey, "Model": testModel, "Deadline": deadline} {
+				req.Header.Set(name, value)
+			}
+			res, err := http.DefaultClient.Do(req)
+			require.NoError(t, err)
+			if name == "caller left" {
+				leave()
+			}
+			_, err = io.ReadAll(res.Body)
+			require.Error(t, err)
+			require.NoError(t, res.Body.Close())
+			require.Eventually(t, func() bool { return h.server.Active() == 0 }, waitFor, time.Millisecond)
+			require.NotContains(t, h.logs.String(), "Server may have crashed")
+		})
+	}
+}
