Backend: bytes that trickle don't prolong a wait

A wait that ended late is repeated for the bytes that arrived while the process was stopped; bytes that are no answer ended the repeated wait, and the next one, with its end long past, was late from the start. Only a wait that itself took that long is repeated now. TestForwardWaitEndsWhileBytesTrickle fails before.

--- a/internal/backend/forward.go
+++ b/internal/backend/forward.go
@@ -366,8 +366,9 @@
 	if e.conn.reader.Buffered() >= n {
 		return nil
 	}
+	began := time.Now()
 	err := e.waitOnce(until, n)
-	if errors.Is(err, ErrIdle) && time.Since(until) >= lateWait {
+	if errors.Is(err, ErrIdle) && time.Since(until) >= lateWait && time.Since(began) >= lateWait {
 		return e.waitOnce(time.Now().Add(secondWait), n)
 	}
 	return err
--- a/internal/backend/forward_test.go
+++ b/internal/backend/forward_test.go
@@ -198,6 +198,39 @@
 
 func (c lateContext) Deadline() (time.Time, bool) { return c.deadline, true }
 
+// TestForwardWaitEndsWhileBytesTrickle guards against a wait that a server prolongs for good with
+// bytes that are no answer.
+func TestForwardWaitEndsWhileBytesTrickle(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		for {
+			if _, err := c.Write([]byte("\r\n")); err != nil {
+				return
+			}
+			time.Sleep(secondWait / 10)
+		}
+	}()
+	e, err := newTestForwarder(t).Send(t.Context(), forwardTo(ln.Addr().String(), "r", ""))
+	require.NoError(t, err)
+	defer e.Close()
+	ended := make(chan error, 1)
+	// The wait is late from its start, as after a wait that the process was stopped in.
+	go func() { ended <- e.AwaitHeader(time.Now().Add(-2 * lateWait)) }()
+	select {
+	case err := <-ended:
+		require.ErrorIs(t, err, ErrIdle)
+	case <-time.After(testTimeout):
+		t.Fatal("the wait has not ended")
+	}
+}
+
 // TestForwardDoesNotSpinAtItsDeadline guards against a waiting request that keeps the
 // processor from the timer that ends it.
 func TestForwardDoesNotSpinAtItsDeadline(t *testing.T) {
