Ingress: a released replica has not crashed

Callers could see sound requests refused as quarantined: when control releases a replica, its streams end with a closed connection, and each entry counted that as a crash of the server under these requests.

The view shows a release at the latest when the replica carries it out; should it come later than the reset, the crash still counts.

--- a/internal/ingress/quarantine.go
+++ b/internal/ingress/quarantine.go
@@ -182,11 +182,14 @@
 }
 
 // recordCrash counts a server that closed the connection of a request that it may have
-// run. A server that stalls or refuses has not crashed.
+// run. A server that stalls or refuses has not crashed, nor has one that control released.
 func (s *Server) recordCrash(c *call, failed *attemptError) {
 	if !failed.ran || failed.stalled || !failed.closed {
 		return
 	}
+	if _, gone := c.pool.Silence(c.place); gone {
+		return
+	}
 	c.crashed = true
 	server, now := c.server(), time.Now()
 	s.crashes.Record(c.pool.Name(), server, c.crashKeys(), c.sent, now)
