Ingress: a stream at its limit is no crash of its server

Callers could see sound requests refused as quarantined. The entry closes the connection to a server when the deadline or the route's time-out of a stream passes, or its caller leaves, and counted the end of that connection as a crash of the server under the request. Versions that shorten time-outs end many streams so, on all replicas.

A call whose context has ended no longer counts a crash; a server that really closes the connection at the same moment is not missed by the other requests on it.

--- a/internal/ingress/quarantine.go
+++ b/internal/ingress/quarantine.go
@@ -182,9 +182,10 @@
 }
 
 // recordCrash counts a server that closed the connection of a request that it may have
-// run. A server that stalls or refuses has not crashed, nor has one that control released.
+// run. A server that stalls or refuses has not crashed, nor has one that control released,
+// and a request that is over has closed the connection itself.
 func (s *Server) recordCrash(c *call, failed *attemptError) {
-	if !failed.ran || failed.stalled || !failed.closed {
+	if !failed.ran || failed.stalled || !failed.closed || c.ctx.Err() != nil {
 		return
 	}
 	if _, gone := c.pool.Silence(c.place); gone {
--- a/internal/ingress/released_test.go
+++ b/internal/ingress/released_test.go
@@ -1,6 +1,9 @@
 package ingress
 
 import (
+	"context"
+	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -46,3 +49,31 @@
 		})
 	}
 }
+
+// TestStreamAtItsLimitIsNoCrash guards against requests that are quarantined because streams
+// end at their deadline or with their caller.
+func TestStreamAtItsLimitIsNoCrash(t *testing.T) {
+	h := newHarness(t)
+	server := newFakeServer(t, "a-slow", func(r *received) {
+		r.beginStream()
+		r.events(1)
+		<-r.gone
+	})
+	h.scribe(server)
+	_, whole := text(h.send("POST", "/draft/1", "prompt", "Deadline", "300"))
+	require.False(t, whole)
+	require.Eventually(t, func() bool { return strings.Contains(h.logs.String(), "reason=deadline") }, waitFor, pollInterval)
+
+	ctx, leave := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.ln.Addr().String()+"/draft/1", strings.NewReader("prompt"))
+	require.NoError(t, err)
+	req.Host = testHost
+	req.Header.Set("Key", testKey)
+	req.Header.Set("Model", testModel)
+	res, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	leave()
+	_ = res.Body.Close()
+	require.Eventually(t, func() bool { return strings.Contains(h.logs.String(), "reason=caller_left") }, waitFor, pollInterval)
+	require.NotContains(t, h.logs.String(), "Server may have crashed")
+}
