entry: hosts reach a new leader that refuses renewals

What callers would see: in a system with more than 16 entries, replicas whose hosts a new leader counts as lost, for as long as it refuses the renewals of their entries.

Cause: with stretched leases, renewals carry the heartbeats of unchanged hosts, as slots of the session of one leader. Another leader ignores them and names its session in the answer, upon which the entry announces its hosts whole. A refusal (a view not applied yet, an expiry being committed) is an error, which names no session, and the entry took the heartbeats for processed.

After a renewal that fails, the announcement loop sends the heartbeats, within 250 ms, until a renewal succeeds: the answer to a batch names the session whatever becomes of renewals.

Evidence: TestHostsReachNewLeaderThatRefusesRenewals fails before (the leader knows no host after three rounds) and passes now; internal/entry passes with -race.

--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -133,11 +133,13 @@
 	var response api.RenewResponse
 	err := a.cfg.Control.Call(ctx, api.MethodRenew, request, &response)
 	a.recordLeaderContact(err)
-	// A leader that refuses the renewal has still processed the heartbeats.
+	// A leader that refuses the renewal has still processed the heartbeats, if it is the one
+	// that they were for.
 	if request.Announce != nil && errs.RetryAfterOf(err) == 0 {
 		a.batch.acknowledge(response.Session)
 	}
 	if err != nil {
+		a.sendHeartbeatsApart()
 		return err
 	}
 	if a.cfg.OnMembers != nil {
@@ -259,6 +261,14 @@
 	return a.stretch > 1 && a.wasStretched
 }
 
+// sendHeartbeatsApart has announceLoop send the heartbeats until renewals succeed again: the
+// answer to a batch names the leader's session, an error does not.
+func (a *Agent) sendHeartbeatsApart() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.wasStretched = false
+}
+
 // stretched multiplies an interval by the factor that the leader requested.
 func (a *Agent) stretched(d time.Duration) time.Duration {
 	a.mu.Lock()
--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -314,6 +314,55 @@
 	require.False(t, agent.renewalsCarryHeartbeats())
 }
 
+// newLeader refuses renewals. It knows only the hosts that it has got whole announcements of.
+type newLeader struct {
+	session uint64
+	refuse  bool
+	known   map[api.HostID]bool
+}
+
+func (l *newLeader) Call(_ context.Context, _ api.Method, params, result any) error {
+	switch p := params.(type) {
+	case api.RenewRequest:
+		if l.refuse {
+			return &errs.Error{Code: errs.Unavailable, Step: "renew lease", RetryAfterMillis: 100, Err: errs.New(errs.Unavailable, "renew lease", "", "refused")}
+		}
+		*result.(*api.RenewResponse) = api.RenewResponse{LeaseMillis: 9000, Stretch: 3, Session: l.session}
+	case api.AnnounceBatch:
+		for _, a := range p.Announcements {
+			l.known[a.Host] = true
+		}
+		*result.(*api.AnnounceBatchResponse) = api.AnnounceBatchResponse{Session: l.session}
+	}
+	return nil
+}
+
+// TestHostsReachNewLeaderThatRefusesRenewals guards against hosts that a new leader counts as
+// lost for as long as it refuses the renewals that carry their heartbeats.
+func TestHostsReachNewLeaderThatRefusesRenewals(t *testing.T) {
+	leader := &newLeader{session: 1, known: make(map[api.HostID]bool)}
+	agent := NewAgent(AgentConfig{State: NewState(api.EntryInfo{ID: "e1"}, clock.System{}), Control: leader, Clock: clock.System{}, Logger: logging.Discard()})
+	sequence := uint64(0)
+	announce := func() {
+		sequence++
+		require.NoError(t, agent.Announce(api.Announcement{Host: "h", Incarnation: 1, Sequence: sequence}))
+	}
+	announce()
+	agent.flush(context.Background())
+	for range 2 {
+		require.NoError(t, agent.Renew(context.Background()))
+	}
+	require.True(t, agent.renewalsCarryHeartbeats())
+	*leader = newLeader{session: 2, refuse: true, known: make(map[api.HostID]bool)}
+	for range 3 {
+		announce()
+		require.Error(t, agent.Renew(context.Background()))
+		announce()
+		agent.flush(context.Background())
+	}
+	require.True(t, leader.known["h"])
+}
+
 // failingControl returns the same error from every call.
 type failingControl struct{ err error }
 
