Group: half a second without an answer ends the work of a leaving replica

A replica with a leaving member was kept until no entry had had a byte of it for a second, also where nothing ran any more. Its hosts were missed meanwhile.

Entries report every 0.4 s, which is the least that can be told apart.

--- a/internal/group/shared.go
+++ b/internal/group/shared.go
@@ -65,9 +65,9 @@
 	}
 }
 
-// finishTime is the silence of a replica that takes nothing new after which its requests
-// have ended. One that still has some sends bytes several times a second.
-const finishTime = time.Second
+// finishTime is the age of the newest answer from which a replica that takes nothing new
+// counts as having ended its requests. Entries report every 0.4 s.
+const finishTime = 500 * time.Millisecond
 
 // isFinishing reports whether a replica that takes nothing new still runs requests, which a
 // release would cut off, and may go on with them.
