soak: long answers around planned work, with LOST as the rule counts it

The soak could not show it: its streams last a fraction of a second, no body comes in chunks, and LOST was counted in one mode only, not beside a version.

The oracle records signals, versions, disruptions and the end of each request, and judges them after the run, with the exclusions of the rule. It prints the share of requests that were cut, by what surrounded them. A time in which the soak itself does not run counts as a disruption.

--- a/cmd/crocusway/soak.go
+++ b/cmd/crocusway/soak.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,7 +31,11 @@
 	fs.IntVar(&cfg.Controls, "controls", 3, "number of control daemons, 3 to 30")
 	fs.IntVar(&cfg.Entries, "entries", 5, "number of entries, 1 to 200")
 	fs.IntVar(&cfg.Engines, "engines", 14, "number of stand-in model engines")
-	fs.IntVar(&cfg.Callers, "callers", 16, "number of concurrent callers")
+	fs.IntVar(&cfg.Callers, "callers", 0, "number of concurrent callers; 0: 16, or 48 with --streams")
+	fs.StringVar(&cfg.Binary, "binary", "", "binary under test; empty: this one")
+	fs.BoolVar(&cfg.Streams, "streams", false, "play long answers around planned work instead of the mode of the seed")
+	parts := fs.String("parts", "", fmt.Sprintf("with --streams, the parts that are switched on, separated by commas; empty: all of %v", soak.Parts()))
+	fs.IntVar(&cfg.Busy, "busy", 0, "number of processes beside the daemons that use a processor each")
 	fs.DurationVar(&cfg.Length, "length", 12*time.Second, "how long faults are injected")
 	fs.StringVar(&cfg.Dir, "dir", filepath.Join(os.TempDir(), "crocusway-soak"), "folder for logs, kept for seeds with findings")
 	return &ffcli.Command{
@@ -45,6 +50,15 @@
 				return errors.Newf("controls = %d, entries = %d, seeds = %d, jobs = %d: must be 3, 1, 1 and 1 or more",
 					cfg.Controls, cfg.Entries, seeds, jobs)
 			}
+			for _, name := range strings.FieldsFunc(*parts, func(r rune) bool { return r == ',' }) {
+				if !slices.Contains(soak.Parts(), soak.Part(name)) {
+					return errors.Newf("parts = %s: %s is none of %v", *parts, name, soak.Parts())
+				}
+				cfg.Parts = append(cfg.Parts, soak.Part(name))
+			}
+			if cfg.Callers == 0 {
+				cfg.Callers = defaultCallers(cfg.Streams)
+			}
 			if cfg.Seed == 0 {
 				cfg.Seed = uint64(rand.Uint32())
 			}
@@ -53,13 +67,22 @@
 	}
 }
 
+func defaultCallers(streams bool) int {
+	if streams {
+		return 48
+	}
+	return 16
+}
+
 // runSoak plays consecutive seeds and fails if one of them has findings.
 func runSoak(ctx context.Context, cfg soak.Config, seeds, jobs int) error {
-	binary, err := os.Executable()
-	if err != nil {
-		return errors.Wrap(err, "find the binary under test")
+	if cfg.Binary == "" {
+		binary, err := os.Executable()
+		if err != nil {
+			return errors.Wrap(err, "find the binary under test")
+		}
+		cfg.Binary = binary
 	}
-	cfg.Binary = binary
 	var mu sync.Mutex
 	var failed []uint64
 	slots := make(chan int, jobs)
@@ -105,6 +128,9 @@
 	for _, name := range slices.Sorted(maps.Keys(r.Counts)) {
 		_, _ = fmt.Printf("   %-28s %d\n", name, r.Counts[name])
 	}
+	for _, line := range r.Cuts {
+		_, _ = fmt.Println("   cut, around", line)
+	}
 	if err := r.RemoveLogs(); err != nil {
 		_, _ = fmt.Println("   logs were not removed:", err)
 	}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -46,15 +46,24 @@
 }
 
 // countedDialer remembers whether a new connection was made since the last request.
-type countedDialer struct{ dialed bool }
+type countedDialer struct {
+	dialed bool
+	// path returns the address to dial for that of an entry, from is the caller's own.
+	path func(address string) string
+	from net.Addr
+}
 
 func (d *countedDialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	d.dialed = true
-	return (&net.Dialer{Timeout: directoryWait}).DialContext(ctx, network, address)
+	if d.path != nil {
+		address = d.path(address)
+	}
+	return (&net.Dialer{Timeout: directoryWait, LocalAddr: d.from}).DialContext(ctx, network, address)
 }
 
 func newCaller(s *system, index int, seed uint64) *caller {
 	c := &caller{system: s, name: fmt.Sprintf("s%d-c%d", seed, index), rand: rand.New(rand.NewPCG(seed, uint64(index)+1)), conns: &countedDialer{}}
+	s.placeCaller(c.conns, index)
 	c.http = &http.Client{Transport: &http.Transport{
 		MaxConnsPerHost: 1, DisableCompression: true, DialContext: c.conns.dial,
 	}}
@@ -107,7 +116,7 @@
 func (c *caller) request(k kind) {
 	c.sent++
 	id := fmt.Sprintf("%s-%d", c.name, c.sent)
-	r := request{kind: k, path: fmt.Sprintf("%sx%d", pathOf[k], c.rand.IntN(1000)), body: "body of " + id}
+	r := request{kind: k, path: pathOf[k] + c.shape(k) + fmt.Sprintf("x%d", c.rand.IntN(1000)), body: "body of " + id}
 	method, deadline := http.MethodPost, callDeadline
 	switch k {
 	case kindStream:
@@ -115,6 +124,10 @@
 	case kindSafe:
 		method, r.body = http.MethodGet, ""
 	}
+	if c.system.mode == modeStreams {
+		deadline = longDeadline
+	}
+	r.deadline = deadline
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	// Without GetBody the HTTP library never sends a request twice by itself.
@@ -126,6 +139,7 @@
 	if r.body == "" {
 		out.Body = http.NoBody
 	}
+	c.sendInChunks(ctx, out, id, &r)
 	out.Host = callerHost
 	for name, value := range map[string]string{
 		headerID: id, headerKey: callerKey, headerDeadline: fmt.Sprint(deadline.Milliseconds()),
@@ -145,6 +159,7 @@
 	c.system.oracle.sending(id, r)
 	began := time.Now()
 	response, err := c.http.Do(out)
+	defer func() { c.ended(id, out.URL.Host, response, err) }()
 	if err != nil {
 		c.failed(ctx, id, began, err)
 		return
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -17,7 +17,10 @@
 func (s *system) inject(ctx context.Context, p *operator) {
 	began := time.Now()
 	var lanes sync.WaitGroup
-	for _, l := range planOf(s.cfg.Seed, s.cfg.Length) {
+	for _, l := range planOf(s.mode, s.cfg.Seed, s.cfg.Length) {
+		if l.Part != "" && !s.plays(l.Part) {
+			continue
+		}
 		lanes.Go(func() {
 			for _, e := range l.Events {
 				clock.Sleep(ctx, time.Until(began.Add(e.At)))
@@ -47,6 +50,10 @@
 		s.limit(ctx, r, e)
 	case "notices":
 		s.notify(ctx, r, e)
+	case "versions":
+		p.storm(ctx, e)
+	case "leader":
+		s.isolateLeader(ctx, e)
 	default:
 		daemons := s.byRole(l.Role)
 		s.disturbDaemon(ctx, daemons[r.IntN(len(daemons))], r, e)
@@ -65,6 +72,8 @@
 		s.restart(d)
 	case actionPause:
 		d.pause(ctx, e.Length)
+	case actionHalt:
+		d.pause(ctx, haltTime(e.Length))
 	case actionSlow:
 		d.slow(ctx, e.Length, 1.0/8)
 	case actionHup:
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -37,34 +37,44 @@
 
 // document returns a new version. Versions increase in uneven steps.
 func (p *operator) document(r *rand.Rand, moreRoutes int) (version uint64, text string) {
+	return p.documentWith(r, moreRoutes, usualVariant())
+}
+
+func (p *operator) documentWith(r *rand.Rand, moreRoutes int, v variant) (version uint64, text string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.version += 1 + r.Uint64N(4)
 	p.extra = min(p.extra+moreRoutes, maxRoutes)
-	return p.version, documentOf(p.version, p.extra)
+	p.system.oracle.versionTimeouts(p.version, v.timeouts)
+	return p.version, documentOf(p.version, p.extra, v)
 }
 
 // documentOf returns the configuration of a version.
-func documentOf(version uint64, extra int) string {
+func documentOf(version uint64, extra int, v variant) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, `{"version":%d,"routes":[`, version)
-	route := func(name, path, kind, service string, rest string) {
-		fmt.Fprintf(&b, `{"name":%q,"host":%q,"pathPrefix":%q,"kind":%q,"timeoutMs":8000,"targetLatencyMs":300,"priority":1,"service":%q,"maxAttempts":2%s},`,
-			name, callerHost, path, kind, service, rest)
+	route := func(name, path string, k kind, service string, rest string) {
+		fmt.Fprintf(&b, `{"name":%q,"host":%q,"pathPrefix":%q,"kind":%q,"timeoutMs":%d,"targetLatencyMs":300,"priority":1,%s,"maxAttempts":2%s},`,
+			name, callerHost, path, k, v.timeouts[k].Milliseconds(), v.target(service), rest)
 	}
 	for i := range extra {
-		route(fmt.Sprintf("extra-%d", i), fmt.Sprintf("/extra-%x/", uint64(i+1)*0x9e3779b97f4a7c15), "safe", "ledger", "")
+		route(fmt.Sprintf("extra-%d", i), fmt.Sprintf("/extra-%x/", uint64(i+1)*0x9e3779b97f4a7c15), kindSafe, "ledger", "")
 	}
-	route("stream", pathOf[kindStream], string(kindStream), "engines", `,"resumable":true,"sticky":true,"gapAimMs":300`)
-	route("once", pathOf[kindOnce], string(kindOnce), "ledger", "")
-	route("read", pathOf[kindSafe], string(kindSafe), "ledger", "")
-	route("newest", versionPath(version), string(kindSafe), "ledger", "")
+	route("stream", pathOf[kindStream], kindStream, "engines", `,"resumable":true,"sticky":true,"gapAimMs":300`)
+	route("once", pathOf[kindOnce], kindOnce, "ledger", "")
+	route("read", pathOf[kindSafe], kindSafe, "ledger", "")
+	route("newest", versionPath(version), kindSafe, "ledger", "")
 	text := strings.TrimSuffix(b.String(), ",")
-	return text + fmt.Sprintf(`],"services":[{"name":"engines","healthPath":"/health","maxConns":500,"engine":{"slots":%d,"kvCapacity":1590000,"stride":7,`+
+	engine := fmt.Sprintf(`{"slots":%d,"kvCapacity":1590000,"stride":7,`+
 		`"step_ms":2,"per_seq_ms":0.04,"read_per_s":50700,"chunk":2048,"loadsPerS":20,"loads_at_once":6,"formMs":50,"keeps":1,"usual":{"prompt":40,"answer":84},`+
-		`"models":[{"name":"m0","size":%d,"share":1,"pace":1,"loadS":0.1,"warmS":0.1}]}},{"name":"ledger","healthPath":"/health","maxConns":500}],`+
+		`"models":[{"name":"m0","size":%d,"share":1,"pace":1,"loadS":0.1,"warmS":0.1}]}`, serverSlots, engineHosts)
+	services := fmt.Sprintf(`{"name":"engines","healthPath":"/health","maxConns":500,"engine":%s},{"name":"ledger","healthPath":"/health","maxConns":500}`, engine)
+	if v.spare > 0 {
+		services += "," + strings.NewReplacer(`"engines"`, `"engines-spare"`, `"ledger"`, `"ledger-spare"`).Replace(services)
+	}
+	return text + fmt.Sprintf(`],"services":[%s],`+
 		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":%d,"idleTimeoutMs":15000},`+
-		`"tenants":[{"name":%q,"apiKeys":[%q],"priority":1}]}`, serverSlots, engineHosts, headerTimeoutMs, callerAccount, callerKey)
+		`"tenants":[{"name":%q,"apiKeys":[%q],"priority":1}]}`, services, headerTimeoutMs, callerAccount, callerKey)
 }
 
 // versionPath is the path of a route that only one version has.
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -29,6 +29,7 @@
 	poisoned bool
 	// brokenOff is set once a server has broken off its answer.
 	brokenOff bool
+	requestTimes
 }
 
 // oracle records what callers, operators and backend servers see, and the promises that
@@ -45,6 +46,7 @@
 	counts       map[string]int
 	// poison holds the parts that crash servers.
 	poison map[string]*poisoned
+	cutLog
 }
 
 func newOracle() *oracle {
@@ -63,8 +65,11 @@
 
 // report is violation with the lock held.
 func (o *oracle) report(format string, args ...any) {
-	at := time.Since(o.started).Seconds()
-	o.findings = append(o.findings, fmt.Sprintf("%6.2f s ", at)+fmt.Sprintf(format, args...))
+	o.reportAt(time.Now(), format, args...)
+}
+
+func (o *oracle) reportAt(at time.Time, format string, args ...any) {
+	o.findings = append(o.findings, fmt.Sprintf("%6.2f s ", at.Sub(o.started).Seconds())+fmt.Sprintf(format, args...))
 }
 
 func (o *oracle) count(name string) {
@@ -165,12 +170,14 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.published[version] = text
+	o.versionSent(version, time.Now())
 }
 
 func (o *oracle) acknowledge(version uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.acknowledged = max(o.acknowledged, version)
+	o.versionAcknowledged(version, time.Now())
 	o.counts["changes acknowledged"]++
 }
 
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -193,8 +193,8 @@
 func TestPlanFollowsFromTheSeed(t *testing.T) {
 	actions := make(map[action]bool)
 	for seed := range uint64(40) {
-		plan := planOf(seed, 12*time.Second)
-		require.Equal(t, plan, planOf(seed, 12*time.Second))
+		plan := planOf(modeOf(seed), seed, 12*time.Second)
+		require.Equal(t, plan, planOf(modeOf(seed), seed, 12*time.Second))
 		for _, l := range plan {
 			for _, e := range l.Events {
 				actions[e.Action] = true
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -41,6 +41,9 @@
 	actionPoison  action = "poison"   // one part of prompts crashes the servers that run it
 	actionLeave   action = "leave"    // a backend server says only in its answers that it leaves
 	actionBusy    action = "busy"     // backend servers turn requests away and ask for a pause
+	actionStorm   action = "storm"    // several configurations within seconds
+	actionHalt    action = "halt"     // SIGSTOP for some 100 ms
+	actionLeader  action = "leader"   // the control leader is out of reach
 )
 
 // event is one action of a lane. Random choices while it is carried out come from seed.
@@ -56,6 +59,7 @@
 type lane struct {
 	Name   string
 	Role   string
+	Part   Part
 	Events []event
 }
 
@@ -69,6 +73,8 @@
 	modeSignals mode = "signals"
 	modeLinks   mode = "links"
 	modeAll     mode = "all"
+	// modeStreams has long answers around planned work. No seed selects it.
+	modeStreams mode = "streams"
 )
 
 // modeOf returns the mode of a seed.
@@ -83,6 +89,8 @@
 	actions    []action
 	// gap is the mean pause between two events.
 	gap time.Duration
+	// part is the part of modeStreams that has the lanes.
+	part Part
 }
 
 var (
@@ -93,22 +101,24 @@
 )
 
 func laneKinds(m mode) []laneKind {
-	operators := laneKind{"changes", "", 2, changes, 700 * time.Millisecond}
-	drains := laneKind{"servers", "", 1, []action{actionDrain}, 2 * time.Second}
-	faults := laneKind{"servers", "", 2, []action{actionFault, actionFault, actionDrain}, time.Second}
-	control := laneKind{"control", roleControl, 1, controlSignals, 1500 * time.Millisecond}
-	entries := laneKind{"entries", roleEntry, 2, entrySignals, 800 * time.Millisecond}
-	links := laneKind{"links", "", 2, linkFaults, 700 * time.Millisecond}
+	operators := laneKind{name: "changes", lanes: 2, actions: changes, gap: 700 * time.Millisecond}
+	drains := laneKind{name: "servers", lanes: 1, actions: []action{actionDrain}, gap: 2 * time.Second}
+	faults := laneKind{name: "servers", lanes: 2, actions: []action{actionFault, actionFault, actionDrain}, gap: time.Second}
+	control := laneKind{name: "control", role: roleControl, lanes: 1, actions: controlSignals, gap: 1500 * time.Millisecond}
+	entries := laneKind{name: "entries", role: roleEntry, lanes: 2, actions: entrySignals, gap: 800 * time.Millisecond}
+	links := laneKind{name: "links", lanes: 2, actions: linkFaults, gap: 700 * time.Millisecond}
 	// New lanes come last, so that the others of a seed stay as they were.
-	poison := laneKind{"poison", "", 1, []action{actionPoison}, 2 * time.Second}
-	limits := laneKind{"limits", "", 1, []action{actionLimit}, time.Second}
-	notices := laneKind{"notices", "", 1, []action{actionLeave, actionBusy}, 1500 * time.Millisecond}
+	poison := laneKind{name: "poison", lanes: 1, actions: []action{actionPoison}, gap: 2 * time.Second}
+	limits := laneKind{name: "limits", lanes: 1, actions: []action{actionLimit}, gap: time.Second}
+	notices := laneKind{name: "notices", lanes: 1, actions: []action{actionLeave, actionBusy}, gap: 1500 * time.Millisecond}
 	switch m {
+	case modeStreams:
+		return streamLanes()
 	case modePlanned:
 		return []laneKind{
 			operators, drains,
-			{"control", roleControl, 1, []action{actionTerm, actionHup}, time.Second},
-			{"entries", roleEntry, 2, []action{actionTerm, actionHup}, time.Second},
+			{name: "control", role: roleControl, lanes: 1, actions: []action{actionTerm, actionHup}, gap: time.Second},
+			{name: "entries", role: roleEntry, lanes: 2, actions: []action{actionTerm, actionHup}, gap: time.Second},
 			poison, limits, notices,
 		}
 	case modeSignals:
@@ -125,13 +135,13 @@
 	maxEventLength = 3 * time.Second
 )
 
-// planOf returns the lanes of a seed.
-func planOf(seed uint64, length time.Duration) []lane {
+// planOf returns the lanes of a seed in a mode.
+func planOf(m mode, seed uint64, length time.Duration) []lane {
 	r := rand.New(rand.NewPCG(seed, 0))
 	var out []lane
-	for _, k := range laneKinds(modeOf(seed)) {
+	for _, k := range laneKinds(m) {
 		for range k.lanes {
-			l := lane{Name: k.name, Role: k.role}
+			l := lane{Name: k.name, Role: k.role, Part: k.part}
 			at := time.Duration(r.Int64N(int64(2 * k.gap)))
 			for at < length {
 				e := event{
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -27,6 +28,8 @@
 	portReady     = 8220
 	portControl   = 8229
 	portDirectory = 8228
+	// portCaller is the port for callers whose links the network slows.
+	portCaller = 8226
 )
 
 const (
@@ -41,6 +44,8 @@
 	dir                  string
 	binary               string
 	oracle               *oracle
+	// retrySlack is the bound of that name, 0: the usual one.
+	retrySlack int
 
 	mu        sync.Mutex
 	cmd       *exec.Cmd
@@ -74,7 +79,7 @@
 		fmt.Fprintf(&b, "[listen]\nfront = %q\nready = %q\ndirectory = %q\n", d.address(portFront), d.address(portReady), d.address(portDirectory))
 	}
 	fmt.Fprintf(&b, "[faultTolerance]\nmachines = 1\n[bounds]\ndrainMs = %d\ngraceS = %g\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\n"+
-		"retrySlack = 130\nttl_max_s = 5\nconfigApplyMs = %d\n", drainTime.Milliseconds(), grace.Seconds(), configApply.Milliseconds())
+		"retrySlack = %d\nttl_max_s = 5\nconfigApplyMs = %d\n", drainTime.Milliseconds(), grace.Seconds(), cmp.Or(d.retrySlack, usualRetrySlack), configApply.Milliseconds())
 	return b.String()
 }
 
@@ -121,6 +126,7 @@
 func (d *daemon) signal(s syscall.Signal) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.oracle.signaled(d.name, d.role, s, time.Now())
 	switch s {
 	case syscall.SIGKILL, syscall.SIGTERM:
 		d.expected = true
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -29,6 +29,8 @@
 type rule struct {
 	silent bool
 	delay  time.Duration
+	// part bounds the bytes that pass at once, 0: without a bound.
+	part int
 }
 
 // proxiedLink is one forwarded connection.
@@ -52,6 +54,11 @@
 
 // forward accepts links at advertised and forwards them to listen, both "ip:port".
 func (n *network) forward(advertised, listen string) error {
+	return n.forwardLinks(advertised, listen, (*proxiedLink).close)
+}
+
+// forwardLinks calls sent once a dialer has sent its last bytes.
+func (n *network) forwardLinks(advertised, listen string, sent func(*proxiedLink)) error {
 	ln, err := net.Listen("tcp", advertised)
 	if err != nil {
 		return err
@@ -67,13 +74,13 @@
 			if err != nil {
 				return
 			}
-			n.wg.Go(func() { n.serve(c, ip, listen) })
+			n.wg.Go(func() { n.serve(c, ip, listen, sent) })
 		}
 	})
 	return nil
 }
 
-func (n *network) serve(dialer net.Conn, acceptorIP, listen string) {
+func (n *network) serve(dialer net.Conn, acceptorIP, listen string, sent func(*proxiedLink)) {
 	dialerIP, _, _ := net.SplitHostPort(dialer.RemoteAddr().String())
 	// A connection attempt across a cut hangs, as it does between hosts.
 	if !n.pass(direction{dialerIP, acceptorIP}) {
@@ -92,7 +99,7 @@
 	stop := context.AfterFunc(n.ctx, l.close)
 	defer stop()
 	var both sync.WaitGroup
-	both.Go(func() { n.copy(acceptor, dialer, direction{dialerIP, acceptorIP}); l.close() })
+	both.Go(func() { n.copy(acceptor, dialer, direction{dialerIP, acceptorIP}); sent(l) })
 	both.Go(func() { n.copy(dialer, acceptor, direction{acceptorIP, dialerIP}); l.close() })
 	both.Wait()
 	n.mu.Lock()
@@ -117,7 +124,7 @@
 func (n *network) copy(to, from net.Conn, d direction) {
 	buffer := make([]byte, proxyBuffer)
 	for {
-		count, err := from.Read(buffer)
+		count, err := from.Read(buffer[:n.partOf(d)])
 		if count > 0 {
 			if !n.pass(d) {
 				return
@@ -132,6 +139,16 @@
 	}
 }
 
+// partOf returns how many bytes pass at once.
+func (n *network) partOf(d direction) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if part := n.rules[d].part; part > 0 {
+		return part
+	}
+	return proxyBuffer
+}
+
 // pass waits until bytes may pass. It returns false when the network closes.
 func (n *network) pass(d direction) bool {
 	for {
--- a/internal/soak/replace_test.go
+++ b/internal/soak/replace_test.go
@@ -6,9 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
-	"regexp"
 	"slices"
-	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -81,27 +79,6 @@
 	return d
 }
 
-var leadingLine = regexp.MustCompile(`msg=Leading term=(\d+)`)
-
-// leader returns the control daemon that led last, nil before the first leader. Logs are
-// written up to a second late.
-func (s *system) leader() *daemon {
-	var leader *daemon
-	newest := 0
-	for _, d := range s.daemons {
-		raw, err := os.ReadFile(filepath.Join(d.dir, "log"))
-		if err != nil {
-			return nil
-		}
-		for _, match := range leadingLine.FindAllSubmatch(raw, -1) {
-			if term, _ := strconv.Atoi(string(match[1])); term > newest {
-				newest, leader = term, d
-			}
-		}
-	}
-	return leader
-}
-
 // A control daemon that was replaced still counted as a voter, so that one more loss
 // stopped control for good.
 func TestControlBearsALossOnceAVoterIsReplaced(t *testing.T) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -24,6 +24,12 @@
 	// Controls and Entries are the numbers of daemons, Engines the number of stand-in
 	// model engines, Callers the number of concurrent callers.
 	Controls, Entries, Engines, Callers int
+	// Streams selects the mode with long answers around planned work instead of that of the
+	// seed, Parts the parts of it that are switched on, all if empty.
+	Streams bool
+	Parts   []Part
+	// Busy is the number of processes that use a processor each all the while.
+	Busy int
 	// Length is how long faults are injected.
 	Length time.Duration
 	// Dir receives the logs and data folders of the daemons.
@@ -37,6 +43,8 @@
 	Findings []string
 	// Counts holds what callers, operators and backend servers saw, by name.
 	Counts map[string]int
+	// Cuts holds the shares of requests that were cut, by what surrounded them.
+	Cuts []string
 	// Calm is the share of the requests that were served after the faults had ended.
 	Calm float64
 	Dir  string
@@ -45,12 +53,16 @@
 // Run plays one seed. It fails if the system can't be started.
 func Run(ctx context.Context, cfg Config) (Result, error) {
 	s := &system{cfg: cfg, mode: modeOf(cfg.Seed), oracle: newOracle(), network: newNetwork()}
+	if cfg.Streams {
+		s.mode = modeStreams
+	}
 	defer s.network.close()
 	if err := s.build(); err != nil {
 		return Result{}, err
 	}
 	s.fleet = newFleet(s.oracle, s.seeds)
 	s.fleet.planned = s.mode == modePlanned
+	s.fleet.silences = s.plays(PartSilences)
 	s.fleet.entries = make(map[string]*daemon)
 	for _, d := range s.entries() {
 		s.fleet.entries[d.ip] = d
@@ -60,9 +72,18 @@
 	if err := s.startAll(); err != nil {
 		return Result{}, err
 	}
+	stopBusy, err := startBusy(cfg.Busy)
+	if err != nil {
+		return Result{}, err
+	}
+	defer stopBusy()
 	calm, err := s.play(ctx)
+	var cuts []string
+	if s.mode == modeStreams {
+		cuts = s.oracle.judgeCuts()
+	}
 	findings, counts := s.oracle.result()
-	return Result{Seed: cfg.Seed, Mode: string(s.mode), Findings: findings, Counts: counts, Calm: calm, Dir: cfg.Dir}, err
+	return Result{Seed: cfg.Seed, Mode: string(s.mode), Findings: findings, Counts: counts, Cuts: cuts, Calm: calm, Dir: cfg.Dir}, err
 }
 
 const (
@@ -93,6 +114,9 @@
 	for i := range 2 {
 		callers.Go(func() { p.readLoop(ctx, s.cfg.Seed+uint64(i)) })
 	}
+	if s.mode == modeStreams {
+		callers.Go(func() { s.oracle.watchStalls(ctx) })
+	}
 	s.inject(ctx, p)
 	if ctx.Err() != nil {
 		return 0, ctx.Err()
--- a/internal/soak/serve.go
+++ b/internal/soak/serve.go
@@ -20,12 +20,14 @@
 	h := fnv.New64a()
 	_, _ = io.WriteString(h, path+"\n"+body)
 	word := strconv.FormatUint(h.Sum64(), 36)
+	s := shapeOf(path)
 	if k != kindStream {
-		return word + strings.Repeat("-", 200)
+		return word + strings.Repeat("-", 200+s.bytes)
 	}
+	padding := strings.Repeat("-", s.bytes)
 	var b strings.Builder
-	for i := range streamEvents {
-		b.WriteString(eventOf(word, i+1))
+	for i := range s.events {
+		b.WriteString(eventOf(word+padding, i+1))
 	}
 	return b.String()
 }
@@ -79,6 +81,7 @@
 		s.stream(ctx, answerOf(kindStream, path, body), k == faultGarble && misbehave, poison)
 		return
 	}
+	time.Sleep(shapeOf(path).wait)
 	answer := answerOf(kindSafe, path, body)
 	if k == faultGarble && misbehave {
 		ctx.HijackSetNoResponse(true)
@@ -87,6 +90,7 @@
 		})
 		return
 	}
+	s.oracle.finished(id)
 	ctx.SetBodyString(answer)
 }
 
@@ -144,7 +148,8 @@
 func (s *server) stream(ctx *fasthttp.RequestCtx, answer string, cut bool, poison string) {
 	ctx.SetContentType("text/event-stream")
 	after, _ := strconv.Atoi(string(ctx.Request.Header.Peek(headerLastEvent)))
-	events := strings.SplitAfter(answer, "\n\n")[:streamEvents]
+	shape := shapeOf(string(ctx.Path()))
+	events := strings.SplitAfter(answer, "\n\n")[:shape.events]
 	conn := ctx.Conn()
 	id := string(ctx.Request.Header.Peek(headerID))
 	crashAfter := rand.IntN(maxPoisonEvents)
@@ -159,7 +164,8 @@
 				_ = conn.Close()
 				return
 			}
-			time.Sleep(eventPause)
+			time.Sleep(shape.pause)
+			s.fallSilent(id, i)
 			if poison != "" && i-after == crashAfter {
 				s.oracle.crashed(poison)
 				s.crash()
@@ -174,6 +180,7 @@
 				return
 			}
 		}
+		s.oracle.finished(id)
 	})
 }
 
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -75,6 +75,8 @@
 	oracle *oracle
 	// planned is set if there is planned work only, so that every daemon stays in touch.
 	planned bool
+	// silences is set if sound servers fall silent in the middle of streams.
+	silences bool
 	// entries are the entry daemons by IP.
 	entries  map[string]*daemon
 	mu       sync.Mutex
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -49,6 +49,9 @@
 			name: name, role: role, ip: s.ip(host), zone: zones[index%len(zones)], dir: filepath.Join(s.cfg.Dir, name),
 			binary: s.cfg.Binary, oracle: s.oracle, bootstrap: true,
 		}
+		if s.mode == modeStreams {
+			d.retrySlack = streamRetrySlack
+		}
 		s.daemons = append(s.daemons, d)
 	}
 	for i := range s.cfg.Controls {
@@ -68,7 +71,7 @@
 			return err
 		}
 	}
-	return nil
+	return s.slowCallers()
 }
 
 func (s *system) startAll() error {
@@ -77,13 +80,24 @@
 			return err
 		}
 	}
-	for i := range s.cfg.Engines {
-		if err := s.addServer("engines", zones[i%len(zones)], true); err != nil {
-			return err
-		}
+	if err := s.addServers("engines", s.cfg.Engines, true); err != nil {
+		return err
+	}
+	if err := s.addServers("ledger", ledgerServers, false); err != nil {
+		return err
 	}
-	for i := range ledgerServers {
-		if err := s.addServer("ledger", zones[i%len(zones)], false); err != nil {
+	if !s.plays(PartVersions) {
+		return nil
+	}
+	if err := s.addServers("engines"+spareSuffix, s.cfg.Engines/2, true); err != nil {
+		return err
+	}
+	return s.addServers("ledger"+spareSuffix, ledgerServers, false)
+}
+
+func (s *system) addServers(service string, count int, engine bool) error {
+	for i := range count {
+		if err := s.addServer(service, zones[i%len(zones)], engine); err != nil {
 			return err
 		}
 	}
