--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -77,6 +77,10 @@
 	case actionSlow:
 		d.slow(ctx, e.Length, 1.0/8)
 	case actionHup:
+		// A SIGHUP right after the start is a matter of the other modes.
+		if s.mode == modeStreams && !d.accepts() {
+			return
+		}
 		d.hangUp(ctx)
 	case actionWipe:
 		d.kill()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -207,6 +207,16 @@
 	d.signal(syscall.SIGHUP)
 }
 
+// accepts reports whether the entry accepts connections of callers.
+func (d *daemon) accepts() bool {
+	conn, err := net.DialTimeout("tcp", d.address(portFront), directoryWait)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // pause stops the process for a time.
 func (d *daemon) pause(ctx context.Context, length time.Duration) {
 	d.signal(syscall.SIGSTOP)
