soak: a SIGTERM waits for the process that it went to

It ended in time, the first lane started it again, and the second waited on for the new process, which it killed at the end of the grace of the old one. No line of the killed process names a SIGTERM.

A signal now returns the channel of its process, and a restart checks and starts under one lock, so that two lanes do not start two processes. The test fails without the change.

--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -105,14 +105,13 @@
 // restart starts a daemon that has ended, unless another lane has started it.
 func (s *system) restart(d *daemon) {
 	d.mu.Lock()
-	done := d.done
-	d.mu.Unlock()
+	defer d.mu.Unlock()
 	select {
-	case <-done:
+	case <-d.done:
 	default:
 		return
 	}
-	if err := d.start(); err != nil {
+	if err := d.startLocked(); err != nil {
 		s.oracle.violation("soak: start %s: %v", d.name, err)
 	}
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -94,6 +94,11 @@
 func (d *daemon) start() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.startLocked()
+}
+
+// startLocked is start with the lock held.
+func (d *daemon) startLocked() error {
 	log, err := os.OpenFile(filepath.Join(d.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -122,8 +127,9 @@
 	return nil
 }
 
-// signal sends a signal to the daemon's own process.
-func (d *daemon) signal(s syscall.Signal) {
+// signal sends a signal to the daemon's own process. It returns a channel that is closed
+// when that process has ended.
+func (d *daemon) signal(s syscall.Signal) (ended <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.oracle.signaled(d.name, d.role, s, time.Now())
@@ -143,19 +149,20 @@
 	if d.cmd != nil {
 		_ = d.cmd.Process.Signal(s)
 	}
+	return d.done
 }
 
 // kill ends the process at once and waits for its end.
 func (d *daemon) kill() {
-	d.signal(syscall.SIGKILL)
-	<-d.ended()
+	<-d.signal(syscall.SIGKILL)
 }
 
 // terminate stops the process gracefully, and kills it at the end of its grace. Time for
 // which the process was stopped by another lane, or the soak did not run, does not count.
 func (d *daemon) terminate() {
 	began, before := time.Now(), d.pausedTime()
-	d.signal(syscall.SIGTERM)
+	// Once it has ended, another lane may start the daemon again at any time.
+	ended := d.signal(syscall.SIGTERM)
 	for {
 		left := grace + d.pausedTime() - before + d.oracle.stalledSince(began) - time.Since(began)
 		if left <= 0 {
@@ -164,7 +171,7 @@
 			return
 		}
 		select {
-		case <-d.ended():
+		case <-ended:
 			return
 		case <-time.After(min(left, slowPeriod)):
 		}
--- a/internal/soak/signal_test.go
+++ b/internal/soak/signal_test.go
@@ -87,3 +87,26 @@
 	<-d.ended()
 	require.True(t, d.hasLogged("msg=Stopped")(), "the graceful shutdown was cut short")
 }
+
+// Two lanes stopped the same entry, one of them started it again, and the other killed the new
+// process at the end of the grace of the old one.
+func TestTerminateWaitsForTheProcessThatItSignaled(t *testing.T) {
+	d := &daemon{name: "entry-1", role: roleEntry, oracle: newOracle(), done: make(chan struct{})}
+	old, returned := d.done, make(chan struct{})
+	go func() {
+		d.terminate()
+		close(returned)
+	}()
+	time.Sleep(2 * slowPeriod)
+	d.mu.Lock()
+	d.done = make(chan struct{})
+	d.mu.Unlock()
+	time.Sleep(2 * slowPeriod)
+	close(old)
+	select {
+	case <-returned:
+	case <-time.After(grace / 2):
+		t.Fatal("still waits for the new process")
+	}
+	requireNoFindings(t, d.oracle)
+}
