--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -17,7 +17,10 @@
 func (s *system) inject(ctx context.Context, p *operator) {
 	began := time.Now()
 	var lanes sync.WaitGroup
-	for _, l := range planOf(s.cfg.Seed, s.cfg.Length) {
+	for _, l := range planOf(s.mode, s.cfg.Seed, s.cfg.Length) {
+		if l.Part != "" && !s.plays(l.Part) {
+			continue
+		}
 		lanes.Go(func() {
 			for _, e := range l.Events {
 				clock.Sleep(ctx, time.Until(began.Add(e.At)))
@@ -47,6 +50,10 @@
 		s.limit(ctx, r, e)
 	case "notices":
 		s.notify(ctx, r, e)
+	case "versions":
+		p.storm(ctx, e)
+	case "leader":
+		s.isolateLeader(ctx, e)
 	default:
 		daemons := s.byRole(l.Role)
 		s.disturbDaemon(ctx, daemons[r.IntN(len(daemons))], r, e)
@@ -65,9 +72,15 @@
 		s.restart(d)
 	case actionPause:
 		d.pause(ctx, e.Length)
+	case actionHalt:
+		d.pause(ctx, haltTime(e.Length))
 	case actionSlow:
 		d.slow(ctx, e.Length, 1.0/8)
 	case actionHup:
+		// A SIGHUP right after the start is a matter of the other modes.
+		if s.mode == modeStreams && !d.accepts() {
+			return
+		}
 		d.hangUp(ctx)
 	case actionWipe:
 		d.kill()
@@ -92,14 +105,13 @@
 // restart starts a daemon that has ended, unless another lane has started it.
 func (s *system) restart(d *daemon) {
 	d.mu.Lock()
-	done := d.done
-	d.mu.Unlock()
+	defer d.mu.Unlock()
 	select {
-	case <-done:
+	case <-d.done:
 	default:
 		return
 	}
-	if err := d.start(); err != nil {
+	if err := d.startLocked(); err != nil {
 		s.oracle.violation("soak: start %s: %v", d.name, err)
 	}
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -27,6 +28,8 @@
 	portReady     = 8220
 	portControl   = 8229
 	portDirectory = 8228
+	// portCaller is the port for callers whose links the network slows.
+	portCaller = 8226
 )
 
 const (
@@ -41,6 +44,8 @@
 	dir                  string
 	binary               string
 	oracle               *oracle
+	// retrySlack is the bound of that name, 0: the usual one.
+	retrySlack int
 
 	mu        sync.Mutex
 	cmd       *exec.Cmd
@@ -74,7 +79,7 @@
 		fmt.Fprintf(&b, "[listen]\nfront = %q\nready = %q\ndirectory = %q\n", d.address(portFront), d.address(portReady), d.address(portDirectory))
 	}
 	fmt.Fprintf(&b, "[faultTolerance]\nmachines = 1\n[bounds]\ndrainMs = %d\ngraceS = %g\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\n"+
-		"retrySlack = 130\nttl_max_s = 5\nconfigApplyMs = %d\n", drainTime.Milliseconds(), grace.Seconds(), configApply.Milliseconds())
+		"retrySlack = %d\nttl_max_s = 5\nconfigApplyMs = %d\n", drainTime.Milliseconds(), grace.Seconds(), cmp.Or(d.retrySlack, usualRetrySlack), configApply.Milliseconds())
 	return b.String()
 }
 
@@ -89,6 +94,11 @@
 func (d *daemon) start() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.startLocked()
+}
+
+// startLocked is start with the lock held.
+func (d *daemon) startLocked() error {
 	log, err := os.OpenFile(filepath.Join(d.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -117,10 +127,12 @@
 	return nil
 }
 
-// signal sends a signal to the daemon's own process.
-func (d *daemon) signal(s syscall.Signal) {
+// signal sends a signal to the daemon's own process. It returns a channel that is closed
+// when that process has ended.
+func (d *daemon) signal(s syscall.Signal) (ended <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.oracle.signaled(d.name, d.role, s, time.Now())
 	switch s {
 	case syscall.SIGKILL, syscall.SIGTERM:
 		d.expected = true
@@ -137,28 +149,29 @@
 	if d.cmd != nil {
 		_ = d.cmd.Process.Signal(s)
 	}
+	return d.done
 }
 
 // kill ends the process at once and waits for its end.
 func (d *daemon) kill() {
-	d.signal(syscall.SIGKILL)
-	<-d.ended()
+	<-d.signal(syscall.SIGKILL)
 }
 
 // terminate stops the process gracefully, and kills it at the end of its grace. Time for
-// which the process was stopped by another lane does not count.
+// which the process was stopped by another lane, or the soak did not run, does not count.
 func (d *daemon) terminate() {
 	began, before := time.Now(), d.pausedTime()
-	d.signal(syscall.SIGTERM)
+	// Once it has ended, another lane may start the daemon again at any time.
+	ended := d.signal(syscall.SIGTERM)
 	for {
-		left := grace + d.pausedTime() - before - time.Since(began)
+		left := grace + d.pausedTime() - before + d.oracle.stalledSince(began) - time.Since(began)
 		if left <= 0 {
 			d.oracle.violation("EXIT: %s still runs %s after SIGTERM", d.name, grace)
 			d.kill()
 			return
 		}
 		select {
-		case <-d.ended():
+		case <-ended:
 			return
 		case <-time.After(min(left, slowPeriod)):
 		}
@@ -201,6 +214,16 @@
 	d.signal(syscall.SIGHUP)
 }
 
+// accepts reports whether the entry accepts connections of callers.
+func (d *daemon) accepts() bool {
+	conn, err := net.DialTimeout("tcp", d.address(portFront), directoryWait)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // pause stops the process for a time.
 func (d *daemon) pause(ctx context.Context, length time.Duration) {
 	d.signal(syscall.SIGSTOP)
