--- a/internal/group/shared.go
+++ b/internal/group/shared.go
@@ -66,8 +66,9 @@
 }
 
 // finishTime is the age of the newest answer from which a replica that takes nothing new
-// counts as having ended its requests. Entries report every 0.4 s.
-const finishTime = 500 * time.Millisecond
+// counts as having ended its requests. Entries report every 0.4 s, and the events of a
+// sound stream come some tenths of a second apart.
+const finishTime = time.Second
 
 // isFinishing reports whether a replica that takes nothing new still runs requests, which a
 // release would cut off, and may go on with them.
--- a/internal/group/shared_test.go
+++ b/internal/group/shared_test.go
@@ -454,3 +454,23 @@
 		require.NotEmpty(t, member.group, "%s serves again", member.id)
 	}
 }
+
+// TestLeavingReplicaFinishesASlowStream guards against the release of a replica between two events
+// of a stream, of which an entry reports one each 400 ms.
+func TestLeavingReplicaFinishesASlowStream(t *testing.T) {
+	const answering = 6 * time.Second
+	w := newSharedFleet(t, nil)
+	sixFabrics(w)
+	w.run(4 * engineLoadTime)
+	leaving := w.memberOf("big", 1)
+	id, fencing := leaving.group, leaving.fencing
+	leaving.leaving = true
+	w.call(api.MethodDepart, api.DepartRequest{Host: leaving.id, Incarnation: leaving.incarnation})
+	held := time.Duration(0)
+	for ; leaving.group == id && held < answering; held += 400 * time.Millisecond {
+		age := (held % (300 * time.Millisecond)).Milliseconds()
+		w.traffic(api.GroupProgress{Group: id, Fencing: fencing, AnsweredMillis: age})
+		w.run(400 * time.Millisecond)
+	}
+	require.GreaterOrEqual(t, held, answering)
+}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -53,8 +53,11 @@
 		if err != nil {
 			return err
 		}
-		if c.adopted == nil || !c.adopted.headed {
+		switch {
+		case c.adopted == nil || !c.adopted.headed:
 			err = s.receive(c)
+		case !c.isStream():
+			err = s.readAnswer(c)
 		}
 		if err == nil {
 			s.instruments.recordAttempt("answered")
@@ -83,7 +86,7 @@
 		}
 		if err := s.recheckQuarantine(c); err != nil {
 			s.release(c)
-			if c.ran > 0 {
+			if c.lastFailure != nil && c.ran > c.ranElsewhere && !s.shutdown.cut.Load() {
 				c.denied = deniedQuarantine
 				return c.lastFailure
 			}
@@ -191,10 +194,15 @@
 // whole.
 func (s *Server) receive(c *call) error {
 	won, err := s.awaitHeader(c)
-	if won || err != nil {
+	switch {
+	case err != nil:
 		return err
+	case !won:
+		return s.inspect(c)
+	case !c.isStream():
+		return s.readAnswer(c)
 	}
-	return s.inspect(c)
+	return nil
 }
 
 // inspect records what the header of an answer tells, and accepts the answer or fails the
@@ -282,7 +290,7 @@
 		if !errors.Is(err, backend.ErrIdle) {
 			return false, s.exchangeError(c, err)
 		}
-		if s.challenge(c, time.Since(sent), nil) != nil {
+		if s.challenge(c, time.Since(sent), nil, takeoverInterval) != nil {
 			return true, nil
 		}
 	}
@@ -347,6 +355,11 @@
 		return &attemptError{ran: true, suspectFor: busySuspectDuration, cause: errUnverified}
 	case c.isStream() && status < fasthttp.StatusMultipleChoices:
 		return nil
+	case c.challenging && c.isStream():
+		return &attemptError{ran: true, cause: errors.Newf("the server answered %d", status)}
+	case c.challenging:
+		// Read once it is the current attempt: until then the other server may answer.
+		return nil
 	}
 	return s.readAnswer(c)
 }
@@ -450,6 +463,7 @@
 // checkRetry returns the error that ends the call, or nil if another attempt may follow.
 func (s *Server) checkRetry(c *call, failed *attemptError) error {
 	if c.ctx.Err() != nil {
+		s.dropChallenger(c)
 		return s.contextError(c, failed)
 	}
 	if c.challenger != nil {
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -98,8 +98,10 @@
 	sent     time.Time
 	exchange *backend.Exchange
 	answer   Answer
-	// stop ends the context of a challenger, nil for other attempts.
-	stop context.CancelFunc
+	// stop ends the context of a challenger, nil for other attempts. challenging is set until
+	// that has become the current attempt.
+	stop        context.CancelFunc
+	challenging bool
 }
 
 // wholeAnswer is an answer that was read completely.
--- a/internal/ingress/forward_test.go
+++ b/internal/ingress/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/placement"
 )
 
 // cutFirst returns a group whose first entry knows that it has lost its links.
@@ -405,3 +407,94 @@
 	defer forwards.mu.Unlock()
 	require.Zero(t, forwards.state(g.entries[1].server.cfg.Self.ID).avoidUntil)
 }
+
+// TestExitOfSecondEntryDeclinesResumedStream guards against a resumed stream that ends at an entry
+// which exits, in place of a third one.
+func TestExitOfSecondEntryDeclinesResumedStream(t *testing.T) {
+	begun := make(chan struct{}, 4)
+	scribe := newFakeServer(t, "s1", func(r *received) {
+		r.beginStream()
+		if len(r.header.Peek("Last-Event-Id")) == 0 {
+			r.events(3)
+			begun <- struct{}{}
+			<-r.gone
+			return
+		}
+		r.events(6)
+		r.endStream()
+	})
+	g := newEntryGroup(t, 3, oneOfEach(newFakeServer(t, "l1", serveDone), scribe))
+	g.entries[1].server.shutdown.cut.Store(true)
+	res := g.entries[0].send("POST", "/draft/1", "prompt")
+	<-begun
+	g.entries[0].server.links.service("scribe").forwards.prove("e2", time.Now().Add(time.Minute))
+	g.cut(t, 0)
+	body, whole := text(res)
+	require.NotContains(t, g.logs(), "panic", g.logs())
+	require.NotContains(t, g.logs(), "nil pointer", g.logs())
+	require.True(t, whole, g.logs())
+	require.Equal(t, wholeStream(6), body)
+}
+
+// TestRunsOfCutSecondEntryIncludeChallenger guards against a request that runs on more servers than
+// its route allows, as an entry that exits reports one run of two.
+func TestRunsOfCutSecondEntryIncludeChallenger(t *testing.T) {
+	got := make(chan struct{}, 8)
+	s := func(r *received) { got <- struct{}{}; <-r.gone }
+	a, b := newFakeServer(t, "a", s), newFakeServer(t, "b", s)
+	g := newEntryGroup(t, 3, func(h *harness, through func(*fakeServer) *fakeServer) {
+		h.ledger(through(newFakeServer(t, "l1", serveDone)))
+		h.scribe(through(a), through(b))
+	})
+	g.cut(t, 0)
+	g.entries[0].server.links.service("scribe").forwards.prove("e2", time.Now().Add(time.Minute))
+	done := make(chan int, 1)
+	go func() { done <- g.entries[0].send("POST", "/draft/1", "prompt").StatusCode }()
+	<-got
+	<-got
+	g.entries[1].server.Cut()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+	}
+	require.Equal(t, int64(2), a.arrived.Load()+b.arrived.Load(), g.logs())
+}
+
+// TestSecondEntryStartsNoRunAfterItsHead guards against a run of which the first entry never learns.
+func TestSecondEntryStartsNoRunAfterItsHead(t *testing.T) {
+	g := newEntryGroup(t, 2, func(h *harness, through func(*fakeServer) *fakeServer) {
+		h.ledger(through(newFakeServer(t, "l1", serveDone)))
+		h.scribe(through(newFakeServer(t, "a", func(r *received) {
+			r.beginStream()
+			time.Sleep(1500 * time.Millisecond)
+			r.chunk(event(1))
+			time.Sleep(600 * time.Millisecond)
+			for i := 2; i <= 6; i++ {
+				r.chunk(event(i))
+			}
+			r.endStream()
+		})), through(newFakeServer(t, "b-good", hang)))
+	})
+	pool := g.entries[1].server.state.pool("scribe/" + testModel)
+	var held []*placement.Placement
+	for range 100 {
+		ctx, stop := context.WithTimeout(t.Context(), 30*time.Millisecond)
+		pl, err := pool.Acquire(ctx, placement.Demand{Prompt: 10, Exclude: []string{"g-a"}, Deadline: time.Now().Add(time.Hour)})
+		stop()
+		if err != nil {
+			break
+		}
+		held = append(held, pl)
+	}
+	g.cut(t, 0)
+	go func() {
+		time.Sleep(1600 * time.Millisecond)
+		for _, pl := range held {
+			pool.Release(pl)
+		}
+	}()
+	body, whole := text(g.entries[0].send("POST", "/draft/1", "prompt", "Prompt", "10"))
+	require.True(t, whole, g.logs())
+	require.Equal(t, wholeStream(6), body)
+	require.NotRegexp(t, `Request placed" request=r\d+ target=g-b-good`, g.entries[1].logs.String())
+}
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -84,6 +84,9 @@
 		stop()
 	}
 	s.progress.describe(c)
+	if s.shutdown.cut.Load() {
+		return exitRefusal(c)
+	}
 	return nil
 }
 
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -127,14 +127,14 @@
 	case errors.Is(err, io.EOF):
 		return r.endOfStream()
 	case errors.Is(err, backend.ErrIdle):
-		return r.seekTakeover()
+		return r.seekTakeover(takeoverInterval)
 	}
 	return r.resume(r.exchangeError(c, err))
 }
 
 // seekTakeover lets another server take over the stream if the current one is silent.
-func (r *relay) seekTakeover() error {
-	ch := r.challenge(r.call, time.Since(r.idleSince), &r.events)
+func (r *relay) seekTakeover(wait time.Duration) error {
+	ch := r.challenge(r.call, time.Since(r.idleSince), &r.events, wait)
 	if ch == nil {
 		return nil
 	}
@@ -172,14 +172,10 @@
 		return r.resume(&attemptError{ran: true, suspectFor: suspectDuration, cause: err})
 	}
 	if r.events.received == received {
-		return r.seekTakeover()
+		return r.seekTakeover(minPoll)
 	}
 	r.idleSince = time.Time{}
 	r.recordEvents()
-	if c.status == 0 {
-		// The caller gets the head of the server that sent the first event.
-		return nil
-	}
 	if ch := r.currentGoesOn(c, &r.events); ch != nil {
 		r.logResumed()
 		return r.continueWith(ch)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -173,6 +173,7 @@
 // finish refuses a call for which no server's answer is forwarded.
 func (s *Server) finish(c *call, err error) {
 	c.cause = err
+	s.dropChallenger(c)
 	r := s.refusalOf(c, err)
 	if isCut(c) {
 		r = exitRefusal(c)
--- a/internal/ingress/shutdown.go
+++ b/internal/ingress/shutdown.go
@@ -73,7 +73,7 @@
 
 // exitRefusal returns the answer to a call that the exit of this process ends.
 func exitRefusal(c *call) *refusal {
-	if c.ran == 0 {
+	if c.ran == c.ranElsewhere {
 		return leavingRefusal()
 	}
 	return &refusal{status: fasthttp.StatusBadGateway, code: codeLeaving, message: "this entry shuts down"}
--- a/internal/ingress/takeover.go
+++ b/internal/ingress/takeover.go
@@ -9,7 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
-	"github.com/valyala/fasthttp"
 
 	"github.com/crocusway/crocusway/internal/backend"
 	"github.com/crocusway/crocusway/internal/placement"
@@ -27,8 +26,8 @@
 	takeoverInterval = pollInterval / 2
 	// minPoll is long enough to read what has arrived.
 	minPoll = time.Millisecond
-	// challengePause is the time to the next challenger after none could be sent: the queue,
-	// the retry budget or a quarantine did not let one through.
+	// challengePause is the time to the next challenger after one has failed, or none could be
+	// sent: the queue, the retry budget or a quarantine did not let one through.
 	challengePause = 500 * time.Millisecond
 )
 
@@ -101,15 +100,16 @@
 
 // challenge makes one step of a takeover while the current server has been silent for a
 // time. It returns the challenger once that has become the current attempt. events is the
-// state of the stream at the caller, nil before the header of its answer.
-func (s *Server) challenge(c *call, silent time.Duration, events *eventSplitter) *challenger {
+// state of the stream at the caller, nil before the header of its answer, and wait bounds the
+// wait for the challenger.
+func (s *Server) challenge(c *call, silent time.Duration, events *eventSplitter, wait time.Duration) *challenger {
 	if c.challenger == nil {
 		if s.isStalled(c, silent) && s.mayChallenge(c) {
 			s.beginChallenger(c, silent)
 		}
 		return nil
 	}
-	return s.advance(c, events, takeoverInterval)
+	return s.advance(c, events, wait)
 }
 
 // advance lets the challenger go on for a time, and returns it once it has become the current
@@ -130,15 +130,15 @@
 // currentGoesOn is called when an event of the current server has arrived. A challenger that no
 // server has yet is of no use any more; another one may still show that it is ahead.
 func (s *Server) currentGoesOn(c *call, events *eventSplitter) *challenger {
-	ch := c.challenger
-	if ch == nil {
-		return nil
-	}
-	if !ch.isSent() {
+	switch ch := c.challenger; {
+	case ch == nil:
+	case !ch.isSent():
 		s.dropChallenger(c)
-		return nil
+	case c.status != 0:
+		return s.advance(c, events, minPoll)
 	}
-	return s.advance(c, events, minPoll)
+	// Before its answer begins, the caller gets the head of the server of the first event.
+	return nil
 }
 
 // mayChallenge reports whether another attempt is allowed, except for the retry budget.
@@ -154,6 +154,7 @@
 	after := cmp.Or(c.lastEvent, c.head.LastEvent)
 	ch := &challenger{after: after, events: eventSplitter{last: after, numbered: true}}
 	ch.ctx, ch.stop = context.WithCancel(c.ctx)
+	ch.challenging = true
 	c.challenger = ch
 	s.logSilence(c, silent)
 	s.suspectSilent(c)
@@ -218,13 +219,14 @@
 	}
 	c.paid = true
 	var request backend.Forward
+	// The silent server counts for whoever takes the request.
+	silent := max(1, c.viaRuns)
 	err := c.on(&ch.attemptState, func() error {
 		if c.place != nil {
 			s.placed(c, c.place)
 		}
-		// The silent server counts as a run for whoever takes the request.
-		c.ran++
-		defer func() { c.ran-- }()
+		c.ran += silent
+		defer func() { c.ran -= silent }()
 		var err error
 		c.sent = time.Now()
 		request, err = s.request(c)
@@ -314,8 +316,8 @@
 	return begun, err
 }
 
-// awaitChallengerHeader waits for the header of a stream, or for a whole answer of another
-// kind. The challenger is the current attempt.
+// awaitChallengerHeader waits for the header of the answer. The challenger is the current
+// attempt.
 func (s *Server) awaitChallengerHeader(c *call, until time.Time) error {
 	err := c.exchange.AwaitHeader(until)
 	switch {
@@ -324,14 +326,7 @@
 	case err != nil:
 		return s.exchangeError(c, err)
 	}
-	if err := s.inspect(c); err != nil {
-		return err
-	}
-	if status := c.exchange.Header.StatusCode(); c.isStream() && status >= fasthttp.StatusMultipleChoices {
-		c.whole = nil
-		return &attemptError{ran: true, cause: errors.Newf("the server answered %d", status)}
-	}
-	return nil
+	return s.inspect(c)
 }
 
 // awaitChallengerEvent waits for the next event of the stream, or its end. The challenger
@@ -362,7 +357,7 @@
 	target := s.recordFailure(c, failed)
 	s.logFailure(c, failed, target, true)
 	s.instruments.recordTakeover("taken_over")
-	c.attemptState, c.paid = ch.attemptState, false
+	c.attemptState, c.paid, c.challenging = ch.attemptState, false, false
 	return ch
 }
 
@@ -373,6 +368,9 @@
 	failed := new(attemptError)
 	if errors.As(err, &failed) {
 		c.paid = failed.unsent || failed.declined
+		if !c.paid {
+			c.nextChallenge = time.Now().Add(challengePause)
+		}
 		var target placement.Target
 		_ = c.on(&ch.attemptState, func() error {
 			target = s.recordFailure(c, failed)
@@ -405,7 +403,7 @@
 		}
 		c.ran += runs
 	}
-	if !c.ended {
+	if c.exchange != nil && !c.ended {
 		s.instruments.recordTakeover("went_on")
 		level.Info(s.logger).Log("msg", "Silent server went on", "request", c.head.ID, "events", c.events,
 			"left_ms", c.remaining().Milliseconds())
@@ -452,6 +450,6 @@
 		return nil, err
 	}
 	c.challenger = nil
-	c.attemptState, c.paid = ch.attemptState, false
+	c.attemptState, c.paid, c.challenging = ch.attemptState, false, false
 	return ch, nil
 }
--- a/internal/ingress/takeover_test.go
+++ b/internal/ingress/takeover_test.go
@@ -325,10 +325,16 @@
 	})
 	// One retry is allowed: the budget is not used to its last part.
 	h.server.cfg.Settings.RetryRatio, h.server.cfg.Settings.RetryAllowance = 0, 1.5
+	// The caller waits for events as long as the request lasts.
+	p := publication()
+	for i := range p.Routes {
+		p.Routes[i].GapObjectiveMillis = int64(p.Routes[i].TimeoutMillis)
+	}
+	h.view.Publication = packed(t, p)
 	good := newFakeServer(t, "b-good", serveEvents(6))
 	h.scribe(newFakeServer(t, "a-silent", pauses(waitFor)), gone, good)
 	pool := h.server.state.pool("scribe/" + testModel)
-	for id, prompt := range map[string]int{"g-b-gone": 10_000, "g-b-good": 20_000} {
+	for id, prompt := range map[string]int{"g-b-gone": 2_000, "g-b-good": 4_000} {
 		pl := placeOn(t, pool, id, prompt)
 		t.Cleanup(func() { pool.Release(pl) })
 	}
@@ -370,3 +376,41 @@
 	require.Equal(t, "done", body)
 	require.Contains(t, h.logs.String(), "Links to all servers lost")
 }
+
+// TestErrorOfChallengerIsNoAnswer guards against a caller that gets the error of another server
+// while its own goes on.
+func TestErrorOfChallengerIsNoAnswer(t *testing.T) {
+	for name, first := range map[string]func(*received){
+		"after header":  func(r *received) { r.beginStream(); time.Sleep(silence); r.events(6); r.endStream() },
+		"before header": func(r *received) { time.Sleep(silence); r.beginStream(); r.events(6); r.endStream() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.scribe(newFakeServer(t, "a-pausing", first),
+				newFakeServer(t, "b-good", func(r *received) { r.status(500, "Seal: x\r\n") }))
+			h.loadGoodReplica()
+			res := h.send("POST", "/draft/1", "prompt", "Prompt", "10")
+			body, whole := text(res)
+			require.True(t, whole, h.logs.String())
+			require.Equal(t, 200, res.StatusCode, h.logs.String())
+			require.Equal(t, wholeStream(6), body)
+		})
+	}
+}
+
+// TestSlowErrorOfChallengerDoesNotHoldStream guards against a stream that waits for the body of
+// another server's error.
+func TestSlowErrorOfChallengerDoesNotHoldStream(t *testing.T) {
+	h := newHarness(t)
+	h.scribe(newFakeServer(t, "a-pausing", pauses(silence)),
+		newFakeServer(t, "b-good", func(r *received) {
+			r.write("HTTP/1.1 500 X\r\nId: %s\r\nSeal: x\r\nContent-Length: 100\r\n\r\npart", r.header.Peek("Id"))
+			<-r.gone
+		}))
+	h.loadGoodReplica()
+	began := time.Now()
+	body, whole := text(h.send("POST", "/draft/1", "prompt", "Prompt", "10"))
+	require.True(t, whole, h.logs.String())
+	require.Equal(t, wholeStream(6), body)
+	require.Less(t, time.Since(began), 2*silence)
+}
