group: no replica loads again while its silent hosts are being heard again

What callers would see: a minute or more without replicas after a leader, or its successor, had heard no host for longer than the grace of a silent member.

Cause: hosts announce themselves one by one. If a spare is heard before the last members of a broken replica, it takes the place of one whose grace is over; the whole replica loads, though its members follow within a second, and the one that was replaced does the same to the next replica.

A member that is alone in being silent is replaced as before.

Evidence: TestReplicasReturnWhenNoHostWasHeard pauses eight members and a spare for a minute and resumes them 200 ms apart.

--- a/internal/group/index.go
+++ b/internal/group/index.go
@@ -20,6 +20,8 @@
 	reserve int
 	// silent is the number of hosts without a recent announcement.
 	silent int
+	// returnedAt is when one of the hosts was last heard again after it had gone silent.
+	returnedAt time.Time
 	// service is the engine service of the hosts, empty if they serve any model.
 	service string
 }
@@ -252,6 +254,9 @@
 		}
 		f := x.fabric(a.Fabric, a.Domain)
 		f.service = a.Service
+		if h.returnedAt.After(f.returnedAt) {
+			f.returnedAt = h.returnedAt
+		}
 		switch {
 		case a.Domain != f.domain:
 		case !h.stale && !isAlive(h.status, x.policy):
--- a/internal/group/loss_test.go
+++ b/internal/group/loss_test.go
@@ -1,12 +1,15 @@
 package group_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/bench"
 )
 
 func TestFormsWholeGroupThroughColdStart(t *testing.T) {
@@ -175,3 +178,41 @@
 	r.step(2 * time.Minute)
 	require.Equal(t, 3, r.ready(), "12 hosts are left")
 }
+
+// TestReplicasReturnWhenNoHostWasHeard guards against replicas that load again after no
+// announcement had reached control, or a new leader, for a minute: the hosts are heard again one
+// by one, a spare before the members or after them.
+func TestReplicasReturnWhenNoHostWasHeard(t *testing.T) {
+	for _, elected := range []bool{false, true} {
+		for _, spareFirst := range []bool{false, true} {
+			t.Run(fmt.Sprintf("elected=%t,spare_first=%t", elected, spareFirst), func(t *testing.T) {
+				r := newRig(t, testPolicy(), scribe(2, 4))
+				r.add("f1", "d1", 9, true)
+				r.step(30 * time.Second)
+				require.Equal(t, 2, r.ready())
+				before := r.model.Loads
+				hosts := make([]*bench.FleetHost, 0, 9)
+				for i := range 9 {
+					hosts = append(hosts, r.host(fmt.Sprintf("f1-%02d", i)))
+					r.model.Pause(hosts[i])
+				}
+				r.step(time.Second)
+				if elected {
+					r.rec = r.leader(testPolicy(), nil)
+				}
+				r.step(time.Minute)
+				require.Zero(t, r.ready())
+				if spareFirst {
+					slices.Reverse(hosts)
+				}
+				for _, h := range hosts {
+					r.resume(h)
+					r.step(tick)
+				}
+				r.step(5 * time.Second)
+				require.Equal(t, 2, r.ready())
+				require.Equal(t, before, r.model.Loads)
+			})
+		}
+	}
+}
--- a/internal/group/memory.go
+++ b/internal/group/memory.go
@@ -39,7 +39,10 @@
 	alive     bool
 	deadSince time.Time
 	// aliveSince is when the host last became alive or restarted.
-	aliveSince   time.Time
+	aliveSince time.Time
+	// returnedAt is when the host was last heard again in the incarnation that had gone silent,
+	// for the first maxSilentFailures times.
+	returnedAt   time.Time
 	leavingSince time.Time
 	// freeSince is when a view first showed the host without an assignment.
 	freeSince   time.Time
@@ -215,6 +218,9 @@
 	if !alive && (h.alive || h.deadSince.IsZero()) {
 		h.deadSince = now
 	}
+	if alive && !restarted && !h.deadSince.IsZero() && h.failures < maxSilentFailures {
+		h.returnedAt = now
+	}
 	if alive {
 		h.deadSince = time.Time{}
 	}
--- a/internal/group/repair.go
+++ b/internal/group/repair.go
@@ -140,7 +140,7 @@
 		if h.failures >= maxSilentFailures {
 			return needReplacement
 		}
-		if pl.now.Sub(pl.lostSince(r, h)) < pl.grace(r) {
+		if pl.now.Sub(pl.lostSince(r, h)) < pl.grace(r) || pl.areHostsReturning(r) {
 			return needWait
 		}
 		return needReplacement
@@ -155,6 +155,13 @@
 	return needNothing
 }
 
+// areHostsReturning reports whether silent hosts of the group's fabric domain are being heard
+// again. Hosts announce themselves one by one, and a spare may be the first of them.
+func (pl *planner) areHostsReturning(r *replica) bool {
+	f := pl.byFabric[r.Fabric]
+	return f != nil && !f.returnedAt.IsZero() && pl.now.Sub(f.returnedAt) < pl.policy.SettleTime
+}
+
 func (pl *planner) behindNeed(h *host) need {
 	switch {
 	case pl.usable(h):
