--- a/internal/ingress/takeover_test.go
+++ b/internal/ingress/takeover_test.go
@@ -328,7 +328,7 @@
 	// The caller waits for events as long as the request lasts.
 	p := publication()
 	for i := range p.Routes {
-		p.Routes[i].GapObjectiveMillis = int64(p.Routes[i].TimeoutMillis)
+		p.Routes[i].GapObjectiveMillis = p.Routes[i].TimeoutMillis
 	}
 	h.view.Publication = packed(t, p)
 	good := newFakeServer(t, "b-good", serveEvents(6))
