--- a/internal/backend/forward.go
+++ b/internal/backend/forward.go
@@ -351,11 +351,11 @@
 }
 
 const (
-	// lateWait is how late the end of a wait may be noticed. Later, this process was stopped
-	// or had no processor.
+	// lateWait is how late the end of a wait may be noticed: far beyond what timers and the
+	// scheduler cost. Later, this process was stopped or had no processor.
 	lateWait = 50 * time.Millisecond
-	// secondWait follows a wait that ended late. It leaves the other exchanges the time to
-	// read what has arrived for them.
+	// secondWait follows a wait that ended late. It leaves the other exchanges of a busy
+	// process the time to read what has arrived for them, and is short for a caller.
 	secondWait = 100 * time.Millisecond
 )
 
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -49,10 +49,10 @@
 	// adopted is the challenger that the current attempt began as, if its former server has
 	// failed.
 	adopted *challenger
-	// nextChallenge is the earliest time of the next challenger; paid is set if that has
-	// its part of the retry budget, as the last one reached no server.
+	// nextChallenge is the earliest time of the next challenger; budgetTaken is set if that
+	// has its part of the retry budget, as the last one reached no server.
 	nextChallenge time.Time
-	paid          bool
+	budgetTaken   bool
 	// attempts counts the requests sent, ran those that a server may have run.
 	attempts int
 	ran      int
--- a/internal/ingress/shutdown.go
+++ b/internal/ingress/shutdown.go
@@ -11,8 +11,9 @@
 	"github.com/valyala/fasthttp"
 )
 
-// shutdown is the end of a graceful shutdown, nil before it begins.
+// shutdown is the state of a graceful shutdown.
 type shutdown struct {
+	// exit is when the process exits, nil before the shutdown begins.
 	exit atomic.Pointer[time.Time]
 	// cut is set once the requests in progress are ended: nothing is sent to a server then.
 	cut atomic.Bool
@@ -42,9 +43,8 @@
 }
 
 // Drain waits until the answers of all requests have been written or ctx ends; a request
-// counts from its first byte. From then on
-// every request is refused: nothing waits for its end. Call it again before the exit, to let
-// the last refusals be written.
+// counts from its first byte. From then on every request is refused, as nothing waits for its
+// end. Call it again before the exit, to let the last refusals be written.
 func (s *Server) Drain(ctx context.Context) { s.progress.drain(ctx) }
 
 // maxCutLogged bounds the lines that Cut writes.
--- a/internal/ingress/takeover.go
+++ b/internal/ingress/takeover.go
@@ -27,7 +27,8 @@
 	// minPoll is long enough to read what has arrived.
 	minPoll = time.Millisecond
 	// challengePause is the time to the next challenger after one has failed, or none could be
-	// sent: the queue, the retry budget or a quarantine did not let one through.
+	// sent: the queue, the retry budget or a quarantine did not let one through. It leaves some
+	// tries before a caller gives up, and most of the retry budget to others.
 	challengePause = 500 * time.Millisecond
 )
 
@@ -91,8 +92,8 @@
 	}
 }
 
-// on runs do with another attempt in place of the current one.
-func (c *call) on(a *attemptState, do func() error) error {
+// withAttempt runs do with another attempt in place of the current one.
+func (c *call) withAttempt(a *attemptState, do func() error) error {
 	c.attemptState, *a = *a, c.attemptState
 	defer func() { c.attemptState, *a = *a, c.attemptState }()
 	return do()
@@ -159,7 +160,7 @@
 	s.logSilence(c, silent)
 	s.suspectSilent(c)
 	if s.linksLost(c) {
-		err := c.on(&ch.attemptState, func() error { return s.acquireEntry(c) })
+		err := c.withAttempt(&ch.attemptState, func() error { return s.acquireEntry(c) })
 		if err == nil {
 			err = s.sendChallenger(c)
 		}
@@ -214,14 +215,14 @@
 	if err := s.recheckQuarantineNow(c); err != nil {
 		return err
 	}
-	if !c.paid && !s.takeBudget(c) {
+	if !c.budgetTaken && !s.takeBudget(c) {
 		return errNoBudget
 	}
-	c.paid = true
+	c.budgetTaken = true
 	var request backend.Forward
 	// The silent server counts for whoever takes the request.
 	silent := max(1, c.viaRuns)
-	err := c.on(&ch.attemptState, func() error {
+	err := c.withAttempt(&ch.attemptState, func() error {
 		if c.place != nil {
 			s.placed(c, c.place)
 		}
@@ -280,7 +281,7 @@
 			return false, nil
 		}
 		ch.opened = nil
-		if err := c.on(&ch.attemptState, func() error { return s.opened(c, r.exchange, r.err) }); err != nil {
+		if err := c.withAttempt(&ch.attemptState, func() error { return s.opened(c, r.exchange, r.err) }); err != nil {
 			return false, err
 		}
 	}
@@ -295,7 +296,7 @@
 		return false, err
 	}
 	ch := c.challenger
-	err = c.on(&ch.attemptState, func() error {
+	err = c.withAttempt(&ch.attemptState, func() error {
 		if !ch.headed {
 			if err := s.awaitChallengerHeader(c, until); err != nil {
 				return err
@@ -357,7 +358,7 @@
 	target := s.recordFailure(c, failed)
 	s.logFailure(c, failed, target, true)
 	s.instruments.recordTakeover("taken_over")
-	c.attemptState, c.paid, c.challenging = ch.attemptState, false, false
+	c.attemptState, c.budgetTaken, c.challenging = ch.attemptState, false, false
 	return ch
 }
 
@@ -367,12 +368,12 @@
 	c.challenger = nil
 	failed := new(attemptError)
 	if errors.As(err, &failed) {
-		c.paid = failed.unsent || failed.declined
-		if !c.paid {
+		c.budgetTaken = failed.unsent || failed.declined
+		if !c.budgetTaken {
 			c.nextChallenge = time.Now().Add(challengePause)
 		}
 		var target placement.Target
-		_ = c.on(&ch.attemptState, func() error {
+		_ = c.withAttempt(&ch.attemptState, func() error {
 			target = s.recordFailure(c, failed)
 			return nil
 		})
@@ -395,7 +396,7 @@
 	}
 	c.challenger = nil
 	if s.closeAttempt(c, ch) {
-		c.paid = false
+		c.budgetTaken = false
 		// The entry that it was forwarded to may have used all attempts.
 		runs := 1
 		if ch.via != nil {
@@ -424,7 +425,7 @@
 		mayHaveRun = r.err != nil && !errors.Is(r.err, backend.ErrNotSent)
 	}
 	mayHaveRun = mayHaveRun || ch.exchange != nil
-	_ = c.on(&ch.attemptState, func() error {
+	_ = c.withAttempt(&ch.attemptState, func() error {
 		s.release(c)
 		return nil
 	})
@@ -450,6 +451,6 @@
 		return nil, err
 	}
 	c.challenger = nil
-	c.attemptState, c.paid, c.challenging = ch.attemptState, false, false
+	c.attemptState, c.budgetTaken, c.challenging = ch.attemptState, false, false
 	return ch, nil
 }
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -37,7 +37,7 @@
 	now := p.now()
 	s := p.currentState(pl)
 	if s == nil && named {
-		s = p.laterLife(pl, now)
+		s = p.laterIncarnation(pl, now)
 	}
 	if s == nil {
 		return false
@@ -51,14 +51,14 @@
 	return named != wasNamed || named && old.rate != s.limit.rate
 }
 
-// laterLife returns the state of the incarnation that the view names since a request was placed
+// laterIncarnation returns the state of the incarnation that the view names since a request was placed
 // on a target, if the answer may be from that one. The lock is held.
-func (p *Pool) laterLife(pl *Placement, now time.Time) *targetState {
+func (p *Pool) laterIncarnation(pl *Placement, now time.Time) *targetState {
 	s := p.targets[pl.Target.ID]
 	if s == nil || s.Instance != pl.Target.Instance {
 		return nil
 	}
-	from := teller{incarnation: pl.Target.Incarnation, connected: pl.at}
+	from := answerOrigin{incarnation: pl.Target.Incarnation, connected: pl.at}
 	if !from.covers(s.Incarnation, now) {
 		return nil
 	}
@@ -69,7 +69,7 @@
 // incarnation or generation, and the placements that count for it. The lock is held.
 func (p *Pool) keptLimit(t *Target, now time.Time) (limit, []time.Time) {
 	for _, s := range p.targets {
-		from := teller{incarnation: s.Incarnation, connected: s.limit.at}
+		from := answerOrigin{incarnation: s.Incarnation, connected: s.limit.at}
 		if s.Instance == t.Instance && s.limit.isCurrent(now) && from.covers(t.Incarnation, now) {
 			return s.limit, slices.Clone(s.placements)
 		}
--- a/internal/placement/notice.go
+++ b/internal/placement/notice.go
@@ -25,8 +25,8 @@
 
 // notice is what a server has told; its parts may be of two incarnations.
 type notice struct {
-	leaving teller
-	pausing teller
+	leaving answerOrigin
+	pausing answerOrigin
 	// pausedUntil is the end of the last pause.
 	pausedUntil time.Time
 	// at is the time of the last change.
--- a/internal/placement/teller.go
+++ b/internal/placement/origin.go
@@ -15,10 +15,10 @@
 	doubtLifetime = 30 * time.Second
 )
 
-// teller describes the incarnation of a server that sent an answer. The view may have named
+// answerOrigin describes the incarnation of a server that sent an answer. The view may have named
 // one of its predecessors, and an answer does not name its own: it is the named incarnation
 // or a later one that started before the connection.
-type teller struct {
+type answerOrigin struct {
 	incarnation api.Incarnation
 	// connected is zero if no answer has come.
 	connected time.Time
@@ -26,7 +26,7 @@
 
 // covers reports whether an answer counts for an incarnation: it is not known to have started
 // after the answer. A view that is merely late thus ends no notice.
-func (t *teller) covers(incarnation api.Incarnation, now time.Time) bool {
+func (t *answerOrigin) covers(incarnation api.Incarnation, now time.Time) bool {
 	if t.connected.IsZero() {
 		return false
 	}
@@ -42,8 +42,8 @@
 }
 
 // add merges the sender of another answer. It returns false if that is only a predecessor.
-func (t *teller) add(from Source, now time.Time) bool {
-	other := teller{incarnation: from.Incarnation, connected: from.Connected}
+func (t *answerOrigin) add(from Source, now time.Time) bool {
+	other := answerOrigin{incarnation: from.Incarnation, connected: from.Connected}
 	switch {
 	case !t.covers(from.Incarnation, now):
 		*t = other
