--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,7 @@
 // scenarios are the cases by name. Each is played with or without its disruption.
 var scenarios = map[string]func(rec *record, trouble bool) error{
 	"late-join": lateJoin,
+	"silence":   silence,
 }
 
 func main() {
