--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -105,6 +105,8 @@
 	epoch    uint64
 	group    *membership
 	staged   string
+	// stagedAt is when the load of a stage order ends.
+	stagedAt time.Time
 	// lastModel is the model of the last group since the start.
 	lastModel string
 	loading   *time.Timer
@@ -114,6 +116,8 @@
 	// nextBeat is when the next periodic heartbeat is due.
 	handler func(w http.ResponseWriter, r *http.Request) bool
 	dead    bool
+	// mute delays the heartbeats until then, silentUntil all that the server does.
+	mute, silentUntil time.Time
 }
 
 func newFleet(s *system) *fleet {
@@ -181,6 +185,12 @@
 		case <-timer.C:
 		}
 		timer.Reset(heartbeatInterval)
+		s.mu.Lock()
+		delay := max(time.Until(s.mute), time.Until(s.silentUntil))
+		s.mu.Unlock()
+		if delay > 0 {
+			time.Sleep(delay)
+		}
 		raw := s.heartbeat()
 		if raw == nil {
 			continue
@@ -234,7 +244,11 @@
 	cut := s.cut && r.URL.Path == "/order"
 	h := s.handler
 	dead := s.dead
+	silent := time.Until(s.silentUntil)
 	s.mu.Unlock()
+	if silent > 0 {
+		time.Sleep(silent)
+	}
 	switch {
 	case cut || dead:
 		// The caller gets no answer until it gives up.
@@ -308,6 +322,7 @@
 		if s.staged == o.Model {
 			return http.StatusOK
 		}
+		s.stagedAt = time.Now().Add(s.loadLength())
 		s.later(s.loadLength(), func() { s.staged = o.Model })
 		return http.StatusAccepted
 	case "join":
@@ -436,6 +451,20 @@
 	}
 }
 
+// await waits until a condition on the servers holds.
+func (f *fleet) await(limit time.Duration, what string, done func() bool) error {
+	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		f.mu.Lock()
+		ok := done()
+		f.mu.Unlock()
+		if ok {
+			f.sys.rec.log("there is %s", what)
+			return nil
+		}
+	}
+	return fmt.Errorf("there is no %s within %s", what, limit)
+}
+
 // watch settles the heads often, so that a loss is noticed when it happens.
 func (f *fleet) watch() {
 	for {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,6 +18,7 @@
 
 // scenarios are the cases by name. Each is played with or without its disruption.
 var scenarios = map[string]func(rec *record, trouble bool) error{
+	"late-beat": lateBeat,
 	"late-join": lateJoin,
 	"silence":   silence,
 }
--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -294,3 +294,24 @@
 	answer, err = io.ReadAll(io.LimitReader(response.Body, 1<<20))
 	return response.StatusCode, answer, err
 }
+
+// leader returns the control daemon whose log says that it leads.
+func (s *system) leader() (*daemon, error) {
+	var newest *daemon
+	var at string
+	for _, c := range s.controls {
+		raw, err := os.ReadFile(filepath.Join(c.dir, "log"))
+		if err != nil {
+			return nil, err
+		}
+		for line := range strings.Lines(string(raw)) {
+			if strings.Contains(line, `msg="Role changed."`) && strings.Contains(line, "role=leader") && line[:30] > at {
+				newest, at = c, line[:30]
+			}
+		}
+	}
+	if newest == nil {
+		return nil, fmt.Errorf("no control daemon leads")
+	}
+	return newest, nil
+}
