backend: an answer with an invalid status is refused

Callers got an answer whose status was 000 as an answer: as a 200 with the broken server's body. A status over 599 reached them as it was, 001 to 099 as a status line with fewer digits.

Cause: the HTTP library takes any three digits for a status and reports a status of 0 as 200, and the exchange asked nobody else. Late and interim answers are read by the same code.

Evidence: before, TestForwardRefusesInvalidStatus fails in each of its statuses, also as that of a late answer and behind an interim one; TestBrokenAnswersReachNoCaller in all 16 cases but /read/1 with 600 and 999, which counted as 5xx; TestBrokenResponseAcceptsNoOrder with 000, which accepted an order.

The status line is checked before the library reads it and anything of the answer is used: HTTP/1 and a status of 100 to 599 (RFC 9110, section 15; RFC 9112, section 4). All users of the exchange share the check. The attempt fails as one that may have run: 502, or the answer of another server where a repeat is allowed. The connection is closed.

TestForwardAcceptsEveryValidStatus passed before and after.

--- a/internal/backend/forward.go
+++ b/internal/backend/forward.go
@@ -226,6 +226,11 @@
 			if err := e.countSkipped(end); err != nil {
 				return err
 			}
+			// The library takes any three digits, and reports a status of 0 as 200.
+			line, _, _ := bytes.Cut(buffered, []byte{'\n'})
+			if err := checkStatusLine(bytes.TrimSuffix(line, []byte{'\r'})); err != nil {
+				return e.fail("read header", err)
+			}
 			break
 		}
 		if len(buffered) >= maxHeaderBytes {
