backend: an answer that ends with a reset is not whole

A replica answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as the whole answer; a stream that ended so was passed on as ended.

Cause: the kernel reports a reset once. When the goroutine that writes the request got it, the read ended with EOF, as after a close, and a body without a length or chunks ends there. With a length or chunks the end was missing, and the answer was refused.

At the end of such a body the exchange ends a write that still runs, waits for it and looks at its error. The deadline for writes is set to now for that, so that the wait is short whatever the server does: an ended answer has no use for the rest of the request, and its connection is closed in any case. A write that met an error of the connection has kept it from the read, and the answer is broken. Without such an error, or with EPIPE, the server has closed its direction first: the kernel reports a reset after that as EPIPE.

--- a/internal/backend/forward.go
+++ b/internal/backend/forward.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"io"
+	"os"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -88,10 +90,11 @@
 	skipping         bool
 	skipped          int
 	skippedResponses int
-	// writeResult receives the result of a concurrent write; nil if the request was
-	// written inline.
-	writeResult chan error
-	failed      bool
+	// written is closed once a concurrent write has ended with writeErr; nil if the request
+	// was written inline.
+	written  chan struct{}
+	writeErr error
+	failed   bool
 }
 
 // maxInlineWrite is the largest request, in bytes, that is written before the
@@ -152,10 +155,10 @@
 		_, err := e.conn.Write(message)
 		return err
 	}
-	e.writeResult = make(chan error, 1)
+	e.written = make(chan struct{})
 	go func() {
-		_, err := e.conn.Write(message)
-		e.writeResult <- err
+		defer close(e.written)
+		_, e.writeErr = e.conn.Write(message)
 	}()
 	return nil
 }
@@ -352,9 +355,28 @@
 	if end := e.body.errorAtEOF(); end != nil {
 		return e.fail("read body", end)
 	}
+	if err := e.endWrite(); err != nil {
+		return e.fail("read body", errors.Wrap(err, "the connection broke while the request was written"))
+	}
 	return io.EOF
 }
 
+// endWrite ends a concurrent write and returns the error of the connection that it has met. The
+// kernel reports a reset once: if the write gets it, the read ends as after a close. A reset that
+// follows a close is EPIPE to the write.
+func (e *Exchange) endWrite() error {
+	if e.written == nil {
+		return nil
+	}
+	// The response has ended, so that the rest of the request is of no use.
+	_ = e.conn.SetWriteDeadline(time.Now())
+	<-e.written
+	if errors.Is(e.writeErr, syscall.EPIPE) || errors.Is(e.writeErr, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return e.writeErr
+}
+
 const (
 	// lateWait is how late the end of a wait may be noticed: far beyond what timers and the
 	// scheduler cost. Later, this process was stopped or had no processor.
@@ -434,12 +456,12 @@
 
 // isWritten reports whether the whole request was written.
 func (e *Exchange) isWritten() bool {
-	if e.writeResult == nil {
+	if e.written == nil {
 		return true
 	}
 	select {
-	case err := <-e.writeResult:
-		return err == nil
+	case <-e.written:
+		return e.writeErr == nil
 	default:
 		return false
 	}
--- a/internal/ingress/broken_test.go
+++ b/internal/ingress/broken_test.go
@@ -1,11 +1,19 @@
 package ingress
 
 import (
+	"context"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/backend"
+	"github.com/crocusway/crocusway/internal/testkit"
 )
 
 // brokenHeads are heads of answers that violate HTTP/1.1, each with "{id}" for the ID of the
@@ -62,3 +70,76 @@
 		}
 	}
 }
+
+// TestPartOfAnswerReachesNoCallerAsWhole guards against an answer without a length that its server
+// breaks off with a reset while the request is still being written.
+func TestPartOfAnswerReachesNoCallerAsWhole(t *testing.T) {
+	const uploadSize = 16 << 20
+	for _, c := range []struct {
+		path, head string
+		// status is that of a part of an answer: a stream has begun when it is broken off.
+		status int
+	}{
+		{"/post/1", "HTTP/1.1 200 OK\r\nSeal: s\r\n\r\n", http.StatusBadGateway},
+		{"/once/1", "HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n", http.StatusOK},
+	} {
+		for name, ended := range map[string]bool{"reset": false, "ended and then reset": true} {
+			t.Run(name+c.path, func(t *testing.T) {
+				for _, dial := range []dialFunc{nil, testkit.DialWriteFirst} {
+					h := newEntry(t, api.EntryInfo{ID: "e1", Incarnation: 1, Domain: "cairo"}, backend.Config{Dial: dial})
+					h.server.cfg.Settings.MaxBodyBytes = 2 * uploadSize
+					h.listen(func(ln net.Listener) net.Listener { return ln })
+					server := newRawServer(t, func(conn *net.TCPConn) {
+						_, _ = io.WriteString(conn, c.head+event(1))
+						if ended {
+							_ = conn.CloseWrite()
+						}
+						_ = conn.SetLinger(0)
+					})
+					h.ledger(server)
+					h.scribe(server)
+					res := h.send("POST", c.path, strings.Repeat("b", uploadSize), "Prompt", "10")
+					body, whole := text(res)
+					if ended {
+						require.True(t, whole, h.logs.String())
+						require.Equal(t, http.StatusOK, res.StatusCode)
+						require.Equal(t, event(1), body)
+						continue
+					}
+					require.Equal(t, c.status, res.StatusCode, h.logs.String())
+					require.Equal(t, c.status == http.StatusBadGateway, whole, "a stream was passed on as whole: %q", body)
+				}
+			})
+		}
+	}
+}
+
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// newRawServer returns a backend server that answers each connection after the first bytes of its
+// request, and then closes it.
+func newRawServer(t *testing.T, answer func(c *net.TCPConn)) *fakeServer {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				defer func() { _ = c.Close() }()
+				if _, err := c.Read(make([]byte, 64)); err == nil {
+					answer(c.(*net.TCPConn))
+				}
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = ln.Close()
+		wg.Wait()
+	})
+	return &fakeServer{name: "raw", ln: ln}
+}
