backend: an answer with control bytes in its reason phrase is refused

Beside the invalid field names: an answer whose status line had control bytes in the reason counted as an answer. The reason itself goes to no caller, but the replica sent no status line.

Evidence: before, TestForwardRefusesControlBytesInReason fails in its five cases, TestBrokenAnswersReachNoCaller in its four. The check of the status line looks at the reason too (RFC 9112, section 4).

--- a/internal/backend/broken_test.go
+++ b/internal/backend/broken_test.go
@@ -124,6 +124,14 @@
 	}
 }
 
+func TestForwardRefusesControlBytesInReason(t *testing.T) {
+	for _, reason := range []string{"O\x00K", "O\rK", "\x1b[2J", "OK\x7f", "OK\r"} {
+		t.Run(reason, func(t *testing.T) {
+			requireRefused(t, "HTTP/1.1 200 "+reason+"\r\nX-Request: r\r\nContent-Length: 2\r\n\r\nok")
+		})
+	}
+}
+
 func TestForwardAcceptsSoundHeaders(t *testing.T) {
 	const tchars = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
 	var names strings.Builder
--- a/internal/backend/header.go
+++ b/internal/backend/header.go
@@ -67,6 +67,9 @@
 	if class := line[9]; class < minStatusClass || class > maxStatusClass {
 		return errors.Wrapf(ErrMalformed, "status %s is not between 100 and 599", line[9:statusLinePrefix])
 	}
+	if !httpguts.ValidHeaderFieldValue(string(line[statusLinePrefix:])) {
+		return errors.Wrapf(ErrMalformed, "reason of the status line %q", line)
+	}
 	return nil
 }
 
--- a/internal/ingress/broken_test.go
+++ b/internal/ingress/broken_test.go
@@ -16,25 +16,30 @@
 	"github.com/crocusway/crocusway/internal/testkit"
 )
 
-// brokenHeads are heads of answers that violate HTTP/1.1, each with "{id}" for the ID of the
-// request. A body of two bytes follows.
-var brokenHeads = map[string]string{
-	"status 000": "HTTP/1.1 000 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\n",
-	"status 099": "HTTP/1.1 099 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\n",
-	"status 600": "HTTP/1.1 600 X\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\n",
-	"status 999": "HTTP/1.1 999 X\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\n",
+// brokenAnswers violate HTTP/1.1. They have "{id}" for the ID of the request.
+var brokenAnswers = map[string]string{
+	"status 000": brokenAnswer("000 OK", "Content-Length: 2\r\n\r\nok"),
+	"status 099": brokenAnswer("099 OK", "Content-Length: 2\r\n\r\nok"),
+	"status 600": brokenAnswer("600 X", "Content-Length: 2\r\n\r\nok"),
+	"status 999": brokenAnswer("999 X", "Content-Length: 2\r\n\r\nok"),
 
-	"blank in a name":         "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nX Bad: 1\r\nContent-Length: 2\r\n\r\n",
-	"control byte in a name":  "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nX\x01Bad: 1\r\nContent-Length: 2\r\n\r\n",
-	"LF before a name":        "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\nX-Bad: 1\r\n\r\n",
-	"blank after the length":  "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length : 1\r\n\r\n",
-	"blank before the length": "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\n Content-Length: 2\r\n\r\n",
+	"blank in a name":         brokenAnswer("200 OK", "X Bad: 1\r\nContent-Length: 2\r\n\r\nok"),
+	"control byte in a name":  brokenAnswer("200 OK", "X\x01Bad: 1\r\nContent-Length: 2\r\n\r\nok"),
+	"LF before a name":        brokenAnswer("200 OK", "Content-Length: 2\r\n\nX-Bad: 1\r\n\r\nok"),
+	"blank after the length":  brokenAnswer("200 OK", "Content-Length : 1\r\n\r\nok"),
+	"blank before the length": brokenAnswer("200 OK", "X: 1\r\n Content-Length: 2\r\n\r\nok"),
+
+	"control byte in the reason": brokenAnswer("200 O\x01K", "Content-Length: 2\r\n\r\nok"),
+}
+
+func brokenAnswer(status, rest string) string {
+	return "HTTP/1.1 " + status + "\r\nId: {id}\r\nSeal: s\r\n" + rest
 }
 
 // TestBrokenAnswersReachNoCaller expects the answer of another server where the request may run
 // again, else 502: it may have run.
 func TestBrokenAnswersReachNoCaller(t *testing.T) {
-	for name, head := range brokenHeads {
+	for name, template := range brokenAnswers {
 		for _, c := range []struct {
 			path   string
 			status int
@@ -49,11 +54,11 @@
 				t.Parallel()
 				h := newHarness(t)
 				broken := func(r *received) {
-					answer := strings.ReplaceAll(head, "{id}", string(r.header.Peek("Id")))
+					answer := strings.ReplaceAll(template, "{id}", string(r.header.Peek("Id")))
 					if c.path == "/draft/1" || c.path == "/once/1" {
 						answer = strings.Replace(answer, "\r\n", "\r\nContent-Type: text/event-stream\r\n", 1)
 					}
-					r.write("%sok", answer)
+					r.write("%s", answer)
 				}
 				bad := newFakeServer(t, "a-bad", broken)
 				h.ledger(bad, newFakeServer(t, "b-good", echo))
