backend: chunks of another version than HTTP/1.1 are refused

Callers got the framing of the chunks as the body when a replica answered in HTTP/1.0 with a Transfer-Encoding, whether a length stood beside it or the connection ended the body.

Cause: the HTTP library ignores Transfer-Encoding in each version but HTTP/1.1.

RFC 9112, section 6.1, takes the framing of such a message for faulty: the check of the head refuses it. Bodies of HTTP/1.0 with a length, or until the close, pass as before (same test).

--- a/internal/backend/broken_test.go
+++ b/internal/backend/broken_test.go
@@ -132,6 +132,31 @@
 	}
 }
 
+// TestForwardRefusesChunksOfOldVersions guards against a body with the framing of its chunks: the
+// HTTP library reads chunks in HTTP/1.1 only.
+func TestForwardRefusesChunksOfOldVersions(t *testing.T) {
+	const chunks = "2\r\nok\r\n0\r\n\r\n"
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.2", "HTTP/1.9"} {
+		for name, fields := range map[string]string{
+			"until close": "Transfer-Encoding: chunked\r\n",
+			"length":      "Content-Length: 12\r\ntransfer-encoding: Chunked\r\nConnection: keep-alive\r\n",
+			"other":       "Transfer-Encoding: gzip\r\nContent-Length: 12\r\n",
+		} {
+			t.Run(version+" "+name, func(t *testing.T) {
+				requireRefused(t, version+" 200 OK\r\nX-Request: r\r\n"+fields+"\r\n"+chunks+closeConn)
+			})
+		}
+	}
+	for _, fields := range []string{"", "Content-Length: 2\r\nConnection: keep-alive\r\n"} {
+		server := startScriptedServer(t, func(int) string {
+			return "HTTP/1.0 200 OK\r\nX-Request: r\r\n" + fields + "\r\nok" + closeConn
+		})
+		body, err := exchange(t.Context(), newTestForwarder(t), forwardTo(server.addr(), "r", "body"))
+		require.NoError(t, err)
+		require.Equal(t, "ok", body)
+	}
+}
+
 func TestForwardAcceptsSoundHeaders(t *testing.T) {
 	const tchars = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
 	var names strings.Builder
--- a/internal/backend/header.go
+++ b/internal/backend/header.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"strings"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 	"golang.org/x/net/http/httpguts"
 )
 
@@ -14,6 +16,9 @@
 	minStatusClass, maxStatusClass = '1', '5'
 )
 
+// versionWithChunks is the only version of HTTP/1 that has Transfer-Encoding.
+const versionWithChunks = "HTTP/1.1"
+
 var responsePrefix = []byte("HTTP/1.")
 
 // headerScanner finds the end of a response header and checks its lines on the way. The HTTP
@@ -22,6 +27,8 @@
 type headerScanner struct {
 	// size is the size of the lines that were checked, in bytes.
 	size int
+	// mayHaveChunks is set for a version that has Transfer-Encoding.
+	mayHaveChunks bool
 }
 
 // scan checks the lines of b that are complete. b begins with the header, and has grown since the
@@ -45,10 +52,11 @@
 		switch {
 		case isFirst:
 			err = checkStatusLine(line)
+			s.mayHaveChunks = bytes.HasPrefix(line, []byte(versionWithChunks))
 		case len(line) == 0:
 			return s.size, nil
 		default:
-			err = checkField(line)
+			err = s.checkHeaderField(line)
 		}
 		if err != nil {
 			return 0, err
@@ -75,6 +83,19 @@
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
+// checkHeaderField is checkField for a header. The library ignores a Transfer-Encoding of another
+// version, whose framing would then be taken for the body (RFC 9112, section 6.1).
+func (s *headerScanner) checkHeaderField(line []byte) error {
+	if err := checkField(line); err != nil {
+		return err
+	}
+	name, _, _ := bytes.Cut(line, []byte{':'})
+	if !s.mayHaveChunks && strings.EqualFold(string(name), fasthttp.HeaderTransferEncoding) {
+		return errors.Wrapf(ErrMalformed, "%q in another version than %s", line, versionWithChunks)
+	}
+	return nil
+}
+
 // checkField rejects a line that is no field of a header or trailer (RFC 9110, section 5): blanks
 // around the name, a folded value or control bytes.
 func checkField(line []byte) error {
--- a/internal/ingress/broken_test.go
+++ b/internal/ingress/broken_test.go
@@ -30,6 +30,7 @@
 	"blank before the length": brokenAnswer("200 OK", "X: 1\r\n Content-Length: 2\r\n\r\nok"),
 
 	"control byte in the reason": brokenAnswer("200 O\x01K", "Content-Length: 2\r\n\r\nok"),
+	"chunks of HTTP/1.0":         "HTTP/1.0 200 OK\r\nId: {id}\r\nSeal: s\r\nConnection: keep-alive\r\nContent-Length: 12\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 }
 
 func brokenAnswer(status, rest string) string {
