backend: headers and bodies are read by types of their own

No behaviour changes. The exchange read headers and bodies in methods of its own, which wait with its poll interval; headerReader and bodyReader say how many bytes they need, so that the client of engines and plain services, which waits otherwise, can use them too.

--- a/internal/backend/forward.go
+++ b/internal/backend/forward.go
@@ -82,15 +82,10 @@
 
 	// Header is the response header, valid once AwaitHeader has returned nil.
 	Header  fasthttp.ResponseHeader
-	scanner headerScanner
-	body    bodyDecoder
-	// pending is the number of buffered bytes handed out by Next.
-	pending int
-	// skipping is set while Header is that of a response to another request; skipped and
-	// skippedResponses count the bytes and the responses skipped so far.
-	skipping         bool
-	skipped          int
-	skippedResponses int
+	headers headerReader
+	body    bodyReader
+	// skipping is set while Header is that of a response to another request.
+	skipping bool
 	// written is closed once a concurrent write has ended with writeErr; nil if the request
 	// was written inline.
 	written  chan struct{}
@@ -135,7 +130,7 @@
 func (f *Forwarder) connect(ctx context.Context, request Forward) (*Exchange, error) {
 	if !request.Fresh {
 		if idle := f.pool.get(request.Address); idle != nil {
-			return &Exchange{forwarder: f, request: request, conn: idle, reused: true}, nil
+			return newExchange(f, request, idle, true), nil
 		}
 	}
 	f.dialed.Add(1)
@@ -143,7 +138,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Exchange{forwarder: f, request: request, conn: fresh}, nil
+	return newExchange(f, request, fresh, false), nil
+}
+
+func newExchange(f *Forwarder, request Forward, c *conn, reused bool) *Exchange {
+	return &Exchange{
+		forwarder: f, request: request, conn: c, reused: reused,
+		headers: headerReader{src: c.reader}, body: bodyReader{src: c.reader},
+	}
 }
 
 // write sends the request, one over maxInlineWrite concurrently with the reads.
@@ -180,89 +182,35 @@
 		if err := e.readHeader(until); err != nil {
 			return err
 		}
-		status := e.Header.StatusCode()
-		if status >= fasthttp.StatusContinue && status < fasthttp.StatusOK {
-			if err := e.countResponse(); err != nil {
-				return err
-			}
-			continue
-		}
-		e.body = newBodyDecoder(e.Header.ContentLength())
-		if e.request.HeadOnly || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
-			e.body = bodyDecoder{done: true}
-		}
+		e.body.decoder = newResponseDecoder(&e.Header, e.request.HeadOnly)
 		if e.request.Matches == nil || e.request.Matches(&e.Header) {
 			e.conn.keepAlive = parseKeepAlive(e.Header.Peek(fasthttp.HeaderKeepAlive))
 			return nil
 		}
-		if err := e.countResponse(); err != nil {
-			return err
+		if err := e.headers.skipResponse(); err != nil {
+			return e.fail("skip late response", err)
 		}
 		e.skipping = true
 	}
 }
 
-const (
-	// maxSkippedBytes limits what is skipped before the response of an exchange, in bytes.
-	maxSkippedBytes = 1 << 20
-	// maxSkippedResponses limits the interim and late responses before it: each costs the
-	// time to parse a header, and a sound server sends few.
-	maxSkippedResponses = 32
-)
-
-// readHeader reads one header once it is buffered as a whole.
+// readHeader reads the next header that is not interim, once it is buffered as a whole.
 func (e *Exchange) readHeader(until time.Time) error {
 	for {
-		buffered, _ := e.conn.reader.Peek(e.conn.reader.Buffered())
-		if n := len(buffered) - len(bytes.TrimLeft(buffered, "\r\n")); n > 0 {
-			_, _ = e.conn.reader.Discard(n)
-			if err := e.countSkipped(n); err != nil {
-				return err
-			}
-			continue
-		}
-		size, err := e.scanner.scan(buffered)
+		need, err := e.headers.next(&e.Header)
 		if err != nil {
 			return e.fail("read header", err)
 		}
-		if size > 0 {
-			if err := e.countSkipped(size); err != nil {
-				return err
-			}
-			break
-		}
-		if len(buffered) >= maxHeaderBytes {
-			return e.fail("read header", errors.Wrapf(ErrTooLarge, "header over %d bytes", maxHeaderBytes))
+		if need == 0 {
+			return nil
 		}
-		if err := e.wait(until, len(buffered)+1); err != nil {
+		if err := e.wait(until, need); err != nil {
 			if errors.Is(err, io.EOF) {
 				err = e.fail("wait for response", io.ErrUnexpectedEOF)
 			}
 			return err
 		}
 	}
-	e.scanner = headerScanner{}
-	e.Header.Reset()
-	if err := e.Header.Read(e.conn.reader); err != nil {
-		return e.fail("read header", err)
-	}
-	return nil
-}
-
-// countSkipped counts bytes that are not part of the body of the response.
-func (e *Exchange) countSkipped(n int) error {
-	if e.skipped += n; e.skipped > maxSkippedBytes {
-		return e.fail("read header", errors.Wrapf(ErrWrongResponse, "over %d bytes before the response", maxSkippedBytes))
-	}
-	return nil
-}
-
-// countResponse counts an interim response, or one to another request.
-func (e *Exchange) countResponse() error {
-	if e.skippedResponses++; e.skippedResponses > maxSkippedResponses {
-		return e.fail("read header", errors.Wrapf(ErrWrongResponse, "over %d responses before the response", maxSkippedResponses))
-	}
-	return nil
 }
 
 // skipBody reads and drops the body of a response to another request.
@@ -275,11 +223,11 @@
 		if err != nil {
 			return err
 		}
-		if err := e.countSkipped(len(part)); err != nil {
-			return err
+		if err := e.headers.skip(len(part)); err != nil {
+			return e.fail("skip late response", err)
 		}
 	}
-	if e.body.untilClose {
+	if e.body.decoder.untilClose {
 		return e.fail("skip late response", errors.Wrap(ErrWrongResponse, "the connection ended with a response to another request"))
 	}
 	e.skipping = false
@@ -290,29 +238,16 @@
 // io.EOF at the end of a complete body, io.ErrUnexpectedEOF when the server closed the
 // connection earlier, and ErrIdle if nothing arrived by until.
 func (e *Exchange) Next(until time.Time) ([]byte, error) {
-	e.discardPending()
-	need := 1
 	for {
-		if e.body.done {
+		part, need, err := e.body.next()
+		if errors.Is(err, io.EOF) {
 			return nil, io.EOF
 		}
-		buffered, _ := e.conn.reader.Peek(e.conn.reader.Buffered())
-		body, consumed, err := e.body.decode(buffered)
 		if err != nil {
 			return nil, e.fail("decode body", err)
 		}
-		if len(body) > 0 {
-			e.pending = consumed
-			return body, nil
-		}
-		_, _ = e.conn.reader.Discard(consumed)
-		if consumed > 0 {
-			need = 1
-			if e.body.done || e.conn.reader.Buffered() > 0 {
-				continue
-			}
-		} else if n := e.conn.reader.Buffered(); n > 0 {
-			need = n + 1
+		if need == 0 {
+			return part, nil
 		}
 		if err := e.wait(until, need); err != nil {
 			return nil, e.classifyEnd(err)
@@ -321,12 +256,7 @@
 }
 
 // Pending reports whether more bytes are buffered than those last returned by Next.
-func (e *Exchange) Pending() bool { return e.conn.reader.Buffered() > e.pending }
-
-func (e *Exchange) discardPending() {
-	_, _ = e.conn.reader.Discard(e.pending)
-	e.pending = 0
-}
+func (e *Exchange) Pending() bool { return e.conn.reader.Buffered() > e.body.pending }
 
 // classifyEnd maps the end of the connection to io.EOF if the body may end there,
 // else to io.ErrUnexpectedEOF. It returns other errors unchanged.
@@ -337,7 +267,7 @@
 	if !errors.Is(err, io.EOF) {
 		return err
 	}
-	if end := e.body.errorAtEOF(); end != nil {
+	if end := e.body.decoder.errorAtEOF(); end != nil {
 		return e.fail("read body", end)
 	}
 	if err := e.endWrite(); err != nil {
@@ -428,9 +358,9 @@
 // Close ends the exchange. The connection returns to the pool only if the request
 // was written and its response read to the end.
 func (e *Exchange) Close() {
-	e.discardPending()
+	e.body.discardPending()
 	stopped := e.stop()
-	reusable := !e.failed && stopped && e.body.done && !e.body.untilClose && e.isWritten() &&
+	reusable := !e.failed && stopped && e.body.decoder.done && !e.body.decoder.untilClose && e.isWritten() &&
 		!e.Header.ConnectionClose() && e.conn.reader.Buffered() == 0
 	if !reusable {
 		_ = e.conn.Close()
--- a/internal/backend/framing.go
+++ b/internal/backend/framing.go
@@ -1,11 +1,13 @@
 package backend
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 	"golang.org/x/net/http/httpguts"
 )
 
@@ -38,6 +40,15 @@
 	done         bool
 }
 
+// newResponseDecoder returns the decoder for the body that follows a header. headOnly is set for a
+// request whose response has none.
+func newResponseDecoder(h *fasthttp.ResponseHeader, headOnly bool) bodyDecoder {
+	if status := h.StatusCode(); headOnly || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		return bodyDecoder{done: true}
+	}
+	return newBodyDecoder(h.ContentLength())
+}
+
 func newBodyDecoder(length int) bodyDecoder {
 	switch {
 	case length == lengthChunked:
@@ -153,3 +164,40 @@
 	}
 	return io.ErrUnexpectedEOF
 }
+
+// bodyReader reads the body of a response behind its header.
+type bodyReader struct {
+	src     *bufio.Reader
+	decoder bodyDecoder
+	// pending is the number of buffered bytes that next has handed out.
+	pending int
+}
+
+// next returns the next bytes of the body, valid until the next call, or io.EOF at its end. If none
+// are buffered it returns how many bytes have to be buffered before another try, else 0.
+func (b *bodyReader) next() (part []byte, need int, err error) {
+	b.discardPending()
+	for {
+		if b.decoder.done {
+			return nil, 0, io.EOF
+		}
+		buffered, _ := b.src.Peek(b.src.Buffered())
+		part, consumed, err := b.decoder.decode(buffered)
+		if err != nil {
+			return nil, 0, err
+		}
+		if len(part) > 0 {
+			b.pending = consumed
+			return part, 0, nil
+		}
+		_, _ = b.src.Discard(consumed)
+		if !b.decoder.done && (consumed == 0 || b.src.Buffered() == 0) {
+			return nil, b.src.Buffered() + 1, nil
+		}
+	}
+}
+
+func (b *bodyReader) discardPending() {
+	_, _ = b.src.Discard(b.pending)
+	b.pending = 0
+}
--- a/internal/backend/header.go
+++ b/internal/backend/header.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"bufio"
 	"bytes"
 	"strings"
 
@@ -108,3 +109,71 @@
 	}
 	return nil
 }
+
+const (
+	// maxSkippedBytes limits what is skipped before the response of a call, in bytes.
+	maxSkippedBytes = 1 << 20
+	// maxSkippedResponses limits the interim and late responses before it: each costs the
+	// time to parse a header, and a sound server sends few.
+	maxSkippedResponses = 32
+)
+
+// headerReader reads the headers of the responses to one call, up to that of its own response.
+type headerReader struct {
+	src     *bufio.Reader
+	scanner headerScanner
+	// skippedBytes and skippedResponses count what was read before the response of the call.
+	skippedBytes     int
+	skippedResponses int
+}
+
+// next reads the next header that is not interim into h, once it is buffered as a whole. Until then
+// it returns how many bytes have to be buffered before another try, else 0.
+func (r *headerReader) next(h *fasthttp.ResponseHeader) (need int, err error) {
+	for {
+		buffered, _ := r.src.Peek(r.src.Buffered())
+		if n := len(buffered) - len(bytes.TrimLeft(buffered, "\r\n")); n > 0 {
+			_, _ = r.src.Discard(n)
+			buffered = buffered[n:]
+			if err := r.skip(n); err != nil {
+				return 0, err
+			}
+		}
+		size, err := r.scanner.scan(buffered)
+		switch {
+		case err != nil:
+			return 0, err
+		case size == 0 && len(buffered) >= maxHeaderBytes:
+			return 0, errors.Wrapf(ErrTooLarge, "header over %d bytes", maxHeaderBytes)
+		case size == 0:
+			return len(buffered) + 1, nil
+		}
+		if err := r.skip(size); err != nil {
+			return 0, err
+		}
+		r.scanner = headerScanner{}
+		h.Reset()
+		if err := h.Read(r.src); err != nil || h.StatusCode() >= fasthttp.StatusOK {
+			return 0, err
+		}
+		if err := r.skipResponse(); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// skip counts bytes that are not part of the body of the response.
+func (r *headerReader) skip(n int) error {
+	if r.skippedBytes += n; r.skippedBytes > maxSkippedBytes {
+		return errors.Wrapf(ErrWrongResponse, "over %d bytes before the response", maxSkippedBytes)
+	}
+	return nil
+}
+
+// skipResponse counts an interim response, or one to another call.
+func (r *headerReader) skipResponse() error {
+	if r.skippedResponses++; r.skippedResponses > maxSkippedResponses {
+		return errors.Wrapf(ErrWrongResponse, "over %d responses before the response", maxSkippedResponses)
+	}
+	return nil
+}
