backend: the client of engines and services refuses broken answers too

An engine's or service's answer with status 000 was passed on as 200, and an order answered so counted as accepted; invalid field names, folded values, chunks in HTTP/1.0 and invalid trailers passed as well. A cancel call reads its answer by the same code.

Evidence: before, nine of the new cases of TestResponseContract passed as answers, and one failed with another code; TestOrderContract accepted the order; TestBrokenStreamIsRefused took four of its six streams for whole. A body without a length was refused here already, and its request is written before the answer is read, so that no reset is lost.

The client now reads headers and bodies with headerReader and bodyReader. Errors keep their codes: an unreadable header is "unavailable", a broken body "internal", as other violations of the contract are.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -278,31 +278,48 @@
 	if err := c.write(call); err != nil {
 		return nil, err
 	}
-	response := &fasthttp.Response{StreamBody: true}
-	response.SkipBody = call.request.Method == fasthttp.MethodHead
-	if err := response.ReadLimitBody(call.conn.reader, 0); err != nil {
-		return nil, errors.Wrap(err, "read header")
+	var header fasthttp.ResponseHeader
+	if err := call.readHeader(&header); err != nil {
+		return nil, err
 	}
-	if echoed := string(response.Header.Peek(api.HeaderRequest)); echoed != string(call.request.ID) {
+	if echoed := string(header.Peek(api.HeaderRequest)); echoed != string(call.request.ID) {
 		return nil, errors.Wrapf(ErrWrongResponse, "echoed request id %q", echoed)
 	}
-	out := &Response{
-		Status:      response.StatusCode(),
-		ContentType: string(response.Header.ContentType()),
-	}
+	body := &blockingBody{bodyReader: bodyReader{
+		src: call.conn.reader, decoder: newResponseDecoder(&header, call.request.Method == fasthttp.MethodHead),
+	}}
+	out := &Response{Status: header.StatusCode(), ContentType: string(header.ContentType())}
 	if strings.HasPrefix(out.ContentType, contentEvents) {
-		out.Stream = newEventStream(call, response, c.cfg)
+		out.Stream = newEventStream(call, body, !header.ConnectionClose(), c.cfg)
 		return out, nil
 	}
-	body, err := readBody(response, c.cfg.MaxBody)
-	if err != nil {
+	var err error
+	if out.Body, err = readBody(body, header.ContentLength(), c.cfg.MaxBody); err != nil {
 		return nil, err
 	}
-	out.Body = body
-	call.end(!response.Header.ConnectionClose())
+	call.end(!header.ConnectionClose())
 	return out, nil
 }
 
+// readHeader reads the header of the response.
+func (f *inFlight) readHeader(h *fasthttp.ResponseHeader) error {
+	const step = "read header"
+	headers := headerReader{src: f.conn.reader}
+	for {
+		need, err := headers.next(h)
+		switch {
+		case err != nil:
+			// Something else may listen on the address.
+			return &errs.Error{Code: errs.Unavailable, Step: step, Peer: f.request.Address, Err: err}
+		case need == 0:
+			return nil
+		}
+		if _, err := f.conn.reader.Peek(need); err != nil {
+			return errors.Wrap(err, step)
+		}
+	}
+}
+
 func (c *HTTPClient) write(call *inFlight) error {
 	if call.request.BeforeWrite != nil {
 		if err := call.request.BeforeWrite(); err != nil {
@@ -351,29 +368,23 @@
 	req.SetBodyRaw(r.Body)
 }
 
-// readBody reads a complete body. A body that ends with the connection is rejected,
-// since a broken connection would look like its end.
-func readBody(response *fasthttp.Response, limit int) ([]byte, error) {
-	stream := response.BodyStream()
-	if stream == nil {
-		return nil, nil
-	}
-	defer func() { _ = response.CloseBodyStream() }()
-	length := response.Header.ContentLength()
-	if length < -1 {
+// readBody reads a complete body of a length, negative without one. A body that ends with the
+// connection is rejected, since a broken connection would look like its end.
+func readBody(body *blockingBody, length, limit int) ([]byte, error) {
+	switch {
+	case body.decoder.untilClose:
 		return nil, errors.Wrap(ErrMalformed, "body without a length")
-	}
-	if length > limit {
+	case !body.decoder.done && length > limit:
 		return nil, errors.Wrapf(ErrTooLarge, "body of %d bytes, limit %d", length, limit)
 	}
-	body, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
+	out, err := io.ReadAll(io.LimitReader(body, int64(limit)+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "read body")
 	}
-	if len(body) > limit {
+	if len(out) > limit {
 		return nil, errors.Wrapf(ErrTooLarge, "body over %d bytes", limit)
 	}
-	return body, nil
+	return out, nil
 }
 
 // cancelRequest is the body of a cancel call.
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -38,6 +38,21 @@
 		"oversized header": {response: head + "X: " + strings.Repeat("x", maxHeaderBytes) + "\r\n\r\n", code: errs.Unavailable},
 		"not HTTP":         {response: "hello there\r\n\r\n" + closeConn, code: errs.Unavailable},
 		"closed":           {response: closeConn, code: errs.Unavailable},
+		"status 000":       {response: "HTTP/1.1 000 OK\r\nCrocusway-Request: {id}\r\nContent-Length: 2\r\n\r\nok", code: errs.Unavailable},
+		"status 600":       {response: "HTTP/1.1 600 X\r\nCrocusway-Request: {id}\r\nContent-Length: 2\r\n\r\nok", code: errs.Unavailable},
+		"interim 000":      {response: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\nCrocusway-Request: {id}\r\nContent-Length: 2\r\n\r\nok", code: errs.Unavailable},
+		"interim":          {response: "HTTP/1.1 100\r\n\r\nHTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" + jsonResponse("{id}", "ok"), body: "ok"},
+		"empty lines":      {response: "\r\n\r\n" + jsonResponse("{id}", "ok"), body: "ok"},
+		"blank in a name":  {response: head + "X Bad: 1\r\nContent-Length: 2\r\n\r\nok", code: errs.Unavailable},
+		"blank in length":  {response: head + "Content-Length: 2\r\nTransfer-Encoding : chunked\r\n\r\nok", code: errs.Unavailable},
+		"folded value":     {response: head + "X: 1\r\n 2\r\nContent-Length: 2\r\n\r\nok", code: errs.Unavailable},
+		"LF in a header":   {response: head + "Content-Length: 2\r\n\nX: 1\r\n\r\nok", code: errs.Unavailable},
+		"old chunks":       {response: "HTTP/1.0 200 OK\r\nCrocusway-Request: {id}\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", code: errs.Unavailable},
+		"signed chunk":     {response: head + "Transfer-Encoding: chunked\r\n\r\n+2\r\nok\r\n" + lastChunk, code: errs.Internal},
+		"chunk extension":  {response: head + "Transfer-Encoding: chunked\r\n\r\n2;x\x00\r\nok\r\n" + lastChunk, code: errs.Internal},
+		"broken trailer":   {response: head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Bad: 1\r\n\r\n", code: errs.Internal},
+		"trailer":          {response: head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: 1\r\n\r\n", body: "ok"},
+		"no content":       {response: "HTTP/1.1 204 No Content\r\nCrocusway-Request: {id}\r\n\r\n"},
 		"silent":           {response: keepOpen, code: errs.Timeout},
 		"silent body":      {response: head + "Content-Length: 5\r\n\r\nok" + keepOpen, code: errs.Timeout},
 	}
@@ -209,6 +224,10 @@
 		"failed":        {status("500 Internal Server Error"), errs.Internal},
 		"stream":        {streamHead("{id}") + done + lastChunk, errs.Internal},
 		"lost":          {closeConn, errs.Unavailable},
+		"status 000": {
+			strings.Replace(jsonResponse("{id}", `{"accepted":true,"host":"h1","incarnation":3,"fencing":9}`), "200", "000", 1),
+			errs.Unavailable,
+		},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/backend/framing.go
+++ b/internal/backend/framing.go
@@ -201,3 +201,32 @@
 	_, _ = b.src.Discard(b.pending)
 	b.pending = 0
 }
+
+// blockingBody is a body that is read with the read deadline of its connection.
+type blockingBody struct {
+	bodyReader
+	rest []byte
+}
+
+// Read implements io.Reader. It returns io.ErrUnexpectedEOF if the connection ends within the body.
+func (b *blockingBody) Read(p []byte) (int, error) {
+	for len(b.rest) == 0 {
+		part, need, err := b.next()
+		if err != nil {
+			return 0, err
+		}
+		b.rest = part
+		if need == 0 {
+			continue
+		}
+		if _, err := b.src.Peek(need); err != nil {
+			if end := b.decoder.errorAtEOF(); errors.Is(err, io.EOF) && end != nil {
+				err = end
+			}
+			return 0, err
+		}
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/valyala/fasthttp"
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/errs"
@@ -29,9 +28,9 @@
 
 // eventStream implements Stream on one connection.
 type eventStream struct {
-	call         *inFlight
-	response     *fasthttp.Response
-	body         io.Reader
+	call *inFlight
+	// keepAlive is set if the server keeps the connection after the stream.
+	keepAlive    bool
 	events       *sseReader
 	stallTimeout time.Duration
 	offset       int
@@ -39,12 +38,10 @@
 	once         sync.Once
 }
 
-func newEventStream(call *inFlight, response *fasthttp.Response, cfg Config) *eventStream {
-	body := response.BodyStream()
+func newEventStream(call *inFlight, body io.Reader, keepAlive bool, cfg Config) *eventStream {
 	return &eventStream{
 		call:         call,
-		response:     response,
-		body:         body,
+		keepAlive:    keepAlive,
 		events:       newSSEReader(bufio.NewReaderSize(body, streamBuffer), cfg.MaxEvent),
 		stallTimeout: cfg.StallTimeout,
 		offset:       call.request.Offset,
@@ -134,8 +131,7 @@
 // Close implements Stream.
 func (s *eventStream) Close() error {
 	s.once.Do(func() {
-		reusable := errors.Is(s.err, io.EOF) && !s.response.Header.ConnectionClose() && s.readToEnd()
-		_ = s.response.CloseBodyStream()
+		reusable := errors.Is(s.err, io.EOF) && s.keepAlive && s.readToEnd()
 		s.call.end(reusable)
 		if s.err == nil {
 			s.err = io.ErrClosedPipe
--- a/internal/backend/stream_test.go
+++ b/internal/backend/stream_test.go
@@ -89,6 +89,35 @@
 	}
 }
 
+// TestBrokenStreamIsRefused covers streams that are no HTTP/1.1.
+func TestBrokenStreamIsRefused(t *testing.T) {
+	const events = "data: a\n\ndata: [DONE]\n\n"
+	head := func(status string) string { return strings.Replace(streamHead("r1"), "200 OK", status, 1) }
+	for name, response := range map[string]string{
+		"status 000":         head("000 OK") + chunk(events) + lastChunk,
+		"status 999":         head("999 X") + chunk(events) + lastChunk,
+		"blank in a name":    strings.Replace(streamHead("r1"), "Transfer", "X Y: 1\r\nTransfer", 1) + chunk(events) + lastChunk,
+		"signed chunk":       streamHead("r1") + "+" + chunk(events) + lastChunk,
+		"chunks in 1.0":      strings.Replace(streamHead("r1"), "HTTP/1.1", "HTTP/1.0", 1) + chunk(events) + lastChunk + closeConn,
+		"control in trailer": streamHead("r1") + chunk("data: a\n\n") + "0\r\nX: \x00\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startScriptedServer(t, func(int) string { return response })
+			client := testClient(t, nil)
+			response, err := client.Do(t.Context(), engineRequest(s.addr()))
+			if err == nil {
+				require.NotNil(t, response.Stream)
+				_, err = readAll(response.Stream)
+				require.NoError(t, response.Stream.Close())
+			}
+			require.Error(t, err)
+			require.NotErrorIs(t, err, io.EOF, "a whole stream")
+			require.NotErrorIs(t, err, ErrNotSent)
+			require.Nil(t, client.pool.pop(s.addr()), "connection returned to the pool")
+		})
+	}
+}
+
 // TestUnfinishedStreamIsNotReused closes a stream before its end.
 func TestUnfinishedStreamIsNotReused(t *testing.T) {
 	s := startScriptedServer(t, func(int) string {
