ctl: a broken answer is no result

The operators' client took an answer with status 000, or with an invalid field name or trailer, for a result, and one whose length stood in a folded line.

Cause: it used the HTTP library's client, which reads answers as described for the exchange.

Evidence: before, TestBrokenAnswerIsNoResult read a result in four of its twelve cases; in another, a status of 999 was "internal", so that no other daemon was asked. The others held already.

The client now makes its calls through backend.Forwarder, on a connection each, as responses name no call. A broken answer is "unavailable" as a lost one is, and the next daemon is asked: operators' calls may be repeated. Exchange.ReadBody is shared with the orders of the platform. TestSoundAnswerIsTheResult passed before and after; TestCallCarriesBodyAndKey holds the request.

--- a/internal/backend/forward.go
+++ b/internal/backend/forward.go
@@ -255,6 +255,24 @@
 	}
 }
 
+// ReadBody returns the rest of the body, at most limit bytes. It returns ErrIdle if the end does not
+// arrive by until.
+func (e *Exchange) ReadBody(until time.Time, limit int) ([]byte, error) {
+	var body []byte
+	for {
+		part, err := e.Next(until)
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if body = append(body, part...); len(body) > limit {
+			return nil, e.fail("read body", errors.Wrapf(ErrTooLarge, "body over %d bytes", limit))
+		}
+	}
+}
+
 // Pending reports whether more bytes are buffered than those last returned by Next.
 func (e *Exchange) Pending() bool { return e.conn.reader.Buffered() > e.body.pending }
 
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -3,9 +3,10 @@
 package ctl
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/backend"
 	"github.com/crocusway/crocusway/internal/config"
 	"github.com/crocusway/crocusway/internal/errs"
 	"github.com/crocusway/crocusway/internal/operator"
@@ -23,6 +25,8 @@
 	connectTimeout = 2 * time.Second
 	// responseTimeout bounds one response, in addition to the requested wait.
 	responseTimeout = 15 * time.Second
+	// maxResponseBytes bounds the body of a response, far above the state of a large system.
+	maxResponseBytes = 256 << 20
 )
 
 // Client calls the operators' interface on the first available daemon.
@@ -30,7 +34,7 @@
 	addresses []string
 	token     config.Secret
 	operator  string
-	http      *fasthttp.Client
+	forwarder *backend.Forwarder
 }
 
 // NewClient returns a client for the caller addresses "ip:port".
@@ -39,11 +43,7 @@
 		addresses: addresses,
 		token:     token,
 		operator:  operatorName,
-		http: &fasthttp.Client{
-			Dial:                      func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, connectTimeout) },
-			NoDefaultUserAgentHeader:  true,
-			MaxIdemponentCallAttempts: 1,
-		},
+		forwarder: backend.NewForwarder(backend.Config{DialTimeout: connectTimeout}),
 	}
 }
 
@@ -148,33 +148,56 @@
 }
 
 func (c *Client) call(address string, q apiCall, result any) error {
-	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
-	response := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(q.method)
-	request.SetRequestURI("http://" + address + q.path)
-	request.Header.Set("Authorization", "Bearer "+c.token.Reveal())
-	request.Header.Set("Crocusway-Operator", c.operator)
-	if q.key != "" {
-		request.Header.Set(api.HeaderIdempotencyKey, q.key)
-	}
-	request.SetBody(q.body)
 	step := q.method + " " + q.path
-	if err := c.http.DoTimeout(request, response, responseTimeout+q.wait); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), responseTimeout+q.wait)
+	defer cancel()
+	status, body, err := c.send(ctx, address, q)
+	if err != nil {
 		return &errs.Error{Code: errs.Unavailable, Step: step, Peer: address, Err: err}
 	}
-	return decodeResponse(response, step, address, result)
+	return decodeResponse(status, body, step, address, result)
+}
+
+// send makes a call on a connection of its own, since responses name no call, and returns the status
+// and the body of the response.
+func (c *Client) send(ctx context.Context, address string, q apiCall) (int, []byte, error) {
+	exchange, err := c.forwarder.Send(ctx, backend.Forward{Address: address, Head: c.head(address, q), Body: q.body, Fresh: true})
+	if err != nil {
+		return 0, nil, err
+	}
+	defer exchange.Close()
+	until, _ := ctx.Deadline()
+	if err := exchange.AwaitHeader(until); err != nil {
+		return 0, nil, err
+	}
+	body, err := exchange.ReadBody(until, maxResponseBytes)
+	return exchange.Header.StatusCode(), body, err
+}
+
+// head returns the request line and header lines of a call.
+func (c *Client) head(address string, q apiCall) []byte {
+	var h fasthttp.RequestHeader
+	h.SetMethod(q.method)
+	h.SetRequestURI(q.path)
+	h.SetHost(address)
+	h.SetConnectionClose()
+	h.SetContentLength(len(q.body))
+	h.Set("Authorization", "Bearer "+c.token.Reveal())
+	h.Set("Crocusway-Operator", c.operator)
+	if q.key != "" {
+		h.Set(api.HeaderIdempotencyKey, q.key)
+	}
+	return bytes.TrimSuffix(h.Header(), []byte("\r\n"))
 }
 
-func decodeResponse(response *fasthttp.Response, step, address string, result any) error {
-	if response.StatusCode() == fasthttp.StatusOK {
-		err := json.Unmarshal(response.Body(), result)
+func decodeResponse(status int, body []byte, step, address string, result any) error {
+	if status == fasthttp.StatusOK {
+		err := json.Unmarshal(body, result)
 		return errs.Wrap(err, "decode response to "+step, address)
 	}
 	var failure operator.ErrorBody
-	if err := json.Unmarshal(response.Body(), &failure); err != nil || failure.Error.Message == "" {
-		return errs.New(errs.Internal, step, address, "status %d", response.StatusCode())
+	if err := json.Unmarshal(body, &failure); err != nil || failure.Error.Message == "" {
+		return errs.New(errs.Internal, step, address, "status %d", status)
 	}
 	return errs.New(failure.Error.Code, step, address, "%s", failure.Error.Message)
 }
