caller: a broken answer of an entry is an error

The caller of the demonstration, the experiments and the tests took answers with status 000 or 600, blanks in a field name or chunks in HTTP/1.0 as answers, and a list of entries from one. An answer without a length counted as complete where its connection ended, so that a part of one would have passed in a check of ours.

Cause: net/http accepts these, and reads until the close.

Evidence: before, TestBrokenAnswerIsNoAnswer fails in eight of its ten broken answers, and TestBrokenListOfEntriesIsNotUsed in both. The transport now checks each response before the client sees it. It is not the reader of the daemons, since the caller needs trailers: line feeds without CR in a head are still read as net/http does. Entries answer in HTTP/1.1 with a length or chunks.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -50,7 +50,7 @@
 // addresses.
 func New(key string, addresses []string) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: idlePerEntry}
-	return &Client{key: key, seed: addresses, http: &http.Client{Transport: transport}}
+	return &Client{key: key, seed: addresses, http: &http.Client{Transport: checkingTransport{transport}}}
 }
 
 // Pinned returns a client that uses one entry, without discovery.
