ingress: a refusal by another entry has to say how often the request ran

A refusal by the second entry without a readable number of runs counted as one of a request that has not run: a request that may run once was sent again elsewhere, or refused with 503.

Cause: parseRuns took a missing or unreadable number for 0.

Evidence: before, TestBrokenAnswerOfEntryRepeatsNothing fails in seven of its ten cases; an invalid status and field name are refused by the exchange already.

Without it the attempt counts as one that may have run as often as it was allowed to, like one whose link broke: 502. Sealed answers without it pass as before.

--- a/internal/ingress/broken_test.go
+++ b/internal/ingress/broken_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -157,3 +158,47 @@
 	})
 	return &fakeServer{name: "raw", ln: ln}
 }
+
+// TestBrokenAnswerOfEntryRepeatsNothing guards against a refusal by another entry that does not say
+// how often the request ran, and counts as not run.
+func TestBrokenAnswerOfEntryRepeatsNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		status, fields string
+		// declined is set for an answer that lets a third entry serve the request.
+		declined bool
+	}{
+		"declined":           {"503 X", headerForwardedCode + ": links_lost\r\n" + headerForwardedRuns + ": 0\r\n", true},
+		"no runs":            {"503 X", headerForwardedCode + ": links_lost\r\n", false},
+		"empty runs":         {"503 X", headerForwardedCode + ": links_lost\r\n" + headerForwardedRuns + ":\r\n", false},
+		"unreadable runs":    {"503 X", headerForwardedCode + ": links_lost\r\n" + headerForwardedRuns + ": none\r\n", false},
+		"negative runs":      {"503 X", headerForwardedCode + ": links_lost\r\n" + headerForwardedRuns + ": -1\r\n", false},
+		"signed runs":        {"503 X", headerForwardedCode + ": links_lost\r\n" + headerForwardedRuns + ": +0\r\n", false},
+		"refusal, no runs":   {"503 X", headerForwardedCode + ": overloaded\r\n", false},
+		"not found, no runs": {"404 X", headerForwardedCode + ": no_route\r\n", false},
+		"invalid status":     {"000 X", headerForwardedCode + ": links_lost\r\n" + headerForwardedRuns + ": 0\r\n", false},
+		"blank in a name":    {"503 X", headerForwardedCode + ": links_lost\r\n" + headerForwardedRuns + " : 0\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ledger := newFakeServer(t, "l1", serveDone)
+			g := cutFirst(t, 3, oneOfEach(ledger, newFakeServer(t, "s1", serveEvents(3))))
+			second := newFakeServer(t, "e2", func(r *received) {
+				r.write("HTTP/1.1 %s\r\nId: %s\r\n%sContent-Length: 0\r\n\r\n", c.status, r.header.Peek("Id"), c.fields)
+			})
+			infos := slices.Clone(g.entries[0].view.Entries)
+			infos[1].ForwardAddress = second.ln.Addr().String()
+			// The third entry is taken only if the second one declines.
+			infos[2].Leaving = true
+			g.entries[0].view.Entries = infos
+			g.entries[0].apply()
+			res := g.entries[0].send("POST", "/post/1", "deposit")
+			require.Equal(t, int64(1), second.arrived.Load())
+			if c.declined {
+				require.Equal(t, http.StatusOK, res.StatusCode, g.logs())
+				return
+			}
+			require.Equal(t, http.StatusBadGateway, res.StatusCode, g.logs())
+			require.Zero(t, ledger.arrived.Load(), "it may have run")
+		})
+	}
+}
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -211,8 +211,12 @@
 // inspectForwarded is inspect for the answer of another entry.
 func (s *Server) inspectForwarded(c *call) error {
 	h := &c.exchange.Header
-	c.viaRuns = parseRuns(h)
+	var known bool
+	c.viaRuns, known = parseRuns(h)
 	if code := string(h.Peek(headerForwardedCode)); code != "" {
+		if !known {
+			return &attemptError{ran: true, cause: errors.Newf("entry %s refused the request (%s) and does not say how often it ran", c.via.ID, code)}
+		}
 		return s.forwardRefused(c, code)
 	}
 	c.links.forwards.prove(c.via.ID, time.Now())
@@ -245,13 +249,13 @@
 	return r
 }
 
-// parseRuns returns the number of runs that a second entry reports.
-func parseRuns(h *fasthttp.ResponseHeader) int {
-	n, err := strconv.Atoi(string(h.Peek(headerForwardedRuns)))
-	if err != nil || n < 0 {
-		return 0
+// parseRuns returns the number of runs that a second entry reports, 0 if that is not known.
+func parseRuns(h *fasthttp.ResponseHeader) (runs int, known bool) {
+	n, err := strconv.ParseUint(string(h.Peek(headerForwardedRuns)), 10, 31)
+	if err != nil {
+		return 0, false
 	}
-	return n
+	return int(n), true
 }
 
 // forwardHead returns the request line and header lines of a forwarded request.
