ingress: a malformed answer is no crash of its server

Three servers in trouble that answered the same request so had it quarantined, and the next sound server did not get it: 503 for requests that crash nothing.

Cause: exchangeError marks each end of an exchange as a closed connection, which is what crashes are counted by.

A server that has sent a malformed answer is alive. A connection that ends, or is reset, still counts. What the HTTP library refuses in a head is marked as malformed as well, which seven cases of TestForwardRefusesMisreadFraming hold; they were refused before, by another error.

--- a/internal/backend/broken_test.go
+++ b/internal/backend/broken_test.go
@@ -117,6 +117,13 @@
 		"blank after Transfer-Encoding": head + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 		"folded Content-Length":         head + "X: 1\r\n Content-Length: 2\r\n\r\nok and more" + closeConn,
 		"empty line with LF only":       head + "Content-Length: 2\r\n\nX: 1\r\n\r\nok",
+		"two lengths":                   head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+		"length with a sign":            head + "Content-Length: +2\r\n\r\nok",
+		"negative length":               head + "Content-Length: -2\r\n\r\nok" + closeConn,
+		"empty length":                  head + "Content-Length:\r\n\r\nok" + closeConn,
+		"list of lengths":               head + "Content-Length: 2, 2\r\n\r\nok",
+		"unknown coding":                head + "Transfer-Encoding: gzip\r\n\r\nok" + closeConn,
+		"two codings":                   head + "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 		"LF only":                       "HTTP/1.1 200 OK\nX-Request: r\nContent-Length: 2\n\nok" + keepOpen,
 		"LF only, CRLFs in the body":    "HTTP/1.1 200 OK\nX-Request: r\n\nok\r\n\r\n" + closeConn,
 	} {
--- a/internal/backend/header.go
+++ b/internal/backend/header.go
@@ -153,8 +153,11 @@
 		}
 		r.scanner = headerScanner{}
 		h.Reset()
-		if err := h.Read(r.src); err != nil || h.StatusCode() >= fasthttp.StatusOK {
-			return 0, err
+		if err := h.Read(r.src); err != nil {
+			return 0, errors.Wrapf(ErrMalformed, "%v", err)
+		}
+		if h.StatusCode() >= fasthttp.StatusOK {
+			return 0, nil
 		}
 		if err := r.skipResponse(); err != nil {
 			return 0, err
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -296,12 +296,14 @@
 	}
 }
 
-// exchangeError returns the error of an exchange that ended early.
+// exchangeError returns the error of an exchange that ended early. A server that sends a malformed
+// answer has not closed the connection, and not crashed.
 func (s *Server) exchangeError(c *call, err error) *attemptError {
 	if c.ctx.Err() != nil {
 		return &attemptError{ran: true, cause: err}
 	}
-	return &attemptError{ran: true, closed: true, suspectFor: busySuspectDuration, cause: err}
+	isMalformed := errors.Is(err, backend.ErrMalformed)
+	return &attemptError{ran: true, closed: !isMalformed, suspectFor: busySuspectDuration, cause: err}
 }
 
 // isStalled reports whether a server that has sent nothing on this request for a time
--- a/internal/ingress/broken_test.go
+++ b/internal/ingress/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/backend"
+	"github.com/crocusway/crocusway/internal/crashes"
 	"github.com/crocusway/crocusway/internal/testkit"
 )
 
@@ -202,3 +204,23 @@
 		})
 	}
 }
+
+// TestBrokenAnswerIsNoCrash guards against a quarantine of sound requests that servers in trouble
+// have answered: a server that answers has not crashed.
+func TestBrokenAnswerIsNoCrash(t *testing.T) {
+	for name, template := range brokenAnswers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			for i := range 2 * crashes.Limit {
+				h.ledger(newFakeServer(t, fmt.Sprint("l", i), func(r *received) {
+					r.write("%s", strings.ReplaceAll(template, "{id}", string(r.header.Peek("Id"))))
+				}))
+				require.Equal(t, http.StatusBadGateway, h.send("POST", "/post/1", "deposit").StatusCode, h.logs.String())
+			}
+			h.ledger(newFakeServer(t, "sound", echo))
+			require.Equal(t, http.StatusOK, h.send("POST", "/post/1", "deposit").StatusCode, h.logs.String())
+			require.NotContains(t, h.logs.String(), "Server may have crashed")
+		})
+	}
+}
