backend: errors quote at most 80 bytes of a malformed response

The messages say what is invalid; waiting for more of a body has its own method. No behaviour changes.

--- a/internal/backend/framing.go
+++ b/internal/backend/framing.go
@@ -135,10 +135,10 @@
 	// ParseUint takes no sign.
 	size, err := strconv.ParseUint(string(bytes.TrimRight(text, " \t")), 16, 63)
 	if err != nil {
-		return 0, errors.Wrapf(ErrMalformed, "invalid chunk size %q", text)
+		return 0, errors.Wrapf(ErrMalformed, "invalid chunk size %.*q", maxQuoted, text)
 	}
 	if !httpguts.ValidHeaderFieldValue(string(extension)) {
-		return 0, errors.Wrapf(ErrMalformed, "invalid chunk extension %q", extension)
+		return 0, errors.Wrapf(ErrMalformed, "invalid chunk extension %.*q", maxQuoted, extension)
 	}
 	return int64(size), nil
 }
@@ -212,21 +212,24 @@
 func (b *blockingBody) Read(p []byte) (int, error) {
 	for len(b.rest) == 0 {
 		part, need, err := b.next()
+		if err == nil && need > 0 {
+			err = b.await(need)
+		}
 		if err != nil {
 			return 0, err
 		}
 		b.rest = part
-		if need == 0 {
-			continue
-		}
-		if _, err := b.src.Peek(need); err != nil {
-			if end := b.decoder.errorAtEOF(); errors.Is(err, io.EOF) && end != nil {
-				err = end
-			}
-			return 0, err
-		}
 	}
 	n := copy(p, b.rest)
 	b.rest = b.rest[n:]
 	return n, nil
 }
+
+// await waits until n bytes are buffered.
+func (b *blockingBody) await(n int) error {
+	_, err := b.src.Peek(n)
+	if end := b.decoder.errorAtEOF(); errors.Is(err, io.EOF) && end != nil {
+		return end
+	}
+	return err
+}
--- a/internal/backend/header.go
+++ b/internal/backend/header.go
@@ -17,6 +17,9 @@
 	minStatusClass, maxStatusClass = '1', '5'
 )
 
+// maxQuoted limits what an error quotes of a response, in bytes.
+const maxQuoted = 80
+
 // versionWithChunks is the only version of HTTP/1 that has Transfer-Encoding.
 const versionWithChunks = "HTTP/1.1"
 
@@ -45,7 +48,7 @@
 		}
 		line, complete = bytes.CutSuffix(line, []byte{'\r'})
 		if !complete {
-			return 0, errors.Wrapf(ErrMalformed, "line without CR in the header: %q", line)
+			return 0, errors.Wrapf(ErrMalformed, "header line without CR %.*q", maxQuoted, line)
 		}
 		isFirst := s.size == 0
 		s.size += len(line) + len("\r\n")
@@ -71,13 +74,13 @@
 	if len(line) < statusLinePrefix || !bytes.HasPrefix(line, responsePrefix) ||
 		!isDigit(line[7]) || line[8] != ' ' || !isDigit(line[10]) || !isDigit(line[11]) ||
 		len(line) > statusLinePrefix && line[statusLinePrefix] != ' ' {
-		return errors.Wrapf(ErrMalformed, "status line %q", line)
+		return errors.Wrapf(ErrMalformed, "invalid status line %.*q", maxQuoted, line)
 	}
 	if class := line[9]; class < minStatusClass || class > maxStatusClass {
 		return errors.Wrapf(ErrMalformed, "status %s is not between 100 and 599", line[9:statusLinePrefix])
 	}
 	if !httpguts.ValidHeaderFieldValue(string(line[statusLinePrefix:])) {
-		return errors.Wrapf(ErrMalformed, "reason of the status line %q", line)
+		return errors.Wrapf(ErrMalformed, "invalid reason in the status line %.*q", maxQuoted, line)
 	}
 	return nil
 }
@@ -92,7 +95,7 @@
 	}
 	name, _, _ := bytes.Cut(line, []byte{':'})
 	if !s.mayHaveChunks && strings.EqualFold(string(name), fasthttp.HeaderTransferEncoding) {
-		return errors.Wrapf(ErrMalformed, "%q in another version than %s", line, versionWithChunks)
+		return errors.Wrapf(ErrMalformed, "%.*q in another version than %s", maxQuoted, line, versionWithChunks)
 	}
 	return nil
 }
@@ -102,10 +105,10 @@
 func checkField(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte{':'})
 	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
-		return errors.Wrapf(ErrMalformed, "name of the header field %q", line)
+		return errors.Wrapf(ErrMalformed, "invalid name in the field %.*q", maxQuoted, line)
 	}
 	if !httpguts.ValidHeaderFieldValue(string(value)) {
-		return errors.Wrapf(ErrMalformed, "value of the header field %q", line)
+		return errors.Wrapf(ErrMalformed, "invalid value in the field %.*q", maxQuoted, line)
 	}
 	return nil
 }
