ingress: a stream goes on only behind the event that its caller has

What callers saw: a stream that was marked as complete, with event N+1 of a server that had been silent and went on, then N+2 of a second one that was asked to go on behind N and had written another N+1.

Cause: the second run's position was fixed when it was asked, while the caller's moved with each event of the first one. isBehind asked only whether the first was ahead; continueWith removed the overlap by ids, as if two runs gave the same bytes. The same after the first server failed (adoptChallenger).

Change: while a second run is under way, events of the first are withheld, so that the caller stays at the event behind which the second was asked. Delivered once the second run ends: two events or the end of the first, a failure of the second, or the end of the caller's patience. Discarded once the second run has sent an event. What a failed server left is delivered if no other run goes on.

Ruled out: forwarded streams (the second entry asks nobody once it has begun), late answers, and internal/pipeline, which has one run at a time.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -290,7 +290,7 @@
 		if !errors.Is(err, backend.ErrIdle) {
 			return false, s.exchangeError(c, err)
 		}
-		if s.challenge(c, time.Since(sent), nil, takeoverInterval) != nil {
+		if s.challenge(c, time.Since(sent), false, takeoverInterval) != nil {
 			return true, nil
 		}
 	}
@@ -418,7 +418,11 @@
 // may follow.
 func (s *Server) afterFailure(c *call, failed *attemptError) error {
 	target := s.recordFailure(c, failed)
+	c.stream.keepFallback()
 	err := s.checkRetry(c, failed)
+	if c.challenger == nil {
+		c.stream.deliverFallback()
+	}
 	s.logFailure(c, failed, target, err == nil)
 	return err
 }
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -49,6 +49,8 @@
 	// adopted is the challenger that the current attempt began as, if its former server has
 	// failed.
 	adopted *challenger
+	// stream is the stream to the caller, nil before the header of its answer.
+	stream *relay
 	// nextChallenge is the earliest time of the next challenger; budgetTaken is set if that
 	// has its part of the retry budget, as the last one reached no server.
 	nextChallenge time.Time
--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -74,10 +74,15 @@
 	return append(dst, event...)
 }
 
-// continueWith goes on with the answer of another server: its whole events, and the bytes
-// after them, which another splitter holds.
-func (e *eventSplitter) continueWith(dst, events []byte, o *eventSplitter) ([]byte, error) {
+// restart begins a new answer behind an event, the given number of which were forwarded.
+func (e *eventSplitter) restart(last string, count int) {
 	e.discardRest()
+	e.last, e.count = last, count
+}
+
+// continueWith takes the answer of another server over from its splitter: its whole events, and
+// the bytes after them.
+func (e *eventSplitter) continueWith(dst, events []byte, o *eventSplitter) ([]byte, error) {
 	dst, err := e.feed(dst, events)
 	e.pending, e.held, e.scanned = o.pending, o.held, o.scanned
 	return dst, err
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -18,6 +18,7 @@
 		return
 	}
 	r := &relay{Server: s, call: c}
+	c.stream = r
 	r.events.last = c.head.LastEvent
 	r.events.numbered = c.repeatable()
 	// The server's head is sent with the first event only: until then the request can
@@ -52,8 +53,10 @@
 // relay is the body of a stream to the caller. The HTTP library reads and closes it.
 type relay struct {
 	*Server
-	call   *call
+	call *call
+	// events splits the answer of the current server.
 	events eventSplitter
+	withheldEvents
 	// out[offset:] are the bytes that the HTTP library has not read yet.
 	out    []byte
 	offset int
@@ -134,64 +137,50 @@
 
 // seekTakeover lets another server take over the stream if the current one is silent.
 func (r *relay) seekTakeover(wait time.Duration) error {
-	ch := r.challenge(r.call, time.Since(r.idleSince), &r.events, wait)
+	c := r.call
+	if r.withholds() && !time.Now().Before(c.demand.FirstBy) {
+		r.dropChallenger(c)
+		return nil
+	}
+	ch := r.challenge(c, time.Since(r.idleSince), true, wait)
 	if ch == nil {
 		return nil
 	}
 	r.logResumed()
+	r.discardWithheld()
 	return r.continueWith(ch)
 }
 
 // continueWith continues the stream with what a challenger has sent.
 func (r *relay) continueWith(ch *challenger) error {
 	r.idleSince = time.Time{}
-	received := len(r.out)
-	out, err := r.events.continueWith(r.out, ch.out, &ch.events)
-	r.out = out
-	if len(r.out) > received {
-		r.recordEvents()
+	r.restartEvents()
+	if err := r.feed(func(dst []byte) ([]byte, error) { return r.events.continueWith(dst, ch.out, &ch.events) }); err != nil {
+		return err
 	}
-	return err
+	return r.settle()
 }
 
 func (r *relay) logResumed() {
 	c := r.call
 	c.resumed++
 	level.Info(r.logger).Log("msg", "Stream resumed", "request", c.head.ID, "target", c.targetsTried[len(c.targetsTried)-1],
-		"behind", c.lastEvent, "after_ms", time.Since(c.received).Milliseconds())
+		"behind", c.lastEvent, "withheld", r.withheldCount(), "after_ms", time.Since(c.received).Milliseconds())
 }
 
-// forward appends the whole events in new bytes to the output. Bytes that complete no
-// event are no progress: a faulty server may send them without end.
+// forward takes new bytes of the current server. Bytes that complete no event are no progress: a
+// faulty server may send them without end.
 func (r *relay) forward(part []byte) error {
-	c := r.call
 	received := r.events.received
-	out, err := r.events.feed(r.out, part)
-	r.out = out
-	if err != nil {
+	if err := r.feed(func(dst []byte) ([]byte, error) { return r.events.feed(dst, part) }); err != nil {
 		return r.resume(&attemptError{ran: true, suspectFor: suspectDuration, cause: err})
 	}
 	if r.events.received == received {
 		return r.seekTakeover(minPoll)
 	}
 	r.idleSince = time.Time{}
-	r.recordEvents()
-	if ch := r.currentGoesOn(c, &r.events); ch != nil {
-		r.logResumed()
-		return r.continueWith(ch)
-	}
-	return nil
-}
-
-// recordEvents records that new events of the stream have arrived.
-func (r *relay) recordEvents() {
-	c := r.call
-	if c.events == 0 && r.events.count > 0 {
-		r.recordFirst(c)
-	}
-	c.events, c.lastEvent = r.events.count, r.events.last
-	c.resetEventTimes()
-	r.recordBytes(c)
+	r.recordBytes(r.call)
+	return r.settle()
 }
 
 // endOfStream ends the stream after the last byte of its server. A stream that is
@@ -201,9 +190,10 @@
 	if len(r.events.pending) > 0 && r.call.exchange.Header.ContentLength() < -1 {
 		return r.resume(&attemptError{ran: true, closed: true, suspectFor: busySuspectDuration, cause: io.ErrUnexpectedEOF})
 	}
+	r.dropChallenger(r.call)
+	r.discardWithheld()
 	r.out = append(r.out, rest...)
 	r.events.discardRest()
-	r.dropChallenger(r.call)
 	r.endErr = io.EOF
 	r.call.outcome = outcomeAnswered
 	r.recordAnswer(r.call)
@@ -221,6 +211,7 @@
 		return err
 	}
 	r.idleSince = time.Time{}
+	r.restartEvents()
 	if c.exchange.Header.StatusCode() >= fasthttp.StatusMultipleChoices {
 		if c.events == 0 {
 			return nil
--- a/internal/ingress/takeover.go
+++ b/internal/ingress/takeover.go
@@ -17,8 +17,12 @@
 // While the server of a request is silent, the entry tries another one, the challenger. The
 // request stays with the silent server until the challenger has begun to answer: a sound
 // server may pause for longer than the entry waits, and a challenger may be refused, fail
-// or stay silent itself. If the silent server has gone on meanwhile, the one that is ahead
-// in the stream keeps it.
+// or stay silent itself.
+//
+// The challenger goes on behind the last event of the caller, and two runs need not give the
+// same bytes. Events of the silent server are therefore withheld from the caller while a
+// challenger is under way: they are delivered once that has ended, and discarded if it takes
+// over.
 
 const (
 	// takeoverInterval is how long the entry waits for either of two servers in turn. It
@@ -30,6 +34,9 @@
 	// sent: the queue, the retry budget or a quarantine did not let one through. It leaves some
 	// tries before a caller gives up, and most of the retry budget to others.
 	challengePause = 500 * time.Millisecond
+	// resumedEvents is the number of events with which a silent server has gone on. One event
+	// may be the last of a server that fails, or one of a slow server.
+	resumedEvents = 2
 )
 
 // challenger is an attempt at another server while the current one is silent.
@@ -42,18 +49,12 @@
 	opened chan openedResult
 	// headed is set once the header of the answer is accepted.
 	headed bool
-	// after is the last event before the request was sent; events splits the answer, and out
-	// holds the whole events.
-	after  string
+	// events splits the answer behind the last event of the caller, and out holds the whole
+	// events.
 	events eventSplitter
 	out    []byte
 }
 
-// isBehind reports whether the silent server has gone on, and its last event is newer.
-func (ch *challenger) isBehind(last string) bool {
-	return last != ch.after && isAfter(last, ch.events.last)
-}
-
 // isSent reports whether a server may run the request for the challenger.
 func (ch *challenger) isSent() bool { return ch.opened != nil || ch.exchange != nil }
 
@@ -100,27 +101,22 @@
 }
 
 // challenge makes one step of a takeover while the current server has been silent for a
-// time. It returns the challenger once that has become the current attempt. events is the
-// state of the stream at the caller, nil before the header of its answer, and wait bounds the
-// wait for the challenger.
-func (s *Server) challenge(c *call, silent time.Duration, events *eventSplitter, wait time.Duration) *challenger {
+// time. It returns the challenger once that has become the current attempt: with the header of
+// its answer, or with an event once the current server has sent its header (inStream). wait
+// bounds the wait for the challenger.
+func (s *Server) challenge(c *call, silent time.Duration, inStream bool, wait time.Duration) *challenger {
 	if c.challenger == nil {
 		if s.isStalled(c, silent) && s.mayChallenge(c) {
 			s.beginChallenger(c, silent)
 		}
 		return nil
 	}
-	return s.advance(c, events, wait)
-}
-
-// advance lets the challenger go on for a time, and returns it once it has become the current
-// attempt.
-func (s *Server) advance(c *call, events *eventSplitter, wait time.Duration) *challenger {
-	begun, err := s.advanceChallenger(c, events, time.Now().Add(wait))
+	begun, err := s.advanceChallenger(c, inStream, time.Now().Add(wait))
 	switch {
 	case err != nil:
 		s.failChallenger(c, err)
-	case begun && events != nil && c.challenger.isBehind(events.last):
+	case begun && len(c.challenger.out) == 0 && c.stream.withholds():
+		// The answer has ended without an event, where the silent server has sent one.
 		s.dropChallenger(c)
 	case begun:
 		return s.replaceSilent(c)
@@ -128,20 +124,6 @@
 	return nil
 }
 
-// currentGoesOn is called when an event of the current server has arrived. A challenger that no
-// server has yet is of no use any more; another one may still show that it is ahead.
-func (s *Server) currentGoesOn(c *call, events *eventSplitter) *challenger {
-	switch ch := c.challenger; {
-	case ch == nil:
-	case !ch.isSent():
-		s.dropChallenger(c)
-	case c.status != 0:
-		return s.advance(c, events, minPoll)
-	}
-	// Before its answer begins, the caller gets the head of the server of the first event.
-	return nil
-}
-
 // mayChallenge reports whether another attempt is allowed, except for the retry budget.
 func (s *Server) mayChallenge(c *call) bool {
 	// The first entry resumes a forwarded stream, so that it counts every run.
@@ -153,7 +135,7 @@
 // beginChallenger looks for another server.
 func (s *Server) beginChallenger(c *call, silent time.Duration) {
 	after := cmp.Or(c.lastEvent, c.head.LastEvent)
-	ch := &challenger{after: after, events: eventSplitter{last: after, numbered: true}}
+	ch := &challenger{events: eventSplitter{last: after, numbered: true}}
 	ch.ctx, ch.stop = context.WithCancel(c.ctx)
 	ch.challenging = true
 	c.challenger = ch
@@ -288,9 +270,9 @@
 	return true, nil
 }
 
-// advanceChallenger waits for the challenger. It reports whether that has begun: with the
-// header of its answer if events is nil, else with an event.
-func (s *Server) advanceChallenger(c *call, events *eventSplitter, until time.Time) (begun bool, err error) {
+// advanceChallenger waits for the challenger. It reports whether that has begun: with an event
+// if inStream is set, else with the header of its answer.
+func (s *Server) advanceChallenger(c *call, inStream bool, until time.Time) (begun bool, err error) {
 	open, err := s.openChallenger(c, false)
 	if err != nil || !open {
 		return false, err
@@ -303,7 +285,7 @@
 			}
 			ch.headed = true
 		}
-		if events == nil {
+		if !inStream {
 			begun = true
 			return nil
 		}
@@ -385,9 +367,10 @@
 	s.instruments.recordTakeover("failed")
 	level.Info(s.logger).Log("msg", "No other server took over", "request", c.head.ID, "events", c.events,
 		"left_ms", c.remaining().Milliseconds(), "err", err)
+	c.stream.deliver()
 }
 
-// dropChallenger ends the challenger, if there is one: the current server is ahead, or the
+// dropChallenger ends the challenger, if there is one: the current server has gone on, or the
 // call is over.
 func (s *Server) dropChallenger(c *call) {
 	ch := c.challenger
@@ -407,8 +390,9 @@
 	if c.exchange != nil && !c.ended {
 		s.instruments.recordTakeover("went_on")
 		level.Info(s.logger).Log("msg", "Silent server went on", "request", c.head.ID, "events", c.events,
-			"left_ms", c.remaining().Milliseconds())
+			"withheld", c.stream.withheldCount(), "left_ms", c.remaining().Milliseconds())
 	}
+	c.stream.deliver()
 }
 
 // closeAttempt releases what a challenger holds. It reports whether a server may have run
@@ -441,6 +425,7 @@
 	}
 	if _, err := s.openChallenger(c, true); err != nil {
 		s.failChallenger(c, err)
+		c.stream.deliverFallback()
 		var failed *attemptError
 		switch {
 		case errors.As(err, &failed):
