group: only an acknowledged leave frees a member of a shared replica

What was seen: a member of an open replica was ordered into another one while its head served.

Cause: a new leader has received nothing of a host, and took the first announcement that arrived for the newest. One from before the join made the member count as lost, which ended a sound replica, and as released, which freed it without an order to leave.

Change: a host is out of a replica once it has acknowledged an order to leave, in its present incarnation and to the present leader; the order's term makes it refuse those of former leaders. Until then it gets no order to join another one while the head may serve, even if a former leader freed it. A first announcement that contradicts the log makes a member of a sound replica unknown, not lost, for at most the detection bound.

Ruled out: comparing born with the log (clocks differ), and asking the host (a probe).

--- a/internal/group/dispatch.go
+++ b/internal/group/dispatch.go
@@ -24,10 +24,14 @@
 
 // answer is the outcome of one order.
 type answer struct {
-	order  api.Order
-	sent   time.Time
-	result api.OrderResult
-	err    error
+	order api.Order
+	sent  time.Time
+	// incarnation is what the host announced when the order was sent, and memory that of the
+	// term in which it was.
+	incarnation api.Incarnation
+	memory      *Memory
+	result      api.OrderResult
+	err         error
 }
 
 // dispatch sends orders up to the concurrency limit and records them; the rest
@@ -50,7 +54,8 @@
 			h.joins.sent(d.Order.Group)
 		}
 		base := context.WithoutCancel(ctx)
-		r.cfg.Go(func() { r.orders.send(base, d, now) })
+		a := &answer{order: d.Order, sent: now, incarnation: h.incarnation, memory: r.mem}
+		r.cfg.Go(func() { r.orders.send(base, d.Address, a) })
 	}
 }
 
@@ -66,16 +71,15 @@
 
 // send delivers one order, unless its timeout or the leader lease expired while
 // the process was paused.
-func (d *dispatcher) send(ctx context.Context, dir Directive, decided time.Time) {
-	left := d.cfg.Policy.OrderTimeout - d.cfg.Clock.Now().Sub(decided)
+func (d *dispatcher) send(ctx context.Context, address string, a *answer) {
+	left := d.cfg.Policy.OrderTimeout - d.cfg.Clock.Now().Sub(a.sent)
 	if left <= 0 || !d.cfg.Leading() {
 		d.finish(nil)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	a := &answer{order: dir.Order, sent: decided}
-	a.result, a.err = d.cfg.Sender.Send(ctx, dir.Address, dir.Order)
+	a.result, a.err = d.cfg.Sender.Send(ctx, address, a.order)
 	d.finish(a)
 }
 
@@ -97,13 +101,33 @@
 }
 
 // collectAnswers records the answers to orders in the memory.
-func (r *Reconciler) collectAnswers() {
+func (r *Reconciler) collectAnswers(now time.Time) {
 	for _, a := range r.orders.drain() {
 		if a.err != nil {
 			level.Debug(r.logger).Log("msg", "Order failed.", "host", a.order.Host, "group", a.order.Group, "err", a.err)
 			continue
 		}
 		r.mem.recordAnswer(&a, &r.cfg.Policy)
+		r.mem.settleOrder(&a, now)
+	}
+}
+
+// settleOrder enters the answer to an order into the account of its replica.
+func (m *Memory) settleOrder(a *answer, now time.Time) {
+	account, h := m.accounts[a.order.Group], m.hosts[a.order.Host]
+	if account == nil || h == nil || !a.result.Accepted || a.result.Host != a.order.Host {
+		return
+	}
+	member := account.member(h.id)
+	switch a.order.Kind {
+	case api.OrderAssign:
+		member.answeredAt = now
+	case api.OrderRelease:
+		// An order of an earlier term does not make the host refuse those of the terms between.
+		if a.memory == m {
+			member.left = departure{sent: a.sent, incarnation: a.incarnation, sequence: h.sequence}
+		}
+	case api.OrderOpen, api.OrderStage:
 	}
 }
 
--- a/internal/group/forecast.go
+++ b/internal/group/forecast.go
@@ -79,6 +79,7 @@
 // run evaluates the fleet until a plan has no changes.
 func (f *forecast) run() {
 	mem := NewMemory()
+	mem.assumesOrders = true
 	for range maxForecastRounds {
 		mem.Observe(&f.after, &f.policy, f.now)
 		plan := Decide(f.after, mem, f.policy, f.now)
--- a/internal/group/index.go
+++ b/internal/group/index.go
@@ -47,10 +47,11 @@
 // replica is one group of the view with the state of its members.
 type replica struct {
 	*api.Group
-	sg     *servingGroup
-	mem    *groupMemory
-	states []memberState
-	count  [memberDead + 1]int
+	sg      *servingGroup
+	mem     *groupMemory
+	account *replicaAccount
+	states  []memberState
+	count   [memberDead + 1]int
 	// leaving is the number of members that announced that they leave.
 	leaving int
 	// assumed is the number of silent members that recent answers prove to work.
@@ -99,6 +100,9 @@
 	fabrics  []*fabric
 	byFabric map[api.FabricDomain]*fabric
 	drained  map[api.FailureDomain]bool
+	// held lists the released replicas in which a host may still be a member, and whose head may
+	// still serve.
+	held map[api.HostID][]*replica
 	// progress is what entries report of each group, for its current generation.
 	progress map[api.GroupID]*api.GroupProgress
 }
@@ -112,6 +116,7 @@
 	}
 	x.indexServingGroups()
 	x.indexReplicas()
+	x.indexHeld()
 	x.indexFabrics()
 	return x
 }
@@ -159,7 +164,7 @@
 }
 
 func (x *index) newReplica(g *api.Group) *replica {
-	r := &replica{Group: g, sg: x.sgByName[g.ServingGroup], mem: x.mem.groups[g.ID]}
+	r := &replica{Group: g, sg: x.sgByName[g.ServingGroup], mem: x.mem.groups[g.ID], account: x.mem.account(g.ID)}
 	r.states = make([]memberState, len(g.Members))
 	for rank, h := range r.mem.members {
 		state := x.memberState(g, h)
@@ -230,7 +235,13 @@
 		return memberDead
 	}
 	a := &h.status.Announcement
-	if a.Group != g.ID || a.Fencing != g.Fencing || a.Stage == api.StageBroken {
+	if a.Group != g.ID || a.Fencing != g.Fencing {
+		if g.Phase == api.GroupReady && x.isUnconfirmed(g, h) {
+			return memberUnknown
+		}
+		return memberBehind
+	}
+	if a.Stage == api.StageBroken {
 		return memberBehind
 	}
 	if a.Load == api.LoadReady {
@@ -239,6 +250,12 @@
 	return memberLoading
 }
 
+// isUnconfirmed reports whether an announcement that contradicts the log may be older than the
+// membership: a new leader takes the first one that arrives, which is not always the newest.
+func (x *index) isUnconfirmed(g *api.Group, h *host) bool {
+	return x.mem.account(g.ID).inherited && h.isFirst() && x.now.Sub(h.first.at) <= x.policy.DetectionBound
+}
+
 // absentState is the state of a member that the view does not show: a new leader
 // receives the announcements of the hosts one by one.
 func (x *index) absentState(h *host) memberState {
@@ -317,7 +334,7 @@
 	if a.Kind != api.BackendEngine || a.Leaving || a.Service == "" && x.drained[a.Domain] {
 		return false
 	}
-	if h.assign == nil && a.Group != "" && !a.ChecksFencing {
+	if h.assign == nil && (a.Group != "" && !a.ChecksFencing || len(x.held[h.id]) > 0) {
 		return false
 	}
 	return !x.now.Before(h.backoffUntil(x.policy))
--- a/internal/group/memory.go
+++ b/internal/group/memory.go
@@ -18,9 +18,14 @@
 	shown    []*host
 	assigned []*host
 	groups   map[api.GroupID]*groupMemory
+	accounts map[api.GroupID]*replicaAccount
+	// formed holds the groups that this memory's owner has formed.
+	formed   map[api.GroupID]bool
 	drained  map[api.FailureDomain]time.Time
 	loadTime map[api.ServingGroupName]time.Duration
 	budget   budget
+	// assumesOrders is set for a forecast, in which no orders are sent.
+	assumesOrders bool
 }
 
 // host holds what the last view shows of one host, and its history.
@@ -51,6 +56,8 @@
 	// group and fencing are the membership that the host announced last.
 	group   api.GroupID
 	fencing api.Fencing
+	// first is the first announcement that this leader received of the host, and when.
+	first firstAnnouncement
 	// held is the newest membership that the host announced, and missingSince when it
 	// announced none after that.
 	held         heldMembership
@@ -67,6 +74,12 @@
 	incarnation api.Incarnation
 }
 
+type firstAnnouncement struct {
+	incarnation api.Incarnation
+	sequence    uint64
+	at          time.Time
+}
+
 // orderMemory tracks the newest order sent to a host.
 type orderMemory struct {
 	kind    api.OrderKind
@@ -131,6 +144,8 @@
 		return
 	}
 	m.started = now
+	m.accounts = make(map[api.GroupID]*replicaAccount, len(v.Groups))
+	m.formed = make(map[api.GroupID]bool)
 	m.hosts = make(map[api.HostID]*host, len(v.Hosts))
 	m.groups = make(map[api.GroupID]*groupMemory, len(v.Groups))
 	m.drained = make(map[api.FailureDomain]time.Time)
@@ -185,6 +200,9 @@
 	h.incarnation, h.sequence = a.Incarnation, a.Sequence
 	h.group, h.fencing = a.Group, a.Fencing
 	h.observeMembership(a, now)
+	if h.first.incarnation == 0 {
+		h.first = firstAnnouncement{a.Incarnation, a.Sequence, now}
+	}
 	h.observeLiveness(isAlive(s, p), restarted, p, now)
 	switch {
 	case !a.Leaving:
@@ -206,6 +224,12 @@
 	}
 }
 
+// isFirst reports whether the leader has received no newer announcement than the first one, which
+// may be older than others under way.
+func (h *host) isFirst() bool {
+	return h.incarnation == h.first.incarnation && h.sequence == h.first.sequence
+}
+
 // observeLiveness records a failure when a live host goes silent or restarts. If a
 // silent host restarts, its back-off starts then.
 func (h *host) observeLiveness(alive, restarted bool, p *Policy, now time.Time) {
@@ -299,17 +323,19 @@
 		}
 		m.observeMembers(g, gm)
 	}
-	if len(m.groups) > len(v.Groups) {
+	if len(m.groups) > len(v.Groups) || len(m.accounts) > len(v.Groups) {
 		m.removeEndedGroups(v)
 	}
 }
 
-// observeMembers records which members announced the group's generation.
+// observeMembers records which members announced the group's generation, and their memberships.
 func (m *Memory) observeMembers(g *api.Group, gm *groupMemory) {
+	account := m.account(g.ID)
 	for rank, h := range gm.members {
-		if h.group == g.ID && h.fencing == g.Fencing {
+		if h.incarnation != 0 && h.group == g.ID && h.fencing == g.Fencing {
 			gm.announced[rank] = true
 		}
+		account.member(h.id).observe(h, g.ID)
 	}
 }
 
@@ -335,6 +361,12 @@
 			delete(m.groups, id)
 		}
 	}
+	for id := range m.accounts {
+		if !live[id] {
+			delete(m.accounts, id)
+			delete(m.formed, id)
+		}
+	}
 }
 
 func (m *Memory) observeDomains(v *api.FleetView, now time.Time) {
--- a/internal/group/orders.go
+++ b/internal/group/orders.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"slices"
 	"time"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -23,10 +24,44 @@
 	}
 	for i := range pl.view.Assignments {
 		a := &pl.view.Assignments[i]
-		if a.Releasing && !pl.released(a) {
+		switch r := pl.byID[a.Group]; {
+		case !a.Releasing || pl.released(a):
+		case r != nil && r.isShared():
+			pl.orderLeave(pl.mem.hosts[a.Host], r)
+		default:
 			pl.orderRelease(a)
 		}
 	}
+	for _, r := range pl.replicas {
+		for _, h := range r.mem.members {
+			// An assigned host that is released got its order above.
+			if slices.Contains(pl.held[h.id], r) && (h.assign == nil || !h.assign.Releasing) {
+				pl.orderLeave(h, r)
+			}
+		}
+	}
+}
+
+// orderLeave orders a host to leave the first shared replica of which it may be a member: an earlier
+// one whose head may serve, or else r.
+func (pl *planner) orderLeave(h *host, r *replica) {
+	if h.status == nil || h.stale || h.incarnation == 0 || !isAlive(h.status, pl.policy) {
+		return
+	}
+	for _, held := range pl.held[h.id] {
+		if !held.account.member(h.id).hasLeft(h) {
+			r = held
+			break
+		}
+	}
+	if r.account.member(h.id).hasLeft(h) || !pl.orderDue(h, api.OrderRelease, r.Fencing) {
+		return
+	}
+	o := api.Order{Kind: api.OrderRelease, Group: r.ID, Fencing: r.Fencing, ReleasedFencing: r.Previous}
+	if s := &h.status.Announcement; s.Group == r.ID {
+		o.ReleasedFencing = s.Fencing
+	}
+	pl.order(h, o)
 }
 
 func (pl *planner) orderAssign(r *replica, rank int) {
@@ -34,7 +69,7 @@
 	if h.assign == nil || h.assign.Releasing || h.assign.Group != r.ID {
 		return
 	}
-	if !pl.orderDue(h, api.OrderAssign, r.Fencing) {
+	if len(pl.held[h.id]) > 0 || !pl.orderDue(h, api.OrderAssign, r.Fencing) {
 		return
 	}
 	pl.order(h, api.Order{
@@ -53,9 +88,6 @@
 	if h.status == nil || h.stale || !isAlive(h.status, pl.policy) {
 		return
 	}
-	if r := pl.byID[a.Group]; r != nil && r.isShared() && h.release.acked && h.release.fencing == a.Fencing {
-		return
-	}
 	early := h.release.acked && !pl.checksFencing(h) && pl.now.Before(pl.horizon(h))
 	if early || !pl.orderDue(h, api.OrderRelease, a.Fencing) {
 		return
--- a/internal/group/reconcile.go
+++ b/internal/group/reconcile.go
@@ -97,7 +97,7 @@
 	defer r.mu.Unlock()
 	now := r.cfg.Clock.Now()
 	r.resetAfterGap(now)
-	r.collectAnswers()
+	r.collectAnswers(now)
 	r.mem.Observe(&fleet, &r.cfg.Policy, now)
 	plan := r.cfg.Planner(fleet, r.mem, r.cfg.Policy, now)
 	r.dispatch(ctx, plan.Orders, now)
@@ -139,6 +139,9 @@
 }
 
 func (r *Reconciler) applyOne(ctx context.Context, c *Change, store Store) error {
+	if c.Kind == api.GroupForm && c.Group.ID != "" {
+		r.mem.formed[c.Group.ID] = true
+	}
 	_, err := store.ChangeGroup(ctx, c.GroupChange)
 	if outdated(err) {
 		level.Debug(r.logger).Log("msg", "Change is outdated.", "kind", c.Kind, "group", c.Group.ID, "err", err)
--- a/internal/group/shared.go
+++ b/internal/group/shared.go
@@ -88,11 +88,9 @@
 	return true
 }
 
-// releasedShared reports whether a host has left a shared replica permanently: it
-// acknowledged the release, announces no such membership, or has been lost for longer
-// than LostHostRetention. The head then can't serve, since a member is missing, whether
-// or not it can be reached. A host that started again knows nothing of its membership, but
-// a late order may restore it while the head still serves.
+// releasedShared reports whether a host may join another replica: it has left the shared replica
+// and stays out, or the head of that can't serve any more. A host that does not answer is of use
+// nowhere, whether its head serves or not. One that has been lost for LostHostRetention is free.
 func (pl *planner) releasedShared(a *api.Assignment) bool {
 	h := pl.mem.hosts[a.Host]
 	if h.status == nil || h.stale {
@@ -101,10 +99,10 @@
 	if !isAlive(h.status, pl.policy) {
 		return pl.now.Sub(h.deadSince) > pl.policy.LostHostRetention
 	}
-	if pl.isRestorable(h, a) {
-		return false
+	if pl.mem.assumesOrders {
+		return h.status.Announcement.Group != a.Group
 	}
-	return h.status.Announcement.Group != a.Group || h.release.acked && h.release.fencing == a.Fencing
+	return pl.byID[a.Group].account.member(h.id).hasLeft(h) && !pl.isRestorable(h, a)
 }
 
 // isRestorable reports whether a host has started again since it held a membership, an order
--- a/internal/group/shared_fleet_test.go
+++ b/internal/group/shared_fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,8 +42,10 @@
 	incarnation api.Incarnation
 	sequence    uint64
 	staged      string
-	// highest is the highest fencing number of a join in this incarnation.
+	// highest is the highest fencing number of a join in this incarnation, and term the highest
+	// term of any order.
 	highest api.Fencing
+	term    uint64
 	lastUse string
 
 	group   api.GroupID
@@ -77,12 +80,21 @@
 	byID     map[api.HostID]*engine
 	orders   []api.Order
 	late     []delayedOrder
-	// deliveryOf chooses how an order is delivered; nil delivers all.
+	// deliveryOf chooses how an order is delivered; nil delivers all. lateBy is the delay of a
+	// late one, nil for 2 s.
 	deliveryOf func(api.Order) delivery
+	lateBy     func() time.Duration
+	// announceLate is the delay of an announcement; nil for none. delayed holds those under way.
+	announceLate func(*engine) time.Duration
+	delayed      []delayedAnnouncement
+	// pausedUntil is when a leader that stands still goes on.
+	pausedUntil time.Time
 	// readied are the members that were ever ready in a generation.
 	readied map[membership]map[api.HostID]bool
 	// violation is the first violation of an invariant.
 	violation error
+	// trace is what happened, for a failure.
+	trace []string
 	// queue holds the functions that the Reconciler started.
 	queue []func()
 }
@@ -92,6 +104,11 @@
 	due   time.Time
 }
 
+type delayedAnnouncement struct {
+	announcement api.Announcement
+	due          time.Time
+}
+
 // instantLog commits every command at once on one voter.
 type instantLog struct {
 	state *control.State
@@ -151,6 +168,7 @@
 // lead starts a new leader term, with an empty planner memory and host table.
 func (w *sharedFleet) lead(planner group.Planner) {
 	w.log.term++
+	w.record("term %d begins", w.log.term)
 	w.rec = group.New(group.Config{
 		Policy: sharedPolicy(), Sender: w, Clock: w.clock, Planner: planner,
 		Go: func(f func()) { w.queue = append(w.queue, f) },
@@ -191,15 +209,21 @@
 
 // Send implements backend.OrderSender.
 func (w *sharedFleet) Send(_ context.Context, _ string, o api.Order) (api.OrderResult, error) {
+	o.Term = w.log.term
 	f := deliveryOK
 	if w.deliveryOf != nil {
 		f = w.deliveryOf(o)
 	}
+	w.record("%s of %s/%d to %s sent, delivery %d", o.Kind, o.Group, max(o.Fencing, o.ReleasedFencing), o.Host, f)
 	switch f {
 	case deliveryLost:
 		return api.OrderResult{}, errLost
 	case deliveryLate:
-		w.late = append(w.late, delayedOrder{order: o, due: w.clock.Now().Add(2 * time.Second)})
+		by := 2 * time.Second
+		if w.lateBy != nil {
+			by = w.lateBy()
+		}
+		w.late = append(w.late, delayedOrder{order: o, due: w.clock.Now().Add(by)})
 		return api.OrderResult{}, errLost
 	case deliveryAnswerLost:
 		_, _ = w.deliver(o)
@@ -209,14 +233,23 @@
 }
 
 // deliver executes an order at its host.
-func (w *sharedFleet) deliver(o api.Order) (api.OrderResult, error) {
+func (w *sharedFleet) deliver(o api.Order) (result api.OrderResult, err error) {
 	e := w.byID[o.Host]
-	result := api.OrderResult{Host: o.Host, Incarnation: o.Incarnation, Fencing: o.Fencing}
+	result = api.OrderResult{Host: o.Host, Incarnation: o.Incarnation, Fencing: o.Fencing}
 	if e == nil || !e.up || e.cut {
 		return result, errors.New("no route to the host")
 	}
 	w.orders = append(w.orders, o)
+	defer func() {
+		w.record("%s of %s/%d (term %d) at %s: accepted=%v, now in %s/%d %s", o.Kind, o.Group, max(o.Fencing, o.ReleasedFencing), o.Term, o.Host,
+			result.Accepted, e.group, e.fencing, e.stage)
+	}()
 	w.settle()
+	if o.Term < e.term {
+		result.Reason = "an order of a newer leader was seen"
+		return result, nil
+	}
+	e.term = o.Term
 	switch o.Kind {
 	case api.OrderAssign:
 		result.Accepted = w.join(e, o)
@@ -292,6 +325,19 @@
 	e.group, e.fencing, e.members, e.stage = "", 0, nil, ""
 }
 
+func (w *sharedFleet) record(format string, args ...any) {
+	if w.violation != nil {
+		return
+	}
+	at := w.clock.Now().Sub(time.Unix(1_700_000_000, 0)).Seconds()
+	w.trace = append(w.trace, fmt.Sprintf("%7.1f ", at)+fmt.Sprintf(format, args...))
+}
+
+// history is the end of the trace.
+func (w *sharedFleet) history() string {
+	return strings.Join(w.trace[max(0, len(w.trace)-200):], "\n")
+}
+
 func (w *sharedFleet) fail(format string, args ...any) {
 	if w.violation == nil {
 		w.violation = errors.Newf(format, args...)
@@ -361,9 +407,22 @@
 		Kind: api.BackendEngine, Service: "scribe", Fabric: e.fabric, Domain: e.domain, Group: e.group, Fencing: e.fencing,
 		Stage: e.stage, Load: load, Staged: e.staged, Warm: true, ChecksFencing: true, Leaving: e.leaving,
 	}
-	if e.up && !e.cut {
-		w.call(api.MethodAnnounce, api.AnnounceBatch{Entry: "c1", Incarnation: 1, Announcements: []api.Announcement{e.announced}})
+	if !e.up || e.cut {
+		return
+	}
+	if w.announceLate != nil {
+		if by := w.announceLate(e); by > 0 {
+			w.delayed = append(w.delayed, delayedAnnouncement{e.announced, w.clock.Now().Add(by)})
+			return
+		}
 	}
+	w.receive(e.announced)
+}
+
+// receive passes an announcement to control.
+func (w *sharedFleet) receive(a api.Announcement) {
+	w.record("announcement %d of %s arrives: %s/%d %s", a.Sequence, a.Host, a.Group, a.Fencing, a.Stage)
+	w.call(api.MethodAnnounce, api.AnnounceBatch{Entry: "c1", Incarnation: 1, Announcements: []api.Announcement{a}})
 }
 
 const sharedTick = 100 * time.Millisecond
@@ -385,6 +444,15 @@
 }
 
 func (w *sharedFleet) deliverLate() {
+	delayed := w.delayed
+	w.delayed = nil
+	for _, d := range delayed {
+		if w.clock.Now().Before(d.due) {
+			w.delayed = append(w.delayed, d)
+			continue
+		}
+		w.receive(d.announcement)
+	}
 	kept := w.late[:0]
 	for _, l := range w.late {
 		if w.clock.Now().Before(l.due) {
@@ -397,6 +465,9 @@
 }
 
 func (w *sharedFleet) reconcile() {
+	if w.clock.Now().Before(w.pausedUntil) {
+		return
+	}
 	ctx := context.Background()
 	fleet, err := w.service.Fleet(ctx)
 	require.NoError(w.t, err)
@@ -437,5 +508,5 @@
 
 func requireNoViolation(t *testing.T, w *sharedFleet) {
 	t.Helper()
-	require.NoError(t, w.violation)
+	require.NoError(t, w.violation, w.history())
 }
