group: an order to join counts until it is answered

What was seen: members that had left their replica were brought back by unanswered orders to join it, and were ordered into another one while its head served.

Cause: an order without an answer counted as lost once a repeated one was answered. An acknowledged leave does not keep out a late join of the same epoch.

Change: each released replica keeps an account of its unanswered orders to join and to serve until its end. A host that has left joins another one only if none of its joins is outstanding, or the head can't serve any more.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -225,6 +225,7 @@
 			Sender:  termSender{sender: c.sender, log: log},
 			Clock:   clock.System{},
 			Logger:  c.logger,
+			Meter:   c.service.Meter,
 			Leading: func() bool { return log.Status().Leading },
 		}),
 	}
--- a/internal/group/dispatch.go
+++ b/internal/group/dispatch.go
@@ -5,10 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/backend"
 )
 
 // dispatcher sends orders outside the reconcile loop and collects their answers. It
@@ -30,8 +32,10 @@
 	// term in which it was.
 	incarnation api.Incarnation
 	memory      *Memory
-	result      api.OrderResult
-	err         error
+	// unsent is set if the order has not left this daemon.
+	unsent bool
+	result api.OrderResult
+	err    error
 }
 
 // dispatch sends orders up to the concurrency limit and records them; the rest
@@ -49,9 +53,13 @@
 		o.kind, o.fencing, o.sent = d.Order.Kind, d.Order.Fencing, now
 		o.model = d.Order.Model
 		o.incarnation = h.incarnation
-		if d.Order.Kind == api.OrderAssign {
+		switch d.Order.Kind {
+		case api.OrderAssign:
 			o.lastAssign = now
-			h.joins.sent(d.Order.Group)
+			r.mem.account(d.Order.Group).member(h.id).joins.add(now, r.cfg.Policy.LostHostRetention)
+		case api.OrderOpen:
+			r.mem.account(d.Order.Group).opens.add(now, r.cfg.Policy.LostHostRetention)
+		case api.OrderRelease, api.OrderStage:
 		}
 		base := context.WithoutCancel(ctx)
 		a := &answer{order: d.Order, sent: now, incarnation: h.incarnation, memory: r.mem}
@@ -72,24 +80,25 @@
 // send delivers one order, unless its timeout or the leader lease expired while
 // the process was paused.
 func (d *dispatcher) send(ctx context.Context, address string, a *answer) {
+	defer d.finish(a)
 	left := d.cfg.Policy.OrderTimeout - d.cfg.Clock.Now().Sub(a.sent)
 	if left <= 0 || !d.cfg.Leading() {
-		d.finish(nil)
+		a.unsent, a.err = true, errOrderDropped
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	a.result, a.err = d.cfg.Sender.Send(ctx, address, a.order)
-	d.finish(a)
+	a.unsent = errors.Is(a.err, backend.ErrNotSent)
 }
 
+var errOrderDropped = errors.New("the order is too old, or this daemon leads no longer")
+
 func (d *dispatcher) finish(a *answer) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.inFlight--
-	if a != nil {
-		d.answers = append(d.answers, *a)
-	}
+	d.answers = append(d.answers, *a)
 }
 
 func (d *dispatcher) drain() []answer {
@@ -103,45 +112,51 @@
 // collectAnswers records the answers to orders in the memory.
 func (r *Reconciler) collectAnswers(now time.Time) {
 	for _, a := range r.orders.drain() {
+		r.mem.settleOrder(&a, now)
 		if a.err != nil {
 			level.Debug(r.logger).Log("msg", "Order failed.", "host", a.order.Host, "group", a.order.Group, "err", a.err)
 			continue
 		}
 		r.mem.recordAnswer(&a, &r.cfg.Policy)
-		r.mem.settleOrder(&a, now)
 	}
 }
 
-// settleOrder enters the answer to an order into the account of its replica.
+// settleOrder enters the outcome of an order into the account of its replica.
 func (m *Memory) settleOrder(a *answer, now time.Time) {
-	account, h := m.accounts[a.order.Group], m.hosts[a.order.Host]
-	if account == nil || h == nil || !a.result.Accepted || a.result.Host != a.order.Host {
+	account := m.accounts[a.order.Group]
+	if account == nil {
 		return
 	}
-	member := account.member(h.id)
+	member := account.member(a.order.Host)
 	switch a.order.Kind {
 	case api.OrderAssign:
-		member.answeredAt = now
+		member.joins.settle(a)
+		if a.err == nil && a.result.Accepted {
+			member.answeredAt = now
+		}
+	case api.OrderOpen:
+		account.opens.settle(a)
+		if a.err == nil {
+			account.openedAt = now
+		}
 	case api.OrderRelease:
+		h := m.hosts[a.order.Host]
 		// An order of an earlier term does not make the host refuse those of the terms between.
-		if a.memory == m {
-			member.left = departure{sent: a.sent, incarnation: a.incarnation, sequence: h.sequence}
+		if h != nil && a.memory == m && a.err == nil && a.result.Accepted && a.result.Host == a.order.Host {
+			member.left = departure{sent: a.sent, at: now, incarnation: a.incarnation, sequence: h.sequence}
 		}
-	case api.OrderOpen, api.OrderStage:
+	case api.OrderStage:
 	}
 }
 
-func (j *joinMemory) sent(group api.GroupID) {
-	if j.group != group {
-		*j = joinMemory{group: group}
-	}
-	j.unanswered++
-}
-
-func (j *joinMemory) answered(group api.GroupID) {
-	if j.group == group && j.unanswered > 0 {
-		j.unanswered--
+// settle drops an order that was answered or not sent. One without an answer may still be
+// carried out.
+func (p *pendingOrders) settle(a *answer) {
+	if a.err == nil || a.unsent {
+		p.remove(a.sent)
+		return
 	}
+	p.expire(a.sent)
 }
 
 func (m *Memory) recordAnswer(a *answer, p *Policy) {
@@ -149,9 +164,6 @@
 	if !ok || a.result.Host != a.order.Host {
 		return
 	}
-	if a.order.Kind == api.OrderAssign {
-		h.joins.answered(a.order.Group)
-	}
 	if !a.result.Accepted {
 		h.recordRefusal(a, p)
 		return
--- a/internal/group/memory.go
+++ b/internal/group/memory.go
@@ -57,21 +57,9 @@
 	group   api.GroupID
 	fencing api.Fencing
 	// first is the first announcement that this leader received of the host, and when.
-	first firstAnnouncement
-	// held is the newest membership that the host announced, and missingSince when it
-	// announced none after that.
-	held         heldMembership
-	missingSince time.Time
-	order        orderMemory
-	joins        joinMemory
-	release      releaseMemory
-}
-
-// heldMembership is a membership with the first incarnation that announced it.
-type heldMembership struct {
-	group       api.GroupID
-	fencing     api.Fencing
-	incarnation api.Incarnation
+	first   firstAnnouncement
+	order   orderMemory
+	release releaseMemory
 }
 
 type firstAnnouncement struct {
@@ -95,13 +83,6 @@
 	model string
 }
 
-// joinMemory counts the assign orders of one group that were sent to a host and not
-// answered: each may still be carried out.
-type joinMemory struct {
-	group      api.GroupID
-	unanswered int
-}
-
 // releaseMemory tracks the proof that a membership has ended.
 type releaseMemory struct {
 	fencing api.Fencing
@@ -144,7 +125,9 @@
 		return
 	}
 	m.started = now
-	m.accounts = make(map[api.GroupID]*replicaAccount, len(v.Groups))
+	if m.accounts == nil {
+		m.accounts = make(map[api.GroupID]*replicaAccount, len(v.Groups))
+	}
 	m.formed = make(map[api.GroupID]bool)
 	m.hosts = make(map[api.HostID]*host, len(v.Hosts))
 	m.groups = make(map[api.GroupID]*groupMemory, len(v.Groups))
@@ -199,7 +182,6 @@
 	restarted := h.incarnation != 0 && a.Incarnation > h.incarnation
 	h.incarnation, h.sequence = a.Incarnation, a.Sequence
 	h.group, h.fencing = a.Group, a.Fencing
-	h.observeMembership(a, now)
 	if h.first.incarnation == 0 {
 		h.first = firstAnnouncement{a.Incarnation, a.Sequence, now}
 	}
@@ -212,18 +194,6 @@
 	}
 }
 
-func (h *host) observeMembership(a *api.Announcement, now time.Time) {
-	switch {
-	case a.Group == "" && h.missingSince.IsZero():
-		h.missingSince = now
-	case a.Group == "":
-	case a.Group == h.held.group && a.Fencing == h.held.fencing:
-		h.missingSince = time.Time{}
-	default:
-		h.held, h.missingSince = heldMembership{a.Group, a.Fencing, a.Incarnation}, time.Time{}
-	}
-}
-
 // isFirst reports whether the leader has received no newer announcement than the first one, which
 // may be older than others under way.
 func (h *host) isFirst() bool {
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -54,6 +54,8 @@
 	// Idle describes the free, releasing and silent hosts of shared serving groups,
 	// for the log; empty if there are none.
 	Idle string
+	// Held lists the hosts that may still be members of released shared replicas.
+	Held []HeldHost
 }
 
 // Decide evaluates a view. It is deterministic and changes none of its
@@ -70,6 +72,7 @@
 	pl.startLoads()
 	pl.planOrders()
 	pl.planOpens()
+	pl.plan.Held = pl.describeHeld()
 	return pl.plan
 }
 
--- a/internal/group/reconcile.go
+++ b/internal/group/reconcile.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/backend"
@@ -38,6 +39,8 @@
 	Leading func() bool
 	// Planner evaluates views; nil selects Decide.
 	Planner Planner
+	// Meter is for the number of held hosts; nil for none.
+	Meter metric.Meter
 	// Go runs a function without blocking; nil starts a goroutine.
 	Go func(func())
 }
@@ -54,6 +57,7 @@
 	// idle and idleAt are the text and the time of the last log line on idle hosts.
 	idle   string
 	idleAt time.Time
+	held   heldHosts
 }
 
 // New returns a Reconciler with an empty memory.
@@ -75,6 +79,11 @@
 	}
 	r := &Reconciler{cfg: cfg, logger: logging.For(cfg.Logger, "group"), mem: NewMemory()}
 	r.orders = dispatcher{cfg: &r.cfg, logger: r.logger}
+	if cfg.Meter != nil {
+		if err := r.observeHeld(cfg.Meter); err != nil {
+			level.Warn(r.logger).Log("msg", "The gauge of held hosts could not be created.", "err", err)
+		}
+	}
 	return r
 }
 
@@ -83,8 +92,8 @@
 func (r *Reconciler) Reset() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.mem = NewMemory()
-	r.orders.drain()
+	r.collectAnswers(r.cfg.Clock.Now())
+	r.mem = r.mem.renewed()
 }
 
 // Reconcile evaluates a view, commits the planned changes and starts the orders
@@ -102,6 +111,7 @@
 	plan := r.cfg.Planner(fleet, r.mem, r.cfg.Policy, now)
 	r.dispatch(ctx, plan.Orders, now)
 	r.logIdle(plan.Idle, now)
+	r.reportHeld(plan.Held, now)
 	return r.apply(ctx, plan.Changes, store)
 }
 
@@ -124,7 +134,7 @@
 // resetAfterGap discards the memory after a gap longer than maxMemoryGap.
 func (r *Reconciler) resetAfterGap(now time.Time) {
 	if !r.last.IsZero() && now.Sub(r.last) > maxMemoryGap {
-		r.mem = NewMemory()
+		r.mem = r.mem.renewed()
 	}
 	r.last = now
 }
--- a/internal/group/shared.go
+++ b/internal/group/shared.go
@@ -102,23 +102,8 @@
 	if pl.mem.assumesOrders {
 		return h.status.Announcement.Group != a.Group
 	}
-	return pl.byID[a.Group].account.member(h.id).hasLeft(h) && !pl.isRestorable(h, a)
-}
-
-// isRestorable reports whether a host has started again since it held a membership, an order
-// to join that replica was not answered, and the head may still serve: it has neither left
-// nor missed the host for StallTime. An acknowledgement by the new incarnation proves nothing: unlike the former one
-// it takes an older order afterwards.
-func (pl *planner) isRestorable(h *host, a *api.Assignment) bool {
-	if h.held.group != a.Group || h.held.incarnation == h.incarnation || h.joins.group != a.Group || h.joins.unanswered == 0 {
-		return false
-	}
-	head := pl.byID[a.Group].mem.members[0]
-	if head == h || head.assign == nil || head.assign.Group != a.Group {
-		return false
-	}
-	isBroken := !h.missingSince.IsZero() && pl.now.Sub(h.missingSince) > pl.policy.StallTime
-	return !isBroken && !pl.releasedShared(head.assign)
+	r := pl.byID[a.Group]
+	return r.account.member(h.id).hasLeft(h) && !slices.Contains(pl.held[a.Host], r)
 }
 
 // isShared reports whether a replica belongs to a serving group that shares hosts.
