soak: a stream joins no two runs

The events of the stand-in servers name their run and the event behind which it goes on; the oracle takes the names out before it compares texts, and reports ORDER where a run does not go on behind the last event of the one before, in whole and in cut streams.

--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -146,6 +146,12 @@
 // checkSuccess checks a successful answer. o.mu is held.
 func (o *oracle) checkSuccess(id string, r *request, seal, body string, whole bool) {
 	want := answerOf(r.kind, r.path, r.body)
+	if r.kind == kindStream {
+		var joint string
+		if body, joint = withoutRuns(body); joint != "" {
+			o.report("ORDER: the stream of request %s joins two runs: %s", id, joint)
+		}
+	}
 	switch {
 	case seal == "":
 		o.report("MIXED: request %s succeeds without a seal", id)
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -59,6 +59,13 @@
 			run(o)
 			o.answered("r", 200, "seal", strings.Replace(half, "id: 2", "id: 3", 1), false)
 		}, "ORDER"},
+		{"stream that another server goes on with", func(o *oracle) {
+			send(o, kindStream)
+			run(o)
+			o.answered("r", 200, "seal", marked(stream, 3, 3), true)
+		}, ""},
+		{"joined runs", func(o *oracle) { send(o, kindStream); run(o); o.answered("r", 200, "seal", marked(stream, 4, 3), true) }, "ORDER"},
+		{"joined runs of a cut stream", func(o *oracle) { send(o, kindStream); run(o); o.answered("r", 200, "seal", marked(half, 3, 2), false) }, "ORDER"},
 		{"part that crashes servers", func(o *oracle) {
 			for range crashesAllowed {
 				o.reached("p", "r", true)
@@ -239,3 +246,22 @@
 	n.resetLinks(ip)
 	require.Error(t, receive(5*time.Second))
 }
+
+// marked returns a stream whose first events are of one run, and the others of one that goes on
+// behind an event.
+func marked(stream string, first, after int) string {
+	var b strings.Builder
+	n := 0
+	for event := range strings.SplitAfterSeq(stream, "\n\n") {
+		switch {
+		case event == "":
+		case n < first:
+			b.WriteString(runMark("i-1/1", 0))
+		default:
+			b.WriteString(runMark("i-2/1", after))
+		}
+		b.WriteString(event)
+		n++
+	}
+	return b.String()
+}
--- a/internal/soak/serve.go
+++ b/internal/soak/serve.go
@@ -155,11 +155,13 @@
 	crashAfter := rand.IntN(maxPoisonEvents)
 	s.mu.Lock()
 	group := s.group
+	s.streams++
+	run := runMark(fmt.Sprintf("%s/%d", s.id, s.streams), after)
 	s.mu.Unlock()
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		for i := after; i < len(events); i++ {
 			if cut && i == len(events)/2 {
-				_, _ = w.WriteString(events[i][:4])
+				_, _ = w.WriteString(run[:4])
 				_ = w.Flush()
 				_ = conn.Close()
 				return
@@ -175,7 +177,7 @@
 				_ = conn.Close()
 				return
 			}
-			_, _ = w.WriteString(events[i])
+			_, _ = w.WriteString(run + events[i])
 			if w.Flush() != nil {
 				return
 			}
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -107,6 +107,8 @@
 	fence    uint64
 	epoch    uint64
 	group    *membership
+	// streams is the number of streams that the server has begun.
+	streams int
 	// named is the limit that the server names, nil without one.
 	named *namedLimit
 	// notices is what the server tells the entries in its answers.
