--- a/internal/group/reconcile.go
+++ b/internal/group/reconcile.go
@@ -154,6 +154,9 @@
 	}
 	_, err := store.ChangeGroup(ctx, c.GroupChange)
 	if outdated(err) {
+		if c.Kind == api.GroupForm {
+			delete(r.mem.formed, c.Group.ID)
+		}
 		level.Debug(r.logger).Log("msg", "Change is outdated.", "kind", c.Kind, "group", c.Group.ID, "err", err)
 		return nil
 	}
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -155,7 +155,7 @@
 func (r *relay) continueWith(ch *challenger) error {
 	r.idleSince = time.Time{}
 	r.restartEvents()
-	if err := r.feed(func(dst []byte) ([]byte, error) { return r.events.continueWith(dst, ch.out, &ch.events) }); err != nil {
+	if err := r.withhold(func(dst []byte) ([]byte, error) { return r.events.continueWith(dst, ch.out, &ch.events) }); err != nil {
 		return err
 	}
 	return r.settle()
@@ -172,7 +172,7 @@
 // faulty server may send them without end.
 func (r *relay) forward(part []byte) error {
 	received := r.events.received
-	if err := r.feed(func(dst []byte) ([]byte, error) { return r.events.feed(dst, part) }); err != nil {
+	if err := r.withhold(func(dst []byte) ([]byte, error) { return r.events.feed(dst, part) }); err != nil {
 		return r.resume(&attemptError{ran: true, suspectFor: suspectDuration, cause: err})
 	}
 	if r.events.received == received {
--- a/internal/ingress/withheld.go
+++ b/internal/ingress/withheld.go
@@ -31,10 +31,10 @@
 	return 0
 }
 
-// feed runs feed, which appends whole events of the current server.
-func (r *relay) feed(feed func(dst []byte) ([]byte, error)) error {
+// withhold adds the whole events of the current server that split appends.
+func (r *relay) withhold(split func(dst []byte) ([]byte, error)) error {
 	var err error
-	r.withheld, err = feed(r.withheld)
+	r.withheld, err = split(r.withheld)
 	return err
 }
 
