group: a host that never answers in time is of use again

Cause: one of its hosts carries out each order and answers too late, so that it never acknowledged to have left, and its orders to join and to serve counted for a minute.

A host is out as well once this leader has seen it in the replica and out of it after that, in one incarnation, unless former leaders may have sent it orders; or once its announcements have shown it out for OrderLateness.

--- a/internal/group/account.go
+++ b/internal/group/account.go
@@ -18,7 +18,9 @@
 //     carried out after the host has left, and its fencing number is not too old then.
 //
 // Restarts clear what a host refuses, so that the acknowledgement of a former incarnation counts
-// for nothing.
+// for nothing. A host that never answers in time is out once its announcements have shown that for
+// OrderLateness, or at once if this leader saw it in the replica before, and no former one has sent
+// it orders.
 
 // replicaAccount is the account of one shared replica, from its forming to its end.
 type replicaAccount struct {
@@ -41,6 +43,15 @@
 	// set once it has announced after that, and after it left, that it has none.
 	shownIn  api.Incarnation
 	shownOut bool
+	absent   absence
+}
+
+// absence is how long a host has announced that it is not in a replica.
+type absence struct {
+	incarnation api.Incarnation
+	since       time.Time
+	// left is set if the same incarnation announced the membership before.
+	left bool
 }
 
 // departure is an acknowledged order to leave.
@@ -129,12 +140,15 @@
 }
 
 // observe records an announcement that is newer than the last one.
-func (m *memberAccount) observe(h *host, group api.GroupID) {
+func (m *memberAccount) observe(h *host, group api.GroupID, now time.Time) {
 	if h.status == nil || h.stale || h.incarnation == 0 {
 		return
 	}
 	isLater := m.left.incarnation == h.incarnation && h.sequence > m.left.sequence
 	if h.group != group {
+		if m.absent.incarnation != h.incarnation {
+			m.absent = absence{h.incarnation, now, m.shownIn == h.incarnation}
+		}
 		m.shownOut = m.shownOut || isLater && m.shownIn == h.incarnation
 		return
 	}
@@ -145,7 +159,7 @@
 		}
 		m.left, m.shownOut = departure{}, false
 	}
-	m.shownIn = h.incarnation
+	m.shownIn, m.absent = h.incarnation, absence{}
 }
 
 // hasLeft reports whether a host acknowledged an order to leave in its present incarnation, which
@@ -154,15 +168,31 @@
 	return m.left.incarnation != 0 && m.left.incarnation == h.incarnation && !m.left.sent.Before(m.answeredAt)
 }
 
+// isAway reports whether a host is not in a replica, as far as the leader's orders go.
+func (x *index) isAway(r *replica, h *host) bool {
+	m := r.account.member(h.id)
+	if m.hasLeft(h) {
+		return true
+	}
+	if m.absent.incarnation == 0 || m.absent.incarnation != h.incarnation {
+		return false
+	}
+	if x.now.Sub(m.absent.since) > x.policy.OrderLateness {
+		return true
+	}
+	// An order to join that was answered after the release may have been carried out after the leave.
+	isOrdered := h.release.fencing == r.Fencing && !m.answeredAt.After(h.release.seen)
+	return m.absent.left && isOrdered && !r.account.inherited
+}
+
 // mayReturn reports whether an order to join may still be carried out.
 func (x *index) mayReturn(m *memberAccount) bool {
-	return m.joins.any(x.now.Add(-x.policy.LostHostRetention))
+	return m.joins.any(x.now.Add(-x.policy.OrderLateness))
 }
 
 // isOut reports whether a host has left a replica and stays out.
 func (x *index) isOut(r *replica, h *host) bool {
-	m := r.account.member(h.id)
-	return m.hasLeft(h) && !x.mayReturn(m)
+	return x.isAway(r, h) && !x.mayReturn(r.account.member(h.id))
 }
 
 // hasFinished reports whether the head of a released replica serves no more and can't serve again:
@@ -174,8 +204,8 @@
 		return true
 	}
 	account := r.account.member(head.id)
-	mayOpen := r.account.opens.any(x.now.Add(-x.policy.LostHostRetention))
-	if account.hasLeft(head) {
+	mayOpen := r.account.opens.any(x.now.Add(-x.policy.OrderLateness))
+	if x.isAway(r, head) {
 		return !mayOpen || !x.mayReturn(account)
 	}
 	return !mayOpen && x.isBroken(r)
--- a/internal/group/dispatch.go
+++ b/internal/group/dispatch.go
@@ -56,9 +56,9 @@
 		switch d.Order.Kind {
 		case api.OrderAssign:
 			o.lastAssign = now
-			r.mem.account(d.Order.Group).member(h.id).joins.add(now, r.cfg.Policy.LostHostRetention)
+			r.mem.account(d.Order.Group).member(h.id).joins.add(now, r.cfg.Policy.OrderLateness)
 		case api.OrderOpen:
-			r.mem.account(d.Order.Group).opens.add(now, r.cfg.Policy.LostHostRetention)
+			r.mem.account(d.Order.Group).opens.add(now, r.cfg.Policy.OrderLateness)
 		case api.OrderRelease, api.OrderStage:
 		}
 		base := context.WithoutCancel(ctx)
--- a/internal/group/held.go
+++ b/internal/group/held.go
@@ -57,7 +57,7 @@
 	switch {
 	case h.status == nil || h.stale || !isAlive(h.status, pl.policy):
 		return HeldSilent
-	case !r.account.member(h.id).hasLeft(h):
+	case !pl.isAway(r, h):
 		return HeldLeave
 	}
 	return HeldJoin
--- a/internal/group/memory.go
+++ b/internal/group/memory.go
@@ -291,7 +291,7 @@
 		if g.Retiring && gm.retiringSince.IsZero() {
 			gm.retiringSince = now
 		}
-		m.observeMembers(g, gm)
+		m.observeMembers(g, gm, now)
 	}
 	if len(m.groups) > len(v.Groups) || len(m.accounts) > len(v.Groups) {
 		m.removeEndedGroups(v)
@@ -299,13 +299,13 @@
 }
 
 // observeMembers records which members announced the group's generation, and their memberships.
-func (m *Memory) observeMembers(g *api.Group, gm *groupMemory) {
+func (m *Memory) observeMembers(g *api.Group, gm *groupMemory, now time.Time) {
 	account := m.account(g.ID)
 	for rank, h := range gm.members {
 		if h.incarnation != 0 && h.group == g.ID && h.fencing == g.Fencing {
 			gm.announced[rank] = true
 		}
-		account.member(h.id).observe(h, g.ID)
+		account.member(h.id).observe(h, g.ID, now)
 	}
 }
 
--- a/internal/group/orders.go
+++ b/internal/group/orders.go
@@ -49,12 +49,12 @@
 		return
 	}
 	for _, held := range pl.held[h.id] {
-		if !held.account.member(h.id).hasLeft(h) {
+		if !pl.isAway(held, h) {
 			r = held
 			break
 		}
 	}
-	if r.account.member(h.id).hasLeft(h) || !pl.orderDue(h, api.OrderRelease, r.Fencing) {
+	if pl.isAway(r, h) || !pl.orderDue(h, api.OrderRelease, r.Fencing) {
 		return
 	}
 	o := api.Order{Kind: api.OrderRelease, Group: r.ID, Fencing: r.Fencing, ReleasedFencing: r.Previous}
--- a/internal/group/policy.go
+++ b/internal/group/policy.go
@@ -76,6 +76,9 @@
 	IdleSilence time.Duration
 	// StallTime is how long the head of a shared replica goes on after it lost a member.
 	StallTime time.Duration
+	// OrderLateness is how long after it was sent an order to a shared replica without an answer may
+	// be carried out.
+	OrderLateness time.Duration
 	// LostHostRetention is how long a lost host keeps its membership of a released
 	// shared replica.
 	LostHostRetention time.Duration
@@ -118,6 +121,7 @@
 		LoadTimeout:       20 * time.Minute,
 		AnswerBound:       2500 * time.Millisecond,
 		StallTime:         4 * time.Second,
+		OrderLateness:     15 * time.Second,
 		LostHostRetention: time.Minute,
 		ConvertAfter:      20 * time.Second,
 		IdleSilence:       8 * time.Second,
--- a/internal/group/shared.go
+++ b/internal/group/shared.go
@@ -103,7 +103,7 @@
 		return h.status.Announcement.Group != a.Group
 	}
 	r := pl.byID[a.Group]
-	return r.account.member(h.id).hasLeft(h) && !slices.Contains(pl.held[a.Host], r)
+	return pl.isAway(r, h) && !slices.Contains(pl.held[a.Host], r)
 }
 
 // isShared reports whether a replica belongs to a serving group that shares hosts.
