group, ingress: names and a wait read in the diff

hasFinished called a member's account as the replica's. TestEventIsNotWithheldForLonger slept through the silence; its server waits for the end of the connection as well now, as its neighbours do. Behaviour and checks are the same.

--- a/internal/group/account.go
+++ b/internal/group/account.go
@@ -203,10 +203,10 @@
 	if head.assign == nil || head.assign.Group != r.ID {
 		return true
 	}
-	account := r.account.member(head.id)
+	member := r.account.member(head.id)
 	mayOpen := r.account.opens.any(x.now.Add(-x.policy.OrderLateness))
 	if x.isAway(r, head) {
-		return !mayOpen || !x.mayReturn(account)
+		return !mayOpen || !x.mayReturn(member)
 	}
 	return !mayOpen && x.isBroken(r)
 }
--- a/internal/ingress/joint_test.go
+++ b/internal/ingress/joint_test.go
@@ -118,7 +118,11 @@
 	h.scribe(newFakeServer(t, "a-pausing", func(r *received) {
 		r.beginStream()
 		r.events(3)
-		time.Sleep(silence)
+		select {
+		case <-r.gone:
+			return
+		case <-time.After(silence):
+		}
 		r.chunk(event(4))
 		<-r.gone
 	}), newFakeServer(t, "b-silent", hang))
