--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 FUZZ_CHECKS ?= 2000
 
-.PHONY: all build demo test lint fmt fuzz bench ci clean
+.PHONY: all build demo test crowd lint fmt fuzz bench ci clean
 
 all: build
 
@@ -17,6 +17,11 @@
 test:
 	$(GO) test -race -count=1 -timeout 20m ./...
 
+# The tests of callers that stay within no limit. They measure memory: run them apart from
+# other load.
+crowd:
+	$(GO) test -tags crowd -count=1 -p 1 -timeout 25m ./internal/e2e/crowd
+
 $(BIN)/golangci-lint: tools/go.mod tools/go.sum
 	cd tools && $(GO) build -o ../$(BIN)/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
 
