intake, ingress: what callers make an entry hold is charged to one account

Callers saw: an entry ran out of memory and ended, by heads of many short lines, large bodies that stop short of their end, or announced lengths alone.

Cause: nothing counted what requests take before they are handled. The HTTP library allocates a body when its length is announced, some 130 bytes for each header line, cookie or trailer, and keeps the buffers of the largest request for each connection. Limits for one request can't bound the sum: 4,000 descriptors times any legal request is more than a host has.

Each connection is now charged to the account of the process, a quarter of the host's memory (limits.memoryMb): its read buffer once a byte has come, what the parser may make of the bytes, before it sees them, and a body as it arrives. Nothing is charged for a claim. When the account is full, large incomplete requests yield first, then what has waited longest, idle or with a small incomplete request; a quarter is for small requests only, so that large ones that run don't keep callers out. A request that yields or finds no room has not run and gets 503 with Retry-After, or its connection is closed unread. The head has a timeout from its first byte on. The read buffer belongs to a connection only from its first byte on, and large header lines are dropped after the answer. After a refusal the rest of the request is read and dropped for a second, so that the caller reads the answer and no reset.

The parser of the library sees the same bytes as before: the connection counts, it does not parse. Routes and keys are checked before the body is read.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/crocusway/crocusway/internal/errs"
 	"github.com/crocusway/crocusway/internal/group"
 	"github.com/crocusway/crocusway/internal/ingress"
+	"github.com/crocusway/crocusway/internal/intake"
 	"github.com/crocusway/crocusway/internal/logging"
 	"github.com/crocusway/crocusway/internal/peer"
 	"github.com/crocusway/crocusway/internal/telemetry"
@@ -75,6 +76,10 @@
 	// callers that cached its address; Grace bounds the whole shutdown.
 	LameDuckPeriod time.Duration
 	Grace          time.Duration
+	// Memory is that of the host in bytes and Descriptors what the process may open; callers
+	// get a part of both. 0: those of the machine.
+	Memory      int64
+	Descriptors int
 	// LeastRequestTime is what an entry that shuts down leaves to each request that it still
 	// accepts.
 	LeastRequestTime time.Duration
@@ -108,10 +113,16 @@
 	closeTimeout = 300 * time.Millisecond
 )
 
+// HTTPServer serves the connections of a listener.
+type HTTPServer interface {
+	Serve(ln net.Listener) error
+	ShutdownWithContext(ctx context.Context) error
+}
+
 // Endpoint is one HTTP listener of a gateway.
 type Endpoint struct {
 	Address string
-	Server  *fasthttp.Server
+	Server  HTTPServer
 	// Callers is set for the listener of callers. A graceful shutdown closes it before it
 	// waits for requests in progress, and the other listeners at its end.
 	Callers bool
@@ -131,6 +142,8 @@
 	control   *controlRole
 	ingress   *ingress.Server
 	forwarder *backend.Forwarder
+	account   *intake.Account
+	refusals  *intake.Refusals
 
 	mu        sync.Mutex
 	endpoints []Endpoint
@@ -152,6 +165,10 @@
 	if err := telemetry.RegisterProcess(provider.Meter()); err != nil {
 		return nil, err
 	}
+	g.account = newAccount(cfg.Memory, cfg.Descriptors)
+	if g.refusals, err = intake.NewRefusals(provider.Meter(), g.account); err != nil {
+		return nil, err
+	}
 	g.node, err = peer.Start(peer.Config{
 		Address:          cmp.Or(cfg.PeerListen, cfg.PeerAddress),
 		Source:           cfg.PeerSource,
@@ -285,6 +302,8 @@
 		Settings:  g.cfg.Ingress,
 		ApplyView: g.agent.ApplyNewer,
 		Meter:     g.telemetry.Meter(),
+		Account:   g.account,
+		Refusals:  g.refusals,
 
 		ForwardSecret: []byte(g.cfg.Secret.Reveal()),
 	})
@@ -301,13 +320,8 @@
 	}
 }
 
-// Callers returns the HTTP server of the request path, or nil without the role entry.
-func (g *Gateway) Callers() *fasthttp.Server {
-	if g.ingress == nil {
-		return nil
-	}
-	return g.ingress.HTTP()
-}
+// Callers returns the HTTP server of the request path. Call it only with the role entry.
+func (g *Gateway) Callers() HTTPServer { return g.ingress.HTTP() }
 
 // Metrics returns a handler that serves the metrics as text.
 func (g *Gateway) Metrics() fasthttp.RequestHandler { return g.telemetry.Handler() }
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -10,12 +10,13 @@
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/backend"
 	"github.com/crocusway/crocusway/internal/entry"
+	"github.com/crocusway/crocusway/internal/intake"
 	"github.com/crocusway/crocusway/internal/peer"
 	"github.com/crocusway/crocusway/internal/placement"
 )
 
-// Config holds the dependencies of the request path. Only ApplyView and Meter
-// are optional.
+// Config holds the dependencies of the request path. Only ApplyView, Meter, Account and
+// Refusals are optional.
 type Config struct {
 	// Self is the entry that this process runs.
 	Self     api.EntryInfo
@@ -33,6 +34,10 @@
 	ApplyView func(api.View)
 	// Meter creates the instruments; nil disables metrics.
 	Meter metric.Meter
+	// Account bounds what callers make the process hold, and Refusals counts those that it
+	// refuses; nil: an account of its own, and no count.
+	Account  *intake.Account
+	Refusals *intake.Refusals
 }
 
 // Settings are the limits of the request path, as set by the deployment.
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusway/crocusway/internal/api"
+	"github.com/crocusway/crocusway/internal/intake"
 )
 
 // An entry that has lost its links to all servers forwards its requests to another entry,
@@ -306,15 +307,17 @@
 
 // HandleForwarded serves a request that another entry forwards.
 func (s *Server) HandleForwarded(ctx *fasthttp.RequestCtx) {
-	s.serve(&call{http: ctx, received: time.Now()}, []filter{s.decodeForwarded, s.admit, s.setDeadline, s.selectPool})
+	s.serve(&call{http: ctx, received: time.Now()}, []filter{s.decodeForwarded, s.admit, s.setDeadline, s.readBody, s.selectPool})
 }
 
 // ForwardedHTTP returns the HTTP server for requests that other entries forward.
-func (s *Server) ForwardedHTTP() *fasthttp.Server {
-	server := s.HTTP()
-	server.Handler = s.HandleForwarded
-	server.ReadBufferSize += maxForwardedHeader
-	return server
+func (s *Server) ForwardedHTTP() *intake.Server {
+	maxHead := s.cfg.Settings.MaxHeaderBytes + maxForwardedHeader
+	return s.newHTTP("forwarded", maxHead, s.HandleForwarded, func() intake.Limits {
+		l := s.limits()
+		l.MaxHead = maxHead
+		return l
+	})
 }
 
 // maxForwardedHeader is the size of the header lines that forwarding adds, in bytes.
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/crocusway/crocusway/internal/intake"
 	"github.com/crocusway/crocusway/internal/placement"
 	"github.com/crocusway/crocusway/internal/routing"
 )
@@ -90,6 +91,23 @@
 	return nil
 }
 
+// readBody reads the body of the request. One that could not be read has not run.
+func (s *Server) readBody(c *call) error {
+	err := intake.ReadBody(c.http, s.limits().MaxBody, c.deadline)
+	if err == nil {
+		return nil
+	}
+	intake.Abandon(c.http, err)
+	if intake.IsClosed(err) {
+		c.callerLeft = true
+	}
+	r := &refusal{status: intake.Status(err), code: intake.Reason(err), message: intake.Message(err), cause: err, closes: true}
+	if errors.Is(err, intake.ErrOverloaded) {
+		r.retryAfter = intake.RetryAfter
+	}
+	return r
+}
+
 // selectService selects the service.
 func (s *Server) selectService(c *call) error {
 	name := routing.Pick(c.route)
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -18,6 +18,8 @@
 	message    string
 	retryAfter time.Duration
 	cause      error
+	// closes is set if the rest of the request is not read.
+	closes bool
 }
 
 // Error implements error.
@@ -72,10 +74,17 @@
 	if c.forwardedBy != "" {
 		response.Header.Set(headerForwardedCode, r.code)
 	}
-	body, err := json.Marshal(refusalBody{Error: r.code, Message: r.message})
+	response.SetBodyRaw(encodeRefusal(r.code, r.message))
+	s.closeIfLeaving(c)
+	if r.closes {
+		c.http.SetConnectionClose()
+	}
+}
+
+func encodeRefusal(code, message string) []byte {
+	body, err := json.Marshal(refusalBody{Error: code, Message: message})
 	if err != nil {
 		body = []byte(`{"error":"internal"}`)
 	}
-	response.SetBodyRaw(body)
-	s.closeIfLeaving(c)
+	return body
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusway/crocusway/internal/crashes"
+	"github.com/crocusway/crocusway/internal/intake"
 	"github.com/crocusway/crocusway/internal/logging"
 	"github.com/crocusway/crocusway/internal/placement"
 )
@@ -63,48 +64,47 @@
 }
 
 // HTTP returns the HTTP server for callers' connections.
-func (s *Server) HTTP() *fasthttp.Server {
+func (s *Server) HTTP() *intake.Server {
 	set := s.cfg.Settings
-	return &fasthttp.Server{
-		Handler:                      s.Handle,
-		ReadBufferSize:               set.MaxHeaderBytes,
-		MaxRequestBodySize:           set.MaxBodyBytes,
-		IdleTimeout:                  set.IdleTimeout,
-		NoDefaultServerHeader:        true,
-		NoDefaultDate:                true,
-		NoDefaultContentType:         true,
-		DisablePreParseMultipartForm: true,
-		CloseOnShutdown:              true,
-		ErrorHandler:                 s.refuseUnreadable,
-		ConnState:                    s.observeConn,
-		Logger:                       discardLogger{},
-	}
+	return s.newHTTP("callers", set.MaxHeaderBytes, s.Handle, s.limits)
 }
 
-// discardLogger drops the HTTP library's messages about broken connections; the
-// request path logs the end of each request.
-type discardLogger struct{}
+func (s *Server) newHTTP(name string, maxHead int, handler fasthttp.RequestHandler, limits func() intake.Limits) *intake.Server {
+	return intake.NewServer(intake.Config{
+		Name:      name,
+		Handler:   handler,
+		Refuse:    s.refuseUnreadable,
+		Account:   s.cfg.Account,
+		MaxHead:   maxHead,
+		Limits:    limits,
+		Arrived:   s.progress.arrive,
+		ConnState: s.observeConn,
+		Refusals:  s.cfg.Refusals,
+		Logger:    s.logger,
+	})
+}
 
-// Printf implements fasthttp.Logger.
-func (discardLogger) Printf(string, ...any) {}
+func (s *Server) limits() intake.Limits {
+	set := s.cfg.Settings
+	return intake.Limits{MaxHead: set.MaxHeaderBytes, MaxBody: set.MaxBodyBytes, IdleTimeout: set.IdleTimeout}
+}
 
 // refuseUnreadable answers a request that could not be read.
 func (s *Server) refuseUnreadable(ctx *fasthttp.RequestCtx, err error) {
-	level.Warn(s.logger).Log("msg", "Failed to read request", "caller", ctx.RemoteAddr(), "err", err)
-	ctx.Error("the request could not be read", fasthttp.StatusBadRequest)
-	ctx.SetConnectionClose()
+	ctx.Response.Reset()
+	ctx.SetStatusCode(intake.Status(err))
+	ctx.SetContentType("application/json")
+	intake.SetRetryAfter(&ctx.Response.Header, err)
+	ctx.SetBody(encodeRefusal(intake.Reason(err), intake.Message(err)))
 }
 
 // Run sends load reports to other entries and progress reports to control until ctx ends.
 func (s *Server) Run(ctx context.Context) error { return s.reporter.run(ctx) }
 
-// observeConn records the first byte of a request and its end: a connection becomes idle or
-// closes once the answer has been written.
+// observeConn records the end of a request: a connection becomes idle or closes once the
+// answer has been written.
 func (s *Server) observeConn(conn net.Conn, state fasthttp.ConnState) {
-	switch state {
-	case fasthttp.StateActive:
-		s.progress.arrive(conn)
-	case fasthttp.StateIdle, fasthttp.StateClosed:
+	if state == fasthttp.StateIdle || state == fasthttp.StateClosed {
 		s.progress.end(conn)
 	}
 }
@@ -144,7 +144,7 @@
 
 // filters returns the filters in the order in which they run.
 func (s *Server) filters() []filter {
-	return []filter{s.decode, s.admit, s.route, s.authenticate, s.setDeadline, s.quarantine, s.selectService, s.selectPool}
+	return []filter{s.decode, s.admit, s.route, s.authenticate, s.setDeadline, s.readBody, s.quarantine, s.selectService, s.selectPool}
 }
 
 func runFilters(c *call, filters []filter) error {
