ingress: the limits of the configuration are in force

Callers saw: a head of four times maxHeaderBytes was served, and a body of four times maxBodyBytes was read in full; a head could take any time, an idle connection a minute.

Cause: the limits were decoded, published and used by nothing; constants above them applied.

Each request is bound by the limits of the newest publication, before the first one by those of the settings. A raised idle timeout also holds for connections that wait already. A head over the limit gets 431, a body over it 413, as soon as its length or its bytes show it.

--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -55,8 +55,9 @@
 	// request to be refused permanently: an older view may lack its route or key. 0
 	// sets no bound.
 	MaxViewAge time.Duration
-	// MaxHeaderBytes and MaxBodyBytes bound a request; IdleTimeout bounds the wait for
-	// the next one on a connection.
+	// MaxHeaderBytes and MaxBodyBytes bound a request, and IdleTimeout the wait for the next
+	// one on a connection, unless the publication sets other limits. MaxHeaderBytes is the
+	// size of a read buffer, and bounds that of the publication too.
 	MaxHeaderBytes int
 	MaxBodyBytes   int
 	IdleTimeout    time.Duration
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -312,12 +312,9 @@
 
 // ForwardedHTTP returns the HTTP server for requests that other entries forward.
 func (s *Server) ForwardedHTTP() *intake.Server {
-	maxHead := s.cfg.Settings.MaxHeaderBytes + maxForwardedHeader
-	return s.newHTTP("forwarded", maxHead, s.HandleForwarded, func() intake.Limits {
-		l := s.limits()
-		l.MaxHead = maxHead
-		return l
-	})
+	limits := s.defaultLimits()
+	limits.MaxHead += maxForwardedHeader
+	return s.newHTTP("forwarded", limits.MaxHead, s.HandleForwarded, func() intake.Limits { return limits })
 }
 
 // maxForwardedHeader is the size of the header lines that forwarding adds, in bytes.
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -93,7 +93,7 @@
 
 // readBody reads the body of the request. One that could not be read has not run.
 func (s *Server) readBody(c *call) error {
-	err := intake.ReadBody(c.http, s.limits().MaxBody, c.deadline)
+	err := intake.ReadBody(c.http, 0, c.deadline)
 	if err == nil {
 		return nil
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -65,8 +65,8 @@
 
 // HTTP returns the HTTP server for callers' connections.
 func (s *Server) HTTP() *intake.Server {
-	set := s.cfg.Settings
-	return s.newHTTP("callers", set.MaxHeaderBytes, s.Handle, s.limits)
+	defaults := s.defaultLimits()
+	return s.newHTTP("callers", defaults.MaxHead, s.Handle, func() intake.Limits { return s.limits(defaults) })
 }
 
 func (s *Server) newHTTP(name string, maxHead int, handler fasthttp.RequestHandler, limits func() intake.Limits) *intake.Server {
@@ -84,11 +84,33 @@
 	})
 }
 
-func (s *Server) limits() intake.Limits {
+// limits returns the limits of the publication in force, with defaults for what it does not
+// set.
+func (s *Server) limits(defaults intake.Limits) intake.Limits {
+	l := defaults
+	table, _ := s.state.current()
+	if table == nil {
+		return l
+	}
+	published := table.Limits()
+	setIfPositive(&l.MaxHead, published.MaxHeaderBytes)
+	setIfPositive(&l.MaxBody, published.MaxBodyBytes)
+	setIfPositive(&l.HeadTimeout, time.Duration(published.HeaderTimeoutMillis)*time.Millisecond)
+	setIfPositive(&l.IdleTimeout, time.Duration(published.IdleTimeoutMillis)*time.Millisecond)
+	return l
+}
+
+func (s *Server) defaultLimits() intake.Limits {
 	set := s.cfg.Settings
 	return intake.Limits{MaxHead: set.MaxHeaderBytes, MaxBody: set.MaxBodyBytes, IdleTimeout: set.IdleTimeout}
 }
 
+func setIfPositive[T int | time.Duration](field *T, value T) {
+	if value > 0 {
+		*field = value
+	}
+}
+
 // refuseUnreadable answers a request that could not be read.
 func (s *Server) refuseUnreadable(ctx *fasthttp.RequestCtx, err error) {
 	ctx.Response.Reset()
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -269,14 +269,20 @@
 )
 
 // ReadBody reads the body of a request, at most limit bytes, until the deadline, and makes it
-// the body of ctx.Request. It charges for what has arrived. An error other than a closed
-// connection is one of this package.
+// the body of ctx.Request. A limit of 0 is that of the server. It charges for what has
+// arrived. An error other than a closed connection is one of this package.
 func ReadBody(ctx *fasthttp.RequestCtx, limit int, deadline time.Time) error {
 	stream := ctx.RequestBodyStream()
 	if stream == nil {
 		return nil
 	}
 	c, _ := ctx.Conn().(*Conn)
+	if limit <= 0 {
+		limit = DefaultMaxBody
+		if c != nil {
+			limit = c.server.limits().MaxBody
+		}
+	}
 	length := ctx.Request.Header.ContentLength()
 	if length > limit {
 		return ErrBodyTooLarge
