platform: the other endpoints share the account of callers

Operators, backend servers and callers saw: control, the directory and the readiness check ran out of memory by announced lengths, incomplete bodies or heads of many lines, and any endpoint ended its daemon at the limit of descriptors.

Cause: each endpoint had a server of its own, with bodies of 16 MiB and without any sum. The accept that meets the limit of descriptors ends the server of the HTTP library, and that ends the daemon.

Their connections are charged to the account of the process, which also bounds the connections of all endpoints to three fifths of the descriptors (limits.maxFds). At that bound the connection that has waited longest without a whole request is closed for a new one.

Evidence: TestConnectionsOverTheDescriptorLimit (12 daemons of 12 ended) and the four tests of other endpoints (239 to 699 MiB where 128 are allowed) failed before and pass.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -323,6 +323,12 @@
 // Callers returns the HTTP server of the request path. Call it only with the role entry.
 func (g *Gateway) Callers() HTTPServer { return g.ingress.HTTP() }
 
+// NewHTTP returns a server that shares the account of the daemon's callers.
+func (g *Gateway) NewHTTP(cfg intake.Config) HTTPServer {
+	cfg.Account, cfg.Refusals, cfg.Logger = g.account, g.refusals, logging.For(g.base, "daemon")
+	return intake.NewServer(cfg)
+}
+
 // Metrics returns a handler that serves the metrics as text.
 func (g *Gateway) Metrics() fasthttp.RequestHandler { return g.telemetry.Handler() }
 
