ingress, intake: an answer counts until it has been written

Callers saw: an entry ran out of memory by callers that ask for large answers and read nothing.

Cause: the bytes of an answer were given back to the bound for answers when the handler returned, before the HTTP library wrote it, and a caller that reads nothing held it for good. The bound counted the length of answers, not that of their buffers, and was 64 MiB on any host.

The bytes are given back once the answer has been written or its connection is closed. Buffers are counted before they are allocated, and all answers take at most a quarter of the host's memory. A caller has to take each 64 KiB of an answer within 10 s.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -290,6 +290,7 @@
 }
 
 func (g *Gateway) buildEntry(info api.EntryInfo) {
+	g.cfg.Ingress.Memory = g.cfg.Memory
 	g.forwarder = backend.NewForwarder(backend.Config{DialTimeout: backendDialTimeout, Source: net.ParseIP(g.cfg.ServerSource)})
 	g.ingress = ingress.New(ingress.Config{
 		Self:      info,
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -389,11 +389,9 @@
 			s.recordFirst(c)
 		}
 		s.recordBytes(c)
-		if len(body)+len(part) > s.maxAnswer || !s.answers.take(len(part)) {
-			return s.answerTooLarge(len(body) + len(part))
+		if body, err = s.appendAnswer(c, body, part); err != nil {
+			return err
 		}
-		c.buffered += len(part)
-		body = append(body, part...)
 	}
 	f := &wholeAnswer{body: body}
 	c.exchange.Header.CopyTo(&f.header)
@@ -405,6 +403,40 @@
 	return nil
 }
 
+const (
+	// doubledAnswer is the size up to which the buffer of an answer is doubled, in bytes; later
+	// it grows by half.
+	doubledAnswer = 1 << 20
+	// answerBuffer is the first size of the buffer of an answer of several parts, in bytes.
+	answerBuffer = 4 << 10
+)
+
+// appendAnswer appends a part of an answer that is read whole. Buffers are counted before they
+// are allocated.
+func (s *Server) appendAnswer(c *call, body, part []byte) ([]byte, error) {
+	size := len(body) + len(part)
+	if size > s.maxAnswer {
+		return nil, s.answerTooLarge(size)
+	}
+	if size <= cap(body) {
+		return append(body, part...), nil
+	}
+	grown := size
+	if len(body) > 0 {
+		grown = max(size, answerBuffer, 2*cap(body))
+		if cap(body) >= doubledAnswer {
+			grown = max(size, cap(body)+cap(body)/2)
+		}
+	}
+	grown = min(grown, s.maxAnswer)
+	if !s.answers.take(grown) {
+		return nil, s.answerTooLarge(size)
+	}
+	c.buffered += grown - cap(body)
+	s.answers.release(cap(body))
+	return append(append(make([]byte, 0, grown), body...), part...), nil
+}
+
 // answerTooLarge is the failure of an attempt whose answer is not read to its end.
 func (s *Server) answerTooLarge(bytes int) *attemptError {
 	return &attemptError{
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -61,14 +61,26 @@
 	MaxHeaderBytes int
 	MaxBodyBytes   int
 	IdleTimeout    time.Duration
+	// Memory is that of the host in bytes, 0 if it is large. Answers take a part of it.
+	Memory int64
+}
+
+// maxAnswers bounds all answers together that are being read or written, in bytes.
+func (s Settings) maxAnswers() int64 {
+	if s.Memory <= 0 {
+		return maxBufferedAnswers
+	}
+	return min(maxBufferedAnswers, max(s.Memory/answersFraction, maxAnswerBytes))
 }
 
 const (
 	// maxAnswerBytes bounds an answer that is not a stream.
 	maxAnswerBytes = 16 << 20
-	// maxBufferedAnswers bounds all answers together that are being read, so that faulty
-	// servers can't exhaust the memory of a small host.
+	// maxBufferedAnswers bounds all answers together that are being read or written, so that
+	// faulty servers and callers that do not read can't exhaust the memory of a small host.
 	maxBufferedAnswers = 64 << 20
+	// answersFraction is the reciprocal of the part of the memory that answers may take.
+	answersFraction = 4
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
 	// pollInterval is the time between two checks of a silent server.
--- a/internal/ingress/progress.go
+++ b/internal/ingress/progress.go
@@ -28,6 +28,8 @@
 	deadline time.Time
 	cancel   context.CancelCauseFunc
 	stage    stage
+	// buffered is what the answer takes of Server.answers until it has been written.
+	buffered int
 }
 
 // stage tells what a request waits for.
@@ -66,13 +68,16 @@
 	}
 }
 
-// setSending records that only the rest of an answer is to be written.
-func (p *progress) setSending(conn net.Conn) {
+// setSending records that only the rest of an answer is to be written, which takes this many
+// bytes. It reports false if the request is not in progress.
+func (p *progress) setSending(conn net.Conn, buffered int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if r := p.requests[conn]; r != nil {
-		r.stage = stageSending
+	r := p.requests[conn]
+	if r != nil {
+		r.stage, r.buffered = stageSending, buffered
 	}
+	return r != nil
 }
 
 // byAge returns copies of the requests in progress, the oldest first.
@@ -87,16 +92,21 @@
 	return out
 }
 
-// end removes the request of a connection, if there is one.
-func (p *progress) end(conn net.Conn) {
+// end removes the request of a connection, if there is one, and returns the bytes that its
+// answer took.
+func (p *progress) end(conn net.Conn) (buffered int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if r := p.requests[conn]; r != nil {
+		buffered = r.buffered
+	}
 	delete(p.requests, conn)
 	if len(p.requests) == 0 && p.idle != nil {
 		p.closed = true
 		close(p.idle)
 		p.idle = nil
 	}
+	return buffered
 }
 
 func (p *progress) count() int {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -48,7 +48,7 @@
 		crashes:   crashes.NewTable(),
 		trials:    trialClock{next: make(map[string]time.Time)},
 		maxAnswer: maxAnswerBytes,
-		answers:   byteBudget{limit: maxBufferedAnswers},
+		answers:   byteBudget{limit: cfg.Settings.maxAnswers()},
 		links:     newLinkTable(),
 		notices:   placement.NewNotices(),
 	}
@@ -127,7 +127,7 @@
 // answer has been written.
 func (s *Server) observeConn(conn net.Conn, state fasthttp.ConnState) {
 	if state == fasthttp.StateIdle || state == fasthttp.StateClosed {
-		s.progress.end(conn)
+		s.answers.release(s.progress.end(conn))
 	}
 }
 
@@ -216,7 +216,6 @@
 	c.ended = true
 	s.release(c)
 	s.dropChallenger(c)
-	s.answers.release(c.buffered)
 	c.watch.stop()
 	if c.cancel != nil {
 		c.cancel(nil)
@@ -224,7 +223,9 @@
 	now := time.Now()
 	s.instruments.recordEnd(c, now)
 	s.logEnd(c, now)
-	s.progress.setSending(c.http.Conn())
+	if !s.progress.setSending(c.http.Conn(), c.buffered) {
+		s.answers.release(c.buffered)
+	}
 }
 
 // closeIfLeaving closes the caller's connection after the response during a
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -28,6 +28,8 @@
 	// the caller reads the answer before its connection is reset.
 	lingerTimeout = time.Second
 	lingerBytes   = 32 << 20
+	// writePart is what a slow caller has to take within the write timeout, in bytes.
+	writePart = 64 << 10
 )
 
 // Conn is the connection of a caller. Its reads are those of one goroutine.
@@ -65,6 +67,8 @@
 	// lingers is set if the rest of a request is dropped before the connection closes.
 	lingers atomic.Bool
 	closed  atomic.Bool
+	// ownDeadline is set while a handler bounds its writes itself.
+	ownDeadline atomic.Bool
 }
 
 // smallest is what the connection holds during a request without a body.
@@ -218,6 +222,31 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// Write implements net.Conn. Each part of p has to be taken within the write timeout, unless
+// a handler has set the end of its writes.
+func (c *Conn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		part := p[written:min(len(p), written+writePart)]
+		if !c.ownDeadline.Load() {
+			if err := c.Conn.SetWriteDeadline(time.Now().Add(c.server.cfg.WriteTimeout)); err != nil {
+				return written, err
+			}
+		}
+		n, err := c.Conn.Write(part)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.ownDeadline.Store(!t.IsZero())
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	conn, ok := c.Conn.(syscall.Conn)
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -35,13 +35,15 @@
 	IdleTimeout time.Duration
 }
 
-// Defaults of Limits.
+// Defaults of Limits and Config.
 const (
 	DefaultMaxHead     = 16 << 10
 	DefaultMaxBody     = 4 << 20
 	DefaultHeadTimeout = 10 * time.Second
 	DefaultBodyTimeout = 30 * time.Second
 	DefaultIdleTimeout = time.Minute
+	// DefaultWriteTimeout is that of Config.WriteTimeout.
+	DefaultWriteTimeout = 10 * time.Second
 )
 
 func (l Limits) withDefaults() Limits {
@@ -84,8 +86,11 @@
 	DefaultHeaders bool
 	// MaxConns bounds the connections of this server; 0: only the account bounds them.
 	MaxConns int
-	Refusals *Refusals
-	Logger   log.Logger
+	// WriteTimeout bounds the wait for a caller that does not read its answer; 0:
+	// DefaultWriteTimeout.
+	WriteTimeout time.Duration
+	Refusals     *Refusals
+	Logger       log.Logger
 }
 
 // Server is an HTTP server whose connections are charged to an account.
@@ -102,6 +107,7 @@
 // NewServer returns a server.
 func NewServer(cfg Config) *Server {
 	setDefault(&cfg.MaxHead, DefaultMaxHead)
+	setDefault(&cfg.WriteTimeout, DefaultWriteTimeout)
 	if cfg.Logger == nil {
 		cfg.Logger = log.NewNopLogger()
 	}
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 )
 
 const bodyOf = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
@@ -148,6 +149,17 @@
 	s.held(func(u Usage) bool { return u.Bytes < 64<<10 })
 }
 
+func TestUnreadAnswerEndsItsConnection(t *testing.T) {
+	s := &served{t: t, account: NewAccount(64<<20, 100)}
+	s.start(Config{
+		Handler: func(ctx *fasthttp.RequestCtx) { ctx.SetBody(make([]byte, 32<<20)) },
+		Account: s.account, WriteTimeout: 100 * time.Millisecond,
+	})
+	s.dial().send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	s.held(func(u Usage) bool { return u.Connections == 1 })
+	s.held(func(u Usage) bool { return u.Connections == 0 })
+}
+
 func TestConnectionOverTheLimitReplacesTheLongestIdle(t *testing.T) {
 	account := NewAccount(64<<20, 10)
 	s := serve(t, account, Limits{})
