daemon, pipeline: the servers of "serve" charge callers to an account

Callers and operators saw: a daemon of "crocusway serve" ran out of memory or ended at the limit of descriptors by the same crowds as an entry of the platform.

Cause: its two HTTP servers had no sum over their requests either.

Evidence: the five TestServe... of crowds failed before (201 to 496 MiB where 128 are allowed, 4 of 4 daemons ended at the limit of descriptors), and pass.

--- a/internal/config/flags.go
+++ b/internal/config/flags.go
@@ -80,6 +80,7 @@
 func (f *ServeFlags) registerEntry(fs *flag.FlagSet) {
 	s := &f.settings
 	fs.DurationVar(&s.RenewInterval, "renew-interval", s.RenewInterval, "time between two renewals of the work lease")
+	fs.Int64Var(&s.MemoryLimit, "memory-limit", s.MemoryLimit, "memory that the process may use, bytes; 0: that of the machine")
 	fs.IntVar(&s.MaxBody, "max-body", s.MaxBody, "largest request body, bytes")
 	fs.IntVar(&s.MaxHeader, "max-header", s.MaxHeader, "largest request header, bytes")
 	fs.IntVar(&s.MaxConnections, "max-connections", s.MaxConnections, "largest number of caller connections")
--- a/internal/config/serve.go
+++ b/internal/config/serve.go
@@ -54,6 +54,8 @@
 	LoadRate        int64 `flag:"load-rate" validate:"min=1048576"`
 	ConcurrentLoads int   `flag:"concurrent-loads" validate:"min=1,max=10000"`
 
+	// MemoryLimit is the memory that the process may use, in bytes; 0: that of the machine.
+	MemoryLimit     int64         `flag:"memory-limit" validate:"omitempty,min=67108864,max=1099511627776"`
 	MaxBody         int           `flag:"max-body" validate:"min=1024,max=268435456"`
 	MaxHeader       int           `flag:"max-header" validate:"min=1024,max=1048576"`
 	MaxConnections  int           `flag:"max-connections" validate:"min=1,max=200000"`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,13 +11,13 @@
 	"github.com/fasthttp/router"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/crocusway/crocusway/internal/backend"
 	"github.com/crocusway/crocusway/internal/config"
 	"github.com/crocusway/crocusway/internal/entry"
 	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/intake"
 	"github.com/crocusway/crocusway/internal/logging"
 	"github.com/crocusway/crocusway/internal/peer"
 	"github.com/crocusway/crocusway/internal/telemetry"
@@ -38,7 +38,10 @@
 	leader  *entry.LeaderClient
 	control *controlRole
 	entry   *entryRole
-	http    *fasthttp.Server
+	http    *intake.Server
+
+	account  *intake.Account
+	refusals *intake.Refusals
 }
 
 // Listen binds the addresses of a daemon. The kernel chooses a port given as 0;
@@ -54,6 +57,10 @@
 	if err := telemetry.RegisterProcess(provider.Meter()); err != nil {
 		return nil, err
 	}
+	d.account = newAccount(cfg.MemoryLimit, 0)
+	if d.refusals, err = intake.NewRefusals(provider.Meter(), d.account); err != nil {
+		return nil, err
+	}
 	d.backends = backend.NewClient(backend.Config{Token: cfg.BackendToken.Reveal()})
 	d.node, err = peer.Start(peer.Config{
 		Address:         cfg.PeerListen,
@@ -150,15 +157,15 @@
 		}
 		d.control = control
 	}
-	routes := router.New()
-	d.http = d.newHTTPServer()
 	if d.cfg.Has(config.RoleEntry) {
 		d.entry = newEntryRole(d)
-		routes = d.entry.pipeline.Router()
+		d.mountOperator(d.entry.pipeline.Router())
 		d.http = d.entry.pipeline.HTTP()
+		return nil
 	}
+	routes := router.New()
 	d.mountOperator(routes)
-	d.http.Handler = routes.Handler
+	d.http = d.newHTTPServer(routes.Handler)
 	return nil
 }
 
@@ -175,7 +182,7 @@
 	})
 	g.Go(func() error {
 		<-ctx.Done()
-		return d.http.Shutdown()
+		return d.http.ShutdownWithContext(context.Background())
 	})
 }
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -59,6 +59,8 @@
 		Logger:   d.base,
 		Meter:    d.telemetry.Meter(),
 		Settings: pipelineSettings(d),
+		Account:  d.account,
+		Refusals: d.refusals,
 	})
 	r.agent = entry.NewAgent(entry.AgentConfig{
 		State:         r.state,
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -9,6 +9,7 @@
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/backend"
 	"github.com/crocusway/crocusway/internal/errs"
+	"github.com/crocusway/crocusway/internal/intake"
 	"github.com/crocusway/crocusway/internal/logging"
 	"github.com/crocusway/crocusway/internal/operator"
 )
@@ -18,25 +19,24 @@
 	readTimeout = 30 * time.Second
 	// idleTimeout is the time after which a connection without a request is closed.
 	idleTimeout = 2 * time.Minute
-	// writeBuffer is the size of a connection's write buffer, in bytes.
-	writeBuffer = 4096
 )
 
 // newHTTPServer returns the server of a daemon without the entry role, for
 // operators only.
-func (d *Daemon) newHTTPServer() *fasthttp.Server {
-	return &fasthttp.Server{
-		Name:                  "crocusway",
-		Concurrency:           d.cfg.MaxConnections,
-		ReadBufferSize:        d.cfg.MaxHeader,
-		WriteBufferSize:       writeBuffer,
-		MaxRequestBodySize:    d.cfg.MaxBody,
-		ReadTimeout:           readTimeout,
-		IdleTimeout:           idleTimeout,
-		NoDefaultServerHeader: true,
-		NoDefaultDate:         true,
-		CloseOnShutdown:       true,
-	}
+func (d *Daemon) newHTTPServer(handler fasthttp.RequestHandler) *intake.Server {
+	return intake.NewServer(intake.Config{
+		Name:       "operators",
+		Handler:    intake.WithBody(intake.AtMost(d.cfg.MaxBody), readTimeout, intake.RefusePlain, handler),
+		Account:    d.account,
+		Refusals:   d.refusals,
+		Logger:     d.logger,
+		MaxHead:    d.cfg.MaxHeader,
+		MaxConns:   d.cfg.MaxConnections,
+		ServerName: "crocusway",
+		Limits: func() intake.Limits {
+			return intake.Limits{MaxHead: d.cfg.MaxHeader, HeadTimeout: readTimeout, BodyTimeout: readTimeout, IdleTimeout: idleTimeout}
+		},
+	})
 }
 
 func (d *Daemon) mountOperator(routes *router.Router) {
--- a/internal/pipeline/config.go
+++ b/internal/pipeline/config.go
@@ -11,6 +11,7 @@
 	"github.com/crocusway/crocusway/internal/backend"
 	"github.com/crocusway/crocusway/internal/clock"
 	"github.com/crocusway/crocusway/internal/entry"
+	"github.com/crocusway/crocusway/internal/intake"
 	"github.com/crocusway/crocusway/internal/shard"
 )
 
@@ -51,6 +52,10 @@
 	Settings Settings
 	// Meter creates the instruments; nil disables them.
 	Meter metric.Meter
+	// Account bounds what callers make the process hold, and Refusals counts those that it
+	// refuses; nil: an account of its own, and no count.
+	Account  *intake.Account
+	Refusals *intake.Refusals
 }
 
 // Settings bound what callers may use. Zero fields take the value of
--- a/internal/pipeline/connections.go
+++ b/internal/pipeline/connections.go
@@ -13,10 +13,9 @@
 
 // limitConns refuses the first request of each connection beyond the limit and
 // closes the connection. Connections accepted within the limit stay open.
-func (s *Server) limitConns(server *fasthttp.Server, next fasthttp.RequestHandler) fasthttp.RequestHandler {
+func (s *Server) limitConns(connections func() int, next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		open := int(server.GetOpenConnectionsCount())
-		if ctx.ConnRequestNum() > 1 || open <= s.cfg.Settings.MaxConns {
+		if ctx.ConnRequestNum() > 1 || connections() <= s.cfg.Settings.MaxConns {
 			next(ctx)
 			return
 		}
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/crocusway/crocusway/internal/api"
 	"github.com/crocusway/crocusway/internal/inflight"
+	"github.com/crocusway/crocusway/internal/intake"
 	"github.com/crocusway/crocusway/internal/logging"
 )
 
@@ -102,24 +103,26 @@
 func (s *Server) Handler() fasthttp.RequestHandler { return s.router.Handler }
 
 // HTTP returns a server with the limits of the settings.
-func (s *Server) HTTP() *fasthttp.Server {
+func (s *Server) HTTP() *intake.Server {
 	set := s.cfg.Settings
-	server := &fasthttp.Server{
-		Name:                          "crocusway",
-		Concurrency:                   set.MaxConns + overflowConns,
-		ReadBufferSize:                set.MaxHeaderBytes,
-		MaxRequestBodySize:            set.MaxBodyBytes,
-		ReadTimeout:                   set.ReadTimeout,
-		WriteTimeout:                  set.WriteTimeout,
-		IdleTimeout:                   set.IdleTimeout,
-		NoDefaultServerHeader:         true,
-		DisablePreParseMultipartForm:  true,
-		CloseOnShutdown:               true,
-		ErrorHandler:                  s.refuseReadError,
-		Logger:                        discardLogger{},
-		DisableHeaderNamesNormalizing: false,
-	}
-	server.Handler = s.limitConns(server, s.Handler())
+	var server *intake.Server
+	connections := func() int { return server.Connections() }
+	server = intake.NewServer(intake.Config{
+		Name:           "callers",
+		Handler:        s.limitConns(connections, intake.WithBody(intake.AtMost(set.MaxBodyBytes), set.ReadTimeout, s.refuseReadError, s.Handler())),
+		Refuse:         s.refuseReadError,
+		Account:        s.cfg.Account,
+		Refusals:       s.cfg.Refusals,
+		Logger:         s.logger,
+		MaxHead:        set.MaxHeaderBytes,
+		MaxConns:       set.MaxConns + overflowConns,
+		WriteTimeout:   set.WriteTimeout,
+		ServerName:     "crocusway",
+		DefaultHeaders: true,
+		Limits: func() intake.Limits {
+			return intake.Limits{MaxHead: set.MaxHeaderBytes, HeadTimeout: set.ReadTimeout, BodyTimeout: set.ReadTimeout, IdleTimeout: set.IdleTimeout}
+		},
+	})
 	return server
 }
 
@@ -163,9 +166,3 @@
 
 // newRequestID returns an id that sorts by time.
 func newRequestID() api.RequestID { return api.RequestID(ulid.Make().String()) }
-
-// discardLogger drops the HTTP library's messages about failed connections.
-type discardLogger struct{}
-
-// Printf implements fasthttp.Logger.
-func (discardLogger) Printf(string, ...any) {}
