intake: a server outlives the lack of descriptors

Callers saw: a daemon ended when accept found no descriptor. The account closes connections before, but other uses of the process or another process can take the last one.

Cause: the HTTP library takes EMFILE, ENFILE, ENOBUFS, ENOMEM and ECONNABORTED for the end of the listener.

Accept lets the connection that has waited longest yield, pauses for 20 ms and goes on: the connection stays in the queue of the kernel.

Evidence: TestServerOutlivesTheLackOfDescriptors failed without the change for each of the five.

--- a/internal/intake/account_test.go
+++ b/internal/intake/account_test.go
@@ -2,12 +2,51 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
+// exhausted is a listener of a process without descriptors.
+type exhausted struct {
+	net.Listener
+	failures int
+	err      error
+}
+
+func (l *exhausted) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, l.err
+	}
+	return l.Listener.Accept()
+}
+
+func TestServerOutlivesTheLackOfDescriptors(t *testing.T) {
+	for _, lack := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		server := NewServer(Config{Handler: WithBody(AtMost(1), time.Second, RefusePlain, nil)})
+		ln := &listener{
+			Listener: &exhausted{Listener: inner, failures: 3, err: &net.OpError{Op: "accept", Err: lack}}, server: server,
+		}
+		go func() {
+			conn, err := net.Dial("tcp", inner.Addr().String())
+			if err == nil {
+				t.Cleanup(func() { _ = conn.Close() })
+			}
+		}()
+		conn, err := ln.Accept()
+		require.NoError(t, err, lack)
+		require.NoError(t, conn.Close())
+		require.NoError(t, inner.Close())
+		_, err = ln.Accept()
+		require.ErrorIs(t, err, net.ErrClosed)
+	}
+}
+
 // pipeConn is a connection of an account without a server that reads it.
 func pipeConn(t *testing.T, a *Account) *Conn {
 	t.Helper()
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -2,12 +2,19 @@
 
 import (
 	"net"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
 )
 
-// listener charges connections to an account.
+// acceptPause is the time between two attempts to accept a connection while the process or
+// its host has no descriptor or memory for it.
+const acceptPause = 20 * time.Millisecond
+
+// listener charges connections to an account. Accept returns no temporary error: the HTTP
+// library would end its server.
 type listener struct {
 	net.Listener
 	server *Server
@@ -17,6 +24,15 @@
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
+		if isExhausted(err) {
+			l.server.account.makeRoom()
+			l.server.refused(err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		if errors.Is(err, syscall.ECONNABORTED) {
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -30,6 +46,26 @@
 	}
 }
 
+// isExhausted reports whether a connection can't be accepted for lack of a descriptor or
+// memory. It stays in the queue of the kernel.
+func isExhausted(err error) bool {
+	for _, lack := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, lack) {
+			return true
+		}
+	}
+	return false
+}
+
+// makeRoom lets one connection yield.
+func (a *Account) makeRoom() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.told == 0 {
+		a.yield(a.longestWaiting())
+	}
+}
+
 // refusalLogInterval is the least time between two log lines about refused callers.
 const refusalLogInterval = time.Second
 
--- a/internal/intake/refusal.go
+++ b/internal/intake/refusal.go
@@ -43,6 +43,8 @@
 		return "receive_timeout"
 	case errors.Is(err, ErrOverloaded):
 		return "overloaded"
+	case isExhausted(err):
+		return "no_descriptor"
 	case IsClosed(err):
 		return "caller_left"
 	}
