backend: an attempt does not copy a large body

An entry held each large body once more for every attempt, and for every takeover beside it, in memory that no account counts.

Cause: head and body were joined in one buffer for a single write.

Small requests are joined as before: one write, one segment. The body belongs to the request and is not reused.

--- a/internal/backend/forward.go
+++ b/internal/backend/forward.go
@@ -150,22 +150,29 @@
 
 // write sends the request, one over maxInlineWrite concurrently with the reads.
 func (e *Exchange) write() error {
-	message := make([]byte, 0, len(e.request.Head)+2+len(e.request.Body))
-	message = append(message, e.request.Head...)
-	message = append(message, "\r\n"...)
-	message = append(message, e.request.Body...)
-	if len(message) <= maxInlineWrite {
-		_, err := e.conn.Write(message)
+	size := len(e.request.Head) + 2 + len(e.request.Body)
+	if size <= maxInlineWrite {
+		_, err := e.conn.Write(append(e.head(size), e.request.Body...))
 		return err
 	}
 	e.written = make(chan struct{})
 	go func() {
 		defer close(e.written)
-		_, e.writeErr = e.conn.Write(message)
+		// A large body is not copied: each attempt of the request would hold one more.
+		if _, e.writeErr = e.conn.Write(e.head(0)); e.writeErr == nil {
+			_, e.writeErr = e.conn.Write(e.request.Body)
+		}
 	}()
 	return nil
 }
 
+// head returns the head with its end, in a buffer of at least size bytes.
+func (e *Exchange) head(size int) []byte {
+	head := make([]byte, 0, max(size, len(e.request.Head)+2))
+	head = append(head, e.request.Head...)
+	return append(head, "\r\n"...)
+}
+
 // Reused reports whether the request used an idle connection of the pool.
 func (e *Exchange) Reused() bool { return e.reused }
 
--- a/internal/backend/forward_test.go
+++ b/internal/backend/forward_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -264,3 +265,29 @@
 		}
 	}
 }
+
+// Each attempt of a request held a copy of its body.
+func TestLargeBodyIsNotCopied(t *testing.T) {
+	const size = 8 << 20
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	request := forwardTo(ln.Addr().String(), "r1", strings.Repeat("x", size))
+	received := int64(len(request.Head) + len("\r\n") + size)
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.CopyN(io.Discard, conn, received)
+		_, _ = io.WriteString(conn, responseFor("r1", "done"))
+	}()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	body, err := exchange(t.Context(), newTestForwarder(t), request)
+	runtime.ReadMemStats(&after)
+	require.NoError(t, err)
+	require.Equal(t, "done", body)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(size/2))
+}
