platform: what a configuration or a heartbeat decodes to is bounded

Operators saw: one configuration of half a megabyte, of empty, wrong or null items, took gigabytes at a control daemon; heartbeats of megabytes were decoded and stored.

Cause: an item of two bytes becomes a struct of hundreds, twice, and all items are decoded before the first is checked. Any call to control could have 16 MiB.

--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -178,9 +178,12 @@
 	if c.extra(n) <= smallExtra {
 		return a.limit
 	}
-	return a.limit - a.limit/reservedFraction
+	return a.largeLimit()
 }
 
+// largeLimit is the part of the account that large requests may take.
+func (a *Account) largeLimit() int64 { return a.limit - a.limit/reservedFraction }
+
 // refund takes n bytes from what a connection holds.
 func (a *Account) refund(c *Conn, n int64) {
 	a.mu.Lock()
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -398,6 +398,19 @@
 	return func(*fasthttp.RequestCtx) int { return limit }
 }
 
+// Hold charges for n bytes that the handling of a request takes until its answer has been
+// written. It returns ErrBodyTooLarge for more than the account could ever hold.
+func Hold(ctx *fasthttp.RequestCtx, n int64) error {
+	c, ok := ctx.Conn().(*Conn)
+	if !ok {
+		return nil
+	}
+	if n > c.server.account.largeLimit() {
+		return ErrBodyTooLarge
+	}
+	return c.server.account.charge(c, n)
+}
+
 // Abandon records that the body of a request could not be read. The answer must close the
 // connection.
 func Abandon(ctx *fasthttp.RequestCtx, err error) {
