peer: the listener for links survives the lack of descriptors

Callers saw: a daemon whose address for links got a thousand idle connections went on without links for good: requests were refused, and a voter was lost to the others without ending.

Cause: accepted connections stay until the handshake timeout and were bounded by a constant of 4,096, as many as a small host may open. The event loop ends for good when accept finds no descriptor, whoever took the last one, and nobody noticed.

Connections without a complete handshake are bounded to an eighth of the descriptors, at most 512; beyond it the oldest is closed for a new one, so that daemons get through. An event loop that ends is started again on the same address.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,6 +66,7 @@
 		Address:         cfg.PeerListen,
 		Source:          cfg.PeerSource,
 		Secret:          []byte(cfg.PeerSecret.Reveal()),
+		MaxPending:      maxPendingLinks(0),
 		Logger:          logger,
 		Meter:           provider.Meter(),
 		RefuseUntilOpen: true,
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -178,6 +178,7 @@
 		IdleTimeout:      gatewayIdleTimeout,
 		HandshakeTimeout: gatewayIdleTimeout,
 		DialTimeout:      gatewayDialTimeout,
+		MaxPending:       maxPendingLinks(cfg.Descriptors),
 		RefuseUntilOpen:  true,
 	})
 	if err != nil {
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/crocusway/crocusway/internal/intake"
+	"github.com/crocusway/crocusway/internal/peer"
 )
 
 const (
@@ -16,6 +17,9 @@
 	// reserveFraction is the reciprocal of the part of the memory that the runtime leaves to
 	// what it can't collect in time. The garbage collector runs more often near its limit.
 	reserveFraction = 4
+	// pendingFraction is the reciprocal of the part of the descriptors that connections without
+	// a complete handshake may take.
+	pendingFraction = 8
 	// fallbackMemory and fallbackDescriptors apply if the machine does not tell its own.
 	fallbackMemory      = 256 << 20
 	fallbackDescriptors = 1024
@@ -27,11 +31,24 @@
 	if memory <= 0 {
 		memory = machineMemory()
 	}
-	if most := descriptorLimit(); descriptors <= 0 || descriptors > most {
-		descriptors = most
-	}
 	debug.SetMemoryLimit(max(memory-memory/reserveFraction-programBytes, programBytes))
-	return intake.NewAccount(memory, descriptors)
+	return intake.NewAccount(memory, usableDescriptors(descriptors))
+}
+
+// usableDescriptors returns how many of these descriptors the process may open, 0: all that
+// the machine allows.
+func usableDescriptors(descriptors int) int {
+	most := descriptorLimit()
+	if descriptors <= 0 {
+		return most
+	}
+	return min(descriptors, most)
+}
+
+// maxPendingLinks bounds the connections on the address for links that have not proved to be
+// those of a daemon, in a process with these descriptors, 0: those of the machine.
+func maxPendingLinks(descriptors int) int {
+	return min(max(usableDescriptors(descriptors)/pendingFraction, 1), peer.DefaultMaxPending)
 }
 
 // machineMemory returns the memory of the machine in bytes.
--- a/internal/e2e/crowd/crowd_test.go
+++ b/internal/e2e/crowd/crowd_test.go
@@ -5,9 +5,11 @@
 import (
 	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -333,6 +335,61 @@
 	}
 }
 
+// Links between daemons have an address of their own, which callers may find.
+func TestLinkAddressOverTheDescriptorLimit(t *testing.T) {
+	for name, text := range map[string]string{"idle": "", "one byte": "P", "bytes without end": fill("x", 64<<10)} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t)
+			play := func(c *client) { c.send([]byte(text)) }
+			control := endpoints[len(endpoints)-1]
+			withstands(t, s.entry, s.address(hostEntry, portPeer), 2*descriptorLimit, s.isServed, play)
+			withstands(t, s.control, s.address(hostControl, portPeer), 2*descriptorLimit, control.isAnswered(s), play)
+		})
+	}
+}
+
+// The listener for links ended for good when accept found no descriptor, and the daemon went on
+// without links.
+func TestLinksReturnAfterTheLackOfDescriptors(t *testing.T) {
+	s := newSystem(t)
+	for _, d := range []struct {
+		*daemon
+		host int
+	}{{s.entry, hostEntry}, {s.control, hostControl}} {
+		d.limitDescriptors(uint64(d.descriptors()))
+		crowd := gather(t, s.address(d.host, portPeer), fewClients, func(*client) {})
+		for _, c := range crowd {
+			require.True(t, c.isClosed(), "closed by the daemon, or by the end of its listener")
+		}
+		d.limitDescriptors(descriptorLimit)
+		d.awaitAnswer(s.isServed, "after the lack of descriptors")
+		require.Eventually(t, func() bool {
+			conn, err := net.Dial("tcp", s.address(d.host, portPeer))
+			if err == nil {
+				_ = conn.Close()
+			}
+			return err == nil
+		}, wait, poll, "the address for links is open")
+		d.check()
+	}
+}
+
+func TestStopBesideACrowd(t *testing.T) {
+	s := newSystem(t)
+	gather(t, s.front(), manyClients/5, func(c *client) { c.send([]byte(c.head(""))) })
+	gather(t, s.front(), manyClients/5, func(c *client) { sendBody(c, "", maxBody, 1) })
+	for _, d := range []*daemon{s.entry, s.control} {
+		gather(t, map[*daemon]string{s.entry: s.front(), s.control: s.operator()}[d], manyClients/5, func(*client) {})
+		require.NoError(t, d.cmd.Process.Signal(syscall.SIGTERM))
+		select {
+		case <-d.exited:
+			require.True(t, d.cmd.ProcessState.Success(), "%s: %v", d.name, d.cmd.ProcessState)
+		case <-time.After(wait):
+			t.Fatalf("%s has not stopped", d.name)
+		}
+	}
+}
+
 // endpoint is an address on which a daemon takes connections.
 type endpoint struct {
 	name    string
--- a/internal/e2e/crowd/system_test.go
+++ b/internal/e2e/crowd/system_test.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -136,6 +137,11 @@
 	require.LessOrEqual(d.t, d.descriptors(), descriptorLimit, "open descriptors of %s", d.name)
 }
 
+// limitDescriptors lowers or raises what the daemon may open.
+func (d *daemon) limitDescriptors(n uint64) {
+	require.NoError(d.t, unix.Prlimit(d.cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: n, Max: descriptorLimit}, nil))
+}
+
 // peakMemory is the largest resident memory so far in MiB.
 func (d *daemon) peakMemory() int {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.cmd.Process.Pid))
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -25,6 +25,7 @@
 	DefaultIdleTimeout      = 15 * time.Second
 	DefaultBackoffMin       = 20 * time.Millisecond
 	DefaultBackoffMax       = time.Second
+	DefaultMaxPending       = 512
 )
 
 // minSecret is the shortest shared secret, in bytes.
@@ -55,6 +56,9 @@
 	RefuseUntilOpen bool
 	// HandshakeTimeout bounds the handshake on either side.
 	HandshakeTimeout time.Duration
+	// MaxPending bounds the accepted connections whose handshake is not complete. Beyond it
+	// the oldest of them is closed for a new one.
+	MaxPending int
 	// IdleTimeout is the time without received data after which a link is closed.
 	// A keep-alive call is sent after a third of it without reads or without writes.
 	IdleTimeout time.Duration
@@ -78,6 +82,7 @@
 	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&c.BackoffMin, DefaultBackoffMin)
 	setDefault(&c.BackoffMax, DefaultBackoffMax)
+	setDefault(&c.MaxPending, DefaultMaxPending)
 	if c.Clock == nil {
 		c.Clock = clock.System{}
 	}
--- a/internal/peer/events.go
+++ b/internal/peer/events.go
@@ -15,15 +15,14 @@
 	gnet.BuiltinEventEngine
 	node   *Node
 	dialer bool
-	engine gnet.Engine
-	booted chan struct{}
+	// booted is called once the event loop runs; nil for the dialing one.
+	booted func(gnet.Engine)
 }
 
 // OnBoot implements gnet.EventHandler.
 func (e *eventHandler) OnBoot(engine gnet.Engine) gnet.Action {
-	e.engine = engine
 	if e.booted != nil {
-		close(e.booted)
+		e.booted(engine)
 	}
 	return gnet.None
 }
@@ -50,6 +49,7 @@
 	if e.node.counters.links.Load() >= maxAcceptedLinks {
 		return gnet.Close
 	}
+	e.node.closeOldestPending()
 	l := newLink(e.node, false, c.RemoteAddr().String())
 	l.attach(c)
 	c.SetContext(l)
@@ -57,6 +57,27 @@
 	return gnet.None
 }
 
+// closeOldestPending closes an accepted link whose handshake is not complete, if there are
+// Config.MaxPending of them. Anybody can open these, and daemons need a descriptor for theirs.
+func (n *Node) closeOldestPending() {
+	var oldest *link
+	pending := 0
+	n.mu.Lock()
+	for l := range n.links {
+		if l.dialer || l.ready.Load() || l.isClosing() {
+			continue
+		}
+		pending++
+		if oldest == nil || l.opened.Before(oldest.opened) {
+			oldest = l
+		}
+	}
+	n.mu.Unlock()
+	if pending >= n.cfg.MaxPending {
+		oldest.closeSilently()
+	}
+}
+
 // OnTraffic implements gnet.EventHandler.
 func (e *eventHandler) OnTraffic(c gnet.Conn) gnet.Action {
 	l, ok := c.Context().(*link)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -160,6 +160,24 @@
 	return true
 }
 
+// closeSilently is close without a log line, for connections that anybody can open.
+func (l *link) closeSilently() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || l.closing || l.conn == nil {
+		return
+	}
+	l.closing = true
+	_ = l.conn.Close()
+}
+
+// isClosing reports whether the connection is closed, or about to be.
+func (l *link) isClosing() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed || l.closing
+}
+
 // isClosed reports whether the connection is closed.
 func (l *link) isClosed() bool {
 	l.mu.Lock()
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/panjf2000/gnet/v2"
 
 	"github.com/crocusway/crocusway/internal/api"
@@ -23,19 +24,23 @@
 // Node holds all links of one process. It accepts calls, sends calls and is safe
 // for concurrent use.
 type Node struct {
-	cfg      Config
-	logger   log.Logger
-	address  string
-	ctx      context.Context
-	cancel   context.CancelFunc
-	client   *gnet.Client
-	engine   gnet.Engine
-	stopped  chan struct{}
+	cfg     Config
+	logger  log.Logger
+	ctx     context.Context
+	cancel  context.CancelFunc
+	client  *gnet.Client
+	stopped chan struct{}
+	// stopping is set once the accepting event loop is to end for good.
+	stopping atomic.Bool
 	counters counters
 	workers  chan struct{}
 	// accepting is false until Open if the node was started with RefuseUntilOpen.
 	accepting atomic.Bool
 
+	// engine is the accepting event loop, which may be started again.
+	engineMu sync.Mutex
+	engine   gnet.Engine
+
 	handlersMu sync.RWMutex
 	handlers   map[api.Method]Handler
 
@@ -45,6 +50,7 @@
 	tasks  sync.WaitGroup
 
 	mu      sync.Mutex
+	address string
 	targets map[string]*target
 	links   map[*link]struct{}
 }
@@ -87,30 +93,69 @@
 	return n, nil
 }
 
+// relistenPause is the time between the end of the accepting event loop and its next start.
+const relistenPause = 50 * time.Millisecond
+
 // listen starts the accepting event loop and reads the bound address.
 func (n *Node) listen() error {
 	booted := make(chan struct{})
 	failed := make(chan error, 1)
-	h := &eventHandler{node: n, booted: booted}
 	go func() {
 		defer close(n.stopped)
-		failed <- gnet.Run(h, "tcp://"+n.cfg.Address, n.options(gnet.WithReuseAddr(true))...)
+		n.runAcceptor(n.cfg.Address, booted, failed)
 	}()
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "run event loop")
 	case <-booted:
 	}
-	n.engine = h.engine
-	address, err := boundAddress(h.engine)
+	address, err := boundAddress(n.currentEngine())
 	if err != nil {
 		n.stopEngine()
 		return err
 	}
+	n.mu.Lock()
 	n.address = address
+	n.mu.Unlock()
 	return nil
 }
 
+// runAcceptor runs the accepting event loop until stopEngine. The library ends it, and its
+// links, when accept finds no descriptor; then it starts again on the same address.
+func (n *Node) runAcceptor(address string, booted chan struct{}, failed chan error) {
+	var once sync.Once
+	for {
+		h := &eventHandler{node: n, booted: func(engine gnet.Engine) {
+			n.engineMu.Lock()
+			n.engine = engine
+			n.engineMu.Unlock()
+			once.Do(func() { close(booted) })
+		}}
+		err := gnet.Run(h, "tcp://"+address, n.options(gnet.WithReuseAddr(true))...)
+		select {
+		case <-booted:
+		default:
+			failed <- err
+			return
+		}
+		if n.stopping.Load() {
+			return
+		}
+		level.Error(n.logger).Log("msg", "Listener for links ended, starting it again", "address", n.Addr(), "err", err)
+		time.Sleep(relistenPause)
+		if n.stopping.Load() {
+			return
+		}
+		address = n.Addr()
+	}
+}
+
+func (n *Node) currentEngine() gnet.Engine {
+	n.engineMu.Lock()
+	defer n.engineMu.Unlock()
+	return n.engine
+}
+
 // boundAddress returns the listener's "ip:port".
 func boundAddress(engine gnet.Engine) (string, error) {
 	fd, err := engine.Dup()
@@ -148,7 +193,11 @@
 }
 
 // Addr returns the "ip:port" that the node listens on.
-func (n *Node) Addr() string { return n.address }
+func (n *Node) Addr() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.address
+}
 
 // Stats returns a copy of the counters.
 func (n *Node) Stats() Stats { return n.counters.read() }
@@ -282,8 +331,16 @@
 	// when the event loop has returned.
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_ = n.engine.Stop(ctx)
-	<-n.stopped
+	n.stopping.Store(true)
+	for {
+		_ = n.currentEngine().Stop(ctx)
+		select {
+		case <-n.stopped:
+			return
+		case <-time.After(relistenPause):
+			// The event loop may have been started again meanwhile.
+		}
+	}
 }
 
 // tick checks the deadlines of every link and removes unused targets.
