--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -293,6 +293,10 @@
 	if length > limit {
 		return ErrBodyTooLarge
 	}
+	if c != nil && int64(length) > c.server.account.largeLimit() {
+		// Another process may have the memory.
+		return ErrOverloaded
+	}
 	body, err := readBody(c, stream, length, limit, deadline)
 	if err != nil {
 		return err
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -193,3 +193,9 @@
 		}
 	}
 }
+
+func TestBodyThatNeverFitsIsRefusedAtOnce(t *testing.T) {
+	s := serve(t, newTestAccount(4<<20), Limits{MaxBody: 16 << 20})
+	status, _ := s.dial().send(fmt.Sprintf(bodyOf, 4<<20) + "x").status()
+	require.Equal(t, 503, status)
+}
