intake: read buffers follow the largest head that is allowed

Cause: each connection with a request was charged for a read buffer of 64 KiB, the largest head that any configuration may allow, while the configuration allows 16.

An endpoint whose limit can change has two servers of the HTTP library behind one listener, with buffers of 16 and 64 KiB; a connection gets the smaller one that takes the largest head allowed. One that was accepted before the limit was raised answers a larger head with 503, as the next connection takes it.

--- a/internal/intake/account_test.go
+++ b/internal/intake/account_test.go
@@ -52,7 +52,7 @@
 	t.Helper()
 	near, far := net.Pipe()
 	t.Cleanup(func() { _, _ = near.Close(), far.Close() })
-	c := &Conn{Conn: near, server: &Server{account: a, http: NewServer(Config{Account: a}).http}, since: time.Now()}
+	c := &Conn{Conn: near, server: NewServer(Config{Account: a}), buffer: usualBuffer, since: time.Now()}
 	require.NoError(t, a.open(c))
 	return c
 }
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -36,6 +36,8 @@
 type Conn struct {
 	net.Conn
 	server *Server
+	// buffer is the size of its read buffer, in bytes.
+	buffer int64
 
 	// The fields below are guarded by the lock of the account.
 
@@ -72,7 +74,7 @@
 }
 
 // smallest is what the connection holds during a request without a body.
-func (c *Conn) smallest() int64 { return connCost + requestCost + int64(c.server.http.ReadBufferSize) }
+func (c *Conn) smallest() int64 { return connCost + requestCost + c.buffer }
 
 // extra is what the connection holds beyond that, if it holds n bytes more.
 func (c *Conn) extra(n int64) int64 { return max(c.held+n-c.smallest(), 0) }
@@ -195,7 +197,7 @@
 	c.seen += len(p)
 	c.arrived += int64(len(p))
 	costs := max(c.recent+c.earlier-freeSeparators, 0) * separatorCost
-	if c.seen >= c.server.http.ReadBufferSize {
+	if int64(c.seen) >= c.buffer {
 		c.earlier, c.recent, c.seen = c.recent, 0, 0
 	}
 	if more := int64(costs) - c.costs; more > 0 {
@@ -261,7 +263,7 @@
 func (c *Conn) expectBody(length int) {
 	c.chunked = length < 0
 	// The read buffer may hold the first part of the body, also from before the last answer.
-	c.remaining = max(int64(length)-c.arrived-int64(c.server.http.ReadBufferSize), 0)
+	c.remaining = max(int64(length)-c.arrived-c.buffer, 0)
 }
 
 // answered ends a request whose answer has been written.
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 )
 
 // Errors of a request that could not be read. It has not been handled.
@@ -72,7 +73,7 @@
 	Refuse func(ctx *fasthttp.RequestCtx, err error)
 	// Account is that of the process; nil: one that only this server uses.
 	Account *Account
-	// MaxHead is the size of the buffer of a connection, in bytes, and so the largest head.
+	// MaxHead bounds the heads that Limits allows, in bytes.
 	MaxHead int
 	// Limits returns the limits in force; nil: the defaults.
 	Limits func() Limits
@@ -96,8 +97,10 @@
 // Server is an HTTP server whose connections are charged to an account.
 type Server struct {
 	cfg     Config
-	http    *fasthttp.Server
 	account *Account
+	// http are servers of the HTTP library that differ in their read buffers, the smaller
+	// one first. A connection gets the smallest one that takes the largest head allowed.
+	http []*fasthttp.Server
 
 	mu       sync.Mutex
 	loggedAt time.Time
@@ -118,13 +121,27 @@
 	if s.account == nil {
 		s.account = NewAccount(defaultMemory, defaultDescriptors)
 	}
-	s.http = &fasthttp.Server{
+	for _, size := range []int{min(cfg.MaxHead, usualBuffer), cfg.MaxHead} {
+		if len(s.http) == 0 || size > s.http[0].ReadBufferSize {
+			s.http = append(s.http, s.newHTTP(size))
+		}
+	}
+	return s
+}
+
+// usualBuffer is the size of a read buffer in bytes if no larger head is allowed.
+const usualBuffer = 16 << 10
+
+// newHTTP returns a server with read buffers of this size in bytes.
+func (s *Server) newHTTP(readBuffer int) *fasthttp.Server {
+	cfg := s.cfg
+	return &fasthttp.Server{
 		Name:                         cfg.ServerName,
 		Handler:                      s.handle,
 		ErrorHandler:                 s.refuseUnread,
 		HeaderReceived:               s.headReceived,
 		ConnState:                    s.observe,
-		ReadBufferSize:               cfg.MaxHead,
+		ReadBufferSize:               readBuffer,
 		StreamRequestBody:            true,
 		MaxRequestBodySize:           prefetched,
 		ReduceMemoryUsage:            true,
@@ -136,7 +153,6 @@
 		CloseOnShutdown:              true,
 		Logger:                       discardLogger{},
 	}
-	return s
 }
 
 const (
@@ -156,17 +172,44 @@
 
 // Serve serves the connections of a listener until it is closed.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(&listener{Listener: ln, server: s})
+	accepting := &listener{Listener: ln, server: s}
+	if len(s.http) == 1 {
+		return s.http[0].Serve(accepting)
+	}
+	return accepting.distribute(s.http)
 }
 
 // ShutdownWithContext closes the listeners and waits until no connection has a request in
 // progress, or ctx ends.
 func (s *Server) ShutdownWithContext(ctx context.Context) error {
-	return s.http.ShutdownWithContext(ctx)
+	var group errgroup.Group
+	for _, h := range s.http {
+		group.Go(func() error { return h.ShutdownWithContext(ctx) })
+	}
+	return group.Wait()
 }
 
 // Connections returns the number of open connections.
-func (s *Server) Connections() int { return int(s.http.GetOpenConnectionsCount()) }
+func (s *Server) Connections() int {
+	open := 0
+	for _, h := range s.http {
+		open += int(h.GetOpenConnectionsCount())
+	}
+	return open
+}
+
+// readBuffer returns the size of the smallest read buffer that takes the largest head that is
+// allowed now, in bytes.
+func (s *Server) readBuffer() int {
+	largest := s.limits().MaxHead
+	size := 0
+	for _, h := range s.http {
+		if size < largest {
+			size = h.ReadBufferSize
+		}
+	}
+	return size
+}
 
 func (s *Server) limits() Limits {
 	l := Limits{MaxHead: s.cfg.MaxHead}
@@ -202,7 +245,12 @@
 // refuseUnread answers a request that the HTTP library could not read.
 func (s *Server) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
 	var small *fasthttp.ErrSmallBuffer
+	c, _ := ctx.Conn().(*Conn)
 	switch {
+	case errors.As(err, &small) && c != nil && c.buffer < int64(s.limits().MaxHead):
+		// The limit has been raised since the connection was accepted: the next one takes
+		// larger heads.
+		err = ErrOverloaded
 	case errors.As(err, &small):
 		err = ErrHeadTooLarge
 	case errors.Is(err, ErrTimeout), errors.Is(err, ErrOverloaded):
@@ -210,7 +258,7 @@
 		err = errors.Mark(err, ErrMalformed)
 	}
 	s.refuse(ctx, err)
-	if c, ok := ctx.Conn().(*Conn); ok {
+	if c != nil {
 		c.finish(ctx)
 	}
 }
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -199,3 +200,31 @@
 	status, _ := s.dial().send(fmt.Sprintf(bodyOf, 4<<20) + "x").status()
 	require.Equal(t, 503, status)
 }
+
+func TestReadBufferFollowsTheLimit(t *testing.T) {
+	var maxHead atomic.Int64
+	maxHead.Store(8 << 10)
+	s := &served{t: t, account: NewAccount(64<<20, 100)}
+	s.start(Config{
+		Handler: func(*fasthttp.RequestCtx) {}, Account: s.account, MaxHead: 64 << 10,
+		Limits: func() Limits { return Limits{MaxHead: int(maxHead.Load())} },
+	})
+	request := func(size int) string {
+		return "GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("x", size) + "\r\n\r\n"
+	}
+	before := s.dial()
+	status, _ := before.send(request(7 << 10)).status()
+	require.Equal(t, 200, status)
+	require.Less(t, s.account.Usage().Bytes, int64(64<<10))
+	status, _ = s.dial().send(request(9 << 10)).status()
+	require.Equal(t, 431, status)
+
+	maxHead.Store(64 << 10)
+	status, _ = s.dial().send(request(60 << 10)).status()
+	require.Equal(t, 200, status)
+	status, closes := before.send(request(60 << 10)).status()
+	require.Equal(t, 503, status, "the caller may send it again")
+	require.True(t, closes)
+	status, _ = s.dial().send(request(70 << 10)).status()
+	require.Equal(t, 431, status)
+}
