intake: a head that finds no room is not parsed on a kept connection

Callers on a kept connection had a large head handled although the account had no room for it; one whose connection was told to yield at the same moment was closed without an answer, after its request had been read.

Cause: the read returned the bytes together with the error. The buffered reader hands out the bytes first, and the parser needs no more of them.

Such a read returns one byte, and all further ones the error, so that the caller gets 503. While connections that yield are being closed, further ones are accepted up to an eighth more than the limit; before, a ninth of told ones held up the accept also when there was room.

Evidence: TestRequestWithoutRoomOnKeptConnectionIsAnswered got 200 before.

--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -36,9 +36,9 @@
 	// accountFraction is the part of a process's memory that callers may take. The rest
 	// holds answers, the state of the system and what is not collected yet.
 	accountFraction = 4
-	// connFraction is the reciprocal of the part of the descriptors that is not for callers:
-	// connections to backend servers and other daemons, and files.
-	connFraction = 2.5
+	// callerDescriptors is the part of the descriptors that callers may take. The rest is for
+	// connections to backend servers and other daemons, and for files.
+	callerDescriptors = 0.6
 )
 
 // maxToldFraction is the reciprocal of the part of the connections that may be closing while
@@ -73,7 +73,7 @@
 func NewAccount(memory int64, descriptors int) *Account {
 	return &Account{
 		limit:    max(memory/accountFraction, minAccount),
-		maxConns: max(descriptors-int(float64(descriptors)/connFraction), 1),
+		maxConns: max(int(float64(descriptors)*callerDescriptors), 1),
 		conns:    make(map[*Conn]struct{}),
 	}
 }
@@ -100,13 +100,13 @@
 // them yields.
 func (a *Account) open(c *Conn) error {
 	if err := a.retry(func() (bool, bool) {
-		if len(a.conns)-a.told >= a.maxConns && !a.yield(a.longestWaiting()) {
-			return false, false
-		}
 		// Connections that yield close within moments. More of them than the reserve for
 		// other uses bears would use up the descriptors.
-		if a.told >= max(a.maxConns/maxToldFraction, 1) {
-			return false, true
+		if len(a.conns) >= a.maxConns+max(a.maxConns/maxToldFraction, 1) {
+			return false, a.told > 0
+		}
+		if len(a.conns)-a.told >= a.maxConns && !a.yield(a.longestWaiting()) {
+			return false, false
 		}
 		a.conns[c] = struct{}{}
 		return true, true
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -65,6 +65,8 @@
 	remaining int64
 	// chunked is set while a body without a length is read.
 	chunked bool
+	// failed is the error of all further reads.
+	failed error
 
 	// lingers is set if the rest of a request is dropped before the connection closes.
 	lingers atomic.Bool
@@ -82,12 +84,11 @@
 // Read implements net.Conn. What it returns is charged, with what the HTTP library makes of
 // it.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.failed != nil {
+		return 0, c.failed
+	}
 	if c.reading == stateIdle {
-		n, err := c.readFirst(p)
-		if err != nil {
-			return 0, err
-		}
-		return n, c.chargeSeparators(p[:n])
+		return c.readFirst(p)
 	}
 	if c.remaining > 0 {
 		n, err := c.Conn.Read(p[:min(int64(len(p)), c.remaining)])
@@ -116,9 +117,6 @@
 		c.server.cfg.Arrived(c)
 	}
 	c.reading = stateHead
-	if err := c.server.account.enter(c, stateHead); err != nil {
-		return 0, err
-	}
 	if !c.charged {
 		if err := c.server.account.charge(c, c.smallest()-connCost); err != nil {
 			c.server.refused(ErrOverloaded)
@@ -126,7 +124,23 @@
 		}
 		c.charged = true
 	}
-	return n, c.setDeadline(time.Now().Add(c.server.limits().HeadTimeout))
+	if err := c.beginHead(p[:n]); err != nil {
+		// The library gets a byte, so that it answers the next error.
+		c.failed = err
+		return 1, nil
+	}
+	return n, nil
+}
+
+// beginHead charges for the first bytes of a request and bounds the time for its head.
+func (c *Conn) beginHead(p []byte) error {
+	if err := c.server.account.enter(c, stateHead); err != nil {
+		return err
+	}
+	if err := c.chargeSeparators(p); err != nil {
+		return err
+	}
+	return c.setDeadline(time.Now().Add(c.server.limits().HeadTimeout))
 }
 
 // awaitFirst reads the first bytes of a request. The idle timeout may be raised meanwhile.
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -228,3 +228,17 @@
 	status, _ = s.dial().send(request(70 << 10)).status()
 	require.Equal(t, 431, status)
 }
+
+// A kept connection whose next request found no room was closed without an answer, after the
+// request had been read.
+func TestRequestWithoutRoomOnKeptConnectionIsAnswered(t *testing.T) {
+	s := serve(t, newTestAccount(1<<20), Limits{})
+	c := s.dial().send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	status, _ := c.status()
+	require.Equal(t, 200, status)
+	charged(t, s.account, stateBusy, s.account.largeLimit()-(200<<10))
+	c.send("GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 3000) + "\r\n")
+	status, closes := c.status()
+	require.Equal(t, 503, status)
+	require.True(t, closes)
+}
